--- /dev/null
+++ b/base/clock.h
@@ -0,0 +1,55 @@
+// Time as the decisions see it: one monotonic clock per VM, injected.
+//
+// MonoTime values of different VMs can't be compared; only durations travel
+// between daemons. The real clock (net/event_loop.h) reads CLOCK_BOOTTIME, so
+// that the time a VM spends suspended counts: a paused holder of a lease wakes
+// up to find it over.
+#ifndef BASE_CLOCK_H_
+#define BASE_CLOCK_H_
+
+#include <chrono>
+
+namespace mimosa {
+
+using Duration = std::chrono::microseconds;
+
+struct MonotonicClockTag {
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<MonotonicClockTag, Duration>;
+  static constexpr bool is_steady = true;
+};
+
+using MonoTime = MonotonicClockTag::time_point;
+
+inline constexpr MonoTime kNever = MonoTime::max();
+
+constexpr double ToSeconds(Duration d) {
+  return std::chrono::duration<double>(d).count();
+}
+constexpr int64_t ToMillis(Duration d) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+// Source of the current time.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual MonoTime Now() const = 0;
+};
+
+// A clock that stands still until told; for tests and virtual-time runs.
+class ManualClock : public Clock {
+ public:
+  MonoTime Now() const override { return now_; }
+  void Advance(Duration d) { now_ += d; }
+  void Set(MonoTime t) { now_ = t; }
+
+ private:
+  MonoTime now_{};
+};
+
+}  // namespace mimosa
+
+#endif  // BASE_CLOCK_H_
