--- /dev/null
+++ b/decide/credentials.cc
@@ -0,0 +1,175 @@
+// Separation of credentials from the rest of a request.
+#include "decide/credentials.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace mimosa {
+namespace {
+
+// Fields that exist to carry credentials: never passed on, whatever they hold.
+constexpr std::array<std::string_view, 7> kCredentialFields = {
+    "authorization", "proxy-authorization", "x-api-key",           "api-key",
+    "x-auth-token",  "x-access-token",      "x-amz-security-token"};
+
+// Our own fields, which callers may not forge.
+constexpr std::string_view kOwnFieldPrefix = "mimosa-";
+
+std::string Lower(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+std::string_view Trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
+    text.remove_prefix(1);
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
+    text.remove_suffix(1);
+  return text;
+}
+
+bool IsHex(char c) { return std::isxdigit(static_cast<unsigned char>(c)) != 0; }
+
+int HexValue(char c) {
+  return c <= '9' ? c - '0'
+                  : (std::tolower(static_cast<unsigned char>(c)) - 'a' + 10);
+}
+
+std::string PercentDecode(std::string_view text) {
+  std::string out;
+  out.reserve(text.size());
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size() && IsHex(text[i + 1]) &&
+        IsHex(text[i + 2])) {
+      out +=
+          static_cast<char>(HexValue(text[i + 1]) * 16 + HexValue(text[i + 2]));
+      i += 2;
+    } else {
+      out += text[i];
+    }
+  }
+  return out;
+}
+
+bool ContainsPlainKeyForm(std::string_view text) {
+  for (size_t at = text.find(kKeyPrefix); at != std::string_view::npos;
+       at = text.find(kKeyPrefix, at + 1)) {
+    const std::string_view rest = text.substr(at + kKeyPrefix.size());
+    const auto digits = static_cast<size_t>(
+        std::find_if_not(rest.begin(), rest.end(), IsHex) - rest.begin());
+    if (digits >= kKeyHexDigits) return true;
+  }
+  return false;
+}
+
+bool Contains(std::string_view text, std::string_view key) {
+  return !key.empty() && text.find(key) != std::string_view::npos;
+}
+
+// Collects keys; two different ones are ambiguous.
+class KeyCollector {
+ public:
+  void Add(std::string_view key) {
+    key = Trim(key);
+    if (key.empty()) {
+      fault_ = CredentialFault::kMalformed;
+    } else if (key_.empty()) {
+      key_ = std::string(key);
+    } else if (key_ != key) {
+      fault_ = CredentialFault::kAmbiguous;
+    }
+  }
+  void AddAuthorization(std::string_view value) {
+    value = Trim(value);
+    constexpr std::string_view kScheme = "bearer ";
+    if (Lower(value.substr(0, kScheme.size())) != kScheme) {
+      fault_ = CredentialFault::kMalformed;
+      return;
+    }
+    Add(value.substr(kScheme.size()));
+  }
+  CredentialFault fault() const { return fault_; }
+  const std::string& key() const { return key_; }
+
+ private:
+  CredentialFault fault_ = CredentialFault::kNone;
+  std::string key_;
+};
+
+// Takes the key cookies out of a Cookie field; returns what is left.
+std::string SeparateCookies(std::string_view value,
+                            const std::vector<std::string>& key_cookies,
+                            KeyCollector* keys) {
+  std::string rest;
+  while (!value.empty()) {
+    const size_t end = std::min(value.find(';'), value.size());
+    const std::string_view cookie = Trim(value.substr(0, end));
+    value.remove_prefix(std::min(end + 1, value.size()));
+    if (cookie.empty()) continue;
+    const size_t equals = std::min(cookie.find('='), cookie.size());
+    const std::string_view name = cookie.substr(0, equals);
+    if (std::find(key_cookies.begin(), key_cookies.end(), name) !=
+        key_cookies.end()) {
+      keys->Add(cookie.substr(std::min(equals + 1, cookie.size())));
+      continue;
+    }
+    if (!rest.empty()) rest += "; ";
+    rest += cookie;
+  }
+  return rest;
+}
+
+bool CarriesKey(std::string_view text, const std::string& key) {
+  return ContainsKeyForm(text) || Contains(text, key) ||
+         Contains(PercentDecode(text), key);
+}
+
+}  // namespace
+
+bool ContainsKeyForm(std::string_view text) {
+  if (ContainsPlainKeyForm(text)) return true;
+  return text.find('%') != std::string_view::npos &&
+         ContainsPlainKeyForm(PercentDecode(text));
+}
+
+Credentials SeparateCredentials(const HeaderFields& headers,
+                                std::string_view target, std::string_view body,
+                                const std::vector<std::string>& key_cookies) {
+  KeyCollector keys;
+  HeaderFields rest;
+  for (const auto& [name, value] : headers) {
+    const std::string lower = Lower(name);
+    if (lower == "authorization") {
+      keys.AddAuthorization(value);
+    } else if (lower == "x-api-key") {
+      keys.Add(value);
+    } else if (lower == "cookie") {
+      std::string cookies = SeparateCookies(value, key_cookies, &keys);
+      if (!cookies.empty()) rest.emplace_back(name, std::move(cookies));
+    } else if (std::find(kCredentialFields.begin(), kCredentialFields.end(),
+                         lower) == kCredentialFields.end() &&
+               lower.rfind(kOwnFieldPrefix, 0) != 0) {
+      rest.emplace_back(name, value);
+    }
+  }
+  Credentials result;
+  result.fault = keys.fault();
+  result.key = keys.key();
+  if (result.fault != CredentialFault::kNone) return result;
+  if (CarriesKey(target, result.key)) {
+    result.fault = CredentialFault::kKeyInTarget;
+  } else if (CarriesKey(body, result.key)) {
+    result.fault = CredentialFault::kKeyInBody;
+  }
+  for (auto& field : rest) {
+    if (!CarriesKey(field.second, result.key) &&
+        !CarriesKey(field.first, result.key))
+      result.headers.push_back(std::move(field));
+  }
+  return result;
+}
+
+}  // namespace mimosa
