--- /dev/null
+++ b/decide/token_stream.cc
@@ -0,0 +1,41 @@
+// The rules by which events become one answer.
+#include "decide/token_stream.h"
+
+#include <utility>
+
+#include "base/json.h"
+
+namespace mimosa {
+
+TokenStream::TokenStream(RequestId request, bool check_identity)
+    : request_(std::move(request)), check_identity_(check_identity) {}
+
+TokenEvent TokenStream::Take(int attempt, std::string_view data) {
+  const auto parsed = ParseJson(data);
+  if (!parsed || !parsed->isObject()) return {TokenVerdict::kMalformed, {}, {}};
+  const Json::Value& event = *parsed;
+  if (check_identity_ &&
+      (attempt != attempt_ || ended_ || !event["request"].isString() ||
+       event["request"].asString() != request_.value() ||
+       !event["attempt"].isInt() || event["attempt"].asInt() != attempt_))
+    return {TokenVerdict::kForeign, {}, {}};
+  if (event["finish"].isString()) {
+    // The end counts only if all tokens before it came.
+    if (check_identity_ && (!event["output_tokens"].isInt64() ||
+                            event["output_tokens"].asInt64() != next_index_))
+      return {TokenVerdict::kGap, {}, {}};
+    ended_ = true;
+    return {TokenVerdict::kEnd, {}, event["finish"].asString()};
+  }
+  if (!event["index"].isInt64() || !event["text"].isString())
+    return {TokenVerdict::kMalformed, {}, {}};
+  const int64_t index = event["index"].asInt64();
+  if (check_identity_ && index < next_index_)
+    return {TokenVerdict::kRepeated, {}, {}};
+  if (check_identity_ && index > next_index_)
+    return {TokenVerdict::kGap, {}, {}};
+  ++next_index_;
+  return {TokenVerdict::kToken, event["text"].asString(), {}};
+}
+
+}  // namespace mimosa
