--- /dev/null
+++ b/router/engine_canceller.cc
@@ -0,0 +1,68 @@
+// Orders to cancel, repeated until confirmed.
+#include "router/engine_canceller.h"
+
+#include <utility>
+
+#include "base/json.h"
+
+namespace mimosa {
+
+struct EngineCanceller::Order {
+  RequestId request;
+  std::vector<Endpoint> engines;  // not confirmed yet; the last one is asked
+  std::unique_ptr<Place> place;
+  MonoTime give_up;
+  std::unique_ptr<HttpCall> call;
+  TimerHandle timer;
+};
+
+EngineCanceller::EngineCanceller(EventLoop* loop, HttpClient* client)
+    : loop_(loop), client_(client) {}
+
+EngineCanceller::~EngineCanceller() = default;
+
+void EngineCanceller::Cancel(const RequestId& request,
+                             std::vector<Endpoint> engines,
+                             std::unique_ptr<Place> place) {
+  if (engines.empty()) return;  // nothing was sent; the place goes now
+  auto order = std::make_unique<Order>();
+  order->request = request;
+  order->engines = std::move(engines);
+  order->place = std::move(place);
+  order->give_up = loop_->Now() + kPatience;
+  orders_.push_back(std::move(order));
+  Try(orders_.back().get());
+}
+
+void EngineCanceller::Try(Order* order) {
+  HttpCallOptions options;
+  options.to = order->engines.back();
+  options.head_timeout = kCallTimeout;
+  options.reuse_connection = true;
+  Json::Value body(Json::objectValue);
+  body["request"] = order->request.value();
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/cancel";
+  request.headers.Set("Content-Type", "application/json");
+  request.body = WriteJson(body);
+  order->call = Fetch(
+      client_, options, std::move(request),
+      [this, order](const HttpResult& result) { OnAnswer(order, result.ok); });
+}
+
+void EngineCanceller::OnAnswer(Order* order, bool confirmed) {
+  if (confirmed) order->engines.pop_back();
+  if (order->engines.empty() || loop_->Now() >= order->give_up) {
+    // Posted: the finished call is still on the stack.
+    loop_->Post([this, order] {
+      orders_.remove_if(
+          [order](const auto& each) { return each.get() == order; });
+    });
+    return;
+  }
+  order->timer = loop_->After(confirmed ? Duration::zero() : kRetryPause,
+                              [this, order] { Try(order); });
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/router/engine_canceller.h
@@ -0,0 +1,52 @@
+// Takes back what a request holds at an engine, until the engine has confirmed.
+//
+// An engine may keep a stream running, and its memory held, after the
+// connection is gone. So a request that ends early leaves an order to cancel
+// here; it is repeated until the engine answers or kPatience has passed (then
+// the engine is down, or the owner of its book sweeps it: engine_sweeper.h).
+// Meanwhile the place stays reserved: the book must not grant memory that is
+// not free yet.
+#ifndef ROUTER_ENGINE_CANCELLER_H_
+#define ROUTER_ENGINE_CANCELLER_H_
+
+#include <list>
+#include <memory>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "net/event_loop.h"
+#include "net/http.h"
+#include "router/places.h"
+
+namespace mimosa {
+
+class EngineCanceller {
+ public:
+  static constexpr Duration kPatience = std::chrono::seconds(20);
+  static constexpr Duration kRetryPause = std::chrono::milliseconds(250);
+  static constexpr Duration kCallTimeout = std::chrono::seconds(2);
+
+  EngineCanceller(EventLoop* loop, HttpClient* client);
+  ~EngineCanceller();
+
+  // Cancels `request` at `engines` and then lets `place` go.
+  void Cancel(const RequestId& request, std::vector<Endpoint> engines,
+              std::unique_ptr<Place> place);
+
+  // Orders not confirmed yet; a graceful shutdown waits for zero.
+  size_t pending() const { return orders_.size(); }
+
+ private:
+  struct Order;
+  void Try(Order* order);
+  void OnAnswer(Order* order, bool confirmed);
+
+  EventLoop* const loop_;
+  HttpClient* const client_;
+  std::list<std::unique_ptr<Order>> orders_;
+};
+
+}  // namespace mimosa
+
+#endif  // ROUTER_ENGINE_CANCELLER_H_
--- /dev/null
+++ b/router/front.h
@@ -0,0 +1,106 @@
+// The callers' port: admits each request, hands it to a service or model call,
+// and ends it when its caller, its key or its time is gone.
+//
+// Admission, in this order: health check; this daemon's own state; route and
+// method; body size; credentials; key. A request that fails any of these was
+// not sent anywhere. The keys of all running requests are looked up again at
+// each change of the catalogue: withdrawal reaches open connections.
+#ifndef ROUTER_FRONT_H_
+#define ROUTER_FRONT_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "net/event_loop.h"
+#include "net/http.h"
+#include "router/catalogue_view.h"
+#include "router/fleet.h"
+#include "router/request.h"
+
+namespace mimosa {
+
+// What the front reports about each request, for counters and histograms.
+struct RequestReport {
+  CustomerId customer;  // empty: open route, or not admitted
+  RouteId route;        // empty: none was found
+  wire::RequestClass request_class = wire::REQUEST_CLASS_UNSPECIFIED;
+  int status = 0;  // 0: the caller went away before an answer
+  Outcome outcome = Outcome::kNotRun;
+  const Refusal* refusal = nullptr;  // valid during the call only
+  Duration total{};
+  RequestResult result;
+};
+
+class RequestObserver {
+ public:
+  virtual ~RequestObserver() = default;
+  virtual void OnRequestEnd(const RequestReport& report) = 0;
+};
+
+struct FrontOptions {
+  size_t max_body_bytes = 8U << 20;
+  // Without word from platform and peers for so long, keyed requests are
+  // refused: this daemon would not hear of a withdrawn key.
+  Duration stale_after = std::chrono::seconds(5);
+  bool strip_keys = true;  // test only: "key-strip"
+  bool sweep_keys = true;  // test only: "key-sweep"
+};
+
+class Front : public HttpHandler {
+ public:
+  using StartCall = std::function<std::unique_ptr<RunningRequest>(
+      RequestContext context, RequestDone done)>;
+
+  Front(EventLoop* loop, const CatalogueView* catalogue, const Fleet* fleet,
+        RequestObserver* observer, StartCall start_service,
+        StartCall start_model, const FrontOptions& options);
+  ~Front() override;
+
+  // HttpHandler:
+  void OnRequest(std::shared_ptr<HttpExchange> exchange) override;
+
+  // From now on the health check fails; requests are still served.
+  void BeginLeaving() { leaving_ = true; }
+
+  // Ends running requests whose key the current catalogue doesn't give to
+  // their customer any more.
+  void SweepKeys();
+
+  size_t running() const { return running_.size(); }
+
+ private:
+  struct Running;
+
+  void AnswerHealth(HttpExchange* exchange) const;
+  // The reason why this daemon admits no request now, or none.
+  bool RefuseByState(Answer* answer, bool open) const;
+  bool FindRoute(const HttpRequest& request, RequestContext* context) const;
+  bool Authenticate(const HttpRequest& request, RequestContext* context) const;
+  void Begin(uint64_t serial, RequestContext context);
+  void End(uint64_t serial, EndReason reason);
+  void OnDone(uint64_t serial, const RequestResult& result);
+  void Report(const RequestContext& context, const RequestResult& result);
+
+  EventLoop* const loop_;
+  const CatalogueView* const catalogue_;
+  const Fleet* const fleet_;
+  RequestObserver* const observer_;
+  const StartCall start_service_;
+  const StartCall start_model_;
+  const FrontOptions options_;
+
+  uint64_t next_serial_ = 1;
+  // Entries live from admission until their call's `done`.
+  std::map<uint64_t, std::unique_ptr<Running>> running_;
+  bool leaving_ = false;
+  const std::shared_ptr<bool> alive_;  // false once destroyed
+};
+
+}  // namespace mimosa
+
+#endif  // ROUTER_FRONT_H_
--- /dev/null
+++ b/router/model_call.cc
@@ -0,0 +1,495 @@
+// Model calls as a state machine driven by the loop.
+#include "router/model_call.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/json.h"
+#include "decide/sse.h"
+#include "decide/token_stream.h"
+#include "router/completion_request.h"
+#include "router/flow.h"
+
+namespace mimosa {
+namespace {
+
+// Attempts with a prefill of their own, per request.
+constexpr int kMaxAttempts = 3;
+// Resumes of one attempt's stream before a new prefill is begun.
+constexpr int kMaxResumes = 2;
+// Longest silence of a decode stream before it is taken for broken.
+constexpr Duration kStreamSilence = std::chrono::seconds(10);
+// Advice to callers when engines fail rather than being full.
+constexpr Duration kFailureRetryAfter = std::chrono::seconds(1);
+
+HttpRequest JsonPost(const char* target, const Json::Value& body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = target;
+  request.headers.Set("Content-Type", "application/json");
+  request.body = WriteJson(body);
+  return request;
+}
+
+int EnginePriority(wire::RequestClass request_class) {
+  return request_class == wire::PATIENT ? 0 : 1;
+}
+
+class ModelCall : public RunningRequest {
+ public:
+  ModelCall(const ModelCallDeps& deps, RequestContext context,
+            CompletionRequest request, RequestDone done)
+      : deps_(deps),
+        context_(std::move(context)),
+        request_(std::move(request)),
+        answer_(context_.answer.get()),
+        done_(std::move(done)),
+        stream_(context_.id, deps.switches.check_identity),
+        alive_(std::make_shared<bool>(true)),
+        decode_handler_(this) {}
+
+  ~ModelCall() override {
+    *alive_ = false;
+    GiveBackAll();
+  }
+
+  void Start() {
+    if (context_.customer.empty()) {
+      Reserve();
+      return;
+    }
+    const Tokens charge = request_.prompt_tokens + request_.max_output_tokens;
+    const wire::Customer* customer =
+        context_.snapshot->FindCustomer(context_.customer);
+    if (charge > Tokens(customer->burst_tokens())) {
+      answer_->Refuse(Refusal::kChargeAboveBurst, Outcome::kNotRun);
+      Done();
+      return;
+    }
+    charged_ = charge;
+    const bool patient = context_.route->request_class() == wire::PATIENT;
+    charge_ = deps_.limiter->Charge(
+        context_.customer, charge,
+        patient ? context_.deadline : context_.arrived,
+        [this](const ChargeResult& result) { OnCharged(result); });
+  }
+
+  void End(EndReason reason) override {
+    if (ended_) return;
+    const Outcome outcome = WhatHappened();
+    GiveBackAll();
+    if (answer_->begun()) {
+      if (reason != EndReason::kCallerGone) answer_->Break(Outcome::kUnknown);
+    } else if (reason == EndReason::kKeyWithdrawn) {
+      answer_->Refuse(Refusal::kKeyWithdrawn, outcome);
+    } else if (reason == EndReason::kDeadline) {
+      answer_->Refuse(Refusal::kDeadlineExceeded, outcome, kFailureRetryAfter);
+    }
+    Done();
+  }
+
+ private:
+  // Forwards the decode stream's callbacks; the prefill call uses Fetch.
+  class DecodeHandler : public HttpCallHandler {
+   public:
+    explicit DecodeHandler(ModelCall* call) : call_(call) {}
+    void OnHead(int status, const HttpHeaders& headers) override {
+      (void)headers;
+      call_->OnDecodeHead(status);
+    }
+    void OnBody(std::string_view data) override { call_->OnDecodeBody(data); }
+    void OnDone() override { call_->OnDecodeOver(); }
+    void OnFailed(HttpFailure failure, bool sent) override {
+      (void)failure;
+      (void)sent;
+      call_->OnDecodeOver();
+    }
+
+   private:
+    ModelCall* const call_;
+  };
+
+  Outcome WhatHappened() const {
+    return engine_asked_ ? Outcome::kUnknown : Outcome::kNotRun;
+  }
+
+  // --- Charge and places -------------------------------------------------
+
+  void OnCharged(const ChargeResult& result) {
+    if (!result.granted) {
+      charged_ = Tokens(0);
+      answer_->Refuse(Refusal::kRateLimited, Outcome::kNotRun,
+                      result.retry_after);
+      Done();
+      return;
+    }
+    Reserve();
+  }
+
+  void Reserve() {
+    PlaceRequest place;
+    place.request = context_.id;
+    place.customer = context_.customer;
+    place.model = request_.model;
+    place.prompt = request_.prompt;
+    place.prompt_tokens = request_.prompt_tokens;
+    place.output_tokens = request_.max_output_tokens;
+    place.request_class = context_.route->request_class();
+    place.deadline = context_.deadline;
+    if (context_.route->first_token_ms() > 0) {
+      place.first_token_deadline =
+          context_.arrived +
+          std::chrono::milliseconds(context_.route->first_token_ms());
+    }
+    place.avoid = avoid_;
+    pending_place_ = deps_.places->Reserve(
+        place, [this](PlaceResult result) { OnPlace(std::move(result)); });
+  }
+
+  void OnPlace(PlaceResult result) {
+    if (result.status != PlaceStatus::kGranted) {
+      const bool no_engine = result.status == PlaceStatus::kNoEngine;
+      Fail(no_engine ? Refusal::kNoBackEnd : Refusal::kOverloaded,
+           std::max(result.retry_after, kFailureRetryAfter));
+      return;
+    }
+    place_ = std::move(result.place);
+    Prefill();
+  }
+
+  // --- Prefill -----------------------------------------------------------
+
+  Json::Value OrderBody(int attempt) const {
+    Json::Value body(Json::objectValue);
+    body["request"] = context_.id.value();
+    body["attempt"] = attempt;
+    body["model"] = request_.model.value();
+    body["prompt"] = request_.prompt;
+    body["prompt_tokens"] =
+        static_cast<Json::Int64>(request_.prompt_tokens.count());
+    body["priority"] = EnginePriority(context_.route->request_class());
+    return body;
+  }
+
+  void Prefill() {
+    const int attempt = stream_.BeginAttempt();
+    resumes_ = 0;
+    engine_asked_ = true;
+    ++deps_.counters->prefills;
+    HttpCallOptions options;
+    options.to = place_->prefill_address();
+    options.head_timeout = context_.deadline - deps_.loop->Now();
+    prefill_call_ = Fetch(deps_.client, options,
+                          JsonPost("/v1/prefill", OrderBody(attempt)),
+                          [this](const HttpResult& result) {
+                            // Copied: the handler may drop the call.
+                            OnPrefilled(result);
+                          });
+  }
+
+  void OnPrefilled(const HttpResult& result) {
+    place_->PrefillDone();
+    std::string kv;
+    if (result.ok && result.response.status == 200) {
+      const auto document = ParseJson(result.response.body);
+      if (document && document->isObject() && (*document)["kv"].isString())
+        kv = (*document)["kv"].asString();
+    }
+    if (kv.empty()) {
+      NextAttempt(place_->prefill_engine());
+      return;
+    }
+    Decode(kv);
+  }
+
+  // --- Decode ------------------------------------------------------------
+
+  void Decode(const std::string& kv) {
+    Json::Value body = OrderBody(stream_.attempt());
+    body["kv"] = kv;
+    body["from"] = place_->prefill_address().ToString();
+    body["max_output_tokens"] =
+        static_cast<Json::Int64>(request_.max_output_tokens.count());
+    body["offset"] = static_cast<Json::Int64>(stream_.taken().count());
+    body["pieces"] = static_cast<Json::Int64>(place_->pieces().count());
+    OpenStream(JsonPost("/v1/decode", body));
+  }
+
+  void Resume() {
+    ++resumes_;
+    ++deps_.counters->resumes;
+    Json::Value body(Json::objectValue);
+    body["request"] = context_.id.value();
+    body["attempt"] = stream_.attempt();
+    body["offset"] = static_cast<Json::Int64>(stream_.taken().count());
+    OpenStream(JsonPost("/v1/resume", body));
+  }
+
+  void OpenStream(HttpRequest request) {
+    reader_ = SseReader();
+    stream_ok_ = false;
+    HttpCallOptions options;
+    options.to = place_->decode_address();
+    options.head_timeout = context_.deadline - deps_.loop->Now();
+    options.idle_timeout = kStreamSilence;
+    decode_call_ =
+        deps_.client->Start(options, std::move(request), &decode_handler_);
+  }
+
+  void OnDecodeHead(int status) {
+    stream_ok_ = status == 200;
+    if (stream_ok_ && request_.stream)
+      flow_ = std::make_unique<FlowControl>(&answer_->exchange(),
+                                            decode_call_.get());
+  }
+
+  void OnDecodeBody(std::string_view data) {
+    if (!stream_ok_ || ended_) return;
+    std::vector<std::string> events;
+    if (!reader_.Feed(data, &events)) {
+      DropStream();
+      return;
+    }
+    for (const std::string& event : events) {
+      if (event == "[DONE]") continue;
+      if (!TakeEvent(event)) return;
+    }
+  }
+
+  // False if the stream is over.
+  bool TakeEvent(const std::string& data) {
+    TokenEvent event = stream_.Take(stream_.attempt(), data);
+    switch (event.verdict) {
+      case TokenVerdict::kToken:
+        PassToken(event.text);
+        return true;
+      case TokenVerdict::kForeign:
+      case TokenVerdict::kRepeated:
+        ++deps_.counters->foreign_events;
+        return true;
+      case TokenVerdict::kEnd:
+        FinishAnswer(event.finish);
+        return false;
+      default:
+        ++deps_.counters->faulty_events;
+        DropStream();
+        return false;
+    }
+  }
+
+  void PassToken(const std::string& text) {
+    NoteLatency();
+    if (!request_.stream) {
+      text_ += text;
+      return;
+    }
+    if (!answer_->begun()) {
+      HttpHeaders headers;
+      headers.Set("Content-Type", "text/event-stream");
+      headers.Set("Cache-Control", "no-cache");
+      answer_->StartStream(200, std::move(headers), Outcome::kRan);
+    }
+    answer_->Write(CompletionEvent(request_, context_.id, text, ""));
+    if (flow_) flow_->AfterWrite();
+  }
+
+  void NoteLatency() {
+    const MonoTime now = deps_.loop->Now();
+    if (!result_.first_token) {
+      result_.first_token = now - context_.arrived;
+    } else {
+      result_.worst_gap = std::max(result_.worst_gap.value_or(Duration::zero()),
+                                   now - last_token_);
+    }
+    last_token_ = now;
+  }
+
+  void FinishAnswer(const std::string& finish) {
+    result_.prompt_tokens = request_.prompt_tokens;
+    result_.output_tokens = stream_.taken();
+    whole_ = true;
+    if (request_.stream) {
+      if (!answer_->begun()) {
+        HttpHeaders headers;
+        headers.Set("Content-Type", "text/event-stream");
+        answer_->StartStream(200, std::move(headers), Outcome::kRan);
+      }
+      answer_->Write(CompletionEvent(request_, context_.id, "", finish));
+      answer_->Write(kCompletionStreamEnd);
+      answer_->Finish();
+    } else {
+      HttpResponse response;
+      response.status = 200;
+      response.headers.Set("Content-Type", "application/json");
+      response.body = CompletionDocument(request_, context_.id, text_, finish,
+                                         stream_.taken());
+      answer_->Respond(std::move(response), Outcome::kRan);
+    }
+    Done();
+  }
+
+  // --- Failures ----------------------------------------------------------
+
+  // The stream can't be trusted or has failed; go on another way.
+  void DropStream() {
+    flow_.reset();
+    stream_ok_ = false;
+    deps_.loop->Post([this, alive = alive_] {
+      if (!*alive || ended_) return;
+      decode_call_.reset();
+      Recover();
+    });
+  }
+
+  void OnDecodeOver() {
+    if (ended_) return;
+    DropStream();
+  }
+
+  void Recover() {
+    if (deps_.loop->Now() >= context_.deadline) return;  // the timer ends it
+    if (stream_.taken() > Tokens(0) && resumes_ < kMaxResumes) {
+      Resume();
+    } else {
+      NextAttempt(place_->decode_engine());
+    }
+  }
+
+  // Gives up the attempt because of `failed`, and begins another if there is
+  // one left.
+  void NextAttempt(const BackEndId& failed) {
+    ++deps_.counters->prefills_wasted;
+    avoid_.push_back(failed);
+    GiveBackPlace();
+    if (stream_.attempt() >= kMaxAttempts) {
+      Fail(Refusal::kBackEndFailed, kFailureRetryAfter);
+      return;
+    }
+    deps_.loop->Post([this, alive = alive_] {
+      if (*alive && !ended_) Reserve();
+    });
+  }
+
+  void Fail(Refusal refusal, Duration retry_after) {
+    if (answer_->begun()) {
+      answer_->Break(Outcome::kUnknown);
+    } else {
+      answer_->Refuse(refusal, WhatHappened(), retry_after);
+    }
+    Done();
+  }
+
+  // --- Ends --------------------------------------------------------------
+
+  // The engines may hold memory for this request unless its answer came whole.
+  void GiveBackPlace() {
+    if (!place_) return;
+    const bool cancel = !whole_ && deps_.switches.cancel_at_engine;
+    prefill_call_.reset();
+    decode_call_.reset();
+    std::vector<Endpoint> engines;
+    if (cancel) engines = {place_->prefill_address(), place_->decode_address()};
+    deps_.canceller->Cancel(context_.id, std::move(engines), std::move(place_));
+    place_.reset();
+  }
+
+  void GiveBackAll() {
+    flow_.reset();
+    charge_.reset();
+    pending_place_.reset();
+    GiveBackPlace();
+    prefill_call_.reset();
+    decode_call_.reset();
+    Refund();
+  }
+
+  void Refund() {
+    // Work that gave the caller nothing is the fleet's loss, not the
+    // customer's.
+    const Tokens used = result_.first_token || whole_
+                            ? request_.prompt_tokens + stream_.taken()
+                            : Tokens(0);
+    if (charged_ > used)
+      deps_.limiter->Refund(context_.customer, charged_ - used);
+    charged_ = Tokens(0);
+  }
+
+  void Done() {
+    if (ended_) return;
+    ended_ = true;
+    // Posted: calls that end here may still be on the stack.
+    deps_.loop->Post([this, alive = alive_] {
+      if (!*alive) return;
+      GiveBackAll();
+      done_(result_);
+    });
+  }
+
+  const ModelCallDeps deps_;
+  const RequestContext context_;
+  const CompletionRequest request_;
+  Answer* const answer_;  // owned by context_
+  const RequestDone done_;
+  TokenStream stream_;
+  const std::shared_ptr<bool> alive_;  // false once destroyed
+  DecodeHandler decode_handler_;
+
+  std::unique_ptr<PendingCharge> charge_;
+  Tokens charged_;  // granted and not given back
+  std::unique_ptr<PendingPlace> pending_place_;
+  std::unique_ptr<Place> place_;  // of the live attempt
+  std::vector<BackEndId> avoid_;
+  std::unique_ptr<HttpCall> prefill_call_;
+  std::unique_ptr<HttpCall> decode_call_;
+  std::unique_ptr<FlowControl> flow_;  // refers to decode_call_
+  SseReader reader_;
+  bool stream_ok_ = false;     // the open stream's head was good
+  bool engine_asked_ = false;  // some engine may have seen the request
+  int resumes_ = 0;
+  std::string text_;  // of an answer that isn't streamed
+  MonoTime last_token_{};
+  RequestResult result_;
+  bool whole_ = false;  // the engine's end was taken
+  bool ended_ = false;  // done_ ran or is posted
+};
+
+// A request that was refused before anything began.
+class RefusedCall : public RunningRequest {
+ public:
+  void End(EndReason reason) override { (void)reason; }
+};
+
+}  // namespace
+
+std::unique_ptr<RunningRequest> StartModelCall(const ModelCallDeps& deps,
+                                               RequestContext context,
+                                               RequestDone done) {
+  auto request = leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<CompletionRequest>> {
+        BOOST_LEAF_AUTO(
+            read, ReadCompletionRequest(*context.route, context.outbound.target,
+                                        context.outbound.body));
+        return std::optional<CompletionRequest>(std::move(read));
+      },
+      [&](const CompletionFault& fault) {
+        context.answer->Refuse(Refusal::kMalformedRequest, Outcome::kNotRun, {},
+                               fault.message);
+        return std::optional<CompletionRequest>();
+      },
+      [&] {
+        context.answer->Refuse(Refusal::kMalformedRequest, Outcome::kNotRun);
+        return std::optional<CompletionRequest>();
+      });
+  if (!request) {
+    deps.loop->Post([done = std::move(done)] { done({}); });
+    return std::make_unique<RefusedCall>();
+  }
+  auto call = std::make_unique<ModelCall>(deps, std::move(context),
+                                          *std::move(request), std::move(done));
+  call->Start();
+  return call;
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/router/vm_list.h
@@ -0,0 +1,76 @@
+// Learns from the platform's list which VMs are leaving.
+//
+// Model: asking the list costs a platform call, and the fleet's calls must not
+// grow with its size. So kAskers members, the first in rendezvous order, ask
+// every kAskPause; when the set of leaving VMs changes an asker tells every
+// member, and any member asks one of the askers now and then in case it missed
+// that. A VM counts as leaving while any recent report says so: taking no new
+// work by mistake costs little.
+#ifndef ROUTER_VM_LIST_H_
+#define ROUTER_VM_LIST_H_
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "base/clock.h"
+#include "net/event_loop.h"
+#include "router/fleet.h"
+#include "router/kv_store.h"
+#include "router/peer_bus.h"
+#include "router/service_pool.h"
+#include "wire/fleet.pb.h"
+
+namespace mimosa {
+
+class VmList : public LeavingVms {
+ public:
+  static constexpr size_t kAskers = 2;
+  static constexpr Duration kAskPause = std::chrono::seconds(1);
+  static constexpr Duration kPeerPause = std::chrono::seconds(5);
+  // A report that was not repeated for so long is dropped.
+  static constexpr Duration kReportLife = std::chrono::seconds(30);
+
+  VmList(EventLoop* loop, KvStore* kv, PeerBus* bus, const Fleet* fleet);
+  ~VmList() override;
+
+  bool IsLeaving(const std::string& ip) const override;
+
+ private:
+  struct Report {
+    std::set<std::string> leaving;
+    MonoTime at;
+  };
+  struct PeerAsk {
+    std::unique_ptr<PeerCall> call;
+    wire::LeavingReport result;
+  };
+
+  void Tick();
+  std::vector<const FleetMember*> Askers() const;
+  void AskPlatform();
+  void OnList(const VmListResult& result);
+  void AskPeer(const FleetMember& asker);
+  void Tell(const wire::LeavingReport& report);
+  void Take(const wire::LeavingReport& report);
+  wire::LeavingReport OwnReport() const;
+
+  EventLoop* const loop_;
+  KvStore* const kv_;
+  PeerBus* const bus_;
+  const Fleet* const fleet_;
+  std::map<std::string, Report> reports_;  // by the member that asked
+  KvStore::CallPtr platform_call_;
+  PeerAsk peer_ask_;
+  // Tellings under way; each removes itself.
+  std::list<PeerAsk> tellings_;
+  MonoTime next_peer_ask_{};
+  TimerHandle timer_;
+};
+
+}  // namespace mimosa
+
+#endif  // ROUTER_VM_LIST_H_
