net: HTTP server, client and loop on libwebsockets' raw sockets with Beast's codec

libwebsockets carries sockets, polling and timers; Boost.Beast's parser and serializer are the codec on both sides, since lws's HTTP role in 4.1.6 repeats body completions, passes chunk framing as body and reports cut answers as whole.

--- /dev/null
+++ b/net/lws_loop.cc
@@ -0,0 +1,202 @@
+// LwsLoop on one libwebsockets context with its default poll loop.
+//
+// Timers are kept here, ordered by deadline; one lws_sul wakes poll for the
+// earliest. The library's own timer list is searched linearly at each insert,
+// which hurts with thousands of connections.
+#include <libwebsockets.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <csignal>
+#include <ctime>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "net/event_loop.h"
+#include "net/raw_socket.h"
+
+namespace mimosa {
+namespace {
+
+// One read from a connection. Larger costs memory once, not per connection.
+constexpr unsigned kReadBufferBytes = 64U << 10;
+
+// The library's own limit on connecting; the client's timeouts are shorter.
+constexpr unsigned kLibraryConnectTimeoutSeconds = 3600;
+
+// Poll counts monotonic time, timers count the time suspended too. Waking this
+// often bounds how late a timer fires after a suspension.
+constexpr Duration kLongestWait = std::chrono::seconds(1);
+
+const std::array<lws_protocols, 2> kProtocols = {{
+    {detail::kRawProtocolName, detail::RawProtocolCallback, 0, kReadBufferBytes,
+     0, nullptr, 0},
+    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
+}};
+
+// Order of equal deadlines is order of creation.
+using TimerKey = std::pair<MonoTime, uint64_t>;
+using TimerMap = std::map<TimerKey, std::function<void()>>;
+
+class TimerImpl : public TimerHandle::Impl {
+ public:
+  TimerImpl(std::weak_ptr<TimerMap> timers, TimerKey key)
+      : timers_(std::move(timers)), key_(key) {}
+  ~TimerImpl() override {
+    if (auto timers = timers_.lock()) timers->erase(key_);
+  }
+
+ private:
+  const std::weak_ptr<TimerMap> timers_;  // gone with the loop
+  const TimerKey key_;
+};
+
+class LwsLoopImpl;
+std::atomic<LwsLoopImpl*> g_signal_loop{nullptr};
+
+class LwsLoopImpl : public LwsLoop {
+ public:
+  LwsLoopImpl() : timers_(std::make_shared<TimerMap>()) {
+    // Writes to closed connections must fail instead of ending the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    lws_set_log_level(LLL_ERR, nullptr);
+    lws_context_creation_info info{};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.protocols = kProtocols.data();
+    info.pt_serv_buf_size = kReadBufferBytes;
+    info.timeout_secs = kLibraryConnectTimeoutSeconds;
+    info.connect_timeout_secs = kLibraryConnectTimeoutSeconds;
+    context_ = lws_create_context(&info);
+  }
+
+  ~LwsLoopImpl() override {
+    LwsLoopImpl* self = this;
+    if (g_signal_loop.compare_exchange_strong(self, nullptr)) {
+      std::signal(SIGTERM, SIG_DFL);
+      std::signal(SIGINT, SIG_DFL);
+    }
+    posted_.clear();
+    timers_.reset();
+    lws_sul_cancel(&wake_);
+    lws_context_destroy(context_);
+  }
+
+  MonoTime Now() const override {
+    timespec ts{};
+    clock_gettime(CLOCK_BOOTTIME, &ts);
+    return MonoTime(std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(ts.tv_sec) +
+        std::chrono::nanoseconds(ts.tv_nsec)));
+  }
+
+  TimerHandle After(Duration delay, std::function<void()> callback) override {
+    const TimerKey key(Now() + std::max(delay, Duration::zero()), ++serial_);
+    const auto it = timers_->emplace(key, std::move(callback)).first;
+    if (in_service_ && it == timers_->begin()) ScheduleWake();
+    return TimerHandle(std::make_unique<TimerImpl>(timers_, key));
+  }
+
+  void Post(std::function<void()> callback) override {
+    // The library may be about to poll: wake it.
+    if (in_service_ && posted_.empty()) lws_cancel_service(context_);
+    posted_.push_back(std::move(callback));
+  }
+
+  void Run() override {
+    stopped_ = false;
+    while (!stopped_) {
+      RunTimers();
+      RunPosted();
+      HandleSignal();
+      if (stopped_) break;
+      ScheduleWake();
+      in_service_ = true;
+      const int result = lws_service(context_, posted_.empty() ? 0 : -1);
+      in_service_ = false;
+      if (result < 0) break;
+    }
+  }
+
+  void Stop() override {
+    stopped_ = true;
+    lws_cancel_service(context_);
+  }
+
+  void OnSignal(std::function<void()> callback) override {
+    on_signal_ = std::move(callback);
+    g_signal_loop = this;
+    struct sigaction action {};
+    action.sa_handler = &LwsLoopImpl::Handler;
+    sigaction(SIGTERM, &action, nullptr);
+    sigaction(SIGINT, &action, nullptr);
+  }
+
+  lws_context* context() override { return context_; }
+
+ private:
+  static void Handler(int /*signal*/) {
+    const int saved_errno = errno;
+    if (LwsLoopImpl* loop = g_signal_loop) {
+      loop->signalled_ = true;
+      lws_cancel_service(loop->context_);  // one write to an eventfd
+    }
+    errno = saved_errno;
+  }
+
+  static void Wake(lws_sorted_usec_list_t* /*sul*/) {}  // poll returns
+
+  void ScheduleWake() {
+    Duration wait = kLongestWait;
+    if (!timers_->empty()) {
+      wait = std::min(wait, timers_->begin()->first.first - Now());
+    }
+    lws_sul_schedule(context_, 0, &wake_, &LwsLoopImpl::Wake,
+                     std::max<lws_usec_t>(1, wait.count()));
+  }
+
+  // Runs the timers due now. One that is set meanwhile waits for the next
+  // round, so that no chain of timers starves the connections.
+  void RunTimers() {
+    const TimerKey limit(Now(), serial_);
+    while (!stopped_ && !timers_->empty()) {
+      const auto it = timers_->begin();
+      if (it->first > limit) return;
+      const std::function<void()> callback = std::move(it->second);
+      timers_->erase(it);
+      callback();
+    }
+  }
+
+  void RunPosted() {
+    std::vector<std::function<void()>> batch;
+    batch.swap(posted_);
+    for (const auto& callback : batch) callback();
+  }
+
+  void HandleSignal() {
+    if (signalled_.exchange(false) && on_signal_) on_signal_();
+  }
+
+  lws_context* context_ = nullptr;
+  std::shared_ptr<TimerMap> timers_;
+  uint64_t serial_ = 0;  // of the timer set last
+  std::vector<std::function<void()>> posted_;
+  std::function<void()> on_signal_;
+  lws_sorted_usec_list_t wake_{};
+  bool stopped_ = false;
+  bool in_service_ = false;  // within lws_service()
+  std::atomic<bool> signalled_{false};
+};
+
+}  // namespace
+
+std::unique_ptr<LwsLoop> LwsLoop::Create() {
+  auto loop = std::make_unique<LwsLoopImpl>();
+  if (loop->context() == nullptr) return nullptr;
+  return loop;
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/net/raw_socket.h
@@ -0,0 +1,130 @@
+// Byte streams over libwebsockets' raw sockets, and listening sockets.
+//
+// libwebsockets polls, reads and writes; its own HTTP role stays out of the way
+// (net/README.md says why). Every wsi has exactly one owner here. Owners may be
+// destroyed from within their own callbacks: the trampoline notices and tells
+// the library to close.
+#ifndef NET_RAW_SOCKET_H_
+#define NET_RAW_SOCKET_H_
+
+#include <libwebsockets.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/event_loop.h"
+#include "net/http.h"
+
+namespace mimosa::detail {
+
+// The one protocol of the loop's context.
+inline constexpr char kRawProtocolName[] = "mimosa-raw";
+int RawProtocolCallback(lws* wsi, lws_callback_reasons reason, void* user,
+                        void* in, size_t len);
+
+// Owns one wsi: closing one closes the other.
+class WsiOwner {
+ public:
+  WsiOwner() = default;
+  WsiOwner(const WsiOwner&) = delete;
+  WsiOwner& operator=(const WsiOwner&) = delete;
+  virtual ~WsiOwner();
+
+  // Called by the trampoline; the result is for libwebsockets (-1 closes).
+  int Dispatch(lws_callback_reasons reason, void* in, size_t len);
+
+ protected:
+  // Handles one event. `this` may be destroyed within, if nothing is touched
+  // after that.
+  virtual int OnEvent(lws_callback_reasons reason, void* in, size_t len) = 0;
+
+  lws* wsi() const { return wsi_; }
+  lws** wsi_slot() { return &wsi_; }
+  void set_wsi(lws* wsi) { wsi_ = wsi; }
+
+ private:
+  lws* wsi_ = nullptr;  // nullptr once the library has closed it
+  // Points into the Dispatch() frame under way, if any.
+  bool* destroyed_ = nullptr;
+};
+
+class RawSocket : public WsiOwner {
+ public:
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    // A socket from Connect() is ready.
+    virtual void OnConnected() {}
+    virtual void OnRead(std::string_view data) = 0;
+    // The kernel has taken everything that was sent.
+    virtual void OnDrained() = 0;
+    // The other end closed, the connection broke or couldn't be made. The last
+    // callback.
+    virtual void OnClosed() = 0;
+  };
+
+  // Takes over a connected non-blocking socket; nullptr (and `fd` closed) if
+  // the library has no room for it.
+  static std::unique_ptr<RawSocket> Adopt(LwsLoop* loop, int fd,
+                                          Handler* handler);
+  // Starts a connection; nullptr if it fails at once. No callback comes from
+  // within this call.
+  static std::unique_ptr<RawSocket> Connect(LwsLoop* loop, const Endpoint& to,
+                                            Handler* handler);
+
+  void Send(std::string_view data);
+  // Bytes sent here that the kernel has not taken.
+  size_t unsent() const { return out_.size() - out_begin_ + in_flight_; }
+  // Bytes that went or may have gone to the kernel. Grows just before a write.
+  uint64_t offered() const { return offered_; }
+  void Pause(bool pause);
+  // Sends FIN; reading goes on. Only after everything was drained.
+  void ShutdownWrite();
+
+ private:
+  explicit RawSocket(Handler* handler) : handler_(handler) {}
+  int OnEvent(lws_callback_reasons reason, void* in, size_t len) override;
+  int OnWritable();
+
+  Handler* const handler_;
+  bool connected_ = false;
+  bool paused_ = false;
+  std::string out_;       // [out_begin_, size) waits to be written
+  size_t out_begin_ = 0;  // <= out_.size()
+  // Given to lws_write() and not yet known to be in the kernel: the library
+  // buffers what a partial write left.
+  size_t in_flight_ = 0;
+  uint64_t offered_ = 0;
+};
+
+// A listening socket, exclusive to this process: without SO_REUSEPORT.
+class Listener : public WsiOwner {
+ public:
+  // `on_accept` gets each accepted non-blocking socket, to own.
+  using AcceptCallback = std::function<void(int fd, const Endpoint& client)>;
+
+  // nullptr when the address can't be listened on.
+  static std::unique_ptr<Listener> Open(LwsLoop* loop, const Endpoint& address,
+                                        AcceptCallback on_accept);
+  uint16_t port() const { return port_; }
+  // Accepts all that the kernel has established.
+  void AcceptPending();
+
+ private:
+  Listener(LwsLoop* loop, int fd, AcceptCallback on_accept)
+      : loop_(loop), fd_(fd), on_accept_(std::move(on_accept)) {}
+  int OnEvent(lws_callback_reasons reason, void* in, size_t len) override;
+
+  LwsLoop* const loop_;
+  const int fd_;  // owned by the wsi
+  const AcceptCallback on_accept_;
+  uint16_t port_ = 0;
+  TimerHandle retry_;  // set while accepting is off for want of descriptors
+};
+
+}  // namespace mimosa::detail
+
+#endif  // NET_RAW_SOCKET_H_
--- /dev/null
+++ b/net/test_peer.h
@@ -0,0 +1,172 @@
+// Test support: runs the loop until a condition holds, and TCP peers that send
+// and receive raw bytes, for everything a well-behaved HTTP peer wouldn't do.
+#ifndef NET_TEST_PEER_H_
+#define NET_TEST_PEER_H_
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "net/event_loop.h"
+#include "net/http.h"
+
+namespace mimosa {
+
+// Long, so that it is only met if something is wrong.
+inline constexpr Duration kTestDeadline = std::chrono::seconds(20);
+
+// Runs `loop` until `condition` holds; false if the deadline passes first.
+inline bool RunUntil(LwsLoop* loop, const std::function<bool()>& condition,
+                     Duration deadline = kTestDeadline) {
+  constexpr Duration kStep = std::chrono::milliseconds(1);
+  const MonoTime end = loop->Now() + deadline;
+  TimerHandle timer;
+  bool holds = false;
+  std::function<void()> check = [&] {
+    holds = condition();
+    if (holds || loop->Now() >= end) {
+      loop->Stop();
+    } else {
+      timer = loop->After(kStep, check);
+    }
+  };
+  check();
+  if (!holds) loop->Run();
+  return holds;
+}
+
+// Runs `loop` for a while, to see that something doesn't happen.
+inline void RunFor(LwsLoop* loop, Duration duration) {
+  RunUntil(
+      loop, [] { return false; }, duration);
+}
+
+// A connected socket without protocol.
+class RawPeer {
+ public:
+  explicit RawPeer(int fd) : fd_(fd) { fcntl(fd, F_SETFL, O_NONBLOCK); }
+  RawPeer(const RawPeer&) = delete;
+  RawPeer& operator=(const RawPeer&) = delete;
+  ~RawPeer() { Close(); }
+
+  // Connects to 127.0.0.1. A small `receive_buffer` makes a slow reader.
+  static std::unique_ptr<RawPeer> Connect(uint16_t port,
+                                          int receive_buffer = 0) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    if (receive_buffer > 0) {
+      setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                 sizeof(receive_buffer));
+    }
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+        0) {
+      close(fd);
+      return nullptr;
+    }
+    return std::make_unique<RawPeer>(fd);
+  }
+
+  // Returns the bytes taken: less than `data` only if buffers are full.
+  size_t Send(std::string_view data) {
+    const ssize_t n = send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
+    return n > 0 ? static_cast<size_t>(n) : 0;
+  }
+
+  // Everything received so far.
+  const std::string& received() {
+    std::array<char, 65536> buffer;  // NOLINT
+    while (fd_ >= 0 && !closed_) {
+      const ssize_t n = recv(fd_, buffer.data(), buffer.size(), 0);
+      if (n > 0) {
+        received_.append(buffer.data(), static_cast<size_t>(n));
+        continue;
+      }
+      if (n < 0 && errno == EAGAIN) break;
+      closed_ = true;
+      reset_ = n < 0;
+    }
+    return received_;
+  }
+  // True once the other end has closed; received() is complete then.
+  bool closed() {
+    received();
+    return closed_;
+  }
+  bool reset() const { return reset_; }
+  void Clear() {
+    received();
+    received_.clear();
+  }
+  void ShutdownWrite() { shutdown(fd_, SHUT_WR); }
+  void Close() {
+    if (fd_ >= 0) close(fd_);
+    fd_ = -1;
+  }
+  // Closes with RST.
+  void Reset() {
+    const linger hard{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    Close();
+  }
+
+ private:
+  int fd_;
+  bool closed_ = false;
+  bool reset_ = false;
+  std::string received_;
+};
+
+// A listening socket on a free port of 127.0.0.1.
+class RawListener {
+ public:
+  RawListener() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    bind(fd_, reinterpret_cast<sockaddr*>(&address), length);
+    listen(fd_, 64);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &length);
+    port_ = ntohs(address.sin_port);
+  }
+  RawListener(const RawListener&) = delete;
+  RawListener& operator=(const RawListener&) = delete;
+  ~RawListener() { Close(); }
+
+  uint16_t port() const { return port_; }
+  Endpoint endpoint() const { return {"127.0.0.1", port_}; }
+  // nullptr if nobody has connected.
+  std::unique_ptr<RawPeer> Accept() {
+    const int fd = accept(fd_, nullptr, nullptr);
+    if (fd < 0) return nullptr;
+    return std::make_unique<RawPeer>(fd);
+  }
+  void Close() {
+    if (fd_ >= 0) close(fd_);
+    fd_ = -1;
+  }
+
+ private:
+  int fd_;
+  uint16_t port_ = 0;
+};
+
+}  // namespace mimosa
+
+#endif  // NET_TEST_PEER_H_
