--- /dev/null
+++ b/standins/answer.cc
@@ -0,0 +1,76 @@
+// Words drawn by a hash of the prompt and the token's index.
+#include "standins/answer.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace mimosa::standins {
+namespace {
+
+constexpr std::array<const char*, 16> kWords = {
+    "anvil", "berth", "crane", "dock",  "ember", "forge", "gang", "hammer",
+    "iron",  "jetty", "kiln",  "lathe", "mould", "night", "ore",  "port"};
+
+// Without "[out=N]": lengths are spread over this many tokens.
+constexpr uint64_t kLengthSpread = 64;
+
+uint64_t Fnv1a(std::string_view text) {
+  uint64_t hash = 0xcbf29ce484222325U;
+  for (const char c : text) {
+    hash ^= static_cast<unsigned char>(c);
+    hash *= 0x100000001b3U;
+  }
+  return hash;
+}
+
+uint64_t Mix(uint64_t x) {
+  x ^= x >> 30;
+  x *= 0xbf58476d1ce4e5b9U;
+  x ^= x >> 27;
+  x *= 0x94d049bb133111ebU;
+  return x ^ (x >> 31);
+}
+
+// The N of "[out=N]", or -1.
+int64_t AskedLength(std::string_view prompt) {
+  constexpr std::string_view kMark = "[out=";
+  const size_t at = prompt.find(kMark);
+  if (at == std::string_view::npos) return -1;
+  const std::string_view digits = prompt.substr(at + kMark.size());
+  int64_t value = -1;
+  std::from_chars(digits.data(), digits.data() + digits.size(), value);
+  return value;
+}
+
+}  // namespace
+
+int64_t PromptTokens(std::string_view prompt) {
+  const auto bytes = static_cast<int64_t>(prompt.size());
+  return std::max<int64_t>(1, (bytes + kBytesPerToken - 1) / kBytesPerToken);
+}
+
+Answer::Answer(std::string_view prompt, int64_t max_tokens)
+    : hash_(Fnv1a(prompt)) {
+  const int64_t asked = AskedLength(prompt);
+  const int64_t wanted =
+      asked >= 0 ? asked
+                 : 1 + static_cast<int64_t>(Mix(hash_) % kLengthSpread);
+  tokens_ = std::min(wanted, max_tokens);
+  cut_short_ = wanted > max_tokens;
+}
+
+std::string Answer::Token(int64_t index) const {
+  const uint64_t draw = Mix(hash_ + static_cast<uint64_t>(index) + 1);
+  return std::string(kWords[draw % kWords.size()]) +
+         std::to_string((draw >> 8) % 1000) + " ";
+}
+
+std::string ExpectedOutput(std::string_view prompt, int64_t max_tokens) {
+  const Answer answer(prompt, max_tokens);
+  std::string text;
+  for (int64_t i = 0; i < answer.tokens(); ++i) text += answer.Token(i);
+  return text;
+}
+
+}  // namespace mimosa::standins
--- /dev/null
+++ b/standins/engine.h
@@ -0,0 +1,98 @@
+// What the two roles of the stand-in engine share: options, injected faults,
+// the matching of requests to cancel, and the interface of a role.
+#ifndef STANDINS_ENGINE_H_
+#define STANDINS_ENGINE_H_
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "net/http.h"
+
+namespace mimosa::standins {
+
+using ExchangePtr = std::shared_ptr<HttpExchange>;
+
+struct EngineOptions {
+  Pieces pieces{20};        // KV memory
+  int64_t max_running = 8;  // prompts or streams at once
+  int64_t max_waiting = 64;
+  Duration prefill_per_token{};
+  Duration token_base{};         // one decode step of an empty batch
+  Duration token_per_running{};  // longer by this much for each stream in it
+  Duration kv_ttl{};             // an unclaimed prefill result lives so long
+  int64_t link_bytes_per_second = 0;
+  int64_t kv_bytes_per_token = 0;
+  bool cancel_on_disconnect = false;
+  Duration linger{};  // a stream that ended unread can be resumed so long
+  double time_scale = 1;  // of link time; the durations above are scaled
+};
+
+// Faults that a test asked for; they hold until changed.
+struct EngineBehaviour {
+  int64_t stall_prefill = 0;        // the next prefills never end
+  int64_t stall_decode_after = -1;  // streams stop after so many tokens
+  int64_t die_after_tokens = -1;    // the process ends after so many tokens
+  bool cross_answers = false;       // events of other requests are mixed in
+  bool double_answers = false;      // each event comes twice
+  Duration late{};                  // answers start so much later
+  bool nonsense = false;            // answers are no JSON
+  int64_t close_after_bytes = -1;   // streams are cut after so many bytes
+};
+
+// Requests that an order to cancel means: one by its id, or all whose id
+// starts with a prefix.
+class RequestMatcher {
+ public:
+  RequestMatcher(std::string request, std::string prefix)
+      : request_(std::move(request)), prefix_(std::move(prefix)) {}
+  bool Matches(const std::string& request) const {
+    if (!request_.empty()) return request == request_;
+    return !prefix_.empty() &&
+           request.compare(0, prefix_.size(), prefix_) == 0;
+  }
+
+ private:
+  std::string request_;
+  std::string prefix_;
+};
+
+struct CancelResult {
+  int64_t cancelled = 0;
+  Pieces freed{};
+};
+
+struct HeldPieces {
+  std::string request;
+  Pieces pieces{};
+};
+
+// What an engine says about its load.
+struct EngineLoad {
+  int64_t running = 0;
+  int64_t waiting = 0;
+  Pieces free{};
+  std::vector<HeldPieces> held;
+};
+
+// Prefill or decode.
+class EngineRole {
+ public:
+  virtual ~EngineRole() = default;
+  // Serves the role's own paths; false if `path` is none of them.
+  virtual bool Handle(const std::string& path, const ExchangePtr& exchange,
+                      const Json::Value& body) = 0;
+  virtual CancelResult Cancel(const RequestMatcher& matcher) = 0;
+  virtual EngineLoad Load() const = 0;
+  // Adds the exact counts of the test-only interface.
+  virtual void AddState(Json::Value* state) const = 0;
+};
+
+}  // namespace mimosa::standins
+
+#endif  // STANDINS_ENGINE_H_
--- /dev/null
+++ b/standins/platform_main.cc
@@ -0,0 +1,27 @@
+// standin-platform: the platform's key-value service and VM list, for tests.
+#include <tclap/CmdLine.h>
+
+#include <string>
+
+#include "standins/platform_server.h"
+#include "standins/serve.h"
+
+int main(int argc, char** argv) {
+  TCLAP::CmdLine cmd("Stand-in for the platform, for tests", ' ', "1");
+  TCLAP::ValueArg<std::string> listen("", "listen", "where to listen", false,
+                                      "127.0.0.1:0", "ip:port", cmd);
+  TCLAP::ValueArg<int64_t> rate("", "max-calls-per-s",
+                                "calls a second; beyond: 429 (0: no limit)",
+                                false, 0, "calls", cmd);
+  TCLAP::ValueArg<int64_t> history("", "history",
+                                   "changes that a watch can look back", false,
+                                   4096, "changes", cmd);
+  cmd.parse(argc, argv);
+
+  mimosa::standins::PlatformOptions options;
+  options.history = static_cast<size_t>(history.getValue());
+  options.max_calls_per_second = rate.getValue();
+  const auto loop = mimosa::LwsLoop::Create();
+  mimosa::standins::PlatformServer platform(loop.get(), options);
+  return mimosa::standins::Serve(loop.get(), listen.getValue(), &platform);
+}
--- /dev/null
+++ b/standins/serve.cc
@@ -0,0 +1,29 @@
+// The common part of the stand-ins' main functions.
+#include "standins/serve.h"
+
+#include <iostream>
+
+namespace mimosa::standins {
+
+int Serve(LwsLoop* loop, const std::string& listen, HttpHandler* handler) {
+  HttpServerOptions options;
+  // A test may hold an answer back for long; no timeout of the stand-in's own
+  // is to end it.
+  options.write_stall_timeout = std::chrono::minutes(10);
+  options.idle_timeout = std::chrono::minutes(10);
+  if (!Endpoint::Parse(listen, &options.listen)) {
+    std::cerr << "--listen: not ip:port: " << listen << "\n";
+    return 2;
+  }
+  const auto server = MakeHttpServer(loop, options, handler);
+  if (server == nullptr) {
+    std::cerr << "can't listen on " << listen << "\n";
+    return 1;
+  }
+  std::cout << "listening on port " << server->port() << std::endl;
+  loop->OnSignal([loop] { loop->Stop(); });
+  loop->Run();
+  return 0;
+}
+
+}  // namespace mimosa::standins
--- /dev/null
+++ b/standins/standins_test.cc
@@ -0,0 +1,103 @@
+// The stand-ins' own models: what the integration tests rest on.
+#include <catch2/catch.hpp>
+
+#include "base/random.h"
+#include "standins/answer.h"
+#include "standins/http_json.h"
+#include "standins/platform_store.h"
+#include "standins/prefix_cache.h"
+
+namespace mimosa::standins {
+namespace {
+
+using Status = PlatformStore::Status;
+
+TEST_CASE("Answers depend on the prompt and the limit only") {
+  CHECK(ExpectedOutput("a", 50) == ExpectedOutput("a", 50));
+  CHECK(ExpectedOutput("a [out=9]", 50) != ExpectedOutput("b [out=9]", 50));
+  CHECK(Answer("x [out=7]", 50).tokens() == 7);
+  CHECK(Answer("x [out=7]", 50).finish() == std::string("stop"));
+  CHECK(Answer("x [out=70]", 50).tokens() == 50);
+  CHECK(Answer("x [out=70]", 50).finish() == std::string("length"));
+  CHECK(PromptTokens("") == 1);
+  CHECK(PromptTokens("12345") == 2);
+}
+
+TEST_CASE("Targets are split and decoded") {
+  const Target target = ParseTarget("/v1/kv/a%23b?expect=7&lease=l%2F1&bad");
+  CHECK(target.path == "/v1/kv/a#b");
+  CHECK(target.Int("expect", -1) == 7);
+  CHECK(target.String("lease") == "l/1");
+  CHECK(target.Int("bad", -1) == -1);
+  CHECK(target.String("absent").empty());
+}
+
+TEST_CASE("Of two racing writers one loses") {
+  PlatformStore store(100);
+  CHECK(store.Put("k", "a", 1, "").status == Status::kConflict);
+  const auto first = store.Put("k", "a", 0, "");
+  REQUIRE(first.status == Status::kOk);
+  CHECK(store.Put("k", "b", 0, "").status == Status::kConflict);
+  CHECK(store.Put("k", "b", first.revision, "").status == Status::kOk);
+  CHECK(store.Find("k")->value == "b");
+  CHECK(store.Delete("k", first.revision).status == Status::kConflict);
+  CHECK(store.Delete("k", store.Find("k")->revision).status == Status::kOk);
+  CHECK(store.Delete("k", 0).status == Status::kNotFound);
+}
+
+TEST_CASE("Records of a lapsed lease disappear and are reported") {
+  PlatformStore store(100);
+  const MonoTime start{};
+  const Duration ttl = std::chrono::seconds(1);
+  const std::string lease = store.CreateLease(ttl, start);
+  CHECK(store.Put("m/a", "v", 0, "no-such").status == Status::kNoLease);
+  REQUIRE(store.Put("m/a", "v", 0, lease).status == Status::kOk);
+  REQUIRE(store.Put("m/b", "v", 0, "").status == Status::kOk);
+  CHECK(store.RenewLease(lease, start + ttl / 2));
+  store.ExpireLeases(start + ttl);
+  CHECK(store.Find("m/a") != nullptr);
+  const int64_t before = store.revision();
+  store.ExpireLeases(start + 2 * ttl);
+  CHECK(store.Find("m/a") == nullptr);
+  CHECK(store.List("m/").size() == 1);
+  CHECK(store.ChangesAfter("m/", before).keys == std::set<std::string>{"m/a"});
+  CHECK_FALSE(store.RenewLease(lease, start + 2 * ttl));
+}
+
+TEST_CASE("A record written without its lease no longer hangs on it") {
+  PlatformStore store(100);
+  const std::string lease = store.CreateLease(Duration(10), MonoTime{});
+  const auto put = store.Put("k", "a", 0, lease);
+  REQUIRE(store.Put("k", "b", put.revision, "").status == Status::kOk);
+  store.EndLease(lease);
+  CHECK(store.Find("k") != nullptr);
+}
+
+TEST_CASE("Changes are told by prefix, or said to be too old") {
+  PlatformStore store(3);
+  for (const char* key : {"a/1", "b/1", "a/2", "b/2"}) store.Put(key, "", 0, "");
+  CHECK(store.ChangesAfter("a/", 0).too_old);
+  const auto changes = store.ChangesAfter("a/", 1);
+  CHECK_FALSE(changes.too_old);
+  CHECK(changes.keys == std::set<std::string>{"a/2"});
+  CHECK(store.ChangesAfter("", 4).keys.empty());
+}
+
+TEST_CASE("The prefix cache matches whole leading blocks and evicts the oldest") {
+  SeededRandom random(1);
+  PrefixCache cache(3, Duration(100), /*gap_every=*/0, &random);
+  const std::string letter(3 * kCacheBlockBytes + 5, 'l');
+  CHECK(cache.Match(letter) == 0);
+  cache.Insert(letter, MonoTime{});
+  CHECK(cache.Match(letter) == 3);
+  CHECK(cache.Match(letter.substr(0, 2 * kCacheBlockBytes)) == 2);
+  CHECK(cache.Match("other" + letter) == 0);
+  CHECK(cache.EventsAfter(0, MonoTime{}).empty());  // not yet visible
+  CHECK(cache.EventsAfter(0, MonoTime(Duration(100))).size() == 3);
+  cache.Insert(std::string(2 * kCacheBlockBytes, 'm'), MonoTime{});
+  CHECK(cache.Match(letter) < 3);
+  CHECK(cache.EventsAfter(3, MonoTime(Duration(100))).size() == 4);
+}
+
+}  // namespace
+}  // namespace mimosa::standins
