--- /dev/null
+++ b/decide/prefix_index.cc
@@ -0,0 +1,85 @@
+#include "decide/prefix_index.h"
+
+#include <algorithm>
+
+namespace mimosa {
+namespace {
+
+constexpr uint64_t kFnvOffset = 0xcbf29ce484222325;
+constexpr uint64_t kFnvPrime = 0x100000001b3;
+constexpr uint64_t kMix = 0x9e3779b97f4a7c15;
+
+uint64_t Extend(uint64_t hash, std::string_view data) {
+  for (const char c : data) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * kFnvPrime;
+  }
+  return hash;
+}
+
+// FNV alone leaves the high bits of short inputs alike.
+uint64_t Mix(uint64_t hash) {
+  hash = (hash ^ (hash >> 32)) * kMix;
+  hash = (hash ^ (hash >> 29)) * kMix;
+  return hash ^ (hash >> 32);
+}
+
+}  // namespace
+
+uint64_t HashBytes(std::string_view data) {
+  return Mix(Extend(kFnvOffset, data));
+}
+
+std::vector<uint64_t> PrefixIndex::BlocksOf(std::string_view prompt) const {
+  std::vector<uint64_t> blocks;
+  blocks.reserve(prompt.size() / block_bytes_);
+  uint64_t hash = kFnvOffset;
+  for (size_t at = 0; at + block_bytes_ <= prompt.size(); at += block_bytes_) {
+    hash = Extend(hash, prompt.substr(at, block_bytes_));
+    blocks.push_back(Mix(hash));
+  }
+  return blocks;
+}
+
+PrefixIndex::Match PrefixIndex::Find(const std::vector<uint64_t>& blocks) {
+  for (size_t known = blocks.size(); known > 0; --known) {
+    auto it = by_hash_.find(blocks[known - 1]);
+    if (it == by_hash_.end()) continue;
+    entries_.splice(entries_.begin(), entries_, it->second);
+    return {it->second->second, known * block_bytes_};
+  }
+  return {};
+}
+
+void PrefixIndex::Add(const std::vector<uint64_t>& blocks,
+                      const BackEndId& engine) {
+  for (const uint64_t hash : blocks) {
+    auto [it, inserted] = by_hash_.try_emplace(hash);
+    if (inserted) {
+      entries_.emplace_front(hash, engine);
+      it->second = entries_.begin();
+    } else {
+      it->second->second = engine;
+      entries_.splice(entries_.begin(), entries_, it->second);
+    }
+  }
+  while (entries_.size() > max_blocks_) {
+    by_hash_.erase(entries_.back().first);
+    entries_.pop_back();
+  }
+}
+
+size_t RendezvousChoice(uint64_t key,
+                        const std::vector<BackEndId>& candidates) {
+  size_t best = 0;
+  uint64_t best_weight = 0;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const uint64_t weight = Mix(key ^ HashBytes(candidates[i].value()));
+    if (i == 0 || weight > best_weight) {
+      best = i;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/decide/request_queue.cc
@@ -0,0 +1,278 @@
+#include "decide/request_queue.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace mimosa {
+namespace {
+
+class FifoQueue : public RequestQueue {
+ public:
+  void Push(QueuedRequest request) override {
+    units_ += request.units;
+    waiting_.push_back(std::move(request));
+  }
+
+  const QueuedRequest* Front() const override {
+    return waiting_.empty() ? nullptr : &waiting_.front();
+  }
+
+  QueuedRequest PopFront() override {
+    QueuedRequest front = std::move(waiting_.front());
+    waiting_.pop_front();
+    units_ -= front.units;
+    return front;
+  }
+
+  bool Remove(const RequestId& request) override {
+    auto it = Find(request);
+    if (it == waiting_.end()) return false;
+    units_ -= it->units;
+    waiting_.erase(it);
+    return true;
+  }
+
+  bool Contains(const RequestId& request) const override {
+    return Find(request) != waiting_.end();
+  }
+
+  size_t size() const override { return waiting_.size(); }
+
+  Units UnitsAhead(const QueuedRequest& /*request*/) const override {
+    return units_;
+  }
+
+  std::vector<QueuedRequest> RemoveExpired(MonoTime now) override {
+    std::vector<QueuedRequest> expired;
+    std::deque<QueuedRequest> kept;
+    for (QueuedRequest& request : waiting_) {
+      if (request.start_by >= now) {
+        kept.push_back(std::move(request));
+        continue;
+      }
+      units_ -= request.units;
+      expired.push_back(std::move(request));
+    }
+    waiting_ = std::move(kept);
+    return expired;
+  }
+
+ private:
+  std::deque<QueuedRequest>::const_iterator Find(const RequestId& id) const {
+    return std::find_if(
+        waiting_.begin(), waiting_.end(),
+        [&id](const QueuedRequest& r) { return r.request == id; });
+  }
+
+  std::deque<QueuedRequest> waiting_;
+  Units units_;  // sum over waiting_
+};
+
+// Start-time fair queueing. Each customer has a virtual time: the tokens it was
+// served since it last had nothing waiting, on a scale shared by all. The
+// waiting customer with the lowest one is served next. A customer that comes
+// back starts at the time of the one served last, so idling saves up nothing.
+class FairQueue : public RequestQueue {
+ public:
+  void Push(QueuedRequest request) override {
+    Customer& customer = customers_[request.customer];
+    if (customer.idle()) {
+      customer.virtual_time = std::max(customer.virtual_time, virtual_now_);
+    }
+    const int band = BandOf(request);
+    const Key key{request.start_by, next_serial_++};
+    index_[request.request] = Where{request.customer, band, key};
+    if (customer.waiting[band].empty()) {
+      active_[band].insert({customer.virtual_time, request.customer});
+    }
+    customer.units[band] += request.units;
+    customer.waiting[band].emplace(key, std::move(request));
+  }
+
+  const QueuedRequest* Front() const override {
+    if (index_.empty()) return nullptr;
+    const int band = NextBand();
+    const CustomerId& id = active_[band].begin()->second;
+    return &customers_.at(id).waiting[band].begin()->second;
+  }
+
+  QueuedRequest PopFront() override {
+    const int band = NextBand();
+    const CustomerId id = active_[band].begin()->second;
+    Customer& customer = customers_.at(id);
+    virtual_now_ = std::max(virtual_now_, customer.virtual_time);
+    const bool patient_waits = !active_[kPatient].empty();
+    prompt_streak_ = band == kPrompt && patient_waits ? prompt_streak_ + 1 : 0;
+    QueuedRequest front = TakeOut(customer.waiting[band].begin()->second);
+    Charge(id, front.cost);
+    return front;
+  }
+
+  bool Remove(const RequestId& request) override {
+    auto it = index_.find(request);
+    if (it == index_.end()) return false;
+    const Where& where = it->second;
+    TakeOut(customers_.at(where.customer).waiting[where.band].at(where.key));
+    return true;
+  }
+
+  bool Contains(const RequestId& request) const override {
+    return index_.count(request) > 0;
+  }
+
+  size_t size() const override { return index_.size(); }
+
+  // While this customer's own earlier requests and this one are served, each
+  // other customer gets as much as this one, or all it waits for. The other
+  // class adds what its precedence gives it.
+  Units UnitsAhead(const QueuedRequest& request) const override {
+    const int band = BandOf(request);
+    const Units own = OwnUnitsAhead(request);
+    const Units share = own + request.units;
+    Units ahead = own;
+    for (const auto& [time, id] : active_[band]) {
+      if (id == request.customer) continue;
+      ahead += std::min(customers_.at(id).units[band], share);
+    }
+    return ahead + OtherBandAhead(band, ahead);
+  }
+
+  std::vector<QueuedRequest> RemoveExpired(MonoTime now) override {
+    std::vector<RequestId> late;
+    for (const auto& [id, where] : index_) {
+      if (where.key.start_by < now) late.push_back(id);
+    }
+    std::sort(late.begin(), late.end());
+    std::vector<QueuedRequest> expired;
+    for (const RequestId& id : late) {
+      const Where& where = index_.at(id);
+      expired.push_back(TakeOut(
+          customers_.at(where.customer).waiting[where.band].at(where.key)));
+    }
+    return expired;
+  }
+
+ private:
+  enum Band { kPrompt = 0, kPatient = 1, kBands = 2 };
+
+  // Earliest deadline first; of equal ones the first come.
+  struct Key {
+    MonoTime start_by;
+    uint64_t serial;
+    friend bool operator<(const Key& a, const Key& b) {
+      return std::tie(a.start_by, a.serial) < std::tie(b.start_by, b.serial);
+    }
+  };
+
+  struct Customer {
+    int64_t virtual_time = 0;
+    std::array<std::map<Key, QueuedRequest>, kBands> waiting;
+    std::array<Units, kBands> units;  // sums over `waiting`
+    bool idle() const {
+      return waiting[kPrompt].empty() && waiting[kPatient].empty();
+    }
+  };
+
+  struct Where {
+    CustomerId customer;
+    int band;
+    Key key;
+  };
+
+  static int BandOf(const QueuedRequest& request) {
+    return request.patient ? kPatient : kPrompt;
+  }
+
+  int NextBand() const {
+    if (active_[kPrompt].empty()) return kPatient;
+    if (active_[kPatient].empty()) return kPrompt;
+    return prompt_streak_ < kPromptPerPatient ? kPrompt : kPatient;
+  }
+
+  QueuedRequest TakeOut(const QueuedRequest& queued) {
+    const Where where = index_.at(queued.request);
+    Customer& customer = customers_.at(where.customer);
+    auto it = customer.waiting[where.band].find(where.key);
+    QueuedRequest request = std::move(it->second);
+    customer.waiting[where.band].erase(it);
+    customer.units[where.band] -= request.units;
+    if (customer.waiting[where.band].empty()) {
+      active_[where.band].erase({customer.virtual_time, where.customer});
+    }
+    index_.erase(request.request);
+    ForgetIfIdle(where.customer);
+    return request;
+  }
+
+  // Moves the customer's virtual time on by what it was served.
+  void Charge(const CustomerId& id, Tokens cost) {
+    Customer& customer = customers_[id];
+    const int64_t before = customer.idle()
+                               ? std::max(customer.virtual_time, virtual_now_)
+                               : customer.virtual_time;
+    customer.virtual_time = before + cost.count();
+    for (int band = 0; band < kBands; ++band) {
+      if (customer.waiting[band].empty()) continue;
+      active_[band].erase({before, id});
+      active_[band].insert({customer.virtual_time, id});
+    }
+  }
+
+  // A customer without waiting requests matters only while its virtual time is
+  // ahead of the shared one: that bounds the map by the recently served.
+  void ForgetIfIdle(const CustomerId& id) {
+    auto it = customers_.find(id);
+    if (it->second.idle() && it->second.virtual_time <= virtual_now_) {
+      customers_.erase(it);
+    }
+  }
+
+  Units OwnUnitsAhead(const QueuedRequest& request) const {
+    Units own;
+    auto it = customers_.find(request.customer);
+    if (it == customers_.end()) return own;
+    for (const auto& [key, other] : it->second.waiting[BandOf(request)]) {
+      if (key.start_by > request.start_by) break;
+      own += other.units;
+    }
+    return own;
+  }
+
+  Units OtherBandAhead(int band, Units ahead) const {
+    Units other;
+    const int other_band = band == kPrompt ? kPatient : kPrompt;
+    for (const auto& [time, id] : active_[other_band]) {
+      other += customers_.at(id).units[other_band];
+    }
+    if (band == kPatient) return other;
+    return std::min(other, Units(ahead.count() / kPromptPerPatient));
+  }
+
+  std::unordered_map<CustomerId, Customer> customers_;
+  // Customers with waiting requests of the class, by virtual time.
+  std::array<std::set<std::pair<int64_t, CustomerId>>, kBands> active_;
+  std::unordered_map<RequestId, Where> index_;
+  int64_t virtual_now_ = 0;  // virtual time of the customer served last
+  int prompt_streak_ = 0;    // prompt requests served while a patient one waits
+  uint64_t next_serial_ = 0;
+};
+
+}  // namespace
+
+std::optional<QueueKind> ParseQueueKind(std::string_view name) {
+  if (name == "fifo") return QueueKind::kFifo;
+  if (name == "fair") return QueueKind::kFair;
+  return std::nullopt;
+}
+
+std::unique_ptr<RequestQueue> MakeRequestQueue(QueueKind kind) {
+  if (kind == QueueKind::kFifo) return std::make_unique<FifoQueue>();
+  return std::make_unique<FairQueue>();
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/router/engine_load.cc
@@ -0,0 +1,104 @@
+#include "router/engine_load.h"
+
+#include <json/value.h>
+
+#include <utility>
+
+#include "base/json.h"
+
+namespace mimosa {
+namespace {
+
+// Unanswered polls in a row after which an engine counts as down.
+constexpr int kFailuresUntilDown = 2;
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+constexpr Duration kAnswerTimeout = std::chrono::seconds(1);
+constexpr size_t kMaxReportBytes = 1U << 20;
+
+int64_t IntegerOr0(const Json::Value& value) {
+  return value.isIntegral() ? value.asInt64() : 0;
+}
+
+}  // namespace
+
+bool ParseEngineLoad(std::string_view text, EngineLoadReport* report) {
+  const leaf::result<Json::Value> parsed = ParseJson(text);
+  if (!parsed || !parsed->isObject()) return false;
+  const Json::Value& json = *parsed;
+  report->running = IntegerOr0(json["running"]);
+  report->waiting = IntegerOr0(json["waiting"]);
+  report->free = Pieces(IntegerOr0(json["free_pieces"]));
+  report->held.clear();
+  if (!json["held"].isArray()) return true;
+  for (const Json::Value& item : json["held"]) {
+    if (!item.isObject() || !item["request"].isString()) continue;
+    report->held.push_back({RequestId(item["request"].asString()),
+                            Pieces(IntegerOr0(item["pieces"]))});
+  }
+  return true;
+}
+
+EngineLoadPoller::EngineLoadPoller(EventLoop* loop, HttpClient* client,
+                                   Duration period)
+    : loop_(loop), client_(client), period_(period) {
+  timer_ = loop_->After(period_, [this] { Poll(); });
+}
+
+void EngineLoadPoller::SetEngines(
+    const std::map<BackEndId, Endpoint>& engines) {
+  for (auto it = engines_.begin(); it != engines_.end();) {
+    auto wanted = engines.find(it->first);
+    const bool keep =
+        wanted != engines.end() && wanted->second == it->second.address;
+    it = keep ? std::next(it) : engines_.erase(it);
+  }
+  for (const auto& [id, address] : engines) {
+    auto [it, inserted] = engines_.try_emplace(id);
+    if (!inserted) continue;
+    it->second.address = address;
+    Ask(id, &it->second);
+  }
+}
+
+void EngineLoadPoller::Poll() {
+  timer_ = loop_->After(period_, [this] { Poll(); });
+  for (auto& [id, polled] : engines_) {
+    if (polled.call == nullptr) Ask(id, &polled);
+  }
+}
+
+void EngineLoadPoller::Ask(const BackEndId& engine, Polled* polled) {
+  HttpCallOptions options;
+  options.to = polled->address;
+  options.connect_timeout = kConnectTimeout;
+  options.head_timeout = kAnswerTimeout;
+  options.idle_timeout = kAnswerTimeout;
+  options.max_response_bytes = kMaxReportBytes;
+  options.reuse_connection = true;
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/v1/load";
+  polled->call = Fetch(
+      client_, options, std::move(request),
+      [this, engine](const HttpResult& result) { OnAnswer(engine, result); });
+}
+
+void EngineLoadPoller::OnAnswer(const BackEndId& engine,
+                                const HttpResult& result) {
+  Polled& polled = engines_.at(engine);
+  // Kept until the end of this function, which its callback runs.
+  const std::unique_ptr<HttpCall> call = std::move(polled.call);
+  EngineLoadReport report;
+  if (result.ok && result.response.status == 200 &&
+      ParseEngineLoad(result.response.body, &report)) {
+    polled.failures = 0;
+    if (observer_) observer_(engine, &report);
+    return;
+  }
+  ++polled.failures;
+  if (polled.failures >= kFailuresUntilDown && observer_) {
+    observer_(engine, nullptr);
+  }
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/router/engine_load.h
@@ -0,0 +1,71 @@
+// Engines' own reports of their load, fetched at a period.
+//
+// GET /v1/load answers {"running","waiting","free_pieces",
+// "held":[{"request","pieces"}]}. A report lags behind the engine; an engine
+// that fails to answer a few times in a row is taken to be down until it
+// answers again.
+#ifndef ROUTER_ENGINE_LOAD_H_
+#define ROUTER_ENGINE_LOAD_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "net/event_loop.h"
+#include "net/http.h"
+
+namespace mimosa {
+
+struct HeldRequest {
+  RequestId request;
+  Pieces pieces;
+};
+
+struct EngineLoadReport {
+  int64_t running = 0;
+  int64_t waiting = 0;
+  Pieces free;
+  std::vector<HeldRequest> held;
+};
+
+// False if `text` is no load report.
+bool ParseEngineLoad(std::string_view text, EngineLoadReport* report);
+
+class EngineLoadPoller {
+ public:
+  // What became known of an engine; `report` is null if it is down.
+  using Observer =
+      std::function<void(const BackEndId&, const EngineLoadReport* report)>;
+
+  EngineLoadPoller(EventLoop* loop, HttpClient* client, Duration period);
+
+  // Polls exactly these engines from now on, each at once if it is new.
+  void SetEngines(const std::map<BackEndId, Endpoint>& engines);
+  void SetObserver(Observer observer) { observer_ = std::move(observer); }
+
+ private:
+  struct Polled {
+    Endpoint address;
+    int failures = 0;  // in a row
+    std::unique_ptr<HttpCall> call;
+  };
+
+  void Poll();
+  void Ask(const BackEndId& engine, Polled* polled);
+  void OnAnswer(const BackEndId& engine, const HttpResult& result);
+
+  EventLoop* const loop_;
+  HttpClient* const client_;
+  const Duration period_;
+  Observer observer_;
+  std::map<BackEndId, Polled> engines_;
+  TimerHandle timer_;
+};
+
+}  // namespace mimosa
+
+#endif  // ROUTER_ENGINE_LOAD_H_
