--- /dev/null
+++ b/decide/request_queue_test.cc
@@ -0,0 +1,225 @@
+// Queue policies against slow references: all short histories, and long random
+// ones.
+#include "decide/request_queue.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+
+namespace mimosa {
+namespace {
+
+QueuedRequest Request(int serial, const std::string& customer, bool patient,
+                      int64_t cost, int64_t start_by) {
+  QueuedRequest request;
+  request.request = RequestId("r" + std::to_string(serial));
+  request.customer = CustomerId(customer);
+  request.patient = patient;
+  request.units = Units(1);
+  request.cost = Tokens(cost);
+  request.start_by = MonoTime(Duration(start_by));
+  return request;
+}
+
+// Fair queueing by looking at everything each time.
+class SlowFairQueue {
+ public:
+  void Push(const QueuedRequest& request) {
+    if (!HasAny(request.customer)) {
+      int64_t& time = times_[request.customer];
+      time = std::max(time, now_);
+    }
+    waiting_.push_back(request);
+  }
+
+  // Index of the next request.
+  size_t Next() const {
+    const bool patient = NextIsPatient();
+    size_t best = waiting_.size();
+    for (size_t i = 0; i < waiting_.size(); ++i) {
+      if (waiting_[i].patient != patient) continue;
+      if (best == waiting_.size() || Before(waiting_[i], waiting_[best])) {
+        best = i;
+      }
+    }
+    return best;
+  }
+
+  QueuedRequest Pop() {
+    const size_t next = Next();
+    const QueuedRequest request = waiting_[next];
+    const bool patient_waits = Any(true);
+    streak_ = !request.patient && patient_waits ? streak_ + 1 : 0;
+    now_ = std::max(now_, times_[request.customer]);
+    waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(next));
+    int64_t& time = times_[request.customer];
+    if (!HasAny(request.customer)) time = std::max(time, now_);
+    time += request.cost.count();
+    return request;
+  }
+
+  void Remove(const RequestId& id) {
+    waiting_.erase(
+        std::remove_if(waiting_.begin(), waiting_.end(),
+                       [&](const QueuedRequest& r) { return r.request == id; }),
+        waiting_.end());
+  }
+
+  bool empty() const { return waiting_.empty(); }
+  const std::vector<QueuedRequest>& waiting() const { return waiting_; }
+
+ private:
+  bool HasAny(const CustomerId& customer) const {
+    return std::any_of(
+        waiting_.begin(), waiting_.end(),
+        [&](const QueuedRequest& r) { return r.customer == customer; });
+  }
+  bool Any(bool patient) const {
+    return std::any_of(
+        waiting_.begin(), waiting_.end(),
+        [&](const QueuedRequest& r) { return r.patient == patient; });
+  }
+  bool NextIsPatient() const {
+    if (!Any(false)) return true;
+    return Any(true) && streak_ >= kPromptPerPatient;
+  }
+  bool Before(const QueuedRequest& a, const QueuedRequest& b) const {
+    const int64_t time_a = times_.at(a.customer);
+    const int64_t time_b = times_.at(b.customer);
+    if (time_a != time_b) return time_a < time_b;
+    if (a.customer != b.customer) return a.customer < b.customer;
+    return a.start_by < b.start_by;  // stable: first come of equal ones
+  }
+
+  std::vector<QueuedRequest> waiting_;
+  std::map<CustomerId, int64_t> times_;
+  int64_t now_ = 0;
+  int streak_ = 0;
+};
+
+void CheckSame(RequestQueue* queue, const SlowFairQueue& slow) {
+  REQUIRE(queue->size() == slow.waiting().size());
+  if (slow.empty()) {
+    REQUIRE(queue->Front() == nullptr);
+    return;
+  }
+  REQUIRE(queue->Front()->request == slow.waiting()[slow.Next()].request);
+}
+
+// Operations: 0..3 push (customer a or b, prompt or patient), 4 pop, 5 remove
+// the oldest that waits.
+void Apply(int operation, int serial, RequestQueue* queue,
+           SlowFairQueue* slow) {
+  if (operation < 4) {
+    const QueuedRequest request =
+        Request(serial, operation % 2 == 0 ? "a" : "b", operation >= 2,
+                1 + serial % 3, 10 - serial % 2);
+    queue->Push(request);
+    slow->Push(request);
+  } else if (operation == 4 && !slow->empty()) {
+    REQUIRE(queue->PopFront().request == slow->Pop().request);
+  } else if (operation == 5 && !slow->empty()) {
+    const RequestId oldest = slow->waiting().front().request;
+    REQUIRE(queue->Remove(oldest));
+    slow->Remove(oldest);
+  }
+  CheckSame(queue, *slow);
+}
+
+TEST_CASE("fair queue does as its reference in all short histories") {
+  constexpr int kOperations = 6;
+  constexpr int kLength = 7;
+  int histories = 1;
+  for (int i = 0; i < kLength; ++i) histories *= kOperations;
+  for (int history = 0; history < histories; ++history) {
+    const auto queue = MakeRequestQueue(QueueKind::kFair);
+    SlowFairQueue slow;
+    int rest = history;
+    for (int step = 0; step < kLength; ++step, rest /= kOperations) {
+      Apply(rest % kOperations, step, queue.get(), &slow);
+    }
+  }
+}
+
+TEST_CASE("fair queue does as its reference in long random histories") {
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    INFO("seed " << seed);
+    SeededRandom random(seed);
+    const auto queue = MakeRequestQueue(QueueKind::kFair);
+    SlowFairQueue slow;
+    for (int step = 0; step < 400; ++step) {
+      Apply(static_cast<int>(random.Below(6)), step, queue.get(), &slow);
+    }
+  }
+}
+
+TEST_CASE("a customer that sends more does not get more while others wait") {
+  const auto queue = MakeRequestQueue(QueueKind::kFair);
+  int serial = 0;
+  for (int i = 0; i < 100; ++i) {
+    for (int j = 0; j < 5; ++j) {
+      queue->Push(Request(serial++, "greedy", true, 100, 1000));
+    }
+    queue->Push(Request(serial++, "modest", true, 100, 1000));
+  }
+  std::map<std::string, int> served;
+  for (int i = 0; i < 100; ++i) {
+    ++served[queue->PopFront().customer.value()];
+    CHECK(std::abs(served["greedy"] - served["modest"]) <= 1);
+  }
+}
+
+TEST_CASE("patient requests are served though prompt ones keep coming") {
+  const auto queue = MakeRequestQueue(QueueKind::kFair);
+  queue->Push(Request(0, "a", true, 1, 1000));
+  int pops = 0;
+  for (int serial = 1;; ++serial) {
+    queue->Push(Request(serial, "b", false, 1, 1000));
+    ++pops;
+    if (queue->PopFront().patient) break;
+    REQUIRE(pops <= kPromptPerPatient);
+  }
+  CHECK(pops == kPromptPerPatient + 1);
+}
+
+TEST_CASE("first come first served") {
+  const auto queue = MakeRequestQueue(QueueKind::kFifo);
+  for (int i = 0; i < 4; ++i) {
+    queue->Push(Request(i, "a", i % 2 == 0, 1, 10 - i));
+  }
+  CHECK(queue->Remove(RequestId("r1")));
+  CHECK_FALSE(queue->Remove(RequestId("r1")));
+  CHECK(queue->PopFront().request == RequestId("r0"));
+  CHECK(queue->UnitsAhead(Request(9, "b", false, 1, 1)) == Units(2));
+  CHECK(queue->RemoveExpired(MonoTime(Duration(8))).size() == 1);
+  CHECK(queue->PopFront().request == RequestId("r2"));
+  CHECK(queue->Front() == nullptr);
+}
+
+TEST_CASE("what can't be of use is taken out") {
+  const auto queue = MakeRequestQueue(QueueKind::kFair);
+  for (int i = 0; i < 10; ++i) {
+    queue->Push(Request(i, i % 2 == 0 ? "a" : "b", i % 3 == 0, 1, i));
+  }
+  CHECK(queue->RemoveExpired(MonoTime(Duration(5))).size() == 5);
+  CHECK(queue->size() == 5);
+  for (int i = 0; i < 5; ++i) {
+    CHECK(queue->PopFront().start_by >= MonoTime(Duration(5)));
+  }
+}
+
+TEST_CASE("a customer with a long queue of its own expects the longer wait") {
+  const auto queue = MakeRequestQueue(QueueKind::kFair);
+  for (int i = 0; i < 50; ++i) {
+    queue->Push(Request(i, "greedy", true, 1, 100));
+  }
+  CHECK(queue->UnitsAhead(Request(99, "greedy", true, 1, 100)) == Units(50));
+  CHECK(queue->UnitsAhead(Request(99, "modest", true, 1, 100)) == Units(1));
+}
+
+}  // namespace
+}  // namespace mimosa
