--- /dev/null
+++ b/decide/place_search.h
@@ -0,0 +1,61 @@
+// The search for one engine among the candidates of one role: which owner to
+// ask next, and whether to wait there.
+//
+// Model: for decode memory the search asks the ranked engines whether there is
+// room at once, and then waits at the one whose queue is shortest by the
+// summaries that those answers brought. For a prefill turn it waits at the best
+// ranked at once: an engine that has the prefix and a short queue beats an idle
+// one without, and the ranking has weighed that. A refused wait moves on to
+// another engine, a few times.
+//
+// Pure: steps out, refusals in. The driver keeps the network, the measuring
+// loop of bench/ its virtual time.
+#ifndef DECIDE_PLACE_SEARCH_H_
+#define DECIDE_PLACE_SEARCH_H_
+
+#include <vector>
+
+#include "base/random.h"
+#include "decide/placement.h"
+
+namespace mimosa {
+
+enum class SearchStage { kDecode, kPrefill };
+
+struct SearchStep {
+  enum class Kind {
+    kAsk,     // reserve at the engine
+    kUse,     // use the engine without a reservation
+    kGiveUp,  // no engine has taken it
+  };
+  Kind kind = Kind::kGiveUp;
+  size_t engine = 0;  // index into the candidates; not for kGiveUp
+  bool may_wait = false;
+};
+
+class PlaceSearch {
+ public:
+  // `policy` outlives this.
+  PlaceSearch(SearchStage stage, PlacementPolicy* policy)
+      : stage_(stage), policy_(policy) {}
+
+  // The first step. May be called again when the candidates have changed: the
+  // search then starts anew.
+  SearchStep Start(const PlacementQuery& query,
+                   const CandidateSource& candidates, RandomSource* random);
+  // The next step, after the engine of the last one has refused.
+  SearchStep OnRefused(const CandidateSource& candidates);
+
+ private:
+  SearchStep Next(const CandidateSource& candidates);
+
+  const SearchStage stage_;
+  PlacementPolicy* const policy_;
+  std::vector<size_t> ranked_;  // engines at which the search may still wait
+  size_t next_probe_ = 0;       // index into ranked_, while probing
+  int waits_ = 0;
+};
+
+}  // namespace mimosa
+
+#endif  // DECIDE_PLACE_SEARCH_H_
--- a/router/places_driver.cc
+++ b/router/places_driver.cc
@@ -25,8 +25,6 @@
 constexpr size_t kMaxPrefixBlocks = 20000;
 constexpr int64_t kBytesPerToken = 4;
 constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
-// Engines at which a request waits, one after the other, before it is refused.
-constexpr int kMaxWaits = 3;
 
 }  // namespace
 
@@ -98,9 +96,8 @@
 // ---------------------------------------------------------------------------
 // One request on its way to a place.
 
-// States: decode engine, then prefill engine; within each, probing the ranked
-// engines for room at once, then waiting at the best one. At most one question
-// to an owner is open at a time.
+// States: decode engine, then prefill engine; within each, a PlaceSearch says
+// whom to ask. At most one question to an owner is open at a time.
 class PlacesDriver::Attempt : public PendingPlace {
  public:
   Attempt(PlacesDriver* driver, const PlaceRequest& request, Done done);
@@ -111,7 +108,7 @@
   void OnFleetChanged();
 
  private:
-  enum class Stage { kDecode, kPrefill };
+  using Stage = SearchStage;
 
   // The engines of one stage, as the placement policy sees them.
   class Candidates : public CandidateSource {
@@ -130,8 +127,7 @@
   void EnterStage(Stage stage);
   void CollectEngines();
   PlacementQuery MakeQuery();
-  void TryNext();
-  void WaitAtBest();
+  void Follow(const SearchStep& step);
   void Ask(size_t index, bool may_wait);
   void AskPeer(const FleetMember& owner);
   wire::ReserveRequest MakeRequest(const wire::BackEnd& engine,
@@ -155,11 +151,9 @@
   std::shared_ptr<const CatalogueSnapshot> snapshot_;
   Stage stage_ = Stage::kDecode;
   std::set<BackEndId> avoid_;
-  // Of the stage: engines in use, those to probe (indices), next to probe.
+  // Of the stage: its engines and the search among them.
   std::vector<const wire::BackEnd*> engines_;
-  std::vector<size_t> ranked_;
-  size_t next_probe_ = 0;
-  int waits_ = 0;
+  std::optional<PlaceSearch> search_;
   int owner_retries_ = 0;
   // The open question.
   std::optional<size_t> asked_;
@@ -240,21 +234,27 @@
 
 void PlacesDriver::Attempt::EnterStage(Stage stage) {
   stage_ = stage;
-  waits_ = 0;
-  owner_retries_ = 0;
-  next_probe_ = 0;
   CollectEngines();
   if (engines_.empty()) {
     Finish(PlaceStatus::kNoEngine);
     return;
   }
-  ranked_ =
-      driver_->policy_->Rank(MakeQuery(), Candidates(this), driver_->random_);
-  if (!driver_->policy_->reserves()) {
-    Choose(*engines_[ranked_.front()]);
-    return;
+  search_.emplace(stage, driver_->policy_.get());
+  Follow(search_->Start(MakeQuery(), Candidates(this), driver_->random_));
+}
+
+void PlacesDriver::Attempt::Follow(const SearchStep& step) {
+  switch (step.kind) {
+    case SearchStep::Kind::kAsk:
+      Ask(step.engine, step.may_wait);
+      return;
+    case SearchStep::Kind::kUse:
+      Choose(*engines_[step.engine]);
+      return;
+    case SearchStep::Kind::kGiveUp:
+      Finish(PlaceStatus::kOverload);
+      return;
   }
-  TryNext();
 }
 
 // Engines whose owner did not answer lately are used only if there is no other.
@@ -293,34 +293,6 @@
   return query;
 }
 
-// A prefill engine with the prefix and a short queue beats an idle one without:
-// so there is no probing for room at once, the ranking has weighed that.
-void PlacesDriver::Attempt::TryNext() {
-  if (stage_ == Stage::kDecode && next_probe_ < ranked_.size()) {
-    Ask(ranked_[next_probe_++], /*may_wait=*/false);
-    return;
-  }
-  WaitAtBest();
-}
-
-// By the summaries that the probes brought.
-void PlacesDriver::Attempt::WaitAtBest() {
-  if (waits_++ >= kMaxWaits || ranked_.empty()) {
-    Finish(PlaceStatus::kOverload);
-    return;
-  }
-  size_t best = 0;
-  if (stage_ == Stage::kDecode) {
-    for (size_t i = 1; i < ranked_.size(); ++i) {
-      const Duration wait = Describe(*engines_[ranked_[i]]).queue_wait;
-      if (wait < Describe(*engines_[ranked_[best]]).queue_wait) best = i;
-    }
-  }
-  const size_t index = ranked_[best];
-  ranked_.erase(ranked_.begin() + static_cast<std::ptrdiff_t>(best));
-  Ask(index, /*may_wait=*/true);
-}
-
 void PlacesDriver::Attempt::Ask(size_t index, bool may_wait) {
   const wire::BackEnd& engine = *engines_[index];
   asked_ = index;
@@ -432,11 +404,8 @@
     Finish(PlaceStatus::kNotReached);
     return;
   }
-  timer_ = driver_->loop_->After(kOwnerRetryDelay, [this] {
-    const int retries = owner_retries_;
-    EnterStage(stage_);
-    owner_retries_ = retries;
-  });
+  timer_ =
+      driver_->loop_->After(kOwnerRetryDelay, [this] { EnterStage(stage_); });
 }
 
 void PlacesDriver::Attempt::OnRefused(const wire::ReserveReply& reply) {
@@ -452,7 +421,7 @@
     Finish(PlaceStatus::kOverload);
     return;
   }
-  TryNext();
+  Follow(search_->OnRefused(Candidates(this)));
 }
 
 // Goes on with `engine` for this stage.
@@ -462,6 +431,7 @@
   Endpoint::Parse(engine.address(), &chosen.address);
   if (stage_ == Stage::kDecode) {
     decode_ = std::move(chosen);
+    owner_retries_ = 0;
     EnterStage(Stage::kPrefill);
     return;
   }
--- a/router/places_driver.h
+++ b/router/places_driver.h
@@ -26,6 +26,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/random.h"
+#include "decide/place_search.h"
 #include "decide/placement.h"
 #include "decide/prefix_index.h"
 #include "net/event_loop.h"
