--- /dev/null
+++ b/bench/rounds.cc
@@ -0,0 +1,844 @@
+#include "bench/rounds.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <numeric>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "bench/engine_models.h"
+#include "bench/virtual_loop.h"
+#include "decide/engine_book.h"
+#include "decide/place_search.h"
+#include "decide/prefix_index.h"
+
+namespace mimosa::bench {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kEndOfTerm = seconds(3);  // a dead router's books move on
+constexpr Duration kRebuild = seconds(1);
+constexpr Duration kBalancerNotices = seconds(1);
+constexpr Duration kEngineDownFor = seconds(20);
+constexpr Duration kDownNoticed = seconds(2);  // by two missed load reports
+constexpr Duration kLinkStall = seconds(5);
+constexpr Duration kReportPeriod = seconds(1);
+constexpr Duration kRetryPause = milliseconds(100);
+constexpr Duration kTick = milliseconds(100);
+constexpr Duration kHold = seconds(60);
+constexpr Duration kMeanDecode = seconds(3);
+constexpr int kMaxAttempts = 3;
+constexpr int kGreedyCustomer = 3;
+constexpr double kGreedyFactor = 5;  // times its rate
+// Rates are sold beyond what fits: not all customers peak together.
+constexpr double kRateOverFitting = 1.6;
+constexpr double kBurstSeconds = 10;
+
+enum class Outcome { kOpen, kWhole, kRefused, kFailed };
+
+struct Request {
+  int64_t serial = 0;
+  int customer = 0;
+  int router = 0;
+  int text = 0;
+  Tokens prompt;
+  int64_t output = 0;
+  bool patient = false;
+  bool inside = false;
+  MonoTime arrival;
+  MonoTime first_target;
+  MonoTime deadline;
+  Pieces pieces;
+  // The live attempt; negative engines: none.
+  int attempt = 0;
+  std::set<int> avoid_decode;
+  int decode = -1;
+  int prefill = -1;
+  int64_t computed = 0;
+  std::optional<PlaceSearch> search;
+  std::vector<int> candidates;
+  SearchStage stage = SearchStage::kDecode;
+  int asked = -1;
+  uint64_t question = 0;
+  // The end.
+  Outcome outcome = Outcome::kOpen;
+  MonoTime first_token;
+  MonoTime end;
+};
+
+class Bucket {
+ public:
+  Bucket(double rate, double burst)
+      : rate_(rate), burst_(burst), level_(burst) {}
+  bool Take(double tokens, MonoTime now) {
+    level_ = std::min(burst_, level_ + rate_ * ToSeconds(now - at_));
+    at_ = now;
+    if (level_ < tokens) return false;
+    level_ -= tokens;
+    return true;
+  }
+
+ private:
+  const double rate_;
+  const double burst_;
+  double level_;
+  MonoTime at_{};
+};
+
+struct Heard {
+  BookSummary summary;
+  MonoTime at{};
+  bool known = false;
+};
+
+struct Router {
+  bool alive = true;
+  std::array<std::vector<Heard>, 2> heard;  // by stage and engine
+  PrefixIndex prefixes{1, 1000};
+  std::unique_ptr<PlacementPolicy> policy;
+};
+
+struct OwnedBook {
+  std::unique_ptr<EngineBook> book;
+  int owner = 0;  // negative: its owner died and no other has taken over
+};
+
+int StageIndex(SearchStage stage) {
+  return stage == SearchStage::kDecode ? 0 : 1;
+}
+
+class Run {
+ public:
+  Run(const Scenario& scenario, const Policies& policies, uint64_t seed);
+  Measures Go();
+
+ private:
+  class Candidates;
+
+  void Arrive();
+  Request* NewRequest();
+  void Admit(Request* r);
+  bool WithinLimits(const Request& r);
+  void BeginAttempt(Request* r);
+  void Search(Request* r, SearchStage stage);
+  void Follow(Request* r, const SearchStep& step);
+  void Ask(Request* r, int engine, bool may_wait);
+  void Deliver(SearchStage stage, int engine, const BookAnswers& answers);
+  void OnAnswer(Request* r, const BookAnswer& answer);
+  void Choose(Request* r, int engine);
+  BookRequest MakeBookRequest(const Request& r, SearchStage stage,
+                              bool may_wait) const;
+  void StartPrefill(Request* r);
+  void OnPrefilled(Request* r, int64_t computed);
+  void Import(Request* r, MonoTime evicted_at);
+  void StartStream(Request* r);
+  void TryImports(int engine);
+  void AbandonAttempt(Request* r, bool again);
+  void GiveBack(Request* r, SearchStage stage, int engine);
+  void End(Request* r, Outcome outcome);
+  void Tick();
+  void Report();
+  void StartFault();
+  void KillRouter();
+  void TakeOver();
+  void KillEngine();
+  Measures Count() const;
+  double Recovery() const;
+  bool Good(const Request& r) const;
+  Duration Hop(const Request& r, int owner) const {
+    return r.router == owner ? Duration(0) : workload_.one_way;
+  }
+  OwnedBook& BookOf(SearchStage stage, int engine) {
+    return books_[StageIndex(stage)][engine];
+  }
+  std::unique_ptr<EngineBook> NewBook(SearchStage stage) const;
+
+  const Scenario scenario_;
+  const Workload& workload_ = scenario_.workload;
+  const Policies policies_;
+  const bool reserves_;
+  SeededRandom arrivals_;  // what callers do: the same for all policies
+  SeededRandom random_;    // what policies draw
+  VirtualLoop loop_;
+  double mean_charge_;
+  std::deque<Request> requests_;
+  std::vector<Router> routers_;
+  std::deque<PrefillModel> prefill_;
+  std::deque<DecodeModel> decode_;
+  std::array<std::vector<OwnedBook>, 2> books_;  // by stage and engine
+  // Results that wait for memory at a decode engine, and until when.
+  std::vector<std::deque<std::pair<Request*, MonoTime>>> imports_;
+  std::vector<Bucket> ideal_;                     // by customer
+  std::vector<std::vector<Bucket>> even_;         // by customer and router
+  std::array<std::vector<int64_t>, 2> reported_;  // load, by stage and engine
+  int64_t computed_ = 0;
+  int64_t wasted_ = 0;
+  int64_t evicted_ = 0;
+};
+
+class Run::Candidates : public CandidateSource {
+ public:
+  Candidates(const Run* run, const Request* r) : run_(run), r_(r) {}
+  size_t size() const override { return r_->candidates.size(); }
+  PlacementCandidate At(size_t index) const override {
+    const int engine = r_->candidates[index];
+    const int stage = StageIndex(r_->stage);
+    const Router& router = run_->routers_[r_->router];
+    const Heard& heard = router.heard[stage][engine];
+    PlacementCandidate candidate;
+    candidate.known = heard.known;
+    candidate.capacity = heard.summary.capacity;
+    candidate.free = heard.summary.free;
+    candidate.queue_wait = heard.summary.queue_wait;
+    candidate.age = run_->loop_.now() - heard.at;
+    candidate.running = run_->reported_[stage][engine];
+    if (r_->stage == SearchStage::kPrefill && CachedAt(engine)) {
+      candidate.cached_prefix = Tokens(run_->workload_.shared_tokens);
+    }
+    return candidate;
+  }
+
+ private:
+  bool CachedAt(int engine) const {
+    // Finding moves the entry to the front; that is part of the policy.
+    auto& prefixes = const_cast<Router&>(run_->routers_[r_->router]).prefixes;
+    const auto match = prefixes.Find({static_cast<uint64_t>(r_->text)});
+    return match.engine == BackEndId(std::to_string(engine));
+  }
+
+  const Run* run_;
+  const Request* r_;
+};
+
+Run::Run(const Scenario& scenario, const Policies& policies, uint64_t seed)
+    : scenario_(scenario),
+      policies_(policies),
+      reserves_(MakePlacementPolicy(policies.placement)->reserves()),
+      arrivals_(seed),
+      random_(seed ^ 0x5eed),
+      mean_charge_(MeanPromptTokens(workload_) +
+                   static_cast<double>(workload_.output_max)),
+      routers_(workload_.routers) {
+  const std::array<int, 2> engines = {workload_.decode_engines,
+                                      workload_.prefill_engines};
+  for (Router& router : routers_) {
+    router.policy = MakePlacementPolicy(policies.placement);
+    for (int s = 0; s < 2; ++s) router.heard[s].resize(engines[s]);
+  }
+  for (const SearchStage stage :
+       {SearchStage::kDecode, SearchStage::kPrefill}) {
+    const int s = StageIndex(stage);
+    reported_[s].resize(engines[s]);
+    for (int e = 0; e < engines[s]; ++e) {
+      books_[s].push_back({NewBook(stage), (e + s) % workload_.routers});
+    }
+  }
+  for (int e = 0; e < engines[1]; ++e)
+    prefill_.emplace_back(&loop_, &workload_);
+  for (int e = 0; e < engines[0]; ++e) decode_.emplace_back(&loop_, &workload_);
+  imports_.resize(engines[0]);
+  for (int e = 0; e < engines[0]; ++e) {
+    decode_[e].on_room = [this, e] { TryImports(e); };
+  }
+  for (const double share : kShares) {
+    const double rate =
+        kRateOverFitting * share * FittingRate(workload_) * mean_charge_;
+    ideal_.emplace_back(rate, rate * kBurstSeconds);
+    even_.emplace_back(workload_.routers,
+                       Bucket(rate / workload_.routers,
+                              rate * kBurstSeconds / workload_.routers));
+  }
+}
+
+std::unique_ptr<EngineBook> Run::NewBook(SearchStage stage) const {
+  const bool decode = stage == SearchStage::kDecode;
+  return std::make_unique<EngineBook>(
+      decode ? Units(workload_.decode_memory.count()) : Units(1),
+      decode ? kMeanDecode : Duration(milliseconds(500)),
+      MakeRequestQueue(policies_.queue),
+      MakeSheddingPolicy(policies_.shedding));
+}
+
+Measures Run::Go() {
+  Arrive();
+  Tick();
+  Report();
+  loop_.At(MonoTime(kFaultAt), [this] { StartFault(); });
+  loop_.RunUntil(MonoTime(kLastArrival + workload_.deadline));
+  return Count();
+}
+
+// --- Callers ---------------------------------------------------------------
+
+void Run::Arrive() {
+  if (loop_.now() > MonoTime(kLastArrival)) return;
+  Request* r = NewRequest();
+  const bool greedy = scenario_.fault == Fault::kGreedyCustomer;
+  const double nominal = scenario_.load * FittingRate(workload_);
+  double total = nominal;
+  const double extra = kGreedyFactor * kRateOverFitting *
+                           kShares[kGreedyCustomer] * FittingRate(workload_) -
+                       kShares[kGreedyCustomer] * nominal;
+  if (greedy) total += extra;
+  double draw = arrivals_.Unit() * total;
+  r->customer = kGreedyCustomer;
+  if (!greedy || draw >= extra) {
+    if (greedy) draw -= extra;
+    draw /= nominal;
+    r->customer = 0;
+    while (r->customer < kCustomers - 1 && draw >= kShares[r->customer]) {
+      draw -= kShares[r->customer++];
+    }
+  }
+  const double gap = -std::log(1 - arrivals_.Unit()) / total;
+  Admit(r);
+  loop_.After(Duration(static_cast<int64_t>(gap * 1e6)), [this] { Arrive(); });
+}
+
+Request* Run::NewRequest() {
+  Request& r = requests_.emplace_back();
+  r.serial = static_cast<int64_t>(requests_.size()) - 1;
+  r.text = static_cast<int>(arrivals_.Below(workload_.shared_texts));
+  r.prompt = Tokens(workload_.shared_tokens +
+                    BoundedExponential(workload_.own_tokens_mean,
+                                       workload_.own_tokens_max, &arrivals_));
+  r.output = BoundedExponential(workload_.output_mean, workload_.output_max,
+                                &arrivals_);
+  r.patient = arrivals_.Unit() >= workload_.prompt_class_share;
+  r.arrival = loop_.now();
+  r.first_target = r.arrival + (r.patient ? workload_.patient_first_token
+                                          : workload_.prompt_first_token);
+  r.deadline = r.arrival + workload_.deadline;
+  r.pieces = PiecesFor(r.prompt + Tokens(workload_.output_max));
+  r.router = static_cast<int>(arrivals_.Below(workload_.routers));
+  return &r;
+}
+
+void Run::Admit(Request* r) {
+  // Half of a customer's traffic comes over one connection.
+  if (arrivals_.Unit() < 0.5) r->router = r->customer % workload_.routers;
+  const double charge =
+      static_cast<double>(r->prompt.count() + workload_.output_max);
+  r->inside = ideal_[r->customer].Take(charge, loop_.now());
+  if (!routers_[r->router].alive) {
+    if (loop_.now() < MonoTime(kFaultAt + kBalancerNotices)) {
+      End(r, Outcome::kFailed);
+      return;
+    }
+    r->router = (r->router + 1) % workload_.routers;
+  }
+  if (!WithinLimits(*r)) {
+    End(r, Outcome::kRefused);
+    return;
+  }
+  loop_.At(r->deadline, [this, r] {
+    if (r->outcome != Outcome::kOpen) return;
+    AbandonAttempt(r, /*again=*/false);
+    End(r, Outcome::kFailed);
+  });
+  BeginAttempt(r);
+}
+
+bool Run::WithinLimits(const Request& r) {
+  const double charge =
+      static_cast<double>(r.prompt.count() + workload_.output_max);
+  switch (policies_.limits) {
+    case LimitsKind::kNone:
+      return true;
+    case LimitsKind::kStatic:
+      return even_[r.customer][r.router].Take(charge, loop_.now());
+    case LimitsKind::kHome:
+      return r.inside;
+  }
+  return true;
+}
+
+// --- Placing ----------------------------------------------------------------
+
+void Run::BeginAttempt(Request* r) {
+  ++r->attempt;
+  r->computed = 0;
+  Search(r, SearchStage::kDecode);
+}
+
+void Run::Search(Request* r, SearchStage stage) {
+  if (r->outcome != Outcome::kOpen) return;
+  r->stage = stage;
+  r->candidates.clear();
+  const auto& books = books_[StageIndex(stage)];
+  for (int e = 0; e < static_cast<int>(books.size()); ++e) {
+    if (reserves_ && books[e].owner < 0) continue;
+    if (stage == SearchStage::kDecode && r->avoid_decode.count(e) > 0) continue;
+    r->candidates.push_back(e);
+  }
+  Router& router = routers_[r->router];
+  PlacementQuery query;
+  if (stage == SearchStage::kPrefill) {
+    query.prompt_tokens = r->prompt;
+    query.prefill_per_token = workload_.prefill_per_token;
+    std::vector<BackEndId> ids;
+    for (const int e : r->candidates) ids.emplace_back(std::to_string(e));
+    if (!ids.empty()) {
+      query.preferred.push_back(RendezvousChoice(r->text, ids));
+    }
+  }
+  r->search.emplace(stage, router.policy.get());
+  Follow(r, r->search->Start(query, Candidates(this, r), &random_));
+}
+
+void Run::Follow(Request* r, const SearchStep& step) {
+  switch (step.kind) {
+    case SearchStep::Kind::kAsk:
+      Ask(r, r->candidates[step.engine], step.may_wait);
+      return;
+    case SearchStep::Kind::kUse:
+      Choose(r, r->candidates[step.engine]);
+      return;
+    case SearchStep::Kind::kGiveUp:
+      AbandonAttempt(r, /*again=*/false);
+      End(r, Outcome::kRefused);
+      return;
+  }
+}
+
+void Run::Ask(Request* r, int engine, bool may_wait) {
+  r->asked = engine;
+  const uint64_t question = ++r->question;
+  const SearchStage stage = r->stage;
+  const Duration hop = Hop(*r, BookOf(stage, engine).owner);
+  loop_.After(hop, [this, r, stage, engine, may_wait, question] {
+    if (r->outcome != Outcome::kOpen || question != r->question) return;
+    OwnedBook& owned = BookOf(stage, engine);
+    if (owned.owner < 0) {
+      loop_.After(kRetryPause, [this, r, stage, question] {
+        if (question == r->question) Search(r, stage);
+      });
+      return;
+    }
+    Deliver(
+        stage, engine,
+        owned.book->Reserve(MakeBookRequest(*r, stage, may_wait), loop_.now()));
+  });
+}
+
+BookRequest Run::MakeBookRequest(const Request& r, SearchStage stage,
+                                 bool may_wait) const {
+  const Duration prefill = workload_.prefill_per_token * r.prompt.count();
+  BookRequest request;
+  QueuedRequest& queued = request.queued;
+  queued.request = RequestId(std::to_string(r.serial));
+  queued.customer = CustomerId(std::to_string(r.customer));
+  queued.patient = r.patient;
+  const bool decode = stage == SearchStage::kDecode;
+  queued.units = decode ? Units(r.pieces.count()) : Units(1);
+  queued.cost = decode ? r.prompt + Tokens(workload_.output_max) : r.prompt;
+  queued.start_by =
+      r.patient ? r.deadline - kMeanDecode - prefill : r.first_target - prefill;
+  request.member = MemberId(std::to_string(r.router));
+  request.hold = kHold;
+  request.may_wait = may_wait;
+  return request;
+}
+
+void Run::Deliver(SearchStage stage, int engine, const BookAnswers& answers) {
+  const OwnedBook& owned = BookOf(stage, engine);
+  for (const BookAnswer& answer : answers) {
+    Request* r = &requests_[std::stoll(answer.request.value())];
+    const BookSummary summary = owned.book->Summary();
+    loop_.After(Hop(*r, owned.owner),
+                [this, r, stage, engine, answer, summary] {
+                  routers_[r->router].heard[StageIndex(stage)][engine] = {
+                      summary, loop_.now(), true};
+                  const bool current = r->outcome == Outcome::kOpen &&
+                                       r->stage == stage && r->asked == engine;
+                  if (current) {
+                    OnAnswer(r, answer);
+                  } else if (answer.verdict == BookVerdict::kGranted) {
+                    GiveBack(r, stage, engine);
+                  }
+                });
+  }
+}
+
+void Run::OnAnswer(Request* r, const BookAnswer& answer) {
+  const int engine = r->asked;
+  r->asked = -1;
+  ++r->question;
+  if (answer.verdict == BookVerdict::kGranted) {
+    Choose(r, engine);
+    return;
+  }
+  Follow(r, r->search->OnRefused(Candidates(this, r)));
+}
+
+void Run::Choose(Request* r, int engine) {
+  if (r->stage == SearchStage::kDecode) {
+    r->decode = engine;
+    Search(r, SearchStage::kPrefill);
+    return;
+  }
+  r->prefill = engine;
+  routers_[r->router].prefixes.Add({static_cast<uint64_t>(r->text)},
+                                   BackEndId(std::to_string(engine)));
+  StartPrefill(r);
+}
+
+// --- Prefill, transfer, decode ----------------------------------------------
+
+void Run::StartPrefill(Request* r) {
+  loop_.After(workload_.one_way, [this, r, attempt = r->attempt] {
+    if (r->outcome != Outcome::kOpen || r->attempt != attempt) return;
+    prefill_[r->prefill].Submit(
+        {r->serial, r->text, r->prompt.count(),
+         [this, r](int64_t computed) { OnPrefilled(r, computed); }});
+  });
+}
+
+void Run::OnPrefilled(Request* r, int64_t computed) {
+  computed_ += computed;
+  r->computed = computed;
+  if (reserves_) GiveBack(r, SearchStage::kPrefill, r->prefill);
+  PrefillModel& from = prefill_[r->prefill];
+  DecodeModel& to = decode_[r->decode];
+  const MonoTime evicted_at = loop_.now() + workload_.result_ttl;
+  const MonoTime start = std::max(
+      {loop_.now() + 2 * workload_.one_way, from.link_free, to.link_free});
+  if (start > evicted_at) {
+    loop_.At(evicted_at, [this, r, attempt = r->attempt] {
+      if (r->outcome != Outcome::kOpen || r->attempt != attempt) return;
+      ++evicted_;
+      AbandonAttempt(r, /*again=*/true);
+    });
+    return;
+  }
+  const double time =
+      static_cast<double>(r->prompt.count()) / workload_.link_tokens_per_second;
+  const MonoTime end = start + Duration(static_cast<int64_t>(time * 1e6));
+  from.link_free = end;
+  to.link_free = end;
+  loop_.At(end, [this, r, attempt = r->attempt, evicted_at] {
+    if (r->outcome == Outcome::kOpen && r->attempt == attempt) {
+      Import(r, evicted_at);
+    }
+  });
+}
+
+void Run::Import(Request* r, MonoTime evicted_at) {
+  if (decode_[r->decode].down()) {
+    r->avoid_decode.insert(r->decode);
+    AbandonAttempt(r, /*again=*/true);
+    return;
+  }
+  imports_[r->decode].emplace_back(r, evicted_at);
+  TryImports(r->decode);
+  if (r->first_token != MonoTime{}) return;
+  loop_.At(evicted_at, [this, r, attempt = r->attempt] {
+    if (r->outcome != Outcome::kOpen || r->attempt != attempt) return;
+    if (r->first_token != MonoTime{}) return;
+    ++evicted_;
+    AbandonAttempt(r, /*again=*/true);
+  });
+}
+
+void Run::TryImports(int engine) {
+  auto& waiting = imports_[engine];
+  while (!waiting.empty()) {
+    Request* r = waiting.front().first;
+    const bool gone = r->outcome != Outcome::kOpen || r->decode != engine ||
+                      r->first_token != MonoTime{};
+    if (!gone) {
+      const bool started =
+          decode_[engine].Start(r->serial, r->pieces, r->output, [this, r] {
+            r->end = loop_.now();
+            AbandonAttempt(r, /*again=*/false);
+            End(r, Outcome::kWhole);
+          });
+      if (!started) return;
+      r->first_token = loop_.now() + decode_[engine].StepTime();
+    }
+    waiting.pop_front();
+  }
+}
+
+// --- Ends --------------------------------------------------------------------
+
+// Frees what the attempt holds. A prefill whose answer did not come whole is
+// wasted.
+void Run::AbandonAttempt(Request* r, bool again) {
+  ++r->question;
+  if (r->end == MonoTime{}) wasted_ += r->computed;
+  if (r->prefill >= 0) {
+    const int64_t partly = prefill_[r->prefill].Cancel(r->serial);
+    computed_ += partly;
+    wasted_ += partly;
+  }
+  if (r->decode >= 0) decode_[r->decode].Cancel(r->serial);
+  if (reserves_ && routers_[r->router].alive) {
+    if (r->asked >= 0) GiveBack(r, r->stage, r->asked);
+    if (r->prefill >= 0) GiveBack(r, SearchStage::kPrefill, r->prefill);
+    if (r->decode >= 0) GiveBack(r, SearchStage::kDecode, r->decode);
+  }
+  r->asked = r->prefill = r->decode = -1;
+  r->computed = 0;
+  if (!again) return;
+  r->first_token = MonoTime{};
+  if (r->attempt == kMaxAttempts) {
+    End(r, Outcome::kFailed);
+    return;
+  }
+  BeginAttempt(r);
+}
+
+void Run::GiveBack(Request* r, SearchStage stage, int engine) {
+  loop_.After(Hop(*r, BookOf(stage, engine).owner), [this, r, stage, engine] {
+    // Granted again meanwhile.
+    if (stage == SearchStage::kDecode && r->decode == engine) return;
+    OwnedBook& owned = BookOf(stage, engine);
+    if (owned.owner < 0) return;
+    Deliver(
+        stage, engine,
+        owned.book->Release(RequestId(std::to_string(r->serial)), loop_.now()));
+  });
+}
+
+void Run::End(Request* r, Outcome outcome) {
+  r->outcome = outcome;
+  if (r->end == MonoTime{}) r->end = loop_.now();
+}
+
+// --- Periodic work -----------------------------------------------------------
+
+void Run::Tick() {
+  for (const SearchStage stage :
+       {SearchStage::kDecode, SearchStage::kPrefill}) {
+    auto& books = books_[StageIndex(stage)];
+    for (int e = 0; e < static_cast<int>(books.size()); ++e) {
+      if (books[e].owner >= 0) {
+        Deliver(stage, e, books[e].book->Tick(loop_.now()));
+      }
+    }
+  }
+  loop_.After(kTick, [this] { Tick(); });
+}
+
+// Load reports, for the policies that go by them.
+void Run::Report() {
+  for (size_t e = 0; e < decode_.size(); ++e) {
+    reported_[0][e] = static_cast<int64_t>(decode_[e].running());
+  }
+  for (size_t e = 0; e < prefill_.size(); ++e) {
+    reported_[1][e] = static_cast<int64_t>(prefill_[e].waiting()) +
+                      (prefill_[e].busy() ? 1 : 0);
+  }
+  loop_.After(kReportPeriod, [this] { Report(); });
+}
+
+// --- Faults
+// -------------------------------------------------------------------
+
+void Run::StartFault() {
+  switch (scenario_.fault) {
+    case Fault::kNone:
+    case Fault::kGreedyCustomer:
+      return;
+    case Fault::kEngineDies:
+      KillEngine();
+      return;
+    case Fault::kRouterDies:
+      KillRouter();
+      return;
+    case Fault::kLinkStalls:
+      prefill_[0].link_free = loop_.now() + kLinkStall;
+      return;
+  }
+}
+
+void Run::KillEngine() {
+  decode_[0].Die([this](int64_t serial) {
+    Request* r = &requests_[serial];
+    r->avoid_decode.insert(0);
+    loop_.After(workload_.one_way,
+                [this, r] { AbandonAttempt(r, /*again=*/true); });
+  });
+  loop_.After(kDownNoticed, [this] {
+    Deliver(SearchStage::kDecode, 0, books_[0][0].book->Close());
+  });
+  loop_.After(kEngineDownFor, [this] {
+    decode_[0].Revive();
+    Deliver(SearchStage::kDecode, 0, books_[0][0].book->Open(loop_.now()));
+  });
+}
+
+// Its callers lose their answers at once; what it left at engines and books is
+// found after its term.
+void Run::KillRouter() {
+  routers_[0].alive = false;
+  std::vector<Request*> left;
+  for (Request& r : requests_) {
+    if (r.router != 0 || r.outcome != Outcome::kOpen) continue;
+    End(&r, Outcome::kFailed);
+    r.end = MonoTime{};
+    left.push_back(&r);
+  }
+  for (auto& books : books_) {
+    for (OwnedBook& owned : books) {
+      if (owned.owner == 0) owned.owner = -1;
+    }
+  }
+  loop_.After(kEndOfTerm, [this, left] {
+    for (Request* r : left) AbandonAttempt(r, /*again=*/false);
+    TakeOver();
+  });
+}
+
+void Run::TakeOver() {
+  for (const SearchStage stage :
+       {SearchStage::kDecode, SearchStage::kPrefill}) {
+    auto& books = books_[StageIndex(stage)];
+    for (int e = 0; e < static_cast<int>(books.size()); ++e) {
+      OwnedBook& owned = books[e];
+      if (owned.owner >= 0) {
+        Deliver(stage, e, owned.book->DropMember(MemberId("0"), loop_.now()));
+        continue;
+      }
+      owned.owner = 1 + e % (workload_.routers - 1);
+      owned.book = NewBook(stage);
+      owned.book->Pause();
+      for (Request& r : requests_) {
+        if (r.outcome != Outcome::kOpen) continue;
+        const int held = stage == SearchStage::kDecode ? r.decode : r.prefill;
+        if (held == e) {
+          owned.book->Renew(MakeBookRequest(r, stage, true), loop_.now());
+        } else if (r.stage == stage && r.asked == e) {
+          Search(&r, stage);
+        }
+      }
+      loop_.After(kRebuild, [this, stage, e] {
+        OwnedBook& ready = BookOf(stage, e);
+        Deliver(stage, e, ready.book->Open(loop_.now()));
+      });
+    }
+  }
+}
+
+// --- Counting
+// -----------------------------------------------------------------
+
+bool Run::Good(const Request& r) const {
+  if (r.outcome != Outcome::kWhole || r.first_token > r.first_target) {
+    return false;
+  }
+  const Duration between =
+      (r.end - r.first_token) / std::max<int64_t>(r.output - 1, 1);
+  return between <= workload_.between_tokens;
+}
+
+Measures Run::Count() const {
+  Measures m;
+  std::array<CustomerCounts, kCustomers> customers{};
+  std::vector<double> first_tokens;
+  int64_t good = 0;
+  for (const Request& r : requests_) {
+    if (r.arrival < MonoTime(kWarmUp) || r.arrival > MonoTime(kLastCounted)) {
+      continue;
+    }
+    if (Good(r)) ++good;
+    if (r.outcome == Outcome::kWhole) {
+      first_tokens.push_back(ToSeconds(r.first_token - r.arrival));
+    }
+    if (!r.inside) continue;
+    CustomerCounts& c = customers[r.customer];
+    ++c.inside;
+    if (Good(r)) ++c.good;
+    if (r.outcome == Outcome::kRefused) ++c.refused;
+    if (r.outcome == Outcome::kFailed) ++c.failed;
+  }
+  m.goodput = static_cast<double>(good) / ToSeconds(kLastCounted - kWarmUp);
+  CustomerCounts all;
+  std::vector<double> shares;
+  for (int c = 0; c < kCustomers; ++c) {
+    all.inside += customers[c].inside;
+    all.good += customers[c].good;
+    all.refused += customers[c].refused;
+    all.failed += customers[c].failed;
+    if (scenario_.fault == Fault::kGreedyCustomer && c == kGreedyCustomer) {
+      continue;
+    }
+    shares.push_back(
+        static_cast<double>(customers[c].good) /
+        static_cast<double>(std::max<int64_t>(customers[c].inside, 1)));
+  }
+  std::sort(shares.begin(), shares.end());
+  const double median = shares[shares.size() / 2];
+  m.worst_customer = median > 0 ? shares.front() / median : 0;
+  const auto inside = static_cast<double>(std::max<int64_t>(all.inside, 1));
+  m.good_share = static_cast<double>(all.good) / inside;
+  m.refused_inside = static_cast<double>(all.refused) / inside;
+  m.failed_inside = static_cast<double>(all.failed) / inside;
+  m.wasted_prefill = static_cast<double>(wasted_) /
+                     static_cast<double>(std::max<int64_t>(computed_, 1));
+  m.evicted = evicted_;
+  std::sort(first_tokens.begin(), first_tokens.end());
+  if (!first_tokens.empty()) {
+    m.first_token_p95 = first_tokens[first_tokens.size() * 95 / 100];
+  }
+  m.recovery = Recovery();
+  return m;
+}
+
+// By second of arrival, over three seconds.
+double Run::Recovery() const {
+  constexpr int kWindow = 3;
+  const int seconds_counted = static_cast<int>(ToSeconds(kLastCounted));
+  std::vector<double> good(seconds_counted + 1);
+  std::vector<double> offered(seconds_counted + 1);
+  for (const Request& r : requests_) {
+    const int second = static_cast<int>(ToSeconds(r.arrival - MonoTime{}));
+    if (second >= seconds_counted || !r.inside) continue;
+    offered[second] += 1;
+    good[second] += Good(r) ? 1 : 0;
+  }
+  const auto share = [&](int from, int to) {
+    const double all =
+        std::accumulate(offered.begin() + from, offered.begin() + to, 0.0);
+    return std::accumulate(good.begin() + from, good.begin() + to, 0.0) /
+           std::max(all, 1.0);
+  };
+  const int fault = static_cast<int>(ToSeconds(kFaultAt));
+  const double before = share(fault - 30, fault);
+  int recovered = fault;
+  for (int s = fault; s + kWindow <= seconds_counted; ++s) {
+    if (share(s, s + kWindow) < 0.95 * before) recovered = s + 1;
+  }
+  return recovered - fault;
+}
+
+}  // namespace
+
+const char* FaultName(Fault fault) {
+  switch (fault) {
+    case Fault::kNone:
+      return "none";
+    case Fault::kGreedyCustomer:
+      return "greedy-customer";
+    case Fault::kEngineDies:
+      return "engine-dies";
+    case Fault::kRouterDies:
+      return "router-dies";
+    case Fault::kLinkStalls:
+      return "link-stalls";
+  }
+  return "";
+}
+
+Measures RunOnce(const Scenario& scenario, const Policies& policies,
+                 uint64_t seed) {
+  return Run(scenario, policies, seed).Go();
+}
+
+}  // namespace mimosa::bench
--- /dev/null
+++ b/bench/rounds.h
@@ -0,0 +1,78 @@
+// One run of the measuring loop: a workload, a load, a fault and the policies
+// to be measured, in virtual time from one seed.
+//
+// Routers are alike: each takes arrivals, keeps the last summaries that it
+// heard, and owns the books of some engines. The decisions are those of
+// decide/; only the network, the callers and the engines are modelled.
+#ifndef BENCH_ROUNDS_H_
+#define BENCH_ROUNDS_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bench/workload.h"
+#include "decide/placement.h"
+#include "decide/request_queue.h"
+#include "decide/shedding.h"
+
+namespace mimosa::bench {
+
+enum class LimitsKind { kNone, kStatic, kHome };
+
+// What is compared.
+struct Policies {
+  std::string name;
+  PlacementKind placement;
+  QueueKind queue;
+  SheddingKind shedding;
+  LimitsKind limits;
+};
+
+enum class Fault {
+  kNone,
+  kGreedyCustomer,
+  kEngineDies,
+  kRouterDies,
+  kLinkStalls
+};
+const char* FaultName(Fault fault);
+
+struct Scenario {
+  Workload workload;
+  double load;  // offered requests, as a share of FittingRate
+  Fault fault;
+};
+
+struct CustomerCounts {
+  int64_t inside = 0;   // requests inside the rate
+  int64_t good = 0;     // of these: whole and within both latency targets
+  int64_t refused = 0;  // of these: refused with a Retry-After
+  int64_t failed = 0;   // of these: not answered whole by the deadline
+};
+
+struct Measures {
+  double goodput = 0;         // good answers a second, of all customers
+  double good_share = 0;      // of requests inside the rate
+  double wasted_prefill = 0;  // share of the prompt tokens computed
+  int64_t evicted = 0;        // prefill results that found no place
+  double worst_customer = 0;  // its good share, to that of the median customer
+  double refused_inside = 0;  // share of requests inside the rate
+  double failed_inside = 0;
+  double first_token_p95 = 0;  // seconds, of whole answers
+  double recovery = 0;  // seconds after a fault until goodput is back to 95 %
+};
+
+// Arrivals are counted after the warm-up.
+inline constexpr Duration kWarmUp = std::chrono::seconds(20);
+inline constexpr Duration kFaultAt = std::chrono::seconds(60);
+inline constexpr Duration kLastCounted = std::chrono::seconds(100);
+inline constexpr Duration kLastArrival = std::chrono::seconds(110);
+
+Measures RunOnce(const Scenario& scenario, const Policies& policies,
+                 uint64_t seed);
+
+}  // namespace mimosa::bench
+
+#endif  // BENCH_ROUNDS_H_
--- /dev/null
+++ b/bench/workload.h
@@ -0,0 +1,147 @@
+// The two workloads after the brief's sizes.
+//
+// Times and costs are those of the models in engine_models.h. A request's
+// prompt is one of a few shared texts (course notes, terminal rules) followed
+// by the caller's own words.
+#ifndef BENCH_WORKLOAD_H_
+#define BENCH_WORKLOAD_H_
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <string>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/random.h"
+
+namespace mimosa::bench {
+
+inline constexpr int kCustomers = 5;
+// "A few of them large".
+inline constexpr std::array<double, kCustomers> kShares = {0.34, 0.26, 0.2,
+                                                           0.12, 0.08};
+
+struct Workload {
+  std::string name;
+  int prefill_engines;
+  int decode_engines;
+  int routers;
+  Duration one_way;  // between failure domains
+  // Prompts.
+  int shared_texts;
+  int64_t shared_tokens;
+  double own_tokens_mean;  // exponentially distributed, bounded
+  int64_t own_tokens_max;
+  double output_mean;  // exponentially distributed, bounded
+  int64_t output_max;
+  double prompt_class_share;  // requests of class prompt; the others: patient
+  Duration patient_first_token;
+  Duration prompt_first_token;
+  Duration between_tokens;
+  Duration deadline;
+  // Engines.
+  Pieces decode_memory;
+  Duration prefill_base;
+  Duration prefill_per_token;
+  int cached_texts;  // shared texts that a prefill engine's cache holds
+  Duration step_base;
+  Duration step_per_stream;
+  double link_tokens_per_second;
+  Duration result_ttl;
+};
+
+inline Workload Trust() {
+  using std::chrono::microseconds;
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  return {"trust",
+          15,
+          5,
+          8,
+          microseconds(500),
+          12,
+          1536,
+          1500,
+          8000,
+          300,
+          512,
+          0.1,
+          seconds(5),
+          seconds(2),
+          milliseconds(20),
+          seconds(40),
+          Pieces(46),
+          milliseconds(10),
+          microseconds(200),
+          4,
+          milliseconds(8),
+          microseconds(200),
+          40000,
+          seconds(1)};
+}
+
+inline Workload Port() {
+  using std::chrono::microseconds;
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  return {"port",
+          8,
+          2,
+          6,
+          milliseconds(1),
+          6,
+          1024,
+          2500,
+          12000,
+          300,
+          512,
+          0.3,
+          seconds(5),
+          seconds(2),
+          milliseconds(20),
+          seconds(40),
+          Pieces(52),
+          milliseconds(10),
+          microseconds(200),
+          3,
+          milliseconds(8),
+          microseconds(200),
+          40000,
+          seconds(1)};
+}
+
+// Streams of a full batch: "about twenty requests".
+inline constexpr double kFullBatch = 20;
+
+inline double MeanPromptTokens(const Workload& w) {
+  return static_cast<double>(w.shared_tokens) + w.own_tokens_mean;
+}
+
+// Requests a second that fit: what the decode engines do with full batches, or
+// the prefill engines with the shared text cached half the time, whichever is
+// less.
+inline double FittingRate(const Workload& w) {
+  const double step =
+      ToSeconds(w.step_base) + ToSeconds(w.step_per_stream) * kFullBatch;
+  const double mean_output =
+      w.output_mean *
+      (1 - std::exp(-static_cast<double>(w.output_max) / w.output_mean));
+  const double decode = w.decode_engines * kFullBatch / (mean_output * step);
+  const double uncached =
+      MeanPromptTokens(w) - static_cast<double>(w.shared_tokens) / 2;
+  const double prefill =
+      w.prefill_engines /
+      (ToSeconds(w.prefill_base) + uncached * ToSeconds(w.prefill_per_token));
+  return std::min(decode, prefill);
+}
+
+inline int64_t BoundedExponential(double mean, int64_t max,
+                                  RandomSource* random) {
+  const double drawn = -mean * std::log(1 - random->Unit());
+  return std::clamp<int64_t>(static_cast<int64_t>(drawn), 1, max);
+}
+
+}  // namespace mimosa::bench
+
+#endif  // BENCH_WORKLOAD_H_
