--- a/bench/rounds.cc
+++ b/bench/rounds.cc
@@ -255,12 +255,15 @@
   }
 }
 
+// Fairness is decided once, for decode memory: whoever has that and waits for a
+// prefill turn keeps memory idle, so turns are handed out first come first
+// served.
 std::unique_ptr<EngineBook> Run::NewBook(SearchStage stage) const {
   const bool decode = stage == SearchStage::kDecode;
   return std::make_unique<EngineBook>(
       decode ? Units(workload_.decode_memory.count()) : Units(1),
       decode ? kMeanDecode : Duration(milliseconds(500)),
-      MakeRequestQueue(policies_.queue),
+      MakeRequestQueue(decode ? policies_.queue : QueueKind::kFifo),
       MakeSheddingPolicy(policies_.shedding));
 }
 
--- a/router/book_server.cc
+++ b/router/book_server.cc
@@ -202,7 +202,9 @@
       owned.decode = engine.role() == wire::DECODE_ENGINE;
       owned.book = std::make_unique<EngineBook>(
           capacity, owned.decode ? kFirstDecodeHold : kFirstPrefillHold,
-          MakeRequestQueue(options_.queue),
+          // Fairness is decided once, for decode memory: who has that and
+          // waits for a prefill turn keeps memory idle.
+          MakeRequestQueue(owned.decode ? options_.queue : QueueKind::kFifo),
           MakeSheddingPolicy(options_.shedding));
       owned.book->Pause();
       owned.owned_since = loop_->Now();
