--- a/base/settings.cc
+++ b/base/settings.cc
@@ -61,6 +61,7 @@
 
 std::vector<const FieldDescriptor*> FieldsOf(const Message& settings) {
   std::vector<const FieldDescriptor*> fields;
+  fields.reserve(settings.GetDescriptor()->field_count());
   const auto* type = settings.GetDescriptor();
   for (int i = 0; i < type->field_count(); ++i)
     fields.push_back(type->field(i));
--- a/decide/catalogue.h
+++ b/decide/catalogue.h
@@ -6,11 +6,13 @@
 #ifndef DECIDE_CATALOGUE_H_
 #define DECIDE_CATALOGUE_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/errors.h"
@@ -30,6 +32,8 @@
   kTooLarge,       // more entries or bytes than the platform or a daemon takes
 };
 
+const char* CatalogueFaultKindName(CatalogueFaultKind kind);
+
 struct CatalogueFault {
   CatalogueFaultKind kind;
   std::string entry;  // "customers[3] (kochi-guild)"
@@ -42,9 +46,6 @@
   std::vector<CatalogueFault> faults;
 };
 
-// Why a request can't be matched to a customer.
-enum class KeyLookup { kFound, kUnknown };
-
 class CatalogueSnapshot {
  public:
   // Checks and indexes. Fails with CatalogueFaults.
@@ -65,19 +66,27 @@
   const wire::Customer* CustomerOfKey(const std::string& digest) const;
   const wire::BackEnd* FindBackEnd(const BackEndId& id) const;
   // By model and role, or by pool; draining ones included.
-  std::vector<const wire::BackEnd*> Engines(const std::string& model,
-                                            wire::BackEndRole role) const;
-  std::vector<const wire::BackEnd*> Services(const std::string& pool) const;
+  // The list lives as long as the snapshot.
+  const std::vector<const wire::BackEnd*>& Engines(
+      const std::string& model, wire::BackEndRole role) const;
+  const std::vector<const wire::BackEnd*>& Services(
+      const std::string& pool) const;
 
  private:
+  using BackEndList = std::vector<const wire::BackEnd*>;
+
   explicit CatalogueSnapshot(wire::Catalogue catalogue);
+  void IndexBackEnds();
 
   // Pointers in the indices point into catalogue_, which never changes.
   const wire::Catalogue catalogue_;
   std::unordered_map<std::string, const wire::Customer*> customers_;
   std::unordered_map<std::string, const wire::Customer*> customers_by_digest_;
   std::unordered_map<std::string, const wire::BackEnd*> back_ends_;
-  std::map<std::string, std::vector<const wire::Route*>> routes_by_prefix_;
+  std::map<std::string, std::vector<const wire::Route*>, std::less<>>
+      routes_by_prefix_;
+  std::map<std::pair<std::string, wire::BackEndRole>, BackEndList> engines_;
+  std::unordered_map<std::string, BackEndList> services_;
 };
 
 // The faults of `catalogue`; none: it may come into force.
