--- a/standins/answer.cc
+++ b/standins/answer.cc
@@ -54,8 +54,7 @@
     : hash_(Fnv1a(prompt)) {
   const int64_t asked = AskedLength(prompt);
   const int64_t wanted =
-      asked >= 0 ? asked
-                 : 1 + static_cast<int64_t>(Mix(hash_) % kLengthSpread);
+      asked >= 0 ? asked : 1 + static_cast<int64_t>(Mix(hash_) % kLengthSpread);
   tokens_ = std::min(wanted, max_tokens);
   cut_short_ = wanted > max_tokens;
 }
--- a/standins/decode_role.cc
+++ b/standins/decode_role.cc
@@ -61,11 +61,10 @@
   const uint64_t serial = next_serial_++;
   auto stream = std::make_unique<Stream>(prompt, max_output);
   stream->request = StringOf(body, "request");
-  stream->attempt = StringOf(body, "attempt");
+  stream->attempt = body["attempt"];
   stream->prompt_tokens = prompt_tokens;
   stream->pieces = pieces;
-  stream->produced =
-      std::min(IntOf(body, "offset"), stream->answer.tokens());
+  stream->produced = std::min(IntOf(body, "offset"), stream->answer.tokens());
   streams_[serial] = std::move(stream);
   Attach(serial, exchange);
   Import(serial, from, StringOf(body, "kv"));
@@ -99,13 +98,12 @@
   HttpRequest request;
   request.method = "GET";
   request.target = "/v1/kv/" + kv;
-  streams_.at(serial)->import =
-      Fetch(client_, options, std::move(request),
-            [this, serial](const HttpResult& result) {
-              delays_.Run(behaviour_->late, [this, serial, result] {
-                OnImported(serial, result);
-              });
-            });
+  streams_.at(serial)->import = Fetch(
+      client_, options, std::move(request),
+      [this, serial](const HttpResult& result) {
+        delays_.Run(behaviour_->late,
+                    [this, serial, result] { OnImported(serial, result); });
+      });
 }
 
 void DecodeRole::OnImported(uint64_t serial, const HttpResult& result) {
@@ -140,7 +138,7 @@
     // A stream has one reader: the former one is cut off.
     const ExchangePtr former = std::move(stream->reader);
     if (former != nullptr) former->Abort();
-    stream->attempt = StringOf(body, "attempt");
+    stream->attempt = body["attempt"];
     stream->linger.Cancel();
     Attach(serial, exchange);
     Open(stream.get(), IntOf(body, "offset"));
@@ -231,7 +229,7 @@
   }
   Json::Value event;
   event["request"] = "nobody#0/0";
-  event["attempt"] = "nobody";
+  event["attempt"] = stream.attempt;
   event["index"] = Json::Int64(index);
   event["text"] = "foreign ";
   return event;
--- a/standins/decode_role.h
+++ b/standins/decode_role.h
@@ -37,12 +37,12 @@
 
     Phase phase = Phase::kImporting;
     std::string request;
-    std::string attempt;
+    Json::Value attempt;  // echoed as it came
     int64_t prompt_tokens = 0;
     Answer answer;
     int64_t produced = 0;  // tokens, <= answer.tokens()
     Pieces pieces{};
-    ExchangePtr reader;  // null: nobody reads
+    ExchangePtr reader;          // null: nobody reads
     uint64_t reader_serial = 0;  // tells the reader from a former one
     int64_t bytes_written = 0;   // to this reader
     std::unique_ptr<HttpCall> import;
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -29,7 +29,7 @@
   int64_t link_bytes_per_second = 0;
   int64_t kv_bytes_per_token = 0;
   bool cancel_on_disconnect = false;
-  Duration linger{};  // a stream that ended unread can be resumed so long
+  Duration linger{};      // a stream that ended unread can be resumed so long
   double time_scale = 1;  // of link time; the durations above are scaled
 };
 
@@ -53,8 +53,7 @@
       : request_(std::move(request)), prefix_(std::move(prefix)) {}
   bool Matches(const std::string& request) const {
     if (!request_.empty()) return request == request_;
-    return !prefix_.empty() &&
-           request.compare(0, prefix_.size(), prefix_) == 0;
+    return !prefix_.empty() && request.compare(0, prefix_.size(), prefix_) == 0;
   }
 
  private:
--- a/standins/engine_main.cc
+++ b/standins/engine_main.cc
@@ -82,19 +82,22 @@
   ValueArg<std::string> fencing_;
   ValueArg<std::string> on_disconnect_;
   Int pieces_{"", "pieces", "KV memory", false, 20, "pieces", cmd_};
-  Int max_running_{"",    "max-running", "prompts or streams at once",
-                   false, 32,            "requests",
-                   cmd_};
-  Int max_waiting_{"", "max-waiting", "prompts in the queue", false, 64,
+  Int max_running_{
+      "",         "max-running", "prompts or streams at once", false, 32,
+      "requests", cmd_};
+  Int max_waiting_{"",         "max-waiting", "prompts in the queue", false, 64,
                    "requests", cmd_};
-  Int prefill_us_{"",    "prefill-us-per-token", "prefill time of a token",
-                  false, 20,                     "us",
-                  cmd_};
-  Int token_us_{"",    "token-us", "decode step of an empty batch",
-                false, 5000,       "us",
-                cmd_};
-  Int running_us_{"",    "token-us-per-running", "added for each stream in it",
-                  false, 200,                    "us",
+  Int prefill_us_{
+      "",  "prefill-us-per-token", "prefill time of a token", false, 20, "us",
+      cmd_};
+  Int token_us_{"",   "token-us", "decode step of an empty batch", false, 5000,
+                "us", cmd_};
+  Int running_us_{"",
+                  "token-us-per-running",
+                  "added for each stream in it",
+                  false,
+                  200,
+                  "us",
                   cmd_};
   Int kv_ttl_ms_{"",    "kv-ttl-ms", "life of an unclaimed prefill result",
                  false, 1000,        "ms",
@@ -102,20 +105,25 @@
   Int linger_ms_{"",    "linger-ms", "life of a stream that ended unread",
                  false, 1000,        "ms",
                  cmd_};
-  Int link_rate_{"",       "link-bytes-per-s", "rate of the KV link", false,
-                 1 << 30,  "bytes",            cmd_};
-  Int kv_bytes_{"",    "kv-bytes-per-token", "KV size of a token",
-                false, 16384,                "bytes",
-                cmd_};
-  Int load_lag_ms_{"", "load-lag-ms", "age of load reports", false, 200, "ms",
-                   cmd_};
+  Int link_rate_{
+      "",  "link-bytes-per-s", "rate of the KV link", false, 1 << 30, "bytes",
+      cmd_};
+  Int kv_bytes_{
+      "",  "kv-bytes-per-token", "KV size of a token", false, 16384, "bytes",
+      cmd_};
+  Int load_lag_ms_{"",   "load-lag-ms", "age of load reports", false, 200,
+                   "ms", cmd_};
   Int cache_blocks_{"",    "cache-blocks", "blocks of the prefix cache",
                     false, 1024,           "blocks",
                     cmd_};
-  Int cache_lag_ms_{"", "cache-lag-ms", "age of cache events", false, 300, "ms",
-                    cmd_};
-  Int cache_gap_{"",    "cache-gap-every", "one cache event in so many is lost",
-                 false, 16,                "events",
+  Int cache_lag_ms_{
+      "", "cache-lag-ms", "age of cache events", false, 300, "ms", cmd_};
+  Int cache_gap_{"",
+                 "cache-gap-every",
+                 "one cache event in so many is lost",
+                 false,
+                 16,
+                 "events",
                  cmd_};
   Int seed_{"", "seed", "of random numbers", false, 1, "number", cmd_};
   ValueArg<double> time_scale_{
@@ -127,8 +135,7 @@
 
 int main(int argc, char** argv) {
   mimosa::standins::Flags flags;
-  const mimosa::standins::EngineServerOptions options =
-      flags.Parse(argc, argv);
+  const mimosa::standins::EngineServerOptions options = flags.Parse(argc, argv);
   const auto loop = mimosa::LwsLoop::Create();
   const auto client = mimosa::MakeHttpClient(loop.get());
   mimosa::standins::EngineServer engine(loop.get(), client.get(), options);
--- a/standins/engine_server.cc
+++ b/standins/engine_server.cc
@@ -135,7 +135,8 @@
 void EngineServer::RefreshReport() {
   report_ = Report();
   if (options_.load_lag > Duration::zero())
-    report_timer_ = loop_->After(options_.load_lag, [this] { RefreshReport(); });
+    report_timer_ =
+        loop_->After(options_.load_lag, [this] { RefreshReport(); });
 }
 
 Json::Value EngineServer::Report() const {
--- a/standins/engine_server.h
+++ b/standins/engine_server.h
@@ -67,7 +67,7 @@
   PrefillRole prefill_;
   DecodeRole decode_;
   bool is_prefill_;
-  int64_t fence_ = 0;  // the highest fencing number seen
+  int64_t fence_ = 0;         // the highest fencing number seen
   int64_t stale_orders_ = 0;  // carried an old number, obeyed or not
   ReceivedLog received_;
   Json::Value orders_{Json::arrayValue};
--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -83,16 +83,15 @@
 
   void Read(Pump* pump) {
     auto self = shared_from_this();
-    pump->from->async_read_some(
-        asio::buffer(pump->buffer),
-        [this, self, pump](error_code ec, size_t size) {
-          if (ec) {
-            OnEnd(pump, ec);
-            return;
-          }
-          pump->out.assign(pump->buffer.data(), size);
-          Delay(pump);
-        });
+    pump->from->async_read_some(asio::buffer(pump->buffer),
+                                [this, self, pump](error_code ec, size_t size) {
+                                  if (ec) {
+                                    OnEnd(pump, ec);
+                                    return;
+                                  }
+                                  pump->out.assign(pump->buffer.data(), size);
+                                  Delay(pump);
+                                });
   }
 
   // An orderly end is handed on as one; an error ends both ways.
@@ -115,8 +114,8 @@
     const ProxyFaults& faults = proxy_->faults_;
     int64_t wait = std::max<int64_t>(0, faults.delay_ms);
     if (faults.jitter_ms > 0)
-      wait += static_cast<int64_t>(proxy_->random_.Below(
-          static_cast<uint64_t>(faults.jitter_ms) + 1));
+      wait += static_cast<int64_t>(
+          proxy_->random_.Below(static_cast<uint64_t>(faults.jitter_ms) + 1));
     if (wait == 0) {
       Deliver(pump);
       return;
@@ -232,11 +231,7 @@
 
 FaultProxy::FaultProxy(asio::io_context* io, const Tcp::endpoint& listen,
                        const Tcp::endpoint& target, uint64_t seed)
-    : io_(io),
-      listen_(listen),
-      target_(target),
-      acceptor_(*io),
-      random_(seed) {
+    : io_(io), listen_(listen), target_(target), acceptor_(*io), random_(seed) {
   Listen();
 }
 
--- a/standins/fault_proxy.h
+++ b/standins/fault_proxy.h
@@ -38,7 +38,7 @@
   int64_t cut_after_down = -1;   // the same, bytes down
   int64_t half_close_up = -1;    // target sees the end after so many bytes
   int64_t half_close_down = -1;  // the connecting side does
-  int64_t duplicate = -1;  // so many more whole requests are sent twice
+  int64_t duplicate = -1;        // so many more whole requests are sent twice
   int64_t limit = -1;  // so many more connections suffer the faults in bytes
 };
 
--- a/standins/platform_server.cc
+++ b/standins/platform_server.cc
@@ -25,8 +25,7 @@
   Json::Value value;
   value["key"] = key;
   value["value"] = record == nullptr ? "" : record->value;
-  value["revision"] =
-      Json::Int64(record == nullptr ? 0 : record->revision);
+  value["revision"] = Json::Int64(record == nullptr ? 0 : record->revision);
   return value;
 }
 
@@ -227,8 +226,7 @@
   watch.after = target.Int("after", 0);
   if (TryAnswer(watch, /*timed_out=*/false)) return;
   const uint64_t serial = next_serial_++;
-  const Duration wait =
-      std::chrono::milliseconds(target.Int("wait_ms", 30000));
+  const Duration wait = std::chrono::milliseconds(target.Int("wait_ms", 30000));
   watch.timeout = loop_->After(wait, [this, serial] {
     const auto node = watches_.extract(serial);
     if (!node.empty()) TryAnswer(node.mapped(), /*timed_out=*/true);
@@ -316,9 +314,8 @@
 }
 
 void PlatformServer::SetVms(Json::Value vms) {
-  vms_timer_ = loop_->After(faults_.vms_lag, [this, vms = std::move(vms)] {
-    vms_ = vms;
-  });
+  vms_timer_ = loop_->After(faults_.vms_lag,
+                            [this, vms = std::move(vms)] { vms_ = vms; });
 }
 
 Json::Value PlatformServer::Stats() const {
--- a/standins/prefill_role.cc
+++ b/standins/prefill_role.cc
@@ -21,7 +21,11 @@
 
 PrefillRole::PrefillRole(EventLoop* loop, const EngineOptions* options,
                          EngineBehaviour* behaviour, PrefixCache* cache)
-    : loop_(loop), options_(options), behaviour_(behaviour), cache_(cache), delays_(loop) {}
+    : loop_(loop),
+      options_(options),
+      behaviour_(behaviour),
+      cache_(cache),
+      delays_(loop) {}
 
 bool PrefillRole::Handle(const std::string& path, const ExchangePtr& exchange,
                          const Json::Value& body) {
@@ -43,8 +47,7 @@
   auto job = std::make_unique<Job>();
   job->request = StringOf(body, "request");
   job->prompt = StringOf(body, "prompt");
-  job->prompt_tokens =
-      IntOf(body, "prompt_tokens", PromptTokens(job->prompt));
+  job->prompt_tokens = IntOf(body, "prompt_tokens", PromptTokens(job->prompt));
   job->priority = IntOf(body, "priority");
   job->exchange = exchange;
   const uint64_t serial = next_serial_++;
@@ -64,8 +67,8 @@
 void PrefillRole::Run(uint64_t serial, std::unique_ptr<Job> job) {
   const int64_t block_tokens =
       static_cast<int64_t>(kCacheBlockBytes) / kBytesPerToken;
-  job->cached_tokens = std::min(job->prompt_tokens,
-                                block_tokens * cache_->Match(job->prompt));
+  job->cached_tokens =
+      std::min(job->prompt_tokens, block_tokens * cache_->Match(job->prompt));
   const int64_t work =
       std::max<int64_t>(1, job->prompt_tokens - job->cached_tokens);
   if (behaviour_->stall_prefill > 0) {
@@ -105,8 +108,7 @@
   Result& result = results_[kv];
   result.request = job.request;
   result.prompt_tokens = job.prompt_tokens;
-  result.eviction =
-      loop_->After(options_->kv_ttl, [this, kv] { Evict(kv); });
+  result.eviction = loop_->After(options_->kv_ttl, [this, kv] { Evict(kv); });
   return kv;
 }
 
@@ -140,9 +142,9 @@
   it->second.eviction.Cancel();
   const double bytes = static_cast<double>(it->second.prompt_tokens) *
                        static_cast<double>(options_->kv_bytes_per_token);
-  const double seconds =
-      options_->time_scale * bytes /
-      static_cast<double>(std::max<int64_t>(1, options_->link_bytes_per_second));
+  const double seconds = options_->time_scale * bytes /
+                         static_cast<double>(std::max<int64_t>(
+                             1, options_->link_bytes_per_second));
   const auto taken = Duration(static_cast<int64_t>(seconds * 1e6));
   // One link: a transfer starts when those before it are through.
   const MonoTime now = loop_->Now();
--- a/standins/prefill_role.h
+++ b/standins/prefill_role.h
@@ -83,9 +83,9 @@
   std::set<std::string> done_requests_;  // to tell a recomputation
   int64_t done_ = 0;
   int64_t done_tokens_ = 0;
-  int64_t evicted_ = 0;     // results that nobody fetched
-  int64_t recomputed_ = 0;  // prompts computed again for the same request
-  int64_t cancelled_ = 0;   // prompts stopped before their end
+  int64_t evicted_ = 0;        // results that nobody fetched
+  int64_t recomputed_ = 0;     // prompts computed again for the same request
+  int64_t cancelled_ = 0;      // prompts stopped before their end
   int64_t wasted_tokens_ = 0;  // of evicted and recomputed results
 };
 
--- a/standins/service.cc
+++ b/standins/service.cc
@@ -21,7 +21,10 @@
 }  // namespace
 
 Service::Service(EventLoop* loop, std::string name)
-    : loop_(loop), name_(std::move(name)), received_(kReceivedBytes), delays_(loop) {}
+    : loop_(loop),
+      name_(std::move(name)),
+      received_(kReceivedBytes),
+      delays_(loop) {}
 
 void Service::OnRequest(std::shared_ptr<HttpExchange> exchange) {
   const Target target = ParseTarget(exchange->request().target);
@@ -45,7 +48,8 @@
     exchange->Abort();
     return;
   }
-  delays_.Run(behaviour_.late, [this, exchange, run] { Answer(exchange, run); });
+  delays_.Run(behaviour_.late,
+              [this, exchange, run] { Answer(exchange, run); });
 }
 
 int64_t Service::Journal(const HttpRequest& request) {
@@ -112,8 +116,8 @@
   std::string_view rest = response.body;
   if (cut)
     rest = rest.substr(0, static_cast<size_t>(behaviour_.close_after_bytes));
-  for (; !rest.empty(); rest.remove_prefix(
-           std::min(rest.size(), kEchoChunkBytes)))
+  for (; !rest.empty();
+       rest.remove_prefix(std::min(rest.size(), kEchoChunkBytes)))
     exchange->Write(rest.substr(0, kEchoChunkBytes));
   if (cut || behaviour_.cut_chunked)
     exchange->Abort();
--- a/standins/service.h
+++ b/standins/service.h
@@ -32,10 +32,10 @@
  private:
   using ExchangePtr = std::shared_ptr<HttpExchange>;
   struct Behaviour {
-    Duration delay{};              // "delay_ms": before the execution
-    Duration late{};               // "late_ms": between execution and answer
-    int64_t close_before_run = 0;  // next requests closed without execution
-    int64_t close_after_run = 0;   // next requests executed and not answered
+    Duration delay{};                // "delay_ms": before the execution
+    Duration late{};                 // "late_ms": between execution and answer
+    int64_t close_before_run = 0;    // next requests closed without execution
+    int64_t close_after_run = 0;     // next requests executed and not answered
     int64_t close_after_bytes = -1;  // answers cut after so many bytes
     bool cut_chunked = false;        // answers lack their last chunk
   };
--- a/standins/standins_test.cc
+++ b/standins/standins_test.cc
@@ -75,7 +75,8 @@
 
 TEST_CASE("Changes are told by prefix, or said to be too old") {
   PlatformStore store(3);
-  for (const char* key : {"a/1", "b/1", "a/2", "b/2"}) store.Put(key, "", 0, "");
+  for (const char* key : {"a/1", "b/1", "a/2", "b/2"})
+    store.Put(key, "", 0, "");
   CHECK(store.ChangesAfter("a/", 0).too_old);
   const auto changes = store.ChangesAfter("a/", 1);
   CHECK_FALSE(changes.too_old);
@@ -83,7 +84,8 @@
   CHECK(store.ChangesAfter("", 4).keys.empty());
 }
 
-TEST_CASE("The prefix cache matches whole leading blocks and evicts the oldest") {
+TEST_CASE(
+    "The prefix cache matches whole leading blocks and evicts the oldest") {
   SeededRandom random(1);
   PrefixCache cache(3, Duration(100), /*gap_every=*/0, &random);
   const std::string letter(3 * kCacheBlockBytes + 5, 'l');
--- /dev/null
+++ b/tests/client.cc
@@ -0,0 +1,172 @@
+// Blocking calls over Beast's asynchronous ones: only those can time out.
+#include "tests/client.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <iterator>
+#include <optional>
+#include <utility>
+
+#include "base/json.h"
+
+namespace mimosa::testing {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr uint64_t kMaxBody = 64U << 20;
+
+Tcp::endpoint EndpointOf(uint16_t port) {
+  return {asio::ip::address_v4::loopback(), port};
+}
+
+}  // namespace
+
+std::string Reply::Header(const std::string& name) const {
+  for (const auto& [key, value] : headers)
+    if (beast::iequals(key, name)) return value;
+  return "";
+}
+
+Json::Value Reply::Document() const {
+  const auto document = ParseJson(body);
+  return document ? *document : Json::Value();
+}
+
+struct Connection::Impl {
+  using Parser = http::response_parser<http::string_body>;
+
+  asio::io_context io;
+  beast::tcp_stream stream{io};
+  beast::flat_buffer buffer;
+  std::optional<Parser> parser;  // of the answer being read
+  bool head = false;             // whether the last request was a HEAD
+
+  // Runs one asynchronous operation to its end.
+  template <typename Start>
+  error_code Await(Seconds deadline, Start start) {
+    stream.expires_after(
+        std::chrono::duration_cast<std::chrono::milliseconds>(deadline));
+    error_code result;
+    start([&result](error_code ec, auto&&...) { result = ec; });
+    io.restart();
+    io.run();
+    return result;
+  }
+
+  Reply TakeReply(bool whole) {
+    Reply reply;
+    if (!parser) return reply;
+    reply.whole = whole;
+    if (parser->is_header_done()) {
+      reply.status = parser->get().result_int();
+      for (const auto& field : parser->get())
+        reply.headers.emplace_back(field.name_string(), field.value());
+      reply.body = parser->get().body();
+    }
+    if (whole) parser.reset();
+    return reply;
+  }
+
+  error_code ReadPart(Seconds deadline) {
+    if (!parser) {
+      parser.emplace();
+      parser->body_limit(kMaxBody);
+      parser->skip(head);
+    }
+    return Await(deadline, [this](auto handler) {
+      http::async_read_some(stream, buffer, *parser, handler);
+    });
+  }
+};
+
+Connection::Connection(uint16_t port) : impl_(std::make_unique<Impl>()) {
+  impl_->Await(kDeadline, [this, port](auto handler) {
+    impl_->stream.async_connect(EndpointOf(port), handler);
+  });
+}
+
+Connection::~Connection() = default;
+
+bool Connection::Send(const Request& request) {
+  http::request<http::string_body> message;
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(http::field::host, "test");
+  for (const auto& [name, value] : request.headers) message.insert(name, value);
+  message.body() = request.body;
+  if (!request.body.empty() || request.method == "POST")
+    message.content_length(request.body.size());
+  impl_->head = request.method == "HEAD";
+  return !impl_->Await(kDeadline, [this, &message](auto handler) {
+    http::async_write(impl_->stream, message, handler);
+  });
+}
+
+bool Connection::SendRaw(const std::string& bytes) {
+  return !impl_->Await(kDeadline, [this, &bytes](auto handler) {
+    asio::async_write(impl_->stream, asio::buffer(bytes), handler);
+  });
+}
+
+Reply Connection::Read(Seconds deadline) {
+  return ReadSome(SIZE_MAX, deadline);
+}
+
+Reply Connection::ReadSome(size_t bytes, Seconds deadline) {
+  error_code ec;
+  do {
+    ec = impl_->ReadPart(deadline);
+  } while (!ec && !impl_->parser->is_done() &&
+           impl_->parser->get().body().size() < bytes);
+  return impl_->TakeReply(!ec && impl_->parser->is_done());
+}
+
+void Connection::Close() { impl_->stream.close(); }
+
+Reply Call(uint16_t port, const Request& request, Seconds deadline) {
+  Connection connection(port);
+  if (!connection.Send(request)) return {};
+  return connection.Read(deadline);
+}
+
+Reply Get(uint16_t port, const std::string& target) {
+  Request request;
+  request.target = target;
+  return Call(port, request);
+}
+
+Reply PostJson(uint16_t port, const std::string& target,
+               const Json::Value& body) {
+  Request request;
+  request.method = "POST";
+  request.target = target;
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body = WriteJson(body);
+  return Call(port, request);
+}
+
+Json::Value GetJson(uint16_t port, const std::string& target) {
+  const Reply reply = Get(port, target);
+  return reply.whole ? reply.Document() : Json::Value();
+}
+
+std::string ProxyCommand(uint16_t port, const std::string& command) {
+  asio::io_context io;
+  Tcp::socket socket(io);
+  error_code ec;
+  socket.connect(EndpointOf(port), ec);
+  if (ec) return "";
+  asio::write(socket, asio::buffer(command + "\n"), ec);
+  socket.shutdown(Tcp::socket::shutdown_send, ec);
+  std::string out;
+  asio::read(socket, asio::dynamic_buffer(out), ec);
+  if (command != "received" && !out.empty()) out.pop_back();
+  return out;
+}
+
+}  // namespace mimosa::testing
--- /dev/null
+++ b/tests/processes.cc
@@ -0,0 +1,159 @@
+// Child processes by Boost.Process.
+#include "tests/processes.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <boost/asio.hpp>
+#include <boost/process.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+namespace mimosa::testing {
+namespace {
+
+namespace bp = boost::process;
+using Tcp = boost::asio::ip::tcp;
+
+constexpr auto kPoll = std::chrono::milliseconds(10);
+constexpr int kFirstPort = 20000;
+constexpr int kPorts = 12000;  // below the kernel's ephemeral range
+constexpr uint64_t kDefaultSeed = 20261203;
+
+std::string PathOf(const std::string& program) {
+  return std::string(MIMOSA_BUILD_DIR) + "/" + program;
+}
+
+std::string NewOutputPath() {
+  static int serial = 0;
+  return (std::filesystem::temp_directory_path() /
+          ("mimosa-test-" + std::to_string(::getpid()) + "-" +
+           std::to_string(serial++) + ".log"))
+      .string();
+}
+
+}  // namespace
+
+bool Eventually(const std::function<bool()>& condition, Seconds deadline) {
+  const auto end = std::chrono::steady_clock::now() + deadline;
+  do {
+    if (condition()) return true;
+    std::this_thread::sleep_for(kPoll);
+  } while (std::chrono::steady_clock::now() < end);
+  return condition();
+}
+
+uint16_t FreePort() {
+  // Tests that run at the same time start at different places.
+  static int next = (::getpid() * 97) % kPorts;
+  boost::asio::io_context io;
+  for (;;) {
+    const auto port = static_cast<uint16_t>(kFirstPort + next++ % kPorts);
+    Tcp::acceptor acceptor(io);
+    boost::system::error_code ec;
+    acceptor.open(Tcp::v4());
+    acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, ec);
+    if (!ec) return port;
+  }
+}
+
+std::string Loopback(uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+uint64_t Seed() {
+  static const uint64_t seed = [] {
+    const char* text = std::getenv("MIMOSA_SEED");
+    const uint64_t value =
+        text == nullptr ? kDefaultSeed : std::strtoull(text, nullptr, 10);
+    std::cout << "seed " << value << std::endl;
+    return value;
+  }();
+  return seed;
+}
+
+struct Process::Child {
+  bp::child child;
+};
+
+Process::Process(std::string program, std::vector<std::string> args,
+                 Environment environment)
+    : program_(std::move(program)),
+      args_(std::move(args)),
+      environment_(std::move(environment)),
+      output_path_(NewOutputPath()) {
+  std::ofstream(output_path_).flush();
+  Start();
+}
+
+Process::~Process() {
+  Kill();
+  const bool failed = exit_code_ && *exit_code_ > 0;
+  if (failed) {
+    std::cout << program_ << " ended with " << *exit_code_ << ":\n"
+              << Output() << std::endl;
+  }
+  std::error_code ignored;
+  std::filesystem::remove(output_path_, ignored);
+}
+
+void Process::Start() {
+  bp::environment environment = boost::this_process::environment();
+  for (const auto& [name, value] : environment_) environment[name] = value;
+  std::FILE* output = std::fopen(output_path_.c_str(), "a");
+  exit_code_.reset();
+  child_ = std::make_unique<Child>();
+  child_->child =
+      bp::child(bp::exe = PathOf(program_), bp::args = args_, environment,
+                bp::std_in<bp::null, bp::std_out> output, bp::std_err > output);
+  std::fclose(output);
+}
+
+void Process::Kill() {
+  if (!child_) return;
+  ::kill(child_->child.id(), SIGKILL);
+  Wait();
+}
+
+void Process::Freeze() {
+  if (child_) ::kill(child_->child.id(), SIGSTOP);
+}
+
+void Process::Thaw() {
+  if (child_) ::kill(child_->child.id(), SIGCONT);
+}
+
+void Process::Terminate() {
+  if (child_) ::kill(child_->child.id(), SIGTERM);
+}
+
+bool Process::running() const {
+  std::error_code ec;
+  return child_ && child_->child.running(ec);
+}
+
+std::optional<int> Process::Wait(Seconds deadline) {
+  if (!child_) return exit_code_;
+  if (!Eventually([this] { return !running(); }, deadline)) return std::nullopt;
+  const int status = child_->child.native_exit_code();
+  exit_code_ = WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
+  child_.reset();
+  return exit_code_;
+}
+
+std::string Process::Output() const {
+  std::ostringstream out;
+  out << std::ifstream(output_path_).rdbuf();
+  return out.str();
+}
+
+bool Process::Exists(const std::string& program) {
+  return std::filesystem::exists(PathOf(program));
+}
+
+}  // namespace mimosa::testing
