--- /dev/null
+++ b/decide/membership.cc
@@ -0,0 +1,189 @@
+#include "decide/membership.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/json.h"
+
+namespace mimosa {
+namespace {
+
+constexpr std::string_view kMembers = "members/";
+
+// A peer that lags by more deletions than this gets the whole state.
+constexpr size_t kMaxTombstones = 4096;
+
+bool Parse(const std::string& value, google::protobuf::Message* message) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_CHECK(FromJson(value, false, message));
+        return true;
+      },
+      [] { return false; });
+}
+
+}  // namespace
+
+uint64_t RendezvousWeight(std::string_view key, std::string_view node) {
+  uint64_t hash = 14695981039346656037ULL;  // FNV-1a
+  const auto mix = [&hash](std::string_view text) {
+    for (unsigned char c : text) hash = (hash ^ c) * 1099511628211ULL;
+    hash = (hash ^ 0xff) * 1099511628211ULL;  // ends the text
+  };
+  mix(key);
+  mix(node);
+  // The last bytes have hardly reached the high bits; spread them.
+  hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  hash = (hash ^ (hash >> 27)) * 0x94d049bb133111ebULL;
+  return hash ^ (hash >> 31);
+}
+
+std::string FleetView::MemberKey(const MemberId& id) const {
+  return prefix_ + std::string(kMembers) + id.value();
+}
+
+bool FleetView::Apply(Revision after, const FleetDelta& delta) {
+  if (!delta.whole && after > revision_) return false;
+  if (delta.whole) {
+    std::set<std::string> present;
+    for (const FleetRecord& record : delta.records) present.insert(record.key);
+    std::vector<std::string> gone;
+    for (const auto& [key, stored] : stored_) {
+      if (present.count(key) == 0) gone.push_back(key);
+    }
+    for (const std::string& key : gone) Store(key, "", delta.revision);
+  }
+  for (const FleetRecord& record : delta.records) {
+    Store(record.key, record.value, record.revision);
+  }
+  for (const std::string& key : delta.deleted) Store(key, "", delta.revision);
+  revision_ = std::max(revision_, delta.revision);
+  return true;
+}
+
+bool FleetView::ApplyRecord(const FleetRecord& record) {
+  return Store(record.key, record.value, record.revision);
+}
+
+void FleetView::ApplyDeleted(const std::string& key, Revision at) {
+  Store(key, "", at);
+}
+
+bool FleetView::Store(const std::string& key, const std::string& value,
+                      Revision at) {
+  Stored& stored = stored_[key];
+  if (at <= stored.revision) return false;
+  stored = {value, at};
+  Interpret(key, stored);
+  return true;
+}
+
+void FleetView::Interpret(const std::string& key, const Stored& stored) {
+  if (key == SlotsKey()) {
+    slots_.Clear();
+    if (!Parse(stored.value, &slots_)) slots_.Clear();
+    slots_revision_ = stored.revision;
+    return;
+  }
+  const std::string members = prefix_ + std::string(kMembers);
+  if (key.compare(0, members.size(), members) != 0) return;
+  const MemberId id(key.substr(members.size()));
+  MemberEntry entry{{}, stored.revision};
+  if (stored.value.empty() || !Parse(stored.value, &entry.record)) {
+    members_.erase(id);
+  } else {
+    members_[id] = std::move(entry);
+  }
+}
+
+FleetDelta FleetView::Since(Revision after) const {
+  FleetDelta delta;
+  delta.revision = revision_;
+  delta.whole = after == Revision(0) || stored_.size() > kMaxTombstones;
+  for (const auto& [key, stored] : stored_) {
+    if (!delta.whole && stored.revision <= after) continue;
+    if (!stored.value.empty()) {
+      delta.records.push_back({key, stored.value, stored.revision});
+    } else if (!delta.whole) {
+      delta.deleted.push_back(key);
+    }
+  }
+  return delta;
+}
+
+const MemberEntry* FleetView::Find(const MemberId& id) const {
+  auto it = members_.find(id);
+  return it == members_.end() ? nullptr : &it->second;
+}
+
+bool FleetView::Over(const MemberId& id, Revision since) const {
+  const MemberEntry* entry = Find(id);
+  if (entry != nullptr) return entry->record.ended();
+  return revision_ >= since;
+}
+
+std::vector<MemberId> FleetView::Staying() const {
+  std::vector<MemberId> staying;
+  for (const auto& [id, entry] : members_) {
+    if (!entry.record.ended() && !entry.record.leaving()) staying.push_back(id);
+  }
+  return staying;
+}
+
+bool IsWatcher(const FleetView& view, const MemberId& id, size_t count) {
+  const uint64_t own = RendezvousWeight("watch", id.value());
+  size_t before = 0;
+  for (const MemberId& other : view.Staying()) {
+    if (other == id) continue;
+    if (RendezvousWeight("watch", other.value()) > own) ++before;
+  }
+  return before < count;
+}
+
+WitnessSet ChooseWitnesses(
+    const FleetView& view, const wire::MemberRecord& self,
+    const std::function<bool(const MemberId&)>& usable) {
+  std::vector<const wire::MemberRecord*> near;
+  std::vector<const wire::MemberRecord*> all;
+  for (const auto& [id, entry] : view.members()) {
+    const wire::MemberRecord& record = entry.record;
+    if (record.member() == self.member() || record.ended() ||
+        record.leaving() || !usable(id)) {
+      continue;
+    }
+    all.push_back(&record);
+    if (record.region() == self.region()) near.push_back(&record);
+  }
+  std::vector<const wire::MemberRecord*>& from =
+      near.size() >= kMinWitnesses ? near : all;
+  if (from.size() < kMinWitnesses) return {};
+  std::sort(from.begin(), from.end(), [&](const auto* a, const auto* b) {
+    return RendezvousWeight(self.member(), a->member()) >
+           RendezvousWeight(self.member(), b->member());
+  });
+  // First pass: no domain gets an end quorum. Second pass: fill up.
+  const size_t size = std::min(from.size(), kMaxWitnesses);
+  std::map<std::string, size_t> of_domain;
+  std::set<std::string> chosen;
+  WitnessSet witnesses;
+  for (const size_t cap : {EndQuorum(size) - 1, size}) {
+    for (const wire::MemberRecord* record : from) {
+      if (witnesses.size() == size) break;
+      if (chosen.count(record->member()) > 0) continue;
+      if (of_domain[record->failure_domain()] >= cap) continue;
+      ++of_domain[record->failure_domain()];
+      chosen.insert(record->member());
+      witnesses.emplace_back(record->member());
+    }
+  }
+  return witnesses;
+}
+
+Duration SilenceBeforeEnd(Duration grant, size_t rank) {
+  // The grant itself, the drift of two clocks, and one missed renewal.
+  return grant + DriftMargin(grant) + grant / 3 +
+         static_cast<int64_t>(rank) * (grant / 6);
+}
+
+}  // namespace mimosa
--- a/router/limiter.h
+++ b/router/limiter.h
@@ -40,8 +40,11 @@
       const CustomerId& customer, Tokens tokens, MonoTime wait_until,
       Done done) = 0;
 
-  // Gives back `tokens` of an earlier granted charge.
-  virtual void Refund(const CustomerId& customer, Tokens tokens) = 0;
+  // Gives back `tokens` of a charge that was granted at `charged_at` (when its
+  // `done` ran). The home credits them as if they had never been charged: what
+  // the bucket would have lost to its cap since then stays lost.
+  virtual void Refund(const CustomerId& customer, Tokens tokens,
+                      MonoTime charged_at) = 0;
 };
 
 }  // namespace mimosa
