--- a/decide/limits.cc
+++ b/decide/limits.cc
@@ -71,8 +71,7 @@
 void LimitsHome::Lose(int slot) { owned_.erase(slot); }
 
 wire::HandOver LimitsHome::Export(const std::string& id,
-                                  const std::vector<int>& slots,
-                                  MonoTime now) {
+                                  const std::vector<int>& slots, MonoTime now) {
   wire::HandOver hand_over;
   hand_over.set_id(id);
   hand_over.set_lifetime_ms(ToMillis(grant_ + DriftMargin(grant_)) + 1);
@@ -207,10 +206,10 @@
         {reply.serial(), reply.granted(), lifetime, sent + lifetime});
   }
   const Duration wait = std::chrono::milliseconds(reply.retry_after_ms());
-  account.ask_after = reply.granted() > 0
-                          ? now
-                          : now + std::clamp(wait, kShortestAskWait,
-                                             kLongestAskWait);
+  account.ask_after =
+      reply.granted() > 0
+          ? now
+          : now + std::clamp(wait, kShortestAskWait, kLongestAskWait);
   Actions actions;
   Expire(&account, now);
   Serve(&account, now, &actions);
@@ -294,10 +293,9 @@
 void HomeLimits::Expire(Account* account, MonoTime now) {
   if (ignore_expiry_) return;
   auto& lots = account->lots;
-  lots.erase(
-      std::remove_if(lots.begin(), lots.end(),
-                     [&](const Lot& lot) { return now >= lot.expires; }),
-      lots.end());
+  lots.erase(std::remove_if(lots.begin(), lots.end(),
+                            [&](const Lot& lot) { return now >= lot.expires; }),
+             lots.end());
 }
 
 int64_t HomeLimits::AtHand(const Account& account) {
@@ -308,9 +306,8 @@
 
 void HomeLimits::Spend(Account* account, int64_t tokens) {
   // What ends first goes first.
-  std::sort(
-      account->lots.begin(), account->lots.end(),
-      [](const Lot& a, const Lot& b) { return a.expires < b.expires; });
+  std::sort(account->lots.begin(), account->lots.end(),
+            [](const Lot& a, const Lot& b) { return a.expires < b.expires; });
   while (tokens > 0) {
     Lot& lot = account->lots.front();
     const int64_t part = std::min(tokens, lot.tokens);
@@ -471,8 +468,8 @@
   } else {
     wake = std::min(wake, account->refund_due);
     if (!account->waiting.empty()) {
-      wake = std::min(wake, std::max(account->ask_after,
-                                     now + kShortestAskWait));
+      wake =
+          std::min(wake, std::max(account->ask_after, now + kShortestAskWait));
     }
     for (const Lot& lot : account->lots) {
       wake = std::min(wake, lot.expires - lot.lifetime / kReturnPart);
@@ -488,8 +485,7 @@
     const CustomerId& customer) const {
   std::optional<BucketLimits> limits = limits_of_(customer);
   if (!limits) return limits;
-  const auto daemons =
-      static_cast<int64_t>(std::max<size_t>(daemons_(), 1));
+  const auto daemons = static_cast<int64_t>(std::max<size_t>(daemons_(), 1));
   return BucketLimits{limits->rate / daemons, limits->burst / daemons};
 }
 
--- a/decide/limits.h
+++ b/decide/limits.h
@@ -4,9 +4,9 @@
 // tokens out of the level and hands them to daemons as allotments; a daemon
 // admits charges out of its allotments. At the home,
 //     level + tokens in allotments that may still be spent <= burst
-// at all times, and the level grows by the rate. An allotment ends by itself: at
-// the daemon after a lifetime that is counted from before it was asked for and
-// never goes beyond the home's term; at the home a little later. So
+// at all times, and the level grows by the rate. An allotment ends by itself:
+// at the daemon after a lifetime that is counted from before it was asked for
+// and never goes beyond the home's term; at the home a little later. So
 //  - whatever is lost between the two (messages, either process) loses tokens;
 //  - when a home's term has ended, all allotments that it gave are over, and
 //    another home may start at level zero knowing nothing of them.
@@ -185,13 +185,13 @@
     uint64_t serial = 0;
     std::optional<UnderWay> under_way;
     std::deque<Lot> lots;
-    std::deque<Waiting> waiting;                     // first come, first served
+    std::deque<Waiting> waiting;  // first come, first served
     std::map<uint64_t, std::pair<int64_t, int64_t>> reports;  // spent, returned
     std::map<int64_t, int64_t> refunds;  // tokens by the home's stamp
     std::deque<Stamp> stamps;            // from this home, oldest first
     MonoTime refund_due = kNever;
     MonoTime ask_after = MonoTime::min();  // the home said so
-    double demand = 0;  // tokens a second, decayed
+    double demand = 0;                     // tokens a second, decayed
     MonoTime demand_at = MonoTime::min();
     MonoTime wake = kNever;
   };
--- a/decide/membership.cc
+++ b/decide/membership.cc
@@ -141,9 +141,9 @@
   return before < count;
 }
 
-WitnessSet ChooseWitnesses(
-    const FleetView& view, const wire::MemberRecord& self,
-    const std::function<bool(const MemberId&)>& usable) {
+WitnessSet ChooseWitnesses(const FleetView& view,
+                           const wire::MemberRecord& self,
+                           const std::function<bool(const MemberId&)>& usable) {
   std::vector<const wire::MemberRecord*> near;
   std::vector<const wire::MemberRecord*> all;
   for (const auto& [id, entry] : view.members()) {
--- a/decide/membership.h
+++ b/decide/membership.h
@@ -96,7 +96,7 @@
   void Interpret(const std::string& key, const Stored& stored);
 
   const std::string prefix_;
-  std::map<std::string, Stored> stored_;  // deleted ones included
+  std::map<std::string, Stored> stored_;     // deleted ones included
   std::map<MemberId, MemberEntry> members_;  // parsed from stored_
   wire::SlotTable slots_;                    // parsed from stored_
   Revision slots_revision_;
@@ -109,9 +109,9 @@
 // A witness set for `self`: members that stay and are `usable`, of the region
 // of `self` while there are kMinWitnesses of them, no failure domain with an
 // end quorum where the others suffice. Empty: a platform lease must do.
-WitnessSet ChooseWitnesses(
-    const FleetView& view, const wire::MemberRecord& self,
-    const std::function<bool(const MemberId&)>& usable);
+WitnessSet ChooseWitnesses(const FleetView& view,
+                           const wire::MemberRecord& self,
+                           const std::function<bool(const MemberId&)>& usable);
 
 // For how long a witness that is not asked by a member waits before it proposes
 // to end it: `rank` is its place among the witnesses, so that one goes first.
--- a/decide/token_bucket.cc
+++ b/decide/token_bucket.cc
@@ -187,8 +187,7 @@
   auto it = lots_.find({member, report.serial()});
   if (it == lots_.end()) return;
   const auto take = [&](int64_t tokens) {
-    const int64_t taken =
-        std::clamp<int64_t>(tokens, 0, it->second.tokens);
+    const int64_t taken = std::clamp<int64_t>(tokens, 0, it->second.tokens);
     it->second.tokens -= taken;
     outstanding_ -= taken;
     return taken;
--- a/router/peer_bus.h
+++ b/router/peer_bus.h
@@ -69,6 +69,24 @@
   virtual uint64_t bytes_received() const = 0;
 };
 
+struct PeerBusOptions {
+  Endpoint listen;
+  std::string secret;  // shared by the daemons of a deployment
+};
+
+// The bus over our own HTTP server and client: POST /rpc, one JSON-RPC batch
+// each. A request without "Authorization: Bearer <secret>" gets 401.
+class HttpPeerBus : public PeerBus {
+ public:
+  // The port listened on (the one chosen, where the options say 0).
+  virtual uint16_t port() const = 0;
+};
+
+// Returns nullptr when the address can't be listened on. `loop` and `client`
+// must outlive the bus.
+std::unique_ptr<HttpPeerBus> MakePeerBus(LwsLoop* loop, HttpClient* client,
+                                         const PeerBusOptions& options);
+
 }  // namespace mimosa
 
 #endif  // ROUTER_PEER_BUS_H_
