--- a/router/service_call.cc
+++ b/router/service_call.cc
@@ -103,6 +103,7 @@
       Done();
       return;
     }
+    charged_at_ = deps_.loop->Now();
     Claim();
   }
 
@@ -298,8 +299,9 @@
   }
 
   void Refund() {
-    if (charged_ > Tokens(0))
-      deps_.limiter->Refund(context_.customer, charged_);
+    if (charged_at_ != kNever && charged_ > Tokens(0)) {
+      deps_.limiter->Refund(context_.customer, charged_, charged_at_);
+    }
     charged_ = Tokens(0);
   }
 
@@ -319,7 +321,8 @@
   const std::shared_ptr<bool> alive_;  // false once destroyed
 
   std::unique_ptr<PendingCharge> charge_;
-  Tokens charged_;  // granted and not given back
+  Tokens charged_;  // asked for and not given back
+  MonoTime charged_at_ = kNever;  // until granted
   std::unique_ptr<class Claim> claim_;
 
   std::unique_ptr<HttpCall> call_;
