--- /dev/null
+++ b/router/catalogue_sync.h
@@ -0,0 +1,97 @@
+// Keeps the catalogue in force at this daemon up to date: implements
+// CatalogueView.
+//
+// Model: a newer head is heard of in one of three ways: the platform's watch
+// (at the few members that hold one), a peer that says it has a newer version,
+// or a read at the start. The parts that the head names and that are not at
+// hand are fetched from the peer, or from the platform if there is none or it
+// lacks them. A catalogue comes into force when it is whole and passes the same
+// check that mimosactl made; its version is always higher than the one before.
+// A catalogue that fails the check is left aside; the former one stays.
+#ifndef ROUTER_CATALOGUE_SYNC_H_
+#define ROUTER_CATALOGUE_SYNC_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "decide/catalogue_parts.h"
+#include "net/event_loop.h"
+#include "router/catalogue_view.h"
+#include "router/fleet_driver.h"
+#include "router/kv_store.h"
+#include "router/peer_bus.h"
+#include "wire/fleet.pb.h"
+
+namespace mimosa {
+
+class CatalogueSync : public CatalogueView {
+ public:
+  static constexpr Duration kRetryPause = std::chrono::milliseconds(500);
+  static constexpr Duration kPeerTimeout = std::chrono::seconds(2);
+
+  CatalogueSync(EventLoop* loop, KvStore* kv, PeerBus* bus, FleetDriver* fleet,
+                std::string deployment);
+  ~CatalogueSync() override;
+
+  // Reads the head once; repeats that until one is in force.
+  void Start();
+
+  // CatalogueView:
+  std::shared_ptr<const CatalogueSnapshot> current() const override {
+    return current_;
+  }
+  void Observe(std::function<void()> observer) override {
+    observers_.push_back(std::move(observer));
+  }
+
+  // Catalogues that were whole but failed the check.
+  uint64_t refused() const { return refused_; }
+
+ private:
+  // A newer head whose parts are being fetched.
+  struct Candidate {
+    wire::CatalogueHead head;
+    std::string text;
+    Endpoint peer;  // whom to ask for parts; port 0: the platform
+  };
+
+  void Serve();
+  void Answer(const wire::CatalogueFetch& fetch, PeerReply* reply) const;
+  void ReadHead();
+  void OnHeadText(const std::string& text, const Endpoint& peer);
+  void OnNewerAt(const MemberId& peer);
+  void FetchParts();
+  void FetchFromPeer(const std::vector<std::string>& digests);
+  void FetchFromPlatform(const std::string& digest);
+  void OnPart(const std::string& digest, const std::string& text);
+  void PutInForce();
+  void StartOver();
+
+  EventLoop* const loop_;
+  KvStore* const kv_;
+  PeerBus* const bus_;
+  FleetDriver* const fleet_;
+  const std::string deployment_;
+  std::vector<std::function<void()>> observers_;
+
+  std::shared_ptr<const CatalogueSnapshot> current_;
+  wire::CatalogueHead head_;  // in force
+  std::string head_text_;     // of head_; empty: none is in force
+  PartTexts parts_;           // of the head in force, and of candidate_
+
+  std::unique_ptr<Candidate> candidate_;
+  KvStore::CallPtr kv_call_;
+  std::unique_ptr<PeerCall> peer_call_;
+  wire::CatalogueFetchReply peer_reply_;
+  TimerHandle retry_;
+  uint64_t refused_ = 0;
+  // Version of the last catalogue that failed the check: not fetched again.
+  uint64_t refused_version_ = 0;
+};
+
+}  // namespace mimosa
+
+#endif  // ROUTER_CATALOGUE_SYNC_H_
--- a/router/claims.cc
+++ b/router/claims.cc
@@ -101,12 +101,11 @@
 class ClaimsImpl : public Claims {
  public:
   ClaimsImpl(EventLoop* loop, KvStore* kv, std::string deployment,
-             MemberId self, std::function<bool(const std::string&)> alive)
+             const Fleet* fleet)
       : loop_(loop),
         kv_(kv),
         deployment_(std::move(deployment)),
-        self_(std::move(self)),
-        alive_(std::move(alive)) {}
+        fleet_(fleet) {}
 
   std::unique_ptr<Claim> Make(const ClaimKey& key, const RequestId& attempt,
                               MonoTime deadline, Done done) override;
@@ -139,8 +138,10 @@
   EventLoop* loop() { return loop_; }
   KvStore* kv() { return kv_; }
   const std::string& deployment() const { return deployment_; }
-  const MemberId& self() const { return self_; }
-  bool Alive(const std::string& member) const { return alive_(member); }
+  const MemberId& self() const { return fleet_->self(); }
+  bool Alive(const std::string& member) const {
+    return fleet_->Find(MemberId(member)) != nullptr;
+  }
 
  private:
   void OnLease(const KvResult& result) {
@@ -166,8 +167,7 @@
   EventLoop* const loop_;
   KvStore* const kv_;
   const std::string deployment_;
-  const MemberId self_;
-  const std::function<bool(const std::string&)> alive_;
+  const Fleet* const fleet_;
   // Usable for new claims until lease_use_until_; empty: none was made.
   std::string lease_;
   MonoTime lease_use_until_{};
@@ -388,11 +388,9 @@
 
 }  // namespace
 
-std::unique_ptr<Claims> MakeClaims(
-    EventLoop* loop, KvStore* kv, std::string deployment, MemberId self,
-    std::function<bool(const std::string& member)> alive) {
-  return std::make_unique<ClaimsImpl>(loop, kv, std::move(deployment),
-                                      std::move(self), std::move(alive));
+std::unique_ptr<Claims> MakeClaims(EventLoop* loop, KvStore* kv,
+                                   std::string deployment, const Fleet* fleet) {
+  return std::make_unique<ClaimsImpl>(loop, kv, std::move(deployment), fleet);
 }
 
 }  // namespace mimosa
--- a/router/claims.h
+++ b/router/claims.h
@@ -23,6 +23,7 @@
 #include "base/ids.h"
 #include "net/event_loop.h"
 #include "net/http.h"
+#include "router/fleet.h"
 #include "router/kv_store.h"
 #include "wire/fleet.pb.h"
 
@@ -79,11 +80,10 @@
                                                     Done done) = 0;
 };
 
-// `alive` tells whether the member that claimed (wire::ClaimRecord.member)
-// still serves: nobody waits for the dead.
-std::unique_ptr<Claims> MakeClaims(
-    EventLoop* loop, KvStore* kv, std::string deployment, MemberId self,
-    std::function<bool(const std::string& member)> alive);
+// `fleet` tells who claims, and whether the member that made a claim found in
+// the platform still serves: nobody waits for the dead.
+std::unique_ptr<Claims> MakeClaims(EventLoop* loop, KvStore* kv,
+                                   std::string deployment, const Fleet* fleet);
 
 }  // namespace mimosa
 
--- /dev/null
+++ b/router/daemon.cc
@@ -0,0 +1,346 @@
+// Wiring, status and graceful end.
+#include "router/daemon.h"
+
+#include <set>
+#include <sstream>
+#include <string>
+#include <utility>
+
+#include "base/digest.h"
+#include "base/logging.h"
+#include "base/metrics.h"
+#include "base/random.h"
+#include "net/event_loop.h"
+#include "net/http.h"
+#include "router/catalogue_sync.h"
+#include "router/claims.h"
+#include "router/engine_canceller.h"
+#include "router/fleet_driver.h"
+#include "router/front.h"
+#include "router/kv_client.h"
+#include "router/limits_driver.h"
+#include "router/model_call.h"
+#include "router/operator_port.h"
+#include "router/peer_bus.h"
+#include "router/places_driver.h"
+#include "router/request_metrics.h"
+#include "router/service_call.h"
+#include "router/service_pool.h"
+#include "router/vm_list.h"
+
+namespace mimosa {
+namespace {
+
+// How often a leaving daemon looks whether its last request has ended.
+constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
+
+Endpoint ParsedEndpoint(const std::string& text) {
+  Endpoint endpoint;
+  Endpoint::Parse(text, &endpoint);  // checked with the settings
+  return endpoint;
+}
+
+std::set<std::string> SplitNames(const std::string& text) {
+  std::set<std::string> names;
+  std::istringstream stream(text);
+  for (std::string name; std::getline(stream, name, ',');) names.insert(name);
+  return names;
+}
+
+uint64_t RandomSeed() { return std::stoull(RandomHex(8), nullptr, 16); }
+
+FleetOptions FleetOptionsOf(const wire::RouterSettings& settings) {
+  FleetOptions options;
+  options.name = settings.name();
+  options.peer_address = ParsedEndpoint(settings.peer_advertise().empty()
+                                            ? settings.peer_listen()
+                                            : settings.peer_advertise());
+  options.failure_domain = FailureDomain(settings.failure_domain());
+  options.region = settings.region();
+  options.deployment = settings.deployment();
+  options.grant = std::chrono::milliseconds(settings.grant_ms());
+  options.slots = static_cast<int>(settings.slots());
+  options.disable = SplitNames(settings.disable());
+  return options;
+}
+
+LimitsOptions LimitsOptionsOf(const wire::RouterSettings& settings) {
+  LimitsOptions options;
+  options.grant = std::chrono::milliseconds(settings.grant_ms());
+  options.slots = static_cast<int>(settings.slots());
+  options.static_split = settings.limits() == "static";
+  options.disable = SplitNames(settings.disable());
+  return options;
+}
+
+PlacesOptions PlacesOptionsOf(const wire::RouterSettings& settings) {
+  PlacesOptions options;
+  if (settings.placement() == "random") {
+    options.placement = PlacementKind::kRandom;
+  } else if (settings.placement() == "round-robin") {
+    options.placement = PlacementKind::kRoundRobin;
+  } else if (settings.placement() == "least-loaded") {
+    options.placement = PlacementKind::kLeastLoaded;
+  }
+  if (settings.queue() == "fifo") options.books.queue = QueueKind::kFifo;
+  if (settings.shedding() == "none")
+    options.books.shedding = SheddingKind::kNone;
+  return options;
+}
+
+FrontOptions FrontOptionsOf(const wire::RouterSettings& settings) {
+  const auto disable = SplitNames(settings.disable());
+  FrontOptions options;
+  options.max_body_bytes = static_cast<size_t>(settings.max_body_bytes());
+  options.stale_after = std::chrono::milliseconds(settings.stale_ms());
+  options.strip_keys = disable.count("key-strip") == 0;
+  options.sweep_keys = disable.count("key-sweep") == 0;
+  return options;
+}
+
+ModelCallSwitches SwitchesOf(const wire::RouterSettings& settings) {
+  const auto disable = SplitNames(settings.disable());
+  ModelCallSwitches switches;
+  switches.check_identity = disable.count("attempt-check") == 0;
+  switches.cancel_at_engine = disable.count("disconnect-cancel") == 0;
+  return switches;
+}
+
+// Members are declared in the order in which they need each other; they are
+// destroyed in the reverse order.
+class DaemonImpl : public Daemon {
+ public:
+  DaemonImpl(const wire::RouterSettings& settings,
+             std::unique_ptr<LwsLoop> loop)
+      : settings_(settings),
+        loop_(std::move(loop)),
+        random_(RandomSeed()),
+        client_(MakeHttpClient(loop_.get())),
+        kv_(client_.get(), {ParsedEndpoint(settings.platform())}, &metrics_) {}
+
+  // Listens and wires; the member functions below may be used after that.
+  leaf::result<void> Start() {
+    bus_ = MakePeerBus(
+        loop_.get(), client_.get(),
+        {ParsedEndpoint(settings_.peer_listen()), settings_.peer_secret()});
+    if (!bus_) return leaf::new_error(StartFault::kPeerPort);
+    MakeFleetParts();
+    MakeRequestParts();
+    return Listen();
+  }
+
+  void Run() override {
+    loop_->OnSignal([this] { BeginLeaving(); });
+    fleet_->Start();
+    catalogue_->Start();
+    loop_->Run();
+  }
+
+ private:
+  void MakeFleetParts() {
+    fleet_ = std::make_unique<FleetDriver>(loop_.get(), &kv_, bus_.get(),
+                                           &random_, FleetOptionsOf(settings_));
+    catalogue_ = std::make_unique<CatalogueSync>(
+        loop_.get(), &kv_, bus_.get(), fleet_.get(), settings_.deployment());
+    limits_ = std::make_unique<LimitsDriver>(
+        loop_.get(), fleet_.get(), bus_.get(), LimitsOptionsOf(settings_),
+        [this](const CustomerId& id) { return LimitsOf(id); });
+    fleet_->SetSlotKeeper(limits_.get());
+    vms_ =
+        std::make_unique<VmList>(loop_.get(), &kv_, bus_.get(), fleet_.get());
+    claims_ =
+        MakeClaims(loop_.get(), &kv_, settings_.deployment(), fleet_.get());
+  }
+
+  void MakeRequestParts() {
+    places_ = std::make_unique<PlacesDriver>(
+        loop_.get(), bus_.get(), fleet_.get(), catalogue_.get(), client_.get(),
+        &random_, PlacesOptionsOf(settings_));
+    canceller_ = std::make_unique<EngineCanceller>(loop_.get(), client_.get());
+    pool_ = std::make_unique<ServicePool>(
+        vms_.get(), FailureDomain(settings_.failure_domain()));
+    request_metrics_ = std::make_unique<RequestMetrics>(&metrics_);
+    const ServiceCallDeps service{loop_.get(), client_.get(), limits_.get(),
+                                  pool_.get(), claims_.get()};
+    const ModelCallDeps model{
+        loop_.get(),      client_.get(),    limits_.get(),        places_.get(),
+        canceller_.get(), &model_counters_, SwitchesOf(settings_)};
+    front_ = std::make_unique<Front>(
+        loop_.get(), catalogue_.get(), fleet_.get(), request_metrics_.get(),
+        [service](RequestContext context, RequestDone done) {
+          return StartServiceCall(service, std::move(context), std::move(done));
+        },
+        [model](RequestContext context, RequestDone done) {
+          return StartModelCall(model, std::move(context), std::move(done));
+        },
+        FrontOptionsOf(settings_));
+    catalogue_->Observe([this] { OnCatalogue(); });
+    AddGauges();
+  }
+
+  leaf::result<void> Listen() {
+    operator_port_ = std::make_unique<OperatorPort>(
+        settings_.operator_secret(), &metrics_, [this] { return Status(); });
+    HttpServerOptions operators;
+    operators.listen = ParsedEndpoint(settings_.operator_listen());
+    operator_server_ =
+        MakeHttpServer(loop_.get(), operators, operator_port_.get());
+    if (!operator_server_) return leaf::new_error(StartFault::kOperatorPort);
+    HttpServerOptions callers;
+    callers.listen = ParsedEndpoint(settings_.listen());
+    callers.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes());
+    caller_server_ = MakeHttpServer(loop_.get(), callers, front_.get());
+    if (!caller_server_) return leaf::new_error(StartFault::kCallerPort);
+    return {};
+  }
+
+  std::optional<BucketLimits> LimitsOf(const CustomerId& id) const {
+    const wire::Customer* customer = catalogue_->current()->FindCustomer(id);
+    if (customer == nullptr) return std::nullopt;
+    return BucketLimits{customer->rate_tokens_per_second(),
+                        customer->burst_tokens()};
+  }
+
+  void OnCatalogue() {
+    front_->SweepKeys();
+    const auto snapshot = catalogue_->current();
+    metrics_.RetainCustomers([&snapshot](const std::string& id) {
+      return snapshot->FindCustomer(CustomerId(id)) != nullptr;
+    });
+  }
+
+  void AddGauges() {
+    const auto add = [this](const char* name, const char* help,
+                            std::function<double()> value) {
+      metrics_.AddGauge(name, help, {}, std::move(value));
+    };
+    add("mimosa_catalogue_version", "Version of the catalogue in force",
+        [this] { return double(catalogue_->current()->version().count()); });
+    add("mimosa_members", "Members of the fleet, this one included",
+        [this] { return double(fleet_->members().size()); });
+    add("mimosa_term_held", "1 while this member's term holds",
+        [this] { return fleet_->TermDeadline() > loop_->Now() ? 1.0 : 0.0; });
+    add("mimosa_platform_age_seconds", "Time since word from the platform",
+        [this] { return ToSeconds(fleet_->PlatformAge()); });
+    add("mimosa_running_requests", "Requests being served",
+        [this] { return double(front_->running()); });
+    add("mimosa_charges_waiting", "Charges waiting for tokens",
+        [this] { return double(limits_->waiting()); });
+    add("mimosa_cancels_pending", "Orders to cancel not confirmed by engines",
+        [this] { return double(canceller_->pending()); });
+    add("mimosa_peer_bytes_sent", "Bytes sent to peers",
+        [this] { return double(bus_->bytes_sent()); });
+    add("mimosa_peer_bytes_received", "Bytes received from peers",
+        [this] { return double(bus_->bytes_received()); });
+    add("mimosa_prefills", "Prefills begun",
+        [this] { return double(model_counters_.prefills); });
+    add("mimosa_prefills_wasted", "Prefills whose result was of no use",
+        [this] { return double(model_counters_.prefills_wasted); });
+    add("mimosa_stream_resumes", "Streams resumed at the output offset",
+        [this] { return double(model_counters_.resumes); });
+    add("mimosa_foreign_events", "Engine events dropped: not of the request",
+        [this] { return double(model_counters_.foreign_events); });
+    add("mimosa_faulty_events", "Engine events that ended an attempt",
+        [this] { return double(model_counters_.faulty_events); });
+  }
+
+  Json::Value Status() const {
+    Json::Value status(Json::objectValue);
+    status["member"] = fleet_->self().value();
+    status["epoch"] = Json::UInt64(fleet_->epoch());
+    status["catalogue_version"] =
+        Json::Int64(catalogue_->current()->version().count());
+    status["term_held"] = fleet_->TermDeadline() > loop_->Now();
+    status["leaving"] = leaving_;
+    status["platform_age_ms"] = Json::Int64(ToMillis(fleet_->PlatformAge()));
+    status["silence_age_ms"] = Json::Int64(ToMillis(fleet_->SilenceAge()));
+    status["running"] = Json::UInt64(front_->running());
+    status["owned_books"] = Json::UInt64(places_->books()->owned_books());
+    Json::Value& members = status["members"] = Json::Value(Json::arrayValue);
+    for (const FleetMember& member : fleet_->members())
+      members.append(member.id.value());
+    int owned = 0;
+    for (int slot = 0; slot < settings_.slots(); ++slot)
+      owned += fleet_->OwnsSlot(slot) ? 1 : 0;
+    status["owned_slots"] = owned;
+    return status;
+  }
+
+  // --- Graceful end ------------------------------------------------------
+
+  void BeginLeaving() {
+    if (leaving_) return;
+    leaving_ = true;
+    LogEvent(LogLevel::kInfo, "leaving_begun");
+    front_->BeginLeaving();
+    timer_ =
+        loop_->After(std::chrono::milliseconds(settings_.drain_ms()), [this] {
+          caller_server_->StopAccepting();
+          FinishRequests();
+        });
+  }
+
+  void FinishRequests() {
+    const bool busy = caller_server_->open_exchanges() > 0 ||
+                      front_->running() > 0 || canceller_->pending() > 0;
+    if (busy) {
+      timer_ = loop_->After(kDrainPoll, [this] { FinishRequests(); });
+      return;
+    }
+    fleet_->LeaveGracefully([this] {
+      LogEvent(LogLevel::kInfo, "leaving_done");
+      loop_->Stop();
+    });
+  }
+
+  const wire::RouterSettings settings_;
+  const std::unique_ptr<LwsLoop> loop_;
+  SeededRandom random_;
+  MetricsRegistry metrics_;
+  const std::unique_ptr<HttpClient> client_;
+  KvClient kv_;
+  std::unique_ptr<HttpPeerBus> bus_;
+  std::unique_ptr<FleetDriver> fleet_;
+  std::unique_ptr<CatalogueSync> catalogue_;
+  std::unique_ptr<LimitsDriver> limits_;
+  std::unique_ptr<VmList> vms_;
+  std::unique_ptr<Claims> claims_;
+  std::unique_ptr<PlacesDriver> places_;
+  std::unique_ptr<EngineCanceller> canceller_;
+  std::unique_ptr<ServicePool> pool_;
+  ModelCallCounters model_counters_;
+  std::unique_ptr<RequestMetrics> request_metrics_;
+  std::unique_ptr<Front> front_;
+  std::unique_ptr<OperatorPort> operator_port_;
+  std::unique_ptr<HttpServer> operator_server_;
+  std::unique_ptr<HttpServer> caller_server_;
+  bool leaving_ = false;
+  TimerHandle timer_;
+};
+
+}  // namespace
+
+const char* StartFaultName(StartFault fault) {
+  switch (fault) {
+    case StartFault::kLoop:
+      return "the event loop can't be made";
+    case StartFault::kPeerPort:
+      return "peer-listen can't be listened on";
+    case StartFault::kOperatorPort:
+      return "operator-listen can't be listened on";
+    case StartFault::kCallerPort:
+      return "listen can't be listened on";
+  }
+  return "unknown";
+}
+
+leaf::result<std::unique_ptr<Daemon>> Daemon::Create(
+    const wire::RouterSettings& settings) {
+  auto loop = LwsLoop::Create();
+  if (!loop) return leaf::new_error(StartFault::kLoop);
+  auto daemon = std::make_unique<DaemonImpl>(settings, std::move(loop));
+  BOOST_LEAF_CHECK(daemon->Start());
+  return std::unique_ptr<Daemon>(std::move(daemon));
+}
+
+}  // namespace mimosa
--- a/router/front.cc
+++ b/router/front.cc
@@ -67,8 +67,7 @@
   }
   RequestContext context;
   const uint64_t serial = next_serial_++;
-  context.id =
-      RequestId(fleet_->self().value() + "/" + std::to_string(serial));
+  context.id = RequestId(fleet_->self().value() + "/" + std::to_string(serial));
   context.answer = std::make_shared<Answer>(exchange, context.id);
   context.arrived = loop_->Now();
   context.snapshot = catalogue_->current();
--- /dev/null
+++ b/router/operator_port.h
@@ -0,0 +1,40 @@
+// The operators' port: metrics, status, health.
+//
+//   GET /metrics[?detail=full][&customer=ID]  text exposition format
+//   GET /status                               JSON, see WriteStatus in
+//   daemon.cc
+// Both ask for `Authorization: Bearer <operator secret>`; anything else is
+// refused with 401 before its path is looked at.
+#ifndef ROUTER_OPERATOR_PORT_H_
+#define ROUTER_OPERATOR_PORT_H_
+
+#include <json/value.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/metrics.h"
+#include "net/http.h"
+
+namespace mimosa {
+
+class OperatorPort : public HttpHandler {
+ public:
+  OperatorPort(std::string secret, const MetricsRegistry* metrics,
+               std::function<Json::Value()> status);
+
+  void OnRequest(std::shared_ptr<HttpExchange> exchange) override;
+
+ private:
+  bool Admits(const HttpRequest& request) const;
+  HttpResponse Answer(const HttpRequest& request) const;
+
+  const std::string secret_;
+  const MetricsRegistry* const metrics_;
+  const std::function<Json::Value()> status_;
+};
+
+}  // namespace mimosa
+
+#endif  // ROUTER_OPERATOR_PORT_H_
