--- a/decide/catalogue.cc
+++ b/decide/catalogue.cc
@@ -53,6 +53,12 @@
   return std::all_of(text.begin(), text.end(), predicate);
 }
 
+// "/a/" and "/a" are the same prefix.
+std::string WithoutLastSlash(const std::string& path) {
+  const bool cut = path.size() > 1 && path.back() == '/';
+  return cut ? path.substr(0, path.size() - 1) : path;
+}
+
 bool IsPathPrefix(const std::string& path) {
   if (path == "/") return true;
   if (path.empty() || path.front() != '/' || path.back() == '/') return false;
@@ -135,7 +141,7 @@
   }
 
   void CheckPath(const wire::Route& route) {
-    const std::string& path = route.path_prefix();
+    const std::string path = WithoutLastSlash(route.path_prefix());
     if (path.empty()) {
       Add(Kind::kMissing, "path_prefix", "required");
     } else if (path.size() > kMaxPathLength || !IsPathPrefix(path)) {
@@ -377,7 +383,7 @@
       customers_by_digest_[key.digest()] = &customer;
   }
   for (const wire::Route& route : catalogue_.routes())
-    routes_by_prefix_[route.path_prefix()].push_back(&route);
+    routes_by_prefix_[WithoutLastSlash(route.path_prefix())].push_back(&route);
   IndexBackEnds();
 }
 
--- a/decide/catalogue_test.cc
+++ b/decide/catalogue_test.cc
@@ -131,7 +131,7 @@
 
 TEST_CASE("two routes for one path and method are refused") {
   wire::Catalogue catalogue = Sound();
-  *catalogue.add_routes() = MakeRoute("again", "/booking");
+  *catalogue.add_routes() = MakeRoute("again", "/booking/");
   CHECK(FaultsOf(catalogue) ==
         std::vector<std::string>{"routes[2] (again) path_prefix duplicate"});
   catalogue.mutable_routes(0)->add_methods("GET");
@@ -145,7 +145,7 @@
 TEST_CASE("the longest prefix of whole segments wins") {
   wire::Catalogue catalogue = Sound();
   *catalogue.add_routes() = MakeRoute("root", "/");
-  wire::Route reserve = MakeRoute("reserve", "/booking/places");
+  wire::Route reserve = MakeRoute("reserve", "/booking/places/");
   reserve.add_methods("POST");
   *catalogue.add_routes() = reserve;
   const auto snapshot = Snapshot(catalogue);
--- a/net/test_peer.h
+++ b/net/test_peer.h
@@ -140,7 +140,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof(address);
-    bind(fd_, reinterpret_cast<sockaddr*>(&address), length);
+    (void)bind(fd_, reinterpret_cast<sockaddr*>(&address), length);
     listen(fd_, 64);
     getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &length);
     port_ = ntohs(address.sin_port);
--- a/router/kv_client_test.cc
+++ b/router/kv_client_test.cc
@@ -167,7 +167,7 @@
   // The connection closes after the request was read.
   std::optional<KvResult> got;
   const KvStore::CallPtr call =
-      silent.Put("k", "v", Revision(0), "", [&](KvResult r) { got = r; });
+      silent.Put("k", "v", Revision(0), "", [&](const KvResult& r) { got = r; });
   (void)listener.Accept();  // that of the first call
   std::unique_ptr<RawPeer> peer;
   REQUIRE(RunUntil(loop.get(), [&] {
--- /dev/null
+++ b/tools/mimosactl.cc
@@ -0,0 +1,60 @@
+// mimosactl: the operators' tool. See --help.
+#include <chrono>
+#include <iostream>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "base/settings.h"
+#include "net/event_loop.h"
+#include "net/http.h"
+#include "router/kv_client.h"
+#include "tools/mimosactl_commands.h"
+#include "wire/settings.pb.h"
+
+namespace mimosa {
+namespace {
+
+// The settings' check has seen to it that they parse.
+std::vector<Endpoint> EndpointsOf(const std::string& list) {
+  std::vector<Endpoint> endpoints;
+  std::istringstream in(list);
+  for (std::string part; std::getline(in, part, ',');) {
+    Endpoint endpoint;
+    if (Endpoint::Parse(part, &endpoint)) endpoints.push_back(endpoint);
+  }
+  return endpoints;
+}
+
+int Run(const wire::CtlSettings& settings,
+        const std::vector<std::string>& operands) {
+  const std::unique_ptr<LwsLoop> loop = LwsLoop::Create();
+  const std::unique_ptr<HttpClient> client = MakeHttpClient(loop.get());
+  const std::chrono::milliseconds timeout(settings.timeout_ms());
+  KvClientOptions options;
+  (void)Endpoint::Parse(settings.platform(), &options.platform);
+  options.call_timeout = timeout;
+  KvClient kv(client.get(), options, /*metrics=*/nullptr);
+  CatalogueStore store(loop.get(), &kv, settings.deployment(),
+                       std::chrono::milliseconds(settings.retry_ms()));
+  RouterClient routers(loop.get(), client.get(),
+                       EndpointsOf(settings.routers()),
+                       settings.operator_secret(), timeout);
+  return CtlCommands(settings, &store, &routers, &std::cout, &std::cerr)
+      .Run(operands);
+}
+
+}  // namespace
+}  // namespace mimosa
+
+int main(int argc, char** argv) {
+  const mimosa::ProgramInfo program = {
+      "mimosactl", "reads and changes a deployment's catalogue",
+      mimosa::kCtlOperands, mimosa::kCtlNotes};
+  mimosa::wire::CtlSettings settings;
+  std::vector<std::string> operands;
+  const auto code =
+      mimosa::StartWithSettings(program, argc, argv, &settings, &operands);
+  return code ? *code : mimosa::Run(settings, operands);
+}
--- /dev/null
+++ b/tools/mimosactl_commands.cc
@@ -0,0 +1,543 @@
+// Commands: each reads, does one thing, and says what it did as text or JSON.
+#include "tools/mimosactl_commands.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <ostream>
+#include <sstream>
+#include <utility>
+
+#include "base/digest.h"
+#include "base/json.h"
+#include "decide/catalogue.h"
+
+namespace mimosa {
+namespace {
+
+constexpr int kSecretBytes = 24;
+constexpr int kChangeIdBytes = 16;
+constexpr char kSecretPrefix[] = "mk-";
+// Bars of histograms, in characters.
+constexpr int kBarWidth = 40;
+// The metrics that `histograms` shows.
+constexpr char kHistogramMetric[] = "mimosa_request_seconds";
+
+int64_t WallClockMillis() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+Json::Value ToJsonList(const std::vector<CatalogueFault>& faults) {
+  Json::Value list(Json::arrayValue);
+  for (const CatalogueFault& fault : faults) {
+    Json::Value item;
+    item["kind"] = CatalogueFaultKindName(fault.kind);
+    item["entry"] = fault.entry;
+    item["field"] = fault.field;
+    item["detail"] = fault.detail;
+    list.append(item);
+  }
+  return list;
+}
+
+std::string ToText(const std::vector<CatalogueFault>& faults) {
+  std::string text;
+  for (const CatalogueFault& fault : faults)
+    text += "\n  " + fault.entry + " " + fault.field + ": " + fault.detail +
+            " (" + CatalogueFaultKindName(fault.kind) + ")";
+  return text;
+}
+
+Json::Value ToJsonList(const std::vector<Difference>& differences) {
+  Json::Value list(Json::arrayValue);
+  for (const Difference& difference : differences) {
+    Json::Value item;
+    item["kind"] = DifferenceKindName(difference.kind);
+    item["entry"] = difference.entry;
+    item["before"] = difference.before;
+    item["after"] = difference.after;
+    list.append(item);
+  }
+  return list;
+}
+
+std::string ToText(const std::vector<Difference>& differences) {
+  std::string text;
+  for (const Difference& difference : differences) {
+    text += std::string(DifferenceKindName(difference.kind)) + " " +
+            difference.entry + "\n";
+    if (!difference.before.empty()) text += "  - " + difference.before + "\n";
+    if (!difference.after.empty()) text += "  + " + difference.after + "\n";
+  }
+  return text;
+}
+
+Json::Value ToJsonList(const HistogramsByLabels& histograms) {
+  Json::Value list(Json::arrayValue);
+  for (const auto& [labels, buckets] : histograms) {
+    Json::Value item;
+    item["labels"] = labels;
+    for (const auto& [bound, count] : buckets) {
+      Json::Value bucket;
+      // JSON has no infinity: the last bucket's bound is null.
+      if (bound < std::numeric_limits<double>::max()) bucket["le"] = bound;
+      bucket["count"] = count;
+      item["buckets"].append(bucket);
+    }
+    list.append(item);
+  }
+  return list;
+}
+
+std::string ToText(const HistogramBuckets& buckets) {
+  std::string text;
+  double below = 0;
+  for (const auto& [bound, cumulative] : buckets) {
+    const double count = cumulative - below;
+    below = cumulative;
+    if (count <= 0) continue;
+    const double share = count / buckets.back().second;
+    char line[96];
+    (void)std::snprintf(line, sizeof(line), "  <= %7g s %8.0f  ", bound, count);
+    text += line;
+    text +=
+        std::string(static_cast<size_t>(1 + (share * kBarWidth)), '#') + "\n";
+  }
+  return text;
+}
+
+std::string ToText(const HistogramsByLabels& histograms) {
+  std::string text;
+  for (const auto& [labels, buckets] : histograms) {
+    if (buckets.empty() || buckets.back().second == 0) continue;
+    char head[96];
+    (void)std::snprintf(head, sizeof(head),
+                        ": %.0f requests, p50 <= %g s, p95 <= %g s\n",
+                        buckets.back().second, QuantileOf(buckets, 0.5),
+                        QuantileOf(buckets, 0.95));
+    text += labels + head + ToText(buckets);
+  }
+  return text;
+}
+
+// A customer's name within a query; ids need no escapes.
+std::string HistogramQuery(const std::string& customer) {
+  return "?detail=full" +
+         (customer.empty() ? std::string() : "&customer=" + customer);
+}
+
+}  // namespace
+
+const char kCtlOperands[] = "COMMAND [ARGUMENT...]";
+const char kCtlNotes[] =
+    "Commands:\n"
+    "  catalogue check FILE        name every fault of a catalogue file\n"
+    "  catalogue diff FILE         what applying the file would change\n"
+    "  catalogue apply FILE        replace the catalogue in force; a file with "
+    "a\n"
+    "                              version applies to that version only\n"
+    "  catalogue history           the latest changes\n"
+    "  catalogue show              the catalogue in force, as a file to edit\n"
+    "  key give CUSTOMER KEY       make a key; its secret is shown once\n"
+    "  key withdraw CUSTOMER KEY   end a key\n"
+    "  key list [CUSTOMER]         keys, without secrets\n"
+    "  back-end drain ID           give a back end no new work\n"
+    "  back-end undrain ID\n"
+    "  status                      what the routers say of themselves\n"
+    "  histograms [CUSTOMER]       latencies by class, or of one customer\n"
+    "\n"
+    "Exit codes:\n"
+    "  0 done                      4 platform unavailable, nothing written\n"
+    "  1 usage                     5 unknown outcome: see catalogue history\n"
+    "  2 faults in the input       6 no such entry, or it is there already\n"
+    "  3 lost a race               7 not in force at all routers";
+
+struct CtlCommands::Command {
+  const char* group;  // empty: the command has one word
+  const char* verb;
+  size_t min_arguments;
+  size_t max_arguments;
+  bool needs_platform;
+  bool needs_routers;
+  Handler handler;
+};
+
+const std::vector<CtlCommands::Command>& CtlCommands::Table() {
+  static const std::vector<Command> table = {
+      {"catalogue", "check", 1, 1, false, false, &CtlCommands::Check},
+      {"catalogue", "diff", 1, 1, true, false, &CtlCommands::Diff},
+      {"catalogue", "apply", 1, 1, true, false, &CtlCommands::Apply},
+      {"catalogue", "history", 0, 0, true, false, &CtlCommands::History},
+      {"catalogue", "show", 0, 0, true, false, &CtlCommands::Show},
+      {"key", "give", 2, 2, true, false, &CtlCommands::GiveKey},
+      {"key", "withdraw", 2, 2, true, false, &CtlCommands::WithdrawKey},
+      {"key", "list", 0, 1, true, false, &CtlCommands::ListKeys},
+      {"back-end", "drain", 1, 1, true, false, &CtlCommands::Drain},
+      {"back-end", "undrain", 1, 1, true, false, &CtlCommands::Undrain},
+      {"", "status", 0, 0, false, true, &CtlCommands::Status},
+      {"", "histograms", 0, 1, false, true, &CtlCommands::Histograms},
+  };
+  return table;
+}
+
+CtlCommands::CtlCommands(const wire::CtlSettings& settings,
+                         CatalogueStore* store, RouterClient* routers,
+                         std::ostream* out, std::ostream* err)
+    : settings_(settings),
+      store_(store),
+      routers_(routers),
+      out_(*out),
+      err_(*err) {}
+
+int CtlCommands::Run(const std::vector<std::string>& operands) {
+  for (const Command& command : Table()) {
+    std::vector<std::string> words;
+    if (*command.group != '\0') words.emplace_back(command.group);
+    words.emplace_back(command.verb);
+    if (operands.size() < words.size() ||
+        !std::equal(words.begin(), words.end(), operands.begin()))
+      continue;
+    const Arguments arguments(
+        operands.begin() + static_cast<std::ptrdiff_t>(words.size()),
+        operands.end());
+    if (arguments.size() < command.min_arguments ||
+        arguments.size() > command.max_arguments)
+      return Fail(kCtlUsage, "usage", "wrong number of arguments; see --help");
+    if (command.needs_platform && settings_.platform().empty())
+      return Fail(kCtlUsage, "usage", "--platform is required");
+    if (command.needs_routers && settings_.routers().empty())
+      return Fail(kCtlUsage, "usage", "--routers is required");
+    return RunCommand(command, arguments);
+  }
+  return Fail(kCtlUsage, "usage", "no such command; see --help");
+}
+
+int CtlCommands::RunCommand(const Command& command,
+                            const Arguments& arguments) {
+  return leaf::try_handle_all(
+      [&] { return (this->*command.handler)(arguments); },
+      [&](const CatalogueFaults& faults) {
+        return Fail(kCtlFaults, "faults",
+                    std::to_string(faults.faults.size()) + " fault(s)" +
+                        ToText(faults.faults),
+                    ToJsonList(faults.faults));
+      },
+      [&](const JsonError& error) {
+        return Fail(kCtlFaults, "faults", error.where + ": " + error.detail);
+      },
+      [&](const StoreFault& fault) {
+        const char* kind = StoreFaultKindName(fault.kind);
+        switch (fault.kind) {
+          case StoreFaultKind::kUnknown:
+            return Fail(kCtlUnknown, kind, fault.detail);
+          case StoreFaultKind::kLostRace:
+            return Fail(kCtlLostRace, kind, fault.detail);
+          case StoreFaultKind::kCorrupt:
+            return Fail(kCtlFaults, kind, fault.detail);
+          case StoreFaultKind::kUnavailable:
+            break;
+        }
+        return Fail(kCtlUnavailable, kind, fault.detail);
+      },
+      [&](const EditFault& fault) {
+        const bool absent = fault.kind == EditFaultKind::kNoSuchEntry;
+        return Fail(kCtlNoSuchEntry, absent ? "no_such_entry" : "already_there",
+                    fault.detail);
+      },
+      [&] { return Fail(kCtlUsage, "internal", "unknown error"); });
+}
+
+// ---- Catalogue ----
+
+leaf::result<wire::Catalogue> CtlCommands::Load(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) return leaf::new_error(JsonError{path, "can't be read"});
+  const std::string text((std::istreambuf_iterator<char>(in)),
+                         std::istreambuf_iterator<char>());
+  wire::Catalogue catalogue;
+  BOOST_LEAF_CHECK(FromJson(text, /*strict=*/true, &catalogue));
+  std::vector<CatalogueFault> faults = CheckCatalogue(catalogue);
+  if (!faults.empty())
+    return leaf::new_error(CatalogueFaults{std::move(faults)});
+  return catalogue;
+}
+
+CtlCommands::Result CtlCommands::Check(const Arguments& arguments) {
+  BOOST_LEAF_AUTO(catalogue, Load(arguments[0]));
+  Json::Value json;
+  json["customers"] = catalogue.customers_size();
+  json["routes"] = catalogue.routes_size();
+  json["back_ends"] = catalogue.back_ends_size();
+  std::ostringstream text;
+  text << "no faults: " << catalogue.customers_size() << " customers, "
+       << catalogue.routes_size() << " routes, " << catalogue.back_ends_size()
+       << " back ends\n";
+  Print(json, text.str());
+  return kCtlOk;
+}
+
+CtlCommands::Result CtlCommands::Diff(const Arguments& arguments) {
+  BOOST_LEAF_AUTO(catalogue, Load(arguments[0]));
+  BOOST_LEAF_AUTO(now, store_->Read());
+  const auto differences = DiffCatalogues(now.catalogue, catalogue);
+  Json::Value json;
+  json["version"] = Json::UInt64(now.stored.head.version());
+  json["differences"] = ToJsonList(differences);
+  Print(json, differences.empty() ? "no differences\n" : ToText(differences));
+  return kCtlOk;
+}
+
+CtlCommands::Result CtlCommands::Apply(const Arguments& arguments) {
+  BOOST_LEAF_AUTO(catalogue, Load(arguments[0]));
+  BOOST_LEAF_AUTO(now, store_->Read());
+  const uint64_t version = now.stored.head.version();
+  if (catalogue.version() != 0 && catalogue.version() != version) {
+    const auto differences = DiffCatalogues(now.catalogue, catalogue);
+    return Fail(kCtlLostRace, "lost_race",
+                "the file was made from version " +
+                    std::to_string(catalogue.version()) + ", now it is " +
+                    std::to_string(version) +
+                    "; the file against what is in force:\n" +
+                    ToText(differences),
+                ToJsonList(differences));
+  }
+  if (DiffCatalogues(now.catalogue, catalogue).empty() && version != 0)
+    return Finish(version, Json::Value(Json::objectValue), "no differences; ");
+  bool lost = false;
+  const auto written = leaf::try_handle_some(
+      [&] { return store_->Write(now, catalogue, NewChange("apply")); },
+      [&](const StoreFault& fault) -> leaf::result<uint64_t> {
+        lost = fault.kind == StoreFaultKind::kLostRace;
+        if (lost) return uint64_t{0};
+        return leaf::new_error(fault);
+      });
+  if (!written) return written.error();
+  if (lost) return TellLostRace(now);
+  return Finish(*written, Json::Value(Json::objectValue), "applied; ");
+}
+
+// The loser is told what changed since it read.
+int CtlCommands::TellLostRace(const ReadCatalogue& before) {
+  const auto after = leaf::try_handle_all(
+      [&]() -> leaf::result<ReadCatalogue> { return store_->Read(); },
+      [] { return ReadCatalogue(); });
+  const auto differences = DiffCatalogues(before.catalogue, after.catalogue);
+  std::string text = "another change came in first:";
+  for (const auto& change : after.stored.head.history())
+    if (change.version() > before.stored.head.version())
+      text += " version " + std::to_string(change.version()) + " by " +
+              change.author() + " (" + change.summary() + ")";
+  return Fail(kCtlLostRace, "lost_race", text + "\n" + ToText(differences),
+              ToJsonList(differences));
+}
+
+CtlCommands::Result CtlCommands::History(const Arguments& /*arguments*/) {
+  BOOST_LEAF_AUTO(now, store_->Read());
+  Json::Value json;
+  json["history"] = Json::Value(Json::arrayValue);
+  std::string text;
+  for (const wire::CatalogueChange& change : now.stored.head.history()) {
+    json["history"].append(ToJsonValue(change));
+    text += std::to_string(change.version()) + "  " + change.author() + "  " +
+            change.summary() + "  [" + change.change_id() + "]\n";
+  }
+  Print(json, text);
+  return kCtlOk;
+}
+
+CtlCommands::Result CtlCommands::Show(const Arguments& /*arguments*/) {
+  BOOST_LEAF_AUTO(now, store_->Read());
+  Print(ToJsonValue(now.catalogue), ToPrettyJson(now.catalogue) + "\n");
+  return kCtlOk;
+}
+
+// ---- Edits ----
+
+wire::CatalogueChange CtlCommands::NewChange(
+    const std::string& default_summary) const {
+  wire::CatalogueChange change;
+  change.set_change_id(RandomHex(kChangeIdBytes));
+  change.set_author(settings_.author());
+  change.set_summary(settings_.summary().empty() ? default_summary
+                                                 : settings_.summary());
+  change.set_unix_ms(WallClockMillis());
+  return change;
+}
+
+// A lost race changed nothing, so the edit is made again on what came in. The
+// number of tries is bounded by the race itself: in each round someone won.
+leaf::result<uint64_t> CtlCommands::WriteEdit(const std::string& summary,
+                                              const Edit& edit) {
+  constexpr int kMaxRounds = 100;
+  for (int round = 1;; ++round) {
+    BOOST_LEAF_AUTO(now, store_->Read());
+    wire::Catalogue edited = now.catalogue;
+    BOOST_LEAF_CHECK(edit(&edited));
+    if (DiffCatalogues(now.catalogue, edited).empty())
+      return now.stored.head.version();
+    std::vector<CatalogueFault> faults = CheckCatalogue(edited);
+    if (!faults.empty())
+      return leaf::new_error(CatalogueFaults{std::move(faults)});
+    bool lost = false;
+    const auto written = leaf::try_handle_some(
+        [&] { return store_->Write(now, edited, NewChange(summary)); },
+        [&](const StoreFault& fault) -> leaf::result<uint64_t> {
+          lost = fault.kind == StoreFaultKind::kLostRace && round < kMaxRounds;
+          if (lost) return uint64_t{0};
+          return leaf::new_error(fault);
+        });
+    if (!lost) return written;
+  }
+}
+
+CtlCommands::Result CtlCommands::GiveKey(const Arguments& arguments) {
+  const std::string secret = kSecretPrefix + RandomHex(kSecretBytes);
+  wire::Key key;
+  key.set_id(arguments[1]);
+  key.set_digest(Sha256Hex(secret));
+  BOOST_LEAF_AUTO(version,
+                  WriteEdit("give key " + key.id() + " to " + arguments[0],
+                            [&](wire::Catalogue* catalogue) {
+                              return AddKey(arguments[0], key, catalogue);
+                            }));
+  Json::Value json;
+  json["customer"] = arguments[0];
+  json["key"] = key.id();
+  json["secret"] = secret;
+  return Finish(version, std::move(json),
+                "secret, shown this once only: " + secret + "\n");
+}
+
+CtlCommands::Result CtlCommands::WithdrawKey(const Arguments& arguments) {
+  BOOST_LEAF_AUTO(
+      version,
+      WriteEdit("withdraw key " + arguments[1] + " from " + arguments[0],
+                [&](wire::Catalogue* catalogue) {
+                  return RemoveKey(arguments[0], arguments[1], catalogue);
+                }));
+  return Finish(version, Json::Value(Json::objectValue), "withdrawn; ");
+}
+
+CtlCommands::Result CtlCommands::ListKeys(const Arguments& arguments) {
+  BOOST_LEAF_AUTO(now, store_->Read());
+  Json::Value json;
+  json["keys"] = Json::Value(Json::arrayValue);
+  std::string text;
+  for (const wire::Customer& customer : now.catalogue.customers()) {
+    if (!arguments.empty() && customer.id() != arguments[0]) continue;
+    for (const wire::Key& key : customer.keys()) {
+      Json::Value item;
+      item["customer"] = customer.id();
+      item["key"] = key.id();
+      item["digest"] = key.digest();
+      json["keys"].append(item);
+      text += customer.id() + "  " + key.id() + "  " + key.digest() + "\n";
+    }
+  }
+  Print(json, text);
+  return kCtlOk;
+}
+
+CtlCommands::Result CtlCommands::Drain(const Arguments& arguments) {
+  BOOST_LEAF_AUTO(
+      version,
+      WriteEdit("drain " + arguments[0], [&](wire::Catalogue* catalogue) {
+        return SetDraining(arguments[0], true, catalogue);
+      }));
+  return Finish(version, Json::Value(Json::objectValue), "draining; ");
+}
+
+CtlCommands::Result CtlCommands::Undrain(const Arguments& arguments) {
+  BOOST_LEAF_AUTO(
+      version,
+      WriteEdit("undrain " + arguments[0], [&](wire::Catalogue* catalogue) {
+        return SetDraining(arguments[0], false, catalogue);
+      }));
+  return Finish(version, Json::Value(Json::objectValue), "not draining; ");
+}
+
+// ---- Routers ----
+
+CtlCommands::Result CtlCommands::Status(const Arguments& /*arguments*/) {
+  Json::Value json;
+  json["routers"] = Json::Value(Json::arrayValue);
+  std::string text;
+  bool all = true;
+  for (const RouterStatus& router : routers_->Status()) {
+    Json::Value item;
+    item["address"] = router.address;
+    item["answered"] = router.answered;
+    if (router.answered)
+      item["status"] = router.status;
+    else
+      item["problem"] = router.problem;
+    json["routers"].append(item);
+    text += router.address + "  " +
+            (router.answered ? WriteJson(router.status) : router.problem) +
+            "\n";
+    all = all && router.answered;
+  }
+  Print(json, text);
+  return all ? kCtlOk : kCtlNotEverywhere;
+}
+
+CtlCommands::Result CtlCommands::Histograms(const Arguments& arguments) {
+  const std::string customer = arguments.empty() ? "" : arguments[0];
+  std::string metric = kHistogramMetric;
+  if (!customer.empty()) metric += "_histogram_by_customer";
+  HistogramsByLabels histograms;
+  const std::vector<std::string> scrapes =
+      routers_->Metrics(HistogramQuery(customer));
+  for (const std::string& scrape : scrapes)
+    AddHistograms(scrape, metric, &histograms);
+  Json::Value json;
+  json["routers_answered"] = Json::UInt64(scrapes.size());
+  json["histograms"] = ToJsonList(histograms);
+  Print(json, ToText(histograms));
+  return scrapes.empty() ? kCtlNotEverywhere : kCtlOk;
+}
+
+// ---- Output ----
+
+int CtlCommands::Finish(uint64_t version, Json::Value json,
+                        const std::string& text) {
+  json["version"] = Json::UInt64(version);
+  const bool wait = settings_.wait_ms() > 0 && !settings_.routers().empty();
+  bool everywhere = true;
+  if (wait) {
+    everywhere = routers_->AwaitVersion(
+        version, std::chrono::milliseconds(settings_.wait_ms()));
+    json["in_force_everywhere"] = everywhere;
+  }
+  Print(json, text + "version " + std::to_string(version) +
+                  (wait ? everywhere ? ", in force at all routers"
+                                     : ", not yet in force at all routers"
+                        : "") +
+                  "\n");
+  return everywhere ? kCtlOk : kCtlNotEverywhere;
+}
+
+void CtlCommands::Print(const Json::Value& json, const std::string& text) {
+  out_ << (settings_.json() ? WriteJson(json) + "\n" : text);
+}
+
+int CtlCommands::Fail(int code, const std::string& kind,
+                      const std::string& detail, const Json::Value& more) {
+  if (!settings_.json()) {
+    err_ << "mimosactl: " << kind << ": " << detail << "\n";
+    return code;
+  }
+  Json::Value json;
+  json["error"] = kind;
+  json["detail"] = detail;
+  json["exit_code"] = code;
+  if (!more.isNull()) json["items"] = more;
+  out_ << WriteJson(json) << "\n";
+  return code;
+}
+
+}  // namespace mimosa
