--- a/router/catalogue_sync.cc
+++ b/router/catalogue_sync.cc
@@ -60,6 +60,7 @@
 }
 
 void CatalogueSync::ReadHead() {
+  if (candidate_) return;  // kv_call_ is fetching its parts
   kv_call_ = kv_->Get(CatalogueHeadKey(deployment_), [this](const KvResult& r) {
     const auto call = std::move(kv_call_);
     if (r.status == KvStatus::kOk) OnHeadText(r.record.value, kPlatform);
--- a/router/daemon.cc
+++ b/router/daemon.cc
@@ -118,6 +118,10 @@
         client_(MakeHttpClient(loop_.get())),
         kv_(client_.get(), {ParsedEndpoint(settings.platform())}, &metrics_) {}
 
+  ~DaemonImpl() override {
+    if (fleet_) fleet_->DetachSlotKeeper();
+  }
+
   // Listens and wires; the member functions below may be used after that.
   leaf::result<void> Start() {
     bus_ = MakePeerBus(
--- a/router/fleet_driver.h
+++ b/router/fleet_driver.h
@@ -53,6 +53,10 @@
   // until it is destroyed.
   void LeaveGracefully(std::function<void()> done);
 
+  // Loses all slots; the keeper is not called any more after this. For a keeper
+  // that is destroyed before this driver.
+  void DetachSlotKeeper() { slots_.reset(); }
+
   // The version in force here; a raise is told to a few peers at once.
   void SetCatalogueVersion(uint64_t version);
 
--- a/router/kv_client_test.cc
+++ b/router/kv_client_test.cc
@@ -166,8 +166,8 @@
   CHECK(Put(&silent, Revision(0)).status == KvStatus::kNoReply);
   // The connection closes after the request was read.
   std::optional<KvResult> got;
-  const KvStore::CallPtr call =
-      silent.Put("k", "v", Revision(0), "", [&](const KvResult& r) { got = r; });
+  const KvStore::CallPtr call = silent.Put("k", "v", Revision(0), "",
+                                           [&](const KvResult& r) { got = r; });
   (void)listener.Accept();  // that of the first call
   std::unique_ptr<RawPeer> peer;
   REQUIRE(RunUntil(loop.get(), [&] {
