--- a/standins/decode_role.cc
+++ b/standins/decode_role.cc
@@ -152,6 +152,7 @@
   HttpHeaders headers;
   headers.Add("Content-Type", "text/event-stream");
   stream->reader->StartStream(200, std::move(headers));
+  stream->first_wanted = offset;
   for (int64_t i = offset; i < stream->produced && stream->reader != nullptr;
        ++i)
     WriteToken(stream, i);
@@ -193,7 +194,7 @@
   ++tokens_;
   if (stream->reader == nullptr)
     ++unread_tokens_;
-  else
+  else if (index >= stream->first_wanted)
     WriteToken(stream, index);
 }
 
@@ -276,7 +277,7 @@
   const ExchangePtr reader = std::move(stream->reader);
   stream->reader_serial = 0;
   if (rest > 0) reader->Write(text.substr(0, static_cast<size_t>(rest)));
-  reader->Abort();
+  AbortWhenDrained(reader);
 }
 
 CancelResult DecodeRole::Cancel(const RequestMatcher& matcher) {
--- a/standins/decode_role.h
+++ b/standins/decode_role.h
@@ -45,6 +45,7 @@
     ExchangePtr reader;          // null: nobody reads
     uint64_t reader_serial = 0;  // tells the reader from a former one
     int64_t bytes_written = 0;   // to this reader
+    int64_t first_wanted = 0;    // tokens before it aren't sent to this reader
     std::unique_ptr<HttpCall> import;
     TimerHandle linger;
   };
--- a/standins/engine_main.cc
+++ b/standins/engine_main.cc
@@ -17,7 +17,7 @@
 class Flags {
  public:
   Flags()
-      : cmd_("Stand-in for a model engine, for tests", ' ', "1"),
+      : cmd_("Stand-in for a model engine, for tests", '=', "1"),
         roles_(role_names_),
         fencings_(fencing_names_),
         disconnects_(disconnect_names_),
--- a/standins/fault_proxy_main.cc
+++ b/standins/fault_proxy_main.cc
@@ -23,7 +23,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  TCLAP::CmdLine cmd("TCP proxy that injects faults, for tests", ' ', "1");
+  TCLAP::CmdLine cmd("TCP proxy that injects faults, for tests", '=', "1");
   TCLAP::ValueArg<std::string> listen("", "listen", "where to listen", true, "",
                                       "ip:port", cmd);
   TCLAP::ValueArg<std::string> target("", "target", "where to connect to", true,
--- a/standins/http_json.cc
+++ b/standins/http_json.cc
@@ -117,6 +117,14 @@
   exchange->Respond(std::move(response));
 }
 
+void AbortWhenDrained(const std::shared_ptr<HttpExchange>& exchange) {
+  if (exchange->UnsentBytes() == 0) {
+    exchange->Abort();
+    return;
+  }
+  exchange->OnDrained([exchange] { exchange->Abort(); });
+}
+
 void ReceivedLog::Add(const HttpRequest& request) {
   std::string entry = request.method + " " + request.target + "\n";
   for (const auto& [name, value] : request.headers.fields())
--- a/standins/http_json.h
+++ b/standins/http_json.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -44,6 +45,9 @@
 void RespondError(HttpExchange* exchange, int status, const char* error);
 void RespondRaw(HttpExchange* exchange, std::string bytes);
 
+// Aborts once all that was written has left: a cut after exactly those bytes.
+void AbortWhenDrained(const std::shared_ptr<HttpExchange>& exchange);
+
 // Head and body of all requests received, for byte searches. Keeps the newest
 // `max_bytes`, so that long load runs stay within memory.
 class ReceivedLog {
--- a/standins/platform_main.cc
+++ b/standins/platform_main.cc
@@ -7,7 +7,7 @@
 #include "standins/serve.h"
 
 int main(int argc, char** argv) {
-  TCLAP::CmdLine cmd("Stand-in for the platform, for tests", ' ', "1");
+  TCLAP::CmdLine cmd("Stand-in for the platform, for tests", '=', "1");
   TCLAP::ValueArg<std::string> listen("", "listen", "where to listen", false,
                                       "127.0.0.1:0", "ip:port", cmd);
   TCLAP::ValueArg<int64_t> rate("", "max-calls-per-s",
--- a/standins/service.cc
+++ b/standins/service.cc
@@ -120,7 +120,7 @@
        rest.remove_prefix(std::min(rest.size(), kEchoChunkBytes)))
     exchange->Write(rest.substr(0, kEchoChunkBytes));
   if (cut || behaviour_.cut_chunked)
-    exchange->Abort();
+    AbortWhenDrained(exchange);
   else
     exchange->Finish();
 }
--- /dev/null
+++ b/tests/standins_process_test.cc
@@ -0,0 +1,277 @@
+// The stand-ins as processes: what the proofs of the router rest on.
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "base/digest.h"
+#include "base/json.h"
+#include "standins/answer.h"
+#include "tests/client.h"
+#include "tests/harness.h"
+
+namespace mimosa::testing {
+namespace {
+
+using standins::ExpectedOutput;
+
+Json::Value Object(
+    std::initializer_list<std::pair<const char*, Json::Value>> members) {
+  Json::Value value(Json::objectValue);
+  for (const auto& [name, member] : members) value[name] = member;
+  return value;
+}
+
+Json::Value Order(const std::string& request, const std::string& prompt) {
+  return Object({{"request", request},
+                 {"attempt", 1},
+                 {"prompt", prompt},
+                 {"max_output_tokens", 50}});
+}
+
+// One prefill and one decode engine.
+struct Engines {
+  explicit Engines(const std::vector<std::string>& flags = {})
+      : prefill("standin-engine", With("--role=prefill", flags)),
+        decode("standin-engine", With("--role=decode", flags)) {}
+
+  static std::vector<std::string> With(const char* role,
+                                       std::vector<std::string> flags) {
+    flags.emplace_back(role);
+    flags.emplace_back("--token-us=5000");
+    flags.emplace_back("--kv-ttl-ms=300");
+    flags.emplace_back("--linger-ms=300");
+    return flags;
+  }
+
+  // A decode order for the prompt's KV, which is computed first.
+  Json::Value Prefilled(const std::string& request, const std::string& prompt) {
+    Json::Value order = Order(request, prompt);
+    const Reply reply = PostJson(prefill.port(), "/v1/prefill", order);
+    REQUIRE(reply.status == 200);
+    order["kv"] = reply.Document()["kv"];
+    order["from"] = prefill.address();
+    return order;
+  }
+
+  StandIn prefill;
+  StandIn decode;
+};
+
+std::string StreamText(const Reply& reply) {
+  std::string text;
+  size_t at = 0;
+  while ((at = reply.body.find("data: {", at)) != std::string::npos) {
+    const size_t end = reply.body.find('\n', at);
+    const auto event = ParseJson(reply.body.substr(at + 6, end - at - 6));
+    if (event) text += (*event)["text"].asString();
+    at = end;
+  }
+  return text;
+}
+
+Request PostOf(const std::string& target, const Json::Value& body) {
+  Request request;
+  request.method = "POST";
+  request.target = target;
+  request.body = WriteJson(body);
+  return request;
+}
+
+TEST_CASE("Engines: prefill, transfer, decode, and nothing held at the end") {
+  Engines engines;
+  const std::string prompt = "Which course? [out=12]";
+  const Reply reply = PostJson(engines.decode.port(), "/v1/decode",
+                               engines.Prefilled("r/1", prompt));
+  CHECK(reply.whole);
+  CHECK(StreamText(reply) == ExpectedOutput(prompt, 50));
+  CHECK(HasEndMarker(reply));
+  CHECK(engines.decode.Count("held_pieces") == 0);
+  CHECK(engines.prefill.Count("held_pieces") == 0);
+  CHECK(engines.prefill.Count("prefills_wasted") == 0);
+}
+
+TEST_CASE("Engines: an unclaimed result is evicted and counts as wasted") {
+  Engines engines;
+  const Json::Value order = engines.Prefilled("r/1", "letter");
+  REQUIRE(Eventually(
+      [&] { return engines.prefill.Count("prefills_wasted") == 1; }));
+  const Reply reply = PostJson(engines.decode.port(), "/v1/decode", order);
+  CHECK(reply.status == 410);
+  CHECK(engines.decode.Count("held_pieces") == 0);
+}
+
+TEST_CASE("Engines: memory is held for a reader who left, until cancelled") {
+  Engines engines;
+  const Json::Value order = engines.Prefilled("r/1", "letter [out=50]");
+  Connection caller(engines.decode.port());
+  engines.decode.Behave(Object({{"stall_decode_after", 5}}));
+  REQUIRE(caller.Send(PostOf("/v1/decode", order)));
+  caller.ReadSome(1);
+  caller.Close();
+  REQUIRE(Eventually([&] {
+    return engines.decode.Count("unread_tokens") > 0 ||
+           engines.decode.Count("tokens") == 5;
+  }));
+  CHECK(engines.decode.Count("held_pieces") == 1);
+  const Reply reply =
+      PostJson(engines.decode.port(), "/v1/cancel", Object({{"prefix", "r/"}}));
+  CHECK(reply.Document()["freed_pieces"].asInt() == 1);
+  CHECK(engines.decode.Count("held_pieces") == 0);
+}
+
+TEST_CASE("Engines: a cut stream resumes at the offset") {
+  Engines engines;
+  const std::string prompt = "letter [out=40]";
+  Connection caller(engines.decode.port());
+  REQUIRE(caller.Send(PostOf("/v1/decode", engines.Prefilled("r/1", prompt))));
+  caller.ReadSome(1);
+  caller.Close();
+  Json::Value order = Order("r/1", prompt);
+  order["offset"] = 3;
+  const Reply reply = PostJson(engines.decode.port(), "/v1/resume", order);
+  CHECK(reply.whole);
+  std::string expected;
+  const standins::Answer answer(prompt, 50);
+  for (int i = 3; i < 40; ++i) expected += answer.Token(i);
+  CHECK(StreamText(reply) == expected);
+  CHECK(engines.decode.Count("held_pieces") == 0);
+}
+
+TEST_CASE("Engines: whole pieces, or a refusal") {
+  Engines engines({"--pieces=2"});
+  Json::Value order = engines.Prefilled("r/1", "letter");
+  order["max_output_tokens"] = 2 * 2048;
+  CHECK(PostJson(engines.decode.port(), "/v1/decode", order).status == 507);
+  CHECK(engines.decode.Count("held_pieces") == 0);
+}
+
+TEST_CASE("Engines: fencing is checked or ignored") {
+  for (const bool checks : {true, false}) {
+    Engines engines({checks ? "--fencing=check" : "--fencing=ignore"});
+    const auto order = [&](int fence) {
+      return PostJson(engines.decode.port(), "/v1/cancel",
+                      Object({{"request", "x"}, {"fence", fence}}))
+          .status;
+    };
+    CHECK(order(7) == 200);
+    CHECK(order(6) == (checks ? 409 : 200));
+    CHECK(order(8) == 200);
+  }
+}
+
+TEST_CASE("Platform: writers race, replies get lost, outages have no effect") {
+  StandIn platform("standin-platform", {});
+  const auto put = [&](const std::string& value, int expect) {
+    Request request;
+    request.method = "PUT";
+    request.target = "/v1/kv/m/a%231?expect=" + std::to_string(expect);
+    request.body = value;
+    return Call(platform.port(), request);
+  };
+  CHECK(put("one", 0).status == 200);
+  const Reply loser = put("two", 0);
+  CHECK(loser.status == 409);
+  CHECK(loser.Document()["value"].asString() == "one");
+  platform.Behave(Object({{"lose_replies", 1}, {"lose_replies_prefix", "m/"}}),
+                  "/debug/control");
+  CHECK(put("three", 1).status == 0);
+  CHECK(GetJson(platform.port(), "/v1/kv/m/a%231")["value"] == "three");
+  platform.Behave(Object({{"outage", true}}), "/debug/control");
+  CHECK(put("four", 2).status == 0);
+  platform.Behave(Object({{"outage", false}}), "/debug/control");
+  CHECK(GetJson(platform.port(), "/v1/kv/m/a%231")["value"] == "three");
+  CHECK(put(std::string((1U << 20) + 1, 'v'), 2).status == 413);
+}
+
+TEST_CASE("Platform: a waiting watch is answered at a change") {
+  StandIn platform("standin-platform", {});
+  Connection watcher(platform.port());
+  Request watch;
+  watch.target = "/v1/watch?prefix=m/&after=0&wait_ms=20000";
+  REQUIRE(watcher.Send(watch));
+  REQUIRE(Eventually([&] {
+    return GetJson(platform.port(), "/debug/stats")["waiting_watches"] == 1;
+  }));
+  Request request;
+  request.method = "PUT";
+  request.target = "/v1/kv/m/a?expect=0";
+  request.body = "v";
+  REQUIRE(Call(platform.port(), request).status == 200);
+  CHECK(watcher.Read().Document()["records"][0]["key"] == "m/a");
+}
+
+TEST_CASE("Service: journals what ran before it answers") {
+  StandIn service("standin-service", {});
+  const Request call = ServiceRequest("POST", "/booking/1", "anvil", "");
+  service.Behave(Object({{"close_before_run", 1}}));
+  CHECK(Call(service.port(), call).status == 0);
+  service.Behave(Object({{"close_after_run", 1}}));
+  CHECK(Call(service.port(), call).status == 0);
+  const Reply reply = Call(service.port(), call);
+  CHECK(reply.Document()["run"].asInt() == 2);
+  const Json::Value runs = GetJson(service.port(), "/debug/journal")["runs"];
+  REQUIRE(runs.size() == 2);
+  CHECK(runs[0]["body_sha256"] == Sha256Hex("anvil"));
+  service.Behave(Object({{"close_after_bytes", 10}}));
+  const Reply cut = Call(service.port(), call);
+  CHECK_FALSE(cut.whole);
+  CHECK(cut.body.size() == 10);
+}
+
+TEST_CASE("Proxy: each fault does what it says") {
+  StandIn service("standin-service", {});
+  const std::string body(5000, 'b');
+  Request call = ServiceRequest("POST", "/x", body, "");
+  call.headers = {{"X-Echo", "body"}};
+  const auto through = [&] { return Call(service.proxy().port(), call); };
+  const auto runs = [&] {
+    return GetJson(service.port(), "/debug/journal")["runs"].size();
+  };
+  REQUIRE(through().body == body);
+  CHECK(service.proxy().Received().find(body) != std::string::npos);
+  struct Row {
+    const char* commands;  // one
+    bool whole;
+    unsigned runs;  // how many this call adds
+  };
+  const Row rows[] = {
+      {"set delay_ms 20", true, 1},
+      {"set cut_after_up 100", false, 0},
+      {"set cut_after_down 60", false, 1},
+      {"set half_close_down 300", false, 1},
+      {"set drop_nth 1", false, 0},
+      {"mode cut", false, 0},
+      {"set duplicate 1", true, 2},
+      {"reset", true, 1},
+  };
+  for (const Row& row : rows) {
+    INFO(row.commands);
+    const unsigned before = runs();
+    service.proxy().Do("reset");
+    service.proxy().Do(row.commands);
+    CHECK(through().whole == row.whole);
+    CHECK(Eventually([&] { return runs() == before + row.runs; }));
+  }
+}
+
+TEST_CASE("Processes: frozen, thawed, killed and started again") {
+  StandIn service("standin-service", {});
+  const auto answers = [&](double seconds) {
+    return Call(service.port(), ServiceRequest("GET", "/x", "", ""),
+                Seconds(seconds))
+        .whole;
+  };
+  CHECK(answers(30));
+  service.process().Freeze();
+  CHECK_FALSE(answers(0.2));
+  service.process().Thaw();
+  CHECK(answers(30));
+  service.process().Kill();
+  CHECK_FALSE(answers(0.2));
+  service.process().Start();
+  CHECK(Eventually([&] { return answers(1); }));
+  service.process().Terminate();
+  CHECK(service.process().Wait() == 0);
+}
+
+}  // namespace
+}  // namespace mimosa::testing
