--- a/net/http_codec.cc
+++ b/net/http_codec.cc
@@ -26,7 +26,6 @@
 // Bounds the work of matching fields against each other.
 constexpr size_t kMaxFields = 256;
 
-constexpr int kHttp10 = 10;
 constexpr int kHttp11 = 11;
 
 // Fields about the connection rather than the message (RFC 9110, 7.6.1).
--- a/net/lws_loop.cc
+++ b/net/lws_loop.cc
@@ -37,6 +37,18 @@
     {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 }};
 
+// Wakes poll for the earliest timer. The library runs ripe entries of its list
+// just before it polls, and would then wait for the next one: it is told not
+// to.
+struct Waker {
+  static void Wake(lws_sorted_usec_list_t* sul) {
+    lws_cancel_service(lws_container_of(sul, Waker, sul)->context);
+  }
+
+  lws_sorted_usec_list_t sul{};
+  lws_context* context = nullptr;
+};
+
 // Order of equal deadlines is order of creation.
 using TimerKey = std::pair<MonoTime, uint64_t>;
 using TimerMap = std::map<TimerKey, std::function<void()>>;
@@ -70,6 +82,7 @@
     info.timeout_secs = kLibraryConnectTimeoutSeconds;
     info.connect_timeout_secs = kLibraryConnectTimeoutSeconds;
     context_ = lws_create_context(&info);
+    waker_.context = context_;
   }
 
   ~LwsLoopImpl() override {
@@ -80,7 +93,7 @@
     }
     posted_.clear();
     timers_.reset();
-    lws_sul_cancel(&wake_);
+    lws_sul_cancel(&waker_.sul);
     lws_context_destroy(context_);
   }
 
@@ -146,14 +159,12 @@
     errno = saved_errno;
   }
 
-  static void Wake(lws_sorted_usec_list_t* /*sul*/) {}  // poll returns
-
   void ScheduleWake() {
     Duration wait = kLongestWait;
     if (!timers_->empty()) {
       wait = std::min(wait, timers_->begin()->first.first - Now());
     }
-    lws_sul_schedule(context_, 0, &wake_, &LwsLoopImpl::Wake,
+    lws_sul_schedule(context_, 0, &waker_.sul, &Waker::Wake,
                      std::max<lws_usec_t>(1, wait.count()));
   }
 
@@ -185,7 +196,7 @@
   uint64_t serial_ = 0;  // of the timer set last
   std::vector<std::function<void()>> posted_;
   std::function<void()> on_signal_;
-  lws_sorted_usec_list_t wake_{};
+  Waker waker_;
   bool stopped_ = false;
   bool in_service_ = false;  // within lws_service()
   std::atomic<bool> signalled_{false};
--- a/net/raw_socket.cc
+++ b/net/raw_socket.cc
@@ -196,27 +196,34 @@
 int RawSocket::OnWritable() {
   const bool had_unsent = unsent() > 0;
   in_flight_ = 0;
-  const size_t n = std::min(out_.size() - out_begin_, kWritePieceBytes);
-  if (n == 0) {
-    out_.clear();
-    out_.shrink_to_fit();
-    out_begin_ = 0;
-    if (had_unsent) handler_->OnDrained();
+  if (out_begin_ < out_.size() && !WritePiece()) return -1;
+  if (unsent() > 0) {
+    lws_callback_on_writable(wsi());
     return 0;
   }
+  out_.clear();
+  out_.shrink_to_fit();
+  out_begin_ = 0;
+  if (had_unsent) handler_->OnDrained();
+  return 0;
+}
+
+bool RawSocket::WritePiece() {
   // The library wants room of its own before the data.
   std::array<unsigned char, LWS_PRE + kWritePieceBytes> piece;  // NOLINT
+  const size_t n = std::min(out_.size() - out_begin_, kWritePieceBytes);
   std::memcpy(piece.data() + LWS_PRE, out_.data() + out_begin_, n);
   offered_ += n;
-  in_flight_ = n;
   out_begin_ += n;
   if (out_begin_ >= kCompactBytes) {
     out_.erase(0, out_begin_);
     out_begin_ = 0;
   }
-  if (lws_write(wsi(), piece.data() + LWS_PRE, n, LWS_WRITE_RAW) < 0) return -1;
-  lws_callback_on_writable(wsi());
-  return 0;
+  if (lws_write(wsi(), piece.data() + LWS_PRE, n, LWS_WRITE_RAW) < 0) {
+    return false;
+  }
+  if (lws_partial_buffered(wsi()) != 0) in_flight_ = n;
+  return true;
 }
 
 std::unique_ptr<Listener> Listener::Open(LwsLoop* loop, const Endpoint& address,
--- a/net/raw_socket.h
+++ b/net/raw_socket.h
@@ -88,14 +88,15 @@
   explicit RawSocket(Handler* handler) : handler_(handler) {}
   int OnEvent(lws_callback_reasons reason, void* in, size_t len) override;
   int OnWritable();
+  // Hands one piece to the library; false if the connection broke.
+  bool WritePiece();
 
   Handler* const handler_;
   bool connected_ = false;
   bool paused_ = false;
   std::string out_;       // [out_begin_, size) waits to be written
   size_t out_begin_ = 0;  // <= out_.size()
-  // Given to lws_write() and not yet known to be in the kernel: the library
-  // buffers what a partial write left.
+  // Given to lws_write(), which buffers what the kernel did not take.
   size_t in_flight_ = 0;
   uint64_t offered_ = 0;
 };
--- a/standins/service.cc
+++ b/standins/service.cc
@@ -53,7 +53,7 @@
 }
 
 int64_t Service::Journal(const HttpRequest& request) {
-  const auto run = static_cast<Json::Int64>(runs_.size() + 1);
+  const Json::Int64 run = Json::Int64(runs_.size()) + 1;
   Json::Value entry;
   entry["run"] = run;
   entry["method"] = request.method;
--- /dev/null
+++ b/tests/answered_once_test.cc
@@ -0,0 +1,134 @@
+// Promises: no request is answered twice; each caller receives the whole answer
+// to its own request, also when answers come late, doubled or crossed, streams
+// are cut and resumed, and engines die.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "standins/answer.h"
+#include "tests/harness.h"
+
+namespace mimosa::testing {
+namespace {
+
+using standins::ExpectedOutput;
+
+constexpr int64_t kMaxTokens = 60;
+
+DeploymentOptions Options(const std::string& disable, int decode = 1) {
+  DeploymentOptions options;
+  options.decode = decode;
+  options.router_flags = {"--grant-ms=1000"};
+  if (!disable.empty()) options.router_flags.push_back("--disable=" + disable);
+  return options;
+}
+
+Json::Value Members(
+    std::initializer_list<std::pair<const char*, Json::Value>> list) {
+  Json::Value members(Json::objectValue);
+  for (const auto& [name, value] : list) members[name] = value;
+  return members;
+}
+
+// Sends `count` letters at once over all routers; how many of the answers are
+// the whole text of their own letter.
+int CorrectOf(Deployment& fleet, int count) {
+  std::vector<std::thread> callers;
+  std::vector<int> correct(static_cast<size_t>(count), 0);
+  for (size_t i = 0; i < correct.size(); ++i) {
+    callers.emplace_back([&, i] {
+      const std::string prompt = "letter " + std::to_string(i) +
+                                 " [out=" + std::to_string(20 + i) + "]";
+      const bool stream = i % 2 == 0;
+      const Reply reply = Call(fleet.router(i % fleet.routers()).port(),
+                               Completion(prompt, kMaxTokens, stream));
+      correct[i] = reply.whole && reply.status == 200 &&
+                           HasEndMarker(reply) == stream &&
+                           TextOf(reply) == ExpectedOutput(prompt, kMaxTokens)
+                       ? 1
+                       : 0;
+    });
+  }
+  for (std::thread& caller : callers) caller.join();
+  return static_cast<int>(std::count(correct.begin(), correct.end(), 1));
+}
+
+TEST_CASE("Crossed, doubled and late answers reach nobody wrongly") {
+  Deployment fleet(Options(""));
+  const Json::Value behaviours[] = {
+      Members({{"cross_answers", true}}),
+      Members({{"double_answers", true}}),
+      Members({{"late_ms", 200}}),
+      Members({{"cross_answers", true}, {"double_answers", true}}),
+  };
+  const Json::Value calm = Members(
+      {{"cross_answers", false}, {"double_answers", false}, {"late_ms", 0}});
+  for (const Json::Value& behaviour : behaviours) {
+    INFO(behaviour.toStyledString());
+    for (StandIn* engine : {&fleet.decode(), &fleet.prefill()}) {
+      engine->Behave(calm);
+      engine->Behave(behaviour);
+    }
+    CHECK(CorrectOf(fleet, 10) == 10);
+  }
+  CHECK(Eventually([&] { return fleet.decode().Count("held_pieces") == 0; }));
+}
+
+TEST_CASE("Naive: without the check of attempts answers are mixed up") {
+  Deployment fleet(Options("attempt-check"));
+  fleet.decode().Behave(Members({{"cross_answers", true}}));
+  CHECK(CorrectOf(fleet, 10) < 10);
+  fleet.decode().Behave(
+      Members({{"cross_answers", false}, {"double_answers", true}}));
+  CHECK(CorrectOf(fleet, 10) < 10);
+}
+
+TEST_CASE("A stream cut at any byte is resumed without a second prefill") {
+  Deployment fleet(Options(""));
+  for (const int bytes : {300, 400, 501, 800, 1500, 2500}) {
+    INFO("cut after " << bytes);
+    fleet.decode().proxy().Do("set cut_after_down " + std::to_string(bytes));
+    fleet.decode().proxy().Do("set limit 1");
+    CHECK(CorrectOf(fleet, 1) == 1);
+  }
+  CHECK(fleet.prefill().Count("prefills_recomputed") == 0);
+  CHECK(fleet.decode().Count("resumed") > 0);
+  CHECK(Eventually([&] { return fleet.decode().Count("held_pieces") == 0; }));
+}
+
+TEST_CASE("A resume that races with a slow original takes each token once") {
+  Deployment fleet(Options(""));
+  // Only the connection is cut: the engine goes on and the resume overtakes
+  // what is still under way.
+  fleet.decode().proxy().Do("set delay_ms 50");
+  fleet.decode().Behave(Members({{"double_answers", true}}));
+  fleet.decode().proxy().Do("set cut_after_down 900");
+  fleet.decode().proxy().Do("set limit 3");
+  CHECK(CorrectOf(fleet, 8) == 8);
+}
+
+TEST_CASE("An engine that dies in the middle is replaced by another") {
+  Deployment fleet(Options("", /*decode=*/2));
+  fleet.decode(0).Behave(Members({{"die_after_tokens", 10}}));
+  fleet.decode(1).Behave(Members({{"die_after_tokens", 1000000}}));
+  CHECK(CorrectOf(fleet, 6) == 6);
+  CHECK(Eventually([&] { return !fleet.decode(0).process().running(); }));
+  CHECK(Eventually([&] { return fleet.decode(1).Count("held_pieces") == 0; }));
+}
+
+TEST_CASE("An engine that talks nonsense is not taken for an answer") {
+  Deployment fleet(Options("", /*decode=*/2));
+  fleet.decode(0).Behave(Members({{"nonsense", true}}));
+  CHECK(CorrectOf(fleet, 6) == 6);
+  fleet.decode(1).Behave(Members({{"nonsense", true}}));
+  const Reply reply =
+      Call(fleet.router(0).port(), Completion("x [out=9]", kMaxTokens, false));
+  CHECK(reply.status >= 500);
+  CHECK(reply.Header("Mimosa-Outcome") == "unknown");
+  CHECK(Eventually([&] { return fleet.decode(0).Count("held_pieces") == 0; }));
+}
+
+}  // namespace
+}  // namespace mimosa::testing
--- a/tests/client.cc
+++ b/tests/client.cc
@@ -20,8 +20,8 @@
 
 constexpr uint64_t kMaxBody = 64U << 20;
 
-Tcp::endpoint EndpointOf(uint16_t port) {
-  return {asio::ip::address_v4::loopback(), port};
+Tcp::endpoint EndpointOf(uint16_t port, const std::string& ip) {
+  return {asio::ip::make_address(ip), port};
 }
 
 }  // namespace
@@ -84,9 +84,10 @@
   }
 };
 
-Connection::Connection(uint16_t port) : impl_(std::make_unique<Impl>()) {
-  impl_->Await(kDeadline, [this, port](auto handler) {
-    impl_->stream.async_connect(EndpointOf(port), handler);
+Connection::Connection(uint16_t port, const std::string& ip)
+    : impl_(std::make_unique<Impl>()) {
+  impl_->Await(kDeadline, [&](auto handler) {
+    impl_->stream.async_connect(EndpointOf(port, ip), handler);
   });
 }
 
@@ -128,8 +129,9 @@
 
 void Connection::Close() { impl_->stream.close(); }
 
-Reply Call(uint16_t port, const Request& request, Seconds deadline) {
-  Connection connection(port);
+Reply Call(uint16_t port, const Request& request, Seconds deadline,
+           const std::string& ip) {
+  Connection connection(port, ip);
   if (!connection.Send(request)) return {};
   return connection.Read(deadline);
 }
@@ -159,7 +161,7 @@
   asio::io_context io;
   Tcp::socket socket(io);
   error_code ec;
-  socket.connect(EndpointOf(port), ec);
+  socket.connect(EndpointOf(port, "127.0.0.1"), ec);
   if (ec) return "";
   asio::write(socket, asio::buffer(command + "\n"), ec);
   socket.shutdown(Tcp::socket::shutdown_send, ec);
--- a/tests/client.h
+++ b/tests/client.h
@@ -1,5 +1,5 @@
-// A small blocking HTTP client for tests, on Boost.Beast: on purpose another
-// implementation than the product's.
+// A small blocking HTTP client for tests, on Boost.Beast. Where the framing
+// itself is at stake, tests send and look for raw bytes instead.
 #ifndef TESTS_CLIENT_H_
 #define TESTS_CLIENT_H_
 
@@ -38,7 +38,7 @@
 // One connection. Requests may follow each other on it.
 class Connection {
  public:
-  explicit Connection(uint16_t port);
+  explicit Connection(uint16_t port, const std::string& ip = "127.0.0.1");
   ~Connection();
 
   // Sends a request without waiting for the answer. False if that failed.
@@ -58,7 +58,8 @@
 };
 
 // One request on a connection of its own.
-Reply Call(uint16_t port, const Request& request, Seconds deadline = kDeadline);
+Reply Call(uint16_t port, const Request& request, Seconds deadline = kDeadline,
+           const std::string& ip = "127.0.0.1");
 Reply Get(uint16_t port, const std::string& target);
 Reply PostJson(uint16_t port, const std::string& target,
                const Json::Value& body);
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -35,6 +35,11 @@
   return flags;
 }
 
+std::string NextIp() {
+  static int serial = 0;
+  return "127.0.0." + std::to_string(10 + serial++ % 200);
+}
+
 wire::Customer MakeCustomer(const char* id, const char* key) {
   wire::Customer customer;
   customer.set_id(id);
@@ -64,10 +69,11 @@
 }  // namespace
 
 Proxy::Proxy(uint16_t target)
-    : port_(FreePort()),
+    : ip_(NextIp()),
+      port_(FreePort()),
       control_(FreePort()),
       process_("standins/fault-proxy",
-               {"--listen=" + Loopback(port_), "--target=" + Loopback(target),
+               {"--listen=" + address(), "--target=" + Loopback(target),
                 "--control=" + Loopback(control_),
                 "--seed=" + std::to_string(Seed())}) {
   REQUIRE(Eventually([this] { return !Stats().isNull(); }));
@@ -116,7 +122,7 @@
                      "--listen=" + Loopback(port_),
                      "--peer-listen=" + Loopback(peer_port_),
                      "--operator-listen=" + Loopback(operator_port_),
-                     "--platform=" + Loopback(platform_.port()),
+                     "--platform=" + platform_.address(),
                      std::string("--deployment=") + kDeployment};
                  args.insert(args.end(), options.flags.begin(),
                              options.flags.end());
@@ -226,18 +232,24 @@
   return nullptr;
 }
 
+std::string Deployment::Control(const std::vector<std::string>& command) {
+  std::vector<std::string> args = {"--platform=" + Loopback(platform_.port()),
+                                   std::string("--deployment=") + kDeployment};
+  args.insert(args.end(), command.begin(), command.end());
+  Process control(kControlProgram, args,
+                  {{"MIMOSA_OPERATOR_SECRET", kOperatorSecret}});
+  const auto code = control.Wait();
+  INFO(control.Output());
+  REQUIRE(code == 0);
+  return control.Output();
+}
+
 void Deployment::Apply() {
   const auto path = std::filesystem::temp_directory_path() /
                     ("mimosa-catalogue-" + std::to_string(platform_.port()));
   std::ofstream(path) << ToJson(catalogue_);
-  Process control(kControlProgram,
-                  {"--platform", Loopback(platform_.port()), "--deployment",
-                   kDeployment, "catalogue", "apply", path.string()},
-                  {{"MIMOSA_OPERATOR_SECRET", kOperatorSecret}});
-  const auto code = control.Wait();
+  Control({"catalogue", "apply", path.string()});
   std::filesystem::remove(path);
-  INFO(control.Output());
-  REQUIRE(code == 0);
 }
 
 Request Completion(const std::string& prompt, int64_t max_tokens, bool stream,
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -20,15 +20,21 @@
 inline constexpr char kPeerSecret[] = "peer-secret-of-the-tests";
 inline constexpr char kOperatorSecret[] = "operator-secret-of-the-tests";
 inline constexpr char kModel[] = "letters";
-inline constexpr char kTrustKey[] = "sk-trust-4fjq8z2m1x";
-inline constexpr char kPortKey[] = "sk-port-9wk3vb7n5c";
-
-// A fault proxy in front of `target`.
+// Of the form that mimosactl gives keys.
+inline constexpr char kTrustKey[] =
+    "mk_5f0c1e7a9b3d42688e1f0a7c6d5b4e3f2a190817263544ab";
+inline constexpr char kPortKey[] =
+    "mk_a1b2c3d4e5f60718293a4b5c6d7e8f90a1b2c3d4e5f60718";
+
+// A fault proxy in front of `target`, at an IP number of its own (all of
+// 127.0.0.0/8 is loopback), so that each back end looks like a VM.
 class Proxy {
  public:
   explicit Proxy(uint16_t target);
 
+  const std::string& ip() const { return ip_; }
   uint16_t port() const { return port_; }
+  std::string address() const { return ip_ + ":" + std::to_string(port_); }
   // Fails the test if the proxy doesn't know the command.
   void Do(const std::string& command);
   // Raw bytes that went to the target.
@@ -36,6 +42,7 @@
   Json::Value Stats() const;
 
  private:
+  const std::string ip_;
   const uint16_t port_;
   const uint16_t control_;
   Process process_;
@@ -47,7 +54,7 @@
   StandIn(const std::string& program, std::vector<std::string> args);
 
   uint16_t port() const { return port_; }  // without the proxy
-  std::string address() const { return Loopback(proxy_.port()); }
+  std::string address() const { return proxy_.address(); }
   Proxy& proxy() { return proxy_; }
   Process& process() { return process_; }
 
@@ -125,6 +132,8 @@
   wire::BackEnd* FindBackEnd(const std::string& id);
   // Writes it with mimosactl. Fails the test if that fails.
   void Apply();
+  // Runs mimosactl with this command; its output. Fails the test if it fails.
+  std::string Control(const std::vector<std::string>& command);
   void AwaitReady();
   Router& AddRouter();
 
--- /dev/null
+++ b/tests/keys_test.cc
@@ -0,0 +1,232 @@
+// Promises: a request runs only for the customer whose key came with it, and no
+// back end ever sees a caller's key.
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "base/json.h"
+#include "tests/harness.h"
+
+namespace mimosa::testing {
+namespace {
+
+DeploymentOptions Options(const std::string& disable) {
+  DeploymentOptions options;
+  options.router_flags = {"--grant-ms=1000"};
+  if (!disable.empty()) options.router_flags.push_back("--disable=" + disable);
+  return options;
+}
+
+// The customer for whom the service says that it ran; "-" if it didn't run.
+std::string RanFor(const Reply& reply) {
+  const Json::Value document = reply.Document();
+  if (reply.status != 200 || !document["headers"].isArray()) return "-";
+  for (const Json::Value& field : document["headers"])
+    if (field[0].asString() == "Mimosa-Customer" ||
+        field[0].asString() == "mimosa-customer")
+      return field[1].asString();
+  return "";
+}
+
+Request Lookup(const Fields& headers) {
+  Request request = ServiceRequest("GET", "/lookup/a", "", "");
+  request.headers = headers;
+  return request;
+}
+
+TEST_CASE("A request runs for the customer whose key came, or not at all") {
+  Deployment fleet(Options(""));
+  const std::string trust = kTrustKey;
+  const std::string port = kPortKey;
+  struct Row {
+    Fields headers;
+    const char* ran_for;
+  };
+  const Row rows[] = {
+      {{{"Authorization", "Bearer " + trust}}, "trust"},
+      {{{"Authorization", "Bearer " + port}}, "port"},
+      {{{"authorization", "bearer " + port}}, "port"},
+      {{{"X-Api-Key", trust}}, "trust"},
+      {{{"Cookie", "a=b; session_key=" + port}}, "port"},
+      {{}, "-"},
+      {{{"Authorization", "Bearer "}}, "-"},
+      {{{"Authorization", "Basic " + trust}}, "-"},
+      {{{"Authorization", trust}}, "-"},
+      {{{"Authorization", "Bearer " + trust + "0"}}, "-"},
+      {{{"Authorization", "Bearer " + trust.substr(0, 40)}}, "-"},
+      {{{"Authorization", "Bearer " + trust + "," + port}}, "-"},
+      {{{"Authorization", "Bearer " + trust},
+        {"Authorization", "Bearer " + port}},
+       "-"},
+      {{{"Authorization", "Bearer " + trust}, {"X-Api-Key", port}}, "-"},
+      {{{"Authorization", "Bearer " + trust},
+        {"Cookie", "session_key=" + port}},
+       "-"},
+      // A caller can't name a customer itself.
+      {{{"Authorization", "Bearer " + trust}, {"Mimosa-Customer", "port"}},
+       "trust"},
+      {{{"Mimosa-Customer", "port"}}, "-"},
+  };
+  Connection reused(fleet.router(0).port());
+  for (const Row& row : rows) {
+    for (const bool on_reused : {false, true}) {
+      const Request request = Lookup(row.headers);
+      Reply reply;
+      if (on_reused) {
+        REQUIRE(reused.Send(request));
+        reply = reused.Read();
+      } else {
+        reply = Call(fleet.router(1).port(), request);
+      }
+      INFO((row.headers.empty() ? "no key" : row.headers.back().second)
+           << " " << reply.status << " " << reply.body);
+      CHECK(RanFor(reply) == row.ran_for);
+      if (*row.ran_for == '-')
+        CHECK(reply.Header("Mimosa-Outcome") == "not-run");
+    }
+  }
+}
+
+TEST_CASE("Pipelined requests don't borrow each other's key") {
+  Deployment fleet(Options(""));
+  Connection connection(fleet.router(0).port());
+  const auto raw = [](const std::string& header) {
+    return "GET /lookup/a HTTP/1.1\r\nHost: t\r\n" + header + "\r\n";
+  };
+  const std::string trust = std::string("Authorization: Bearer ") + kTrustKey;
+  const std::string port = std::string("Authorization: Bearer ") + kPortKey;
+  REQUIRE(connection.SendRaw(raw(trust + "\r\n") + raw("") +
+                             raw(port + "\r\n") + raw("")));
+  for (const char* ran_for : {"trust", "-", "port", "-"})
+    CHECK(RanFor(connection.Read()) == ran_for);
+}
+
+TEST_CASE("Routes open to all need no key and pass none on") {
+  Deployment fleet(Options(""));
+  const uint16_t port = fleet.router(0).port();
+  CHECK(Call(port, ServiceRequest("GET", "/open/a", "", "")).status == 200);
+  CHECK(Call(port, ServiceRequest("GET", "/open/a", "", "mk_wrong")).status ==
+        200);
+  CHECK(Call(port, ServiceRequest("GET", "/open/a", "")).status == 200);
+  const std::string received = fleet.service().proxy().Received();
+  CHECK(received.find(kTrustKey) == std::string::npos);
+}
+
+// Every place a caller could put its key, sent to all kinds of back ends.
+void SendKeyEverywhere(Deployment& fleet) {
+  const std::string key = kTrustKey;
+  const uint16_t port = fleet.router(0).port();
+  const Fields places[] = {
+      {{"X-Api-Key", key}},
+      {{"Cookie", "session_key=" + key + "; other=1"}},
+      {{"Cookie", "other=" + key}},
+      {{"Proxy-Authorization", "Bearer " + key}},
+      {{"X-Forwarded-Authorization", "Bearer " + key}},
+      {{"Referer", "http://a/?key=" + key}},
+      {{"X-Anything", "prefix-" + key + "-suffix"}},
+      {{"X-Twice", "a"}, {"X-Twice", key}},
+      {{"Idempotency-Key", key}},
+  };
+  for (const Fields& place : places) {
+    Request request = ServiceRequest("POST", "/lookup/a", "body");
+    request.headers.insert(request.headers.end(), place.begin(), place.end());
+    Call(port, request);
+    request.target = "/booking/a";
+    Call(port, request);
+    request.target = "/open/a";
+    Call(port, request);
+    Request letter = Completion("letter [out=2]", 5, false);
+    letter.headers.insert(letter.headers.end(), place.begin(), place.end());
+    Call(port, letter);
+  }
+  for (const std::string& target :
+       {"/lookup/" + key, "/lookup/a?api_key=" + key, "/open/a?k=" + key,
+        "/lookup/a?k=%6d" + key.substr(1)})
+    Call(port, ServiceRequest("GET", target, ""));
+  Call(port, ServiceRequest("POST", "/lookup/a", "{\"key\":\"" + key + "\"}"));
+  Call(port, Completion("My key is " + key, 5, false));
+  // In a trailer, a chunk extension and the user part of an absolute target.
+  const std::string head = "Host: t\r\nAuthorization: Bearer " + key + "\r\n";
+  for (const std::string& raw :
+       {"POST /lookup/a HTTP/1.1\r\n" + head +
+            "Transfer-Encoding: chunked\r\nTrailer: X-Key\r\n\r\n1\r\nb\r\n0"
+            "\r\nX-Key: " +
+            key + "\r\n\r\n",
+        "POST /lookup/a HTTP/1.1\r\n" + head +
+            "Transfer-Encoding: chunked\r\n\r\n1;k=" + key +
+            "\r\nb\r\n0\r\n"
+            "\r\n",
+        "GET http://" + key + "@t/lookup/a HTTP/1.1\r\n" + head + "\r\n"}) {
+    Connection connection(port);
+    connection.SendRaw(raw);
+    connection.Read(Seconds(5));
+  }
+}
+
+// Everything that back ends received, on the wire and in their journals.
+std::string AllReceived(Deployment& fleet) {
+  return fleet.service().proxy().Received() +
+         fleet.prefill().proxy().Received() +
+         fleet.decode().proxy().Received() +
+         Get(fleet.service().port(), "/debug/received").body +
+         Get(fleet.prefill().port(), "/debug/journal").body +
+         Get(fleet.decode().port(), "/debug/journal").body;
+}
+
+TEST_CASE("No back end sees a key, wherever the caller puts it") {
+  Deployment fleet(Options(""));
+  SendKeyEverywhere(fleet);
+  const std::string received = AllReceived(fleet);
+  CHECK(received.find("/lookup/a") != std::string::npos);
+  CHECK(received.find("letter [out=2]") != std::string::npos);
+  // Without its prefix too: an encoded first character must not save it.
+  CHECK(received.find(std::string(kTrustKey).substr(3)) == std::string::npos);
+}
+
+TEST_CASE("Naive: without stripping back ends see keys") {
+  Deployment fleet(Options("key-strip"));
+  SendKeyEverywhere(fleet);
+  CHECK(AllReceived(fleet).find(kTrustKey) != std::string::npos);
+}
+
+// Withdraws the trust's key while a letter streams; whether the stream ended
+// and new requests were refused within the bound.
+bool WithdrawalWorks(const std::string& disable) {
+  constexpr Seconds kBound{5};
+  DeploymentOptions options = Options(disable);
+  options.engine_flags = {"--token-us=10000"};
+  Deployment fleet(options);
+  Connection streaming(fleet.router(0).port());
+  REQUIRE(streaming.Send(Completion("letter [out=4000]", 4000, true)));
+  REQUIRE(streaming.ReadSome(1).status == 200);
+  Connection open(fleet.router(1).port());
+  REQUIRE(open.Send(ServiceRequest("GET", "/lookup/a", "")));
+  REQUIRE(open.Read().status == 200);
+  fleet.Control({"key", "withdraw", "trust", "trust-1"});
+  const auto refused = [&](size_t router) {
+    return Call(fleet.router(router).port(),
+                ServiceRequest("GET", "/lookup/a", ""))
+               .status == 401;
+  };
+  for (size_t r = 0; r < fleet.routers(); ++r)
+    CHECK(Eventually([&] { return refused(r); }, kBound));
+  REQUIRE(open.Send(ServiceRequest("GET", "/lookup/a", "")));
+  CHECK(open.Read().status == 401);
+  CHECK(Call(fleet.router(0).port(),
+             ServiceRequest("GET", "/lookup/a", "", kPortKey))
+            .status == 200);
+  return Eventually([&] { return fleet.decode().Count("held_pieces") == 0; },
+                    kBound) &&
+         !streaming.Read(kBound).whole;
+}
+
+TEST_CASE("A withdrawn key stops working, also on open connections") {
+  CHECK(WithdrawalWorks(""));
+}
+
+TEST_CASE("Naive: without the sweep a withdrawn key's stream goes on") {
+  CHECK_FALSE(WithdrawalWorks("key-sweep"));
+}
+
+}  // namespace
+}  // namespace mimosa::testing
--- /dev/null
+++ b/tests/leaving_back_end_test.cc
@@ -0,0 +1,123 @@
+// Promise: a leaving back end receives no new work after a few seconds: by the
+// platform's list, by the catalogue and by mimosactl, one router being slow to
+// hear.
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "tests/harness.h"
+
+namespace mimosa::testing {
+namespace {
+
+constexpr Seconds kBound{5};  // "a few seconds"
+
+enum class Way { kList, kCatalogue, kControl };
+
+int64_t RunsOf(StandIn& service) {
+  return static_cast<int64_t>(
+      GetJson(service.port(), "/debug/journal")["runs"].size());
+}
+
+struct Work {
+  int64_t calls;
+  int64_t letters;
+  bool operator==(const Work& other) const {
+    return calls == other.calls && letters == other.letters;
+  }
+};
+
+// What the leaving back ends (number 0 of each kind) were given so far.
+Work GivenTo(Deployment& fleet) {
+  const std::string journal =
+      Get(fleet.decode(0).port(), "/debug/journal").body +
+      Get(fleet.prefill(0).port(), "/debug/journal").body;
+  int64_t letters = 0;
+  for (size_t at = 0; (at = journal.find("POST /v1/", at)) != std::string::npos;
+       ++at) {
+    const std::string path = journal.substr(at + 9, 7);
+    if (path == "prefill" || path.substr(0, 6) == "decode") ++letters;
+  }
+  return {RunsOf(fleet.service(0)), letters};
+}
+
+// A round of calls and letters through each router; how many went wrong.
+int Traffic(Deployment& fleet, int rounds) {
+  int failed = 0;
+  for (int i = 0; i < rounds; ++i) {
+    for (size_t r = 0; r < fleet.routers(); ++r) {
+      const uint16_t port = fleet.router(r).port();
+      if (Call(port, ServiceRequest("GET", "/lookup/a", "")).status != 200)
+        ++failed;
+      if (Call(port, Completion("x [out=2]", 5, false)).status != 200) ++failed;
+    }
+  }
+  return failed;
+}
+
+void Leave(Deployment& fleet, Way way) {
+  const std::string ids[] = {"desk-0", "prefill-0", "decode-0"};
+  switch (way) {
+    case Way::kList: {
+      Json::Value members;
+      for (StandIn* stand_in :
+           {&fleet.service(0), &fleet.prefill(0), &fleet.decode(0)}) {
+        Json::Value vm;
+        vm["address"] = stand_in->proxy().ip();
+        vm["failure_domain"] = "kochi";
+        vm["state"] = "leaving";
+        members["vms"].append(vm);
+      }
+      fleet.platform().Behave(members, "/debug/control");
+      break;
+    }
+    case Way::kCatalogue:
+      for (const std::string& id : ids)
+        fleet.FindBackEnd(id)->set_draining(true);
+      fleet.Apply();
+      break;
+    case Way::kControl:
+      for (const std::string& id : ids)
+        fleet.Control({"back-end", "drain", id});
+      break;
+  }
+}
+
+// The work that the leaving back ends got after the bound.
+bool GetsNothingNew(Way way, const std::string& disable) {
+  DeploymentOptions options;
+  options.routers = 3;
+  options.prefill = options.decode = options.services = 2;
+  options.router_flags = {"--grant-ms=1000"};
+  if (!disable.empty()) options.router_flags.push_back("--disable=" + disable);
+  Deployment fleet(options);
+  CHECK(Traffic(fleet, 4) == 0);
+  const Work before = GivenTo(fleet);
+  CHECK(before.calls > 0);
+  CHECK(before.letters > 0);
+  fleet.router(2).platform().Do("set delay_ms 300");  // slow to hear
+  Leave(fleet, way);
+  const auto end = std::chrono::steady_clock::now() + kBound;
+  while (std::chrono::steady_clock::now() < end) CHECK(Traffic(fleet, 1) == 0);
+  const Work at_bound = GivenTo(fleet);
+  CHECK(Traffic(fleet, 8) == 0);
+  return GivenTo(fleet) == at_bound;
+}
+
+TEST_CASE("A back end that the platform lists as leaving gets nothing new") {
+  CHECK(GetsNothingNew(Way::kList, ""));
+}
+
+TEST_CASE("A back end that the catalogue drains gets nothing new") {
+  CHECK(GetsNothingNew(Way::kCatalogue, ""));
+}
+
+TEST_CASE("A back end that mimosactl drains gets nothing new") {
+  CHECK(GetsNothingNew(Way::kControl, ""));
+}
+
+TEST_CASE("Naive: without draining a leaving back end gets new work") {
+  CHECK_FALSE(GetsNothingNew(Way::kCatalogue, "drain"));
+}
+
+}  // namespace
+}  // namespace mimosa::testing
--- /dev/null
+++ b/tests/smoke_test.cc
@@ -0,0 +1,69 @@
+// The whole path through separate processes: caller, router, engines, services
+// and the platform.
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "base/digest.h"
+#include "standins/answer.h"
+#include "tests/harness.h"
+
+namespace mimosa::testing {
+namespace {
+
+using standins::ExpectedOutput;
+
+TEST_CASE("Letters and calls reach their back ends and answers come back") {
+  Deployment fleet(DeploymentOptions{});
+  const std::string prompt = "Which forging course? [out=20]";
+  for (size_t i = 0; i < fleet.routers(); ++i) {
+    const uint16_t port = fleet.router(i).port();
+    for (const bool stream : {true, false}) {
+      const Reply reply = Call(port, Completion(prompt, 50, stream));
+      INFO(reply.status << " " << reply.body);
+      CHECK(reply.whole);
+      CHECK(reply.status == 200);
+      CHECK(reply.Header("Mimosa-Outcome") == "ran");
+      CHECK(TextOf(reply) == ExpectedOutput(prompt, 50));
+      CHECK(HasEndMarker(reply) == stream);
+    }
+    const Reply call =
+        Call(port, ServiceRequest("PUT", "/lookup/a?b=c%20d", "anvil"));
+    INFO(call.status << " " << call.body);
+    CHECK(call.status == 200);
+    CHECK(call.Document()["method"] == "PUT");
+    CHECK(call.Document()["target"] == "/lookup/a?b=c%20d");
+    CHECK(call.Document()["body_sha256"] == Sha256Hex("anvil"));
+  }
+  CHECK(fleet.prefill().Count("prefills_wasted") == 0);
+  CHECK(Eventually([&] { return fleet.decode().Count("held_pieces") == 0; }));
+}
+
+TEST_CASE("Refusals say what they are and that nothing ran") {
+  Deployment fleet(DeploymentOptions{});
+  const uint16_t port = fleet.router(0).port();
+  struct Row {
+    Request request;
+    int status;
+  };
+  Request get = ServiceRequest("GET", "/lookup/a", "");
+  const Row rows[] = {
+      {ServiceRequest("GET", "/nowhere", ""), 404},
+      {ServiceRequest("GET", "/lookup/a", "", ""), 401},
+      {ServiceRequest("GET", "/lookup/a", "", "mk_unknown"), 401},
+      {Completion("x", 1000000, false), 400},
+      {ServiceRequest("POST", "/v1/completions", "{\"prompt\":"), 400},
+  };
+  for (const Row& row : rows) {
+    const Reply reply = Call(port, row.request);
+    INFO(row.request.target << " " << reply.body);
+    CHECK(reply.status == row.status);
+    CHECK(reply.Header("Mimosa-Outcome") == "not-run");
+    CHECK_FALSE(reply.Header("Mimosa-Request-Id").empty());
+  }
+  CHECK(Call(port, get).status == 200);
+  CHECK(GetJson(fleet.service().port(), "/debug/journal")["runs"].size() == 1);
+  CHECK(fleet.prefill().Count("prefills_done") == 0);
+}
+
+}  // namespace
+}  // namespace mimosa::testing
--- a/tests/standins_process_test.cc
+++ b/tests/standins_process_test.cc
@@ -222,7 +222,9 @@
   const std::string body(5000, 'b');
   Request call = ServiceRequest("POST", "/x", body, "");
   call.headers = {{"X-Echo", "body"}};
-  const auto through = [&] { return Call(service.proxy().port(), call); };
+  const auto through = [&] {
+    return Call(service.proxy().port(), call, kDeadline, service.proxy().ip());
+  };
   const auto runs = [&] {
     return GetJson(service.port(), "/debug/journal")["runs"].size();
   };
--- /dev/null
+++ b/tests/whole_answers_test.cc
@@ -0,0 +1,136 @@
+// Promise: each caller receives the whole answer. A cut upstream is never a
+// clean end, and bodies arrive byte for byte in both directions.
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "tests/harness.h"
+
+namespace mimosa::testing {
+namespace {
+
+std::string RandomBytes(size_t size, uint64_t seed) {
+  SeededRandom random(seed);
+  std::string bytes(size, '\0');
+  for (char& byte : bytes) byte = static_cast<char>(random.Next());
+  return bytes;
+}
+
+Request Echo(const std::string& mode, const std::string& body) {
+  Request request = ServiceRequest("POST", "/lookup/echo", body);
+  request.headers.emplace_back("X-Echo", mode);
+  return request;
+}
+
+Json::Value Member(const char* name, const Json::Value& value) {
+  Json::Value members(Json::objectValue);
+  members[name] = value;
+  return members;
+}
+
+TEST_CASE("Bodies pass byte for byte, by length and in chunks") {
+  Deployment fleet(DeploymentOptions{});
+  Connection reused(fleet.router(0).port());
+  for (const size_t size : {0U, 1U, 999U, 1000U, 65536U, 300000U, 3000000U}) {
+    const std::string body = RandomBytes(size, Seed() + size);
+    for (const char* mode : {"body", "chunked"}) {
+      INFO(mode << " " << size);
+      REQUIRE(reused.Send(Echo(mode, body)));
+      const Reply reply = reused.Read();
+      CHECK(reply.whole);
+      CHECK(reply.status == 200);
+      CHECK((reply.body == body));
+    }
+  }
+}
+
+TEST_CASE("Method, target, headers and status pass whole") {
+  Deployment fleet(DeploymentOptions{});
+  const uint16_t port = fleet.router(0).port();
+  for (const char* method : {"GET", "PUT", "DELETE", "PATCH", "OPTIONS"}) {
+    for (const char* status : {"200", "201", "404", "500"}) {
+      Request request = ServiceRequest(method, "/lookup/%2Fa?x=%00&x=2", "b");
+      request.headers.emplace_back("X-Status", status);
+      request.headers.emplace_back("X-Twice", "one");
+      request.headers.emplace_back("X-Twice", "two");
+      const Reply reply = Call(port, request);
+      INFO(method << " " << status << " " << reply.body);
+      CHECK(std::to_string(reply.status) == status);
+      CHECK(reply.Document()["method"] == method);
+      CHECK(reply.Document()["target"] == request.target);
+      CHECK(reply.body.find("two") != std::string::npos);
+      int cookies = 0;
+      for (const auto& [name, value] : reply.headers)
+        if (name == "Set-Cookie" || name == "set-cookie") ++cookies;
+      CHECK(cookies == 2);
+    }
+  }
+  const Reply head = Call(port, ServiceRequest("HEAD", "/lookup/a", ""));
+  CHECK(head.whole);
+  CHECK(head.status == 200);
+}
+
+TEST_CASE("An answer cut anywhere is not taken for a whole one") {
+  Deployment fleet(DeploymentOptions{});
+  const uint16_t port = fleet.router(0).port();
+  const std::string body = RandomBytes(20000, Seed());
+  for (const char* mode : {"body", "chunked"}) {
+    for (const int at : {0, 1, 500, 1000, 1001, 19999}) {
+      INFO(mode << " cut at " << at);
+      fleet.service().Behave(Member("close_after_bytes", at));
+      const Reply reply = Call(port, Echo(mode, body));
+      const bool refused = reply.whole && reply.status >= 500;
+      CHECK((refused || !reply.whole));
+      if (!refused)
+        CHECK((body.compare(0, reply.body.size(), reply.body) == 0));
+      CHECK(reply.Header("Mimosa-Outcome") != "not-run");
+    }
+  }
+  fleet.service().Behave(Member("close_after_bytes", -1));
+  fleet.service().Behave(Member("cut_chunked", true));
+  CHECK_FALSE(Call(port, Echo("chunked", body)).whole);
+  // Cut on the wire: within the head, at its end, within the body.
+  fleet.service().Behave(Member("cut_chunked", false));
+  for (const int at : {1, 40, 150, 400, 5000}) {
+    INFO("wire cut at " << at);
+    fleet.service().proxy().Do("set cut_after_down " + std::to_string(at));
+    const Reply reply = Call(port, Echo("body", body));
+    CHECK_FALSE((reply.whole && reply.status == 200));
+    CHECK(reply.Header("Mimosa-Outcome") != "not-run");
+  }
+  fleet.service().proxy().Do("reset");
+  CHECK((Call(port, Echo("body", body)).body == body));
+}
+
+TEST_CASE("A letter whose engines are gone doesn't end like a whole one") {
+  DeploymentOptions options;
+  options.engine_flags = {"--token-us=10000"};
+  Deployment fleet(options);
+  Connection caller(fleet.router(0).port());
+  REQUIRE(caller.Send(Completion("letter [out=400]", 400, true)));
+  REQUIRE(caller.ReadSome(1).status == 200);
+  fleet.decode().process().Kill();
+  const Reply reply = caller.Read();
+  CHECK_FALSE(reply.whole);
+  CHECK_FALSE(HasEndMarker(reply));
+}
+
+TEST_CASE("A caller that reads slowly still gets all of it") {
+  Deployment fleet(DeploymentOptions{});
+  const std::string body = RandomBytes(3000000, Seed());
+  Connection caller(fleet.router(0).port());
+  REQUIRE(caller.Send(Echo("body", body)));
+  std::string got;
+  Reply reply;
+  for (size_t want = 500000; !reply.whole && want <= 3000000; want += 500000) {
+    reply = caller.ReadSome(want);
+    Eventually([] { return false; }, Seconds(0.1));
+  }
+  if (!reply.whole) reply = caller.Read();
+  CHECK(reply.whole);
+  CHECK((reply.body == body));
+}
+
+}  // namespace
+}  // namespace mimosa::testing
