--- a/bench/rounds.cc
+++ b/bench/rounds.cc
@@ -150,6 +150,11 @@
   Measures Count() const;
   double Recovery() const;
   bool Good(const Request& r) const;
+  // Tokens a second.
+  double CustomerRate(int customer) const {
+    return kRateOverFitting * kShares[customer] * FittingRate(workload_) *
+           mean_charge_;
+  }
   Duration Hop(const Request& r, int owner) const {
     return r.router == owner ? Duration(0) : workload_.one_way;
   }
@@ -245,9 +250,8 @@
   for (int e = 0; e < engines[0]; ++e) {
     decode_[e].on_room = [this, e] { TryImports(e); };
   }
-  for (const double share : kShares) {
-    const double rate =
-        kRateOverFitting * share * FittingRate(workload_) * mean_charge_;
+  for (int customer = 0; customer < kCustomers; ++customer) {
+    const double rate = CustomerRate(customer);
     ideal_.emplace_back(rate, rate * kBurstSeconds);
     even_.emplace_back(workload_.routers,
                        Bucket(rate / workload_.routers,
@@ -440,6 +444,7 @@
   const bool decode = stage == SearchStage::kDecode;
   queued.units = decode ? Units(r.pieces.count()) : Units(1);
   queued.cost = decode ? r.prompt + Tokens(workload_.output_max) : r.prompt;
+  queued.rate = Tokens(static_cast<int64_t>(CustomerRate(r.customer)));
   queued.start_by =
       r.patient ? r.deadline - kMeanDecode - prefill : r.first_target - prefill;
   request.member = MemberId(std::to_string(r.router));
--- a/decide/request_queue.cc
+++ b/decide/request_queue.cc
@@ -73,8 +73,11 @@
   Units units_;  // sum over waiting_
 };
 
+// Virtual time of one token at a rate of one a second.
+constexpr int64_t kVirtualTimeScale = 1000000;
+
 // Start-time fair queueing. Each customer has a virtual time: the tokens it was
-// served since it last had nothing waiting, on a scale shared by all. The
+// served, over its rate, on a scale shared by all. The
 // waiting customer with the lowest one is served next. A customer that comes
 // back starts at the time of the one served last, so idling saves up nothing.
 class FairQueue : public RequestQueue {
@@ -84,6 +87,7 @@
     if (customer.idle()) {
       customer.virtual_time = std::max(customer.virtual_time, virtual_now_);
     }
+    customer.rate = request.rate;
     const int band = BandOf(request);
     const Key key{request.start_by, next_serial_++};
     index_[request.request] = Where{request.customer, band, key};
@@ -109,7 +113,7 @@
     const bool patient_waits = !active_[kPatient].empty();
     prompt_streak_ = band == kPrompt && patient_waits ? prompt_streak_ + 1 : 0;
     QueuedRequest front = TakeOut(customer.waiting[band].begin()->second);
-    Charge(id, front.cost);
+    Charge(id, front);
     return front;
   }
 
@@ -128,7 +132,7 @@
   size_t size() const override { return index_.size(); }
 
   // While this customer's own earlier requests and this one are served, each
-  // other customer gets as much as this one, or all it waits for. The other
+  // other customer gets as much by its rate, or all it waits for. The other
   // class adds what its precedence gives it.
   Units UnitsAhead(const QueuedRequest& request) const override {
     const int band = BandOf(request);
@@ -137,7 +141,10 @@
     Units ahead = own;
     for (const auto& [time, id] : active_[band]) {
       if (id == request.customer) continue;
-      ahead += std::min(customers_.at(id).units[band], share);
+      const Customer& other = customers_.at(id);
+      const Units by_rate(share.count() * other.rate.count() /
+                          request.rate.count());
+      ahead += std::min(other.units[band], by_rate);
     }
     return ahead + OtherBandAhead(band, ahead);
   }
@@ -171,6 +178,7 @@
 
   struct Customer {
     int64_t virtual_time = 0;
+    Tokens rate{1};  // as of its latest request
     std::array<std::map<Key, QueuedRequest>, kBands> waiting;
     std::array<Units, kBands> units;  // sums over `waiting`
     bool idle() const {
@@ -210,12 +218,14 @@
   }
 
   // Moves the customer's virtual time on by what it was served.
-  void Charge(const CustomerId& id, Tokens cost) {
+  void Charge(const CustomerId& id, const QueuedRequest& served) {
     Customer& customer = customers_[id];
     const int64_t before = customer.idle()
                                ? std::max(customer.virtual_time, virtual_now_)
                                : customer.virtual_time;
-    customer.virtual_time = before + cost.count();
+    customer.rate = served.rate;
+    customer.virtual_time =
+        before + served.cost.count() * kVirtualTimeScale / served.rate.count();
     for (int band = 0; band < kBands; ++band) {
       if (customer.waiting[band].empty()) continue;
       active_[band].erase({before, id});
@@ -224,7 +234,7 @@
   }
 
   // A customer without waiting requests matters only while its virtual time is
-  // ahead of the shared one: that bounds the map by the recently served.
+  // ahead of the shared one.
   void ForgetIfIdle(const CustomerId& id) {
     auto it = customers_.find(id);
     if (it->second.idle() && it->second.virtual_time <= virtual_now_) {
--- a/decide/request_queue.h
+++ b/decide/request_queue.h
@@ -4,9 +4,9 @@
 // engine, turns at a prefill engine) and has a latest time at which a start is
 // still of use. Two policies:
 //  - first come first served, the baseline;
-//  - fair: start-time fair queueing by customer, weighted by tokens. A customer
-//    that sends several times its share waits behind itself, not before the
-//    others. Prompt requests go before patient ones, but after a few prompt
+//  - fair: start-time fair queueing by customer: tokens served, divided by the
+//    customer's rate, are kept alike. A customer that sends several times its
+//    share waits behind itself, not before the others. Prompt requests go before patient ones, but after a few prompt
 //    ones in a row a waiting patient one is served. Within customer and class
 //    the earliest deadline goes first.
 //
@@ -33,6 +33,7 @@
   bool patient = false;
   Units units;
   Tokens cost;                 // what fairness counts; > 0
+  Tokens rate{1};              // the customer's share: its rate a second; > 0
   MonoTime start_by = kNever;  // a later start is of no use
 };
 
--- a/decide/request_queue_test.cc
+++ b/decide/request_queue_test.cc
@@ -21,6 +21,7 @@
   request.patient = patient;
   request.units = Units(1);
   request.cost = Tokens(cost);
+  request.rate = Tokens(customer == "b" ? 2 : 1);
   request.start_by = MonoTime(Duration(start_by));
   return request;
 }
@@ -58,7 +59,7 @@
     waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(next));
     int64_t& time = times_[request.customer];
     if (!HasAny(request.customer)) time = std::max(time, now_);
-    time += request.cost.count();
+    time += request.cost.count() * 1000000 / request.rate.count();
     return request;
   }
 
@@ -173,6 +174,18 @@
   }
 }
 
+TEST_CASE("customers are served by their rates while both wait") {
+  const auto queue = MakeRequestQueue(QueueKind::kFair);
+  for (int i = 0; i < 200; ++i) {
+    queue->Push(Request(i, i % 2 == 0 ? "a" : "b", true, 100, 1000));
+  }
+  std::map<std::string, int> served;
+  for (int i = 0; i < 90; ++i) {
+    ++served[queue->PopFront().customer.value()];
+    CHECK(std::abs(2 * served["a"] - served["b"]) <= 2);
+  }
+}
+
 TEST_CASE("patient requests are served though prompt ones keep coming") {
   const auto queue = MakeRequestQueue(QueueKind::kFair);
   queue->Push(Request(0, "a", true, 1, 1000));
--- a/router/book_server.cc
+++ b/router/book_server.cc
@@ -143,7 +143,13 @@
   const BackEndId engine(request.engine());
   owned->replies[RequestId(request.request())] = std::move(reply);
   const MonoTime now = loop_->Now();
-  Answer(engine, owned, owned->book->Reserve(FromWire(request, now), now));
+  BookRequest asked = FromWire(request, now);
+  const wire::Customer* customer =
+      catalogue_->current()->FindCustomer(asked.queued.customer);
+  if (customer != nullptr && customer->rate_tokens_per_second() > 0) {
+    asked.queued.rate = Tokens(customer->rate_tokens_per_second());
+  }
+  Answer(engine, owned, owned->book->Reserve(asked, now));
 }
 
 void BookServer::Release(const wire::ReleaseRequest& request) {
