--- a/bench/rounds.cc
+++ b/bench/rounds.cc
@@ -445,6 +445,7 @@
   queued.units = decode ? Units(r.pieces.count()) : Units(1);
   queued.cost = decode ? r.prompt + Tokens(workload_.output_max) : r.prompt;
   queued.rate = Tokens(static_cast<int64_t>(CustomerRate(r.customer)));
+  queued.target = r.first_target - prefill;
   queued.start_by =
       r.patient ? r.deadline - kMeanDecode - prefill : r.first_target - prefill;
   request.member = MemberId(std::to_string(r.router));
@@ -766,7 +767,9 @@
     if (r.outcome == Outcome::kRefused) ++c.refused;
     if (r.outcome == Outcome::kFailed) ++c.failed;
   }
-  m.goodput = static_cast<double>(good) / ToSeconds(kLastCounted - kWarmUp);
+  const double counted = ToSeconds(kLastCounted - kWarmUp);
+  m.goodput = static_cast<double>(good) / counted;
+  m.whole = static_cast<double>(first_tokens.size()) / counted;
   CustomerCounts all;
   std::vector<double> shares;
   for (int c = 0; c < kCustomers; ++c) {
--- a/bench/rounds.h
+++ b/bench/rounds.h
@@ -54,6 +54,7 @@
 
 struct Measures {
   double goodput = 0;         // good answers a second, of all customers
+  double whole = 0;           // whole answers a second, in time or late
   double good_share = 0;      // of requests inside the rate
   double wasted_prefill = 0;  // share of the prompt tokens computed
   int64_t evicted = 0;        // prefill results that found no place
--- a/bench/rounds_main.cc
+++ b/bench/rounds_main.cc
@@ -61,6 +61,7 @@
 
 std::vector<Field> FieldsOf(const Measures& m) {
   return {{"goodput", m.goodput},
+          {"whole", m.whole},
           {"good_share", m.good_share},
           {"wasted_prefill", m.wasted_prefill},
           {"evicted", static_cast<double>(m.evicted)},
--- a/decide/engine_book.cc
+++ b/decide/engine_book.cc
@@ -170,6 +170,7 @@
 // yet would starve it while small ones keep coming.
 void EngineBook::Drain(MonoTime now, BookAnswers* answers) {
   if (closed_ || paused_) return;
+  queue_->Advance(now);
   for (const QueuedRequest* front = queue_->Front(); front != nullptr;
        front = queue_->Front()) {
     if (shedding_->DropsExpired() && front->start_by < now) {
--- a/decide/request_queue.cc
+++ b/decide/request_queue.cc
@@ -43,6 +43,8 @@
 
   size_t size() const override { return waiting_.size(); }
 
+  void Advance(MonoTime /*now*/) override {}
+
   Units UnitsAhead(const QueuedRequest& /*request*/) const override {
     return units_;
   }
@@ -89,13 +91,8 @@
     }
     customer.rate = request.rate;
     const int band = BandOf(request);
-    const Key key{request.start_by, next_serial_++};
-    index_[request.request] = Where{request.customer, band, key};
-    if (customer.waiting[band].empty()) {
-      active_[band].insert({customer.virtual_time, request.customer});
-    }
-    customer.units[band] += request.units;
-    customer.waiting[band].emplace(key, std::move(request));
+    const Key key{request.target, request.start_by, next_serial_++};
+    Insert(band, key, std::move(request));
   }
 
   const QueuedRequest* Front() const override {
@@ -146,7 +143,16 @@
                           request.rate.count());
       ahead += std::min(other.units[band], by_rate);
     }
-    return ahead + OtherBandAhead(band, ahead);
+    return ahead + OtherBandsAhead(band, ahead);
+  }
+
+  void Advance(MonoTime now) override {
+    for (const Band band : {kPrompt, kPatient}) {
+      while (!by_target_[band].empty() &&
+             by_target_[band].begin()->first < now) {
+        MoveToLate(by_target_[band].begin()->second);
+      }
+    }
   }
 
   std::vector<QueuedRequest> RemoveExpired(MonoTime now) override {
@@ -165,14 +171,16 @@
   }
 
  private:
-  enum Band { kPrompt = 0, kPatient = 1, kBands = 2 };
+  enum Band { kPrompt = 0, kPatient = 1, kLate = 2, kBands = 3 };
 
-  // Earliest deadline first; of equal ones the first come.
+  // Earliest target first, then earliest deadline, then first come.
   struct Key {
+    MonoTime target;
     MonoTime start_by;
     uint64_t serial;
     friend bool operator<(const Key& a, const Key& b) {
-      return std::tie(a.start_by, a.serial) < std::tie(b.start_by, b.serial);
+      return std::tie(a.target, a.start_by, a.serial) <
+             std::tie(b.target, b.start_by, b.serial);
     }
   };
 
@@ -182,7 +190,8 @@
     std::array<std::map<Key, QueuedRequest>, kBands> waiting;
     std::array<Units, kBands> units;  // sums over `waiting`
     bool idle() const {
-      return waiting[kPrompt].empty() && waiting[kPatient].empty();
+      return waiting[kPrompt].empty() && waiting[kPatient].empty() &&
+             waiting[kLate].empty();
     }
   };
 
@@ -197,26 +206,51 @@
   }
 
   int NextBand() const {
-    if (active_[kPrompt].empty()) return kPatient;
-    if (active_[kPatient].empty()) return kPrompt;
+    const bool prompt_waits = !active_[kPrompt].empty();
+    const bool patient_waits = !active_[kPatient].empty();
+    if (!prompt_waits) return patient_waits ? kPatient : kLate;
+    if (!patient_waits) return kPrompt;
     return prompt_streak_ < kPromptPerPatient ? kPrompt : kPatient;
   }
 
-  QueuedRequest TakeOut(const QueuedRequest& queued) {
-    const Where where = index_.at(queued.request);
+  void Insert(int band, const Key& key, QueuedRequest request) {
+    Customer& customer = customers_.at(request.customer);
+    index_[request.request] = Where{request.customer, band, key};
+    if (customer.waiting[band].empty()) {
+      active_[band].insert({customer.virtual_time, request.customer});
+    }
+    customer.units[band] += request.units;
+    by_target_[band].insert({request.target, request.request});
+    customer.waiting[band].emplace(key, std::move(request));
+  }
+
+  // Leaves the customer's entry, even if nothing of it waits any more.
+  QueuedRequest Extract(const RequestId& id) {
+    const Where where = index_.at(id);
     Customer& customer = customers_.at(where.customer);
     auto it = customer.waiting[where.band].find(where.key);
     QueuedRequest request = std::move(it->second);
     customer.waiting[where.band].erase(it);
     customer.units[where.band] -= request.units;
+    by_target_[where.band].erase({request.target, request.request});
     if (customer.waiting[where.band].empty()) {
       active_[where.band].erase({customer.virtual_time, where.customer});
     }
     index_.erase(request.request);
-    ForgetIfIdle(where.customer);
     return request;
   }
 
+  QueuedRequest TakeOut(const QueuedRequest& queued) {
+    QueuedRequest request = Extract(RequestId(queued.request));
+    ForgetIfIdle(request.customer);
+    return request;
+  }
+
+  void MoveToLate(RequestId id) {
+    const Key key = index_.at(id).key;
+    Insert(kLate, key, Extract(id));
+  }
+
   // Moves the customer's virtual time on by what it was served.
   void Charge(const CustomerId& id, const QueuedRequest& served) {
     Customer& customer = customers_[id];
@@ -247,25 +281,31 @@
     auto it = customers_.find(request.customer);
     if (it == customers_.end()) return own;
     for (const auto& [key, other] : it->second.waiting[BandOf(request)]) {
-      if (key.start_by > request.start_by) break;
+      if (key.target > request.target) break;
       own += other.units;
     }
     return own;
   }
 
-  Units OtherBandAhead(int band, Units ahead) const {
-    Units other;
-    const int other_band = band == kPrompt ? kPatient : kPrompt;
-    for (const auto& [time, id] : active_[other_band]) {
-      other += customers_.at(id).units[other_band];
+  Units UnitsIn(int band) const {
+    Units units;
+    for (const auto& [time, id] : active_[band]) {
+      units += customers_.at(id).units[band];
     }
-    if (band == kPatient) return other;
-    return std::min(other, Units(ahead.count() / kPromptPerPatient));
+    return units;
+  }
+
+  // A new request is not late.
+  Units OtherBandsAhead(int band, Units ahead) const {
+    if (band == kPatient) return UnitsIn(kPrompt);
+    return std::min(UnitsIn(kPatient),
+                    Units(ahead.count() / kPromptPerPatient));
   }
 
   std::unordered_map<CustomerId, Customer> customers_;
   // Customers with waiting requests of the class, by virtual time.
   std::array<std::set<std::pair<int64_t, CustomerId>>, kBands> active_;
+  std::array<std::set<std::pair<MonoTime, RequestId>>, kBands> by_target_;
   std::unordered_map<RequestId, Where> index_;
   int64_t virtual_now_ = 0;  // virtual time of the customer served last
   int prompt_streak_ = 0;    // prompt requests served while a patient one waits
--- a/decide/request_queue.h
+++ b/decide/request_queue.h
@@ -7,8 +7,10 @@
 //  - fair: start-time fair queueing by customer: tokens served, divided by the
 //    customer's rate, are kept alike. A customer that sends several times its
 //    share waits behind itself, not before the others. Prompt requests go before patient ones, but after a few prompt
-//    ones in a row a waiting patient one is served. Within customer and class
-//    the earliest deadline goes first.
+//    ones in a row a waiting patient one is served. What has missed its latency
+//    target, but not its deadline, is served when nothing else waits: under
+//    overload it would else make everything behind it late too. Within
+//    customer and class the earliest target goes first.
 //
 // Pure: no clock, no random numbers, no I/O.
 #ifndef DECIDE_REQUEST_QUEUE_H_
@@ -34,6 +36,7 @@
   Units units;
   Tokens cost;                 // what fairness counts; > 0
   Tokens rate{1};              // the customer's share: its rate a second; > 0
+  MonoTime target = kNever;    // a later start misses the latency target
   MonoTime start_by = kNever;  // a later start is of no use
 };
 
@@ -53,6 +56,8 @@
   virtual bool Contains(const RequestId& request) const = 0;
   virtual size_t size() const = 0;
 
+  // Time has come to `now`: some may have missed their target since.
+  virtual void Advance(MonoTime now) = 0;
   // The units expected to be handed out before `request`, were it pushed now.
   virtual Units UnitsAhead(const QueuedRequest& request) const = 0;
   // Takes out what can't be of use any more (start_by < now).
--- a/decide/request_queue_test.cc
+++ b/decide/request_queue_test.cc
@@ -39,10 +39,10 @@
 
   // Index of the next request.
   size_t Next() const {
-    const bool patient = NextIsPatient();
+    const Band band = NextBand();
     size_t best = waiting_.size();
     for (size_t i = 0; i < waiting_.size(); ++i) {
-      if (waiting_[i].patient != patient) continue;
+      if (BandOf(waiting_[i]) != band) continue;
       if (best == waiting_.size() || Before(waiting_[i], waiting_[best])) {
         best = i;
       }
@@ -53,8 +53,8 @@
   QueuedRequest Pop() {
     const size_t next = Next();
     const QueuedRequest request = waiting_[next];
-    const bool patient_waits = Any(true);
-    streak_ = !request.patient && patient_waits ? streak_ + 1 : 0;
+    const bool counts = BandOf(request) == kPrompt && Any(kPatient);
+    streak_ = counts ? streak_ + 1 : 0;
     now_ = std::max(now_, times_[request.customer]);
     waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(next));
     int64_t& time = times_[request.customer];
@@ -70,35 +70,45 @@
         waiting_.end());
   }
 
+  void Advance(MonoTime now) { clock_ = now; }
   bool empty() const { return waiting_.empty(); }
   const std::vector<QueuedRequest>& waiting() const { return waiting_; }
 
  private:
+  enum Band { kPrompt, kPatient, kLate };
+
   bool HasAny(const CustomerId& customer) const {
     return std::any_of(
         waiting_.begin(), waiting_.end(),
         [&](const QueuedRequest& r) { return r.customer == customer; });
   }
-  bool Any(bool patient) const {
+  Band BandOf(const QueuedRequest& r) const {
+    if (r.target < clock_) return kLate;
+    return r.patient ? kPatient : kPrompt;
+  }
+  bool Any(Band band) const {
     return std::any_of(
         waiting_.begin(), waiting_.end(),
-        [&](const QueuedRequest& r) { return r.patient == patient; });
+        [&](const QueuedRequest& r) { return BandOf(r) == band; });
   }
-  bool NextIsPatient() const {
-    if (!Any(false)) return true;
-    return Any(true) && streak_ >= kPromptPerPatient;
+  Band NextBand() const {
+    if (!Any(kPrompt)) return Any(kPatient) ? kPatient : kLate;
+    return Any(kPatient) && streak_ >= kPromptPerPatient ? kPatient : kPrompt;
   }
   bool Before(const QueuedRequest& a, const QueuedRequest& b) const {
     const int64_t time_a = times_.at(a.customer);
     const int64_t time_b = times_.at(b.customer);
     if (time_a != time_b) return time_a < time_b;
     if (a.customer != b.customer) return a.customer < b.customer;
-    return a.start_by < b.start_by;  // stable: first come of equal ones
+    // Stable: first come of equal ones.
+    if (a.target != b.target) return a.target < b.target;
+    return a.start_by < b.start_by;
   }
 
   std::vector<QueuedRequest> waiting_;
   std::map<CustomerId, int64_t> times_;
-  int64_t now_ = 0;
+  int64_t now_ = 0;  // virtual
+  MonoTime clock_{};
   int streak_ = 0;
 };
 
@@ -112,13 +122,15 @@
 }
 
 // Operations: 0..3 push (customer a or b, prompt or patient), 4 pop, 5 remove
-// the oldest that waits.
+// the oldest that waits, 6 let time pass. Targets are two operations away, so
+// that some requests are late when their turn comes.
 void Apply(int operation, int serial, RequestQueue* queue,
            SlowFairQueue* slow) {
   if (operation < 4) {
-    const QueuedRequest request =
+    QueuedRequest request =
         Request(serial, operation % 2 == 0 ? "a" : "b", operation >= 2,
                 1 + serial % 3, 10 - serial % 2);
+    request.target = MonoTime(Duration(serial + 2));
     queue->Push(request);
     slow->Push(request);
   } else if (operation == 4 && !slow->empty()) {
@@ -127,12 +139,15 @@
     const RequestId oldest = slow->waiting().front().request;
     REQUIRE(queue->Remove(oldest));
     slow->Remove(oldest);
+  } else if (operation == 6) {
+    queue->Advance(MonoTime(Duration(serial)));
+    slow->Advance(MonoTime(Duration(serial)));
   }
   CheckSame(queue, *slow);
 }
 
 TEST_CASE("fair queue does as its reference in all short histories") {
-  constexpr int kOperations = 6;
+  constexpr int kOperations = 7;
   constexpr int kLength = 7;
   int histories = 1;
   for (int i = 0; i < kLength; ++i) histories *= kOperations;
@@ -153,7 +168,7 @@
     const auto queue = MakeRequestQueue(QueueKind::kFair);
     SlowFairQueue slow;
     for (int step = 0; step < 400; ++step) {
-      Apply(static_cast<int>(random.Below(6)), step, queue.get(), &slow);
+      Apply(static_cast<int>(random.Below(7)), step, queue.get(), &slow);
     }
   }
 }
@@ -199,6 +214,19 @@
   CHECK(pops == kPromptPerPatient + 1);
 }
 
+TEST_CASE("what has missed its target goes behind what has not") {
+  const auto queue = MakeRequestQueue(QueueKind::kFair);
+  for (int i = 0; i < 3; ++i) {
+    QueuedRequest request = Request(i, "a", i != 0, 1, 1000);
+    request.target = MonoTime(Duration(10 * (i + 1)));
+    queue->Push(request);
+  }
+  queue->Advance(MonoTime(Duration(25)));
+  CHECK(queue->PopFront().request == RequestId("r2"));
+  CHECK(queue->PopFront().request == RequestId("r0"));
+  CHECK(queue->PopFront().request == RequestId("r1"));
+}
+
 TEST_CASE("first come first served") {
   const auto queue = MakeRequestQueue(QueueKind::kFifo);
   for (int i = 0; i < 4; ++i) {
--- a/router/book_server.cc
+++ b/router/book_server.cc
@@ -49,6 +49,9 @@
   if (request.deadline_ms() > 0) {
     out.queued.start_by = now + Millis(request.deadline_ms());
   }
+  if (request.target_ms() > 0) {
+    out.queued.target = now + Millis(request.target_ms());
+  }
   out.member = MemberId(request.member());
   out.hold = Millis(request.hold_ms());
   out.may_wait = request.may_wait();
--- a/router/places_driver.cc
+++ b/router/places_driver.cc
@@ -132,6 +132,13 @@
   void AskPeer(const FleetMember& owner);
   wire::ReserveRequest MakeRequest(const wire::BackEnd& engine,
                                    bool may_wait) const;
+  Duration PrefillTime() const {
+    return driver_->prefill_per_token_ * request_.prompt_tokens.count();
+  }
+  // The latest start of the stage that meets the first token's target.
+  MonoTime Target() const {
+    return request_.first_token_deadline - PrefillTime();
+  }
   MonoTime StartBy() const;
   void OnReply(const wire::ReserveReply& reply);
   void OnPeerFailure(PeerStatus status);
@@ -351,6 +358,9 @@
   out.set_output_tokens(request_.output_tokens.count());
   out.set_request_class(request_.request_class);
   out.set_deadline_ms(std::max<int64_t>(ToMillis(Left(StartBy())), 1));
+  if (request_.first_token_deadline != kNever) {
+    out.set_target_ms(std::max<int64_t>(ToMillis(Left(Target())), 1));
+  }
   out.set_hold_ms(ToMillis(driver_->options_.hold));
   out.set_may_wait(may_wait);
   return out;
@@ -359,12 +369,10 @@
 // The latest useful start of the stage. A prompt request has to meet its first
 // token's target; a patient one is of use until its deadline.
 MonoTime PlacesDriver::Attempt::StartBy() const {
-  const Duration prefill =
-      driver_->prefill_per_token_ * request_.prompt_tokens.count();
-  MonoTime start_by = request_.deadline - driver_->decode_time_ - prefill;
+  MonoTime start_by = request_.deadline - driver_->decode_time_ - PrefillTime();
   if (request_.request_class != wire::PATIENT &&
       request_.first_token_deadline != kNever) {
-    start_by = std::min(start_by, request_.first_token_deadline - prefill);
+    start_by = std::min(start_by, Target());
   }
   return start_by;
 }
