--- a/router/model_call.cc
+++ b/router/model_call.cc
@@ -125,6 +125,7 @@
       Done();
       return;
     }
+    charged_at_ = deps_.loop->Now();
     Reserve();
   }
 
@@ -411,8 +412,9 @@
     const Tokens used = result_.first_token || whole_
                             ? request_.prompt_tokens + stream_.taken()
                             : Tokens(0);
-    if (charged_ > used)
-      deps_.limiter->Refund(context_.customer, charged_ - used);
+    if (charged_at_ != kNever && charged_ > used) {
+      deps_.limiter->Refund(context_.customer, charged_ - used, charged_at_);
+    }
     charged_ = Tokens(0);
   }
 
@@ -437,7 +439,8 @@
   DecodeHandler decode_handler_;
 
   std::unique_ptr<PendingCharge> charge_;
-  Tokens charged_;  // granted and not given back
+  Tokens charged_;  // asked for and not given back
+  MonoTime charged_at_ = kNever;  // until granted
   std::unique_ptr<PendingPlace> pending_place_;
   std::unique_ptr<Place> place_;  // of the live attempt
   std::vector<BackEndId> avoid_;
