Fence the sweeper's orders by the engine's own number

A member's epoch counts the writes of its record and can't be compared between owners: a new owner with a lower one would have been refused for good.

--- a/router/engine_load.cc
+++ b/router/engine_load.cc
@@ -2,6 +2,7 @@
 
 #include <json/value.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "base/json.h"
@@ -28,6 +29,8 @@
   report->running = IntegerOr0(json["running"]);
   report->waiting = IntegerOr0(json["waiting"]);
   report->free = Pieces(IntegerOr0(json["free_pieces"]));
+  report->fence =
+      static_cast<uint64_t>(std::max<int64_t>(IntegerOr0(json["fence"]), 0));
   report->held.clear();
   if (!json["held"].isArray()) return true;
   for (const Json::Value& item : json["held"]) {
--- a/router/engine_load.h
+++ b/router/engine_load.h
@@ -1,8 +1,8 @@
 // Engines' own reports of their load, fetched at a period.
 //
 // GET /v1/load answers {"running","waiting","free_pieces",
-// "held":[{"request","pieces"}]}. A report lags behind the engine; an engine
-// that fails to answer a few times in a row is taken to be down until it
+// "held":[{"request","pieces"}],"fence"}. A report lags behind the engine; an
+// engine that fails to answer a few times in a row is taken to be down until it
 // answers again.
 #ifndef ROUTER_ENGINE_LOAD_H_
 #define ROUTER_ENGINE_LOAD_H_
@@ -29,6 +29,7 @@
   int64_t running = 0;
   int64_t waiting = 0;
   Pieces free;
+  uint64_t fence = 0;  // highest fencing number that the engine has seen
   std::vector<HeldRequest> held;
 };
 
--- a/router/engine_sweeper.cc
+++ b/router/engine_sweeper.cc
@@ -32,6 +32,7 @@
 }
 
 void EngineSweeper::OnFleetChanged() {
+  ForgetLostEngines();
   std::set<MemberId> members;
   for (const FleetMember& member : fleet_->members()) {
     members.insert(member.id);
@@ -47,8 +48,23 @@
   members_ = std::move(members);
 }
 
+// Who becomes the owner again takes a new number then.
+void EngineSweeper::ForgetLostEngines() {
+  for (auto it = fences_.begin(); it != fences_.end();) {
+    const bool owned = books_->Find(it->first) != nullptr;
+    it = owned ? std::next(it) : fences_.erase(it);
+  }
+}
+
+// 1 before the engine's first report: one that has seen more says so.
+uint64_t EngineSweeper::FenceOf(const BackEndId& engine) const {
+  const auto it = fences_.find(engine);
+  return it == fences_.end() ? 1 : it->second;
+}
+
 void EngineSweeper::OnLoad(const BackEndId& engine,
                            const EngineLoadReport& report) {
+  fences_.emplace(engine, report.fence + 1);
   std::set<MemberId> listed;
   for (const HeldRequest& held : report.held) {
     const MemberId member = MemberOfRequest(held.request);
@@ -94,7 +110,7 @@
   }
   Json::Value body;
   body["prefix"] = key.second.value() + "/";
-  body["fence"] = Json::UInt64(fleet_->epoch());
+  body["fence"] = Json::UInt64(FenceOf(key.first));
   HttpCallOptions options;
   options.to = address;
   options.connect_timeout = kCallTimeout;
@@ -110,19 +126,25 @@
             [this, key](const HttpResult& result) { OnAnswer(key, result); });
 }
 
-// Refused as fenced (409): another owner has a newer number, and sweeps.
+// Refused as fenced: there has been another owner since. If this member still
+// is one when it sends again, it goes on under a newer number.
 void EngineSweeper::OnAnswer(const Key& key, const HttpResult& result) {
+  constexpr int kOk = 200;
+  constexpr int kConflict = 409;
   Order& order = orders_.at(key);
   // Kept until the end of this function, which its callback runs.
   const std::unique_ptr<HttpCall> call = std::move(order.call);
-  constexpr int kConflict = 409;
-  if (result.ok &&
-      (result.response.status == 200 || result.response.status == kConflict)) {
-    if (result.response.status == 200) ++swept_;
+  if (result.ok && result.response.status == kOk) {
+    ++swept_;
     unknown_.erase(key);
     orders_.erase(key);
     return;
   }
+  EngineLoadReport refusal;
+  if (result.ok && result.response.status == kConflict &&
+      ParseEngineLoad(result.response.body, &refusal)) {
+    fences_[key.first] = refusal.fence + 1;
+  }
   order.timer = loop_->After(kRetryPause, [this, key] { Send(key); });
 }
 
--- a/router/engine_sweeper.h
+++ b/router/engine_sweeper.h
@@ -6,10 +6,12 @@
 //  - the member was in the fleet and is no more, or
 //  - the engine's load report lists requests of a member that is not in the
 //    fleet, in all reports for longer than a member can take to become known.
-// The order carries this member's epoch as fencing number. An engine that
-// checks it refuses orders of a former owner, so it is swept at once; for one
-// that doesn't, the sweeper first waits until any former owner's term, and the
-// ended member's own, is over. An order is repeated until the engine answers.
+// The order carries a fencing number: one more than the highest that the engine
+// had seen when this member became the owner. So an engine that checks it
+// refuses what a former owner sent before it was paused or cut off, and is
+// swept at once; for one that doesn't, the sweeper first waits until any former
+// owner's term, and the ended member's own, is over. An order is repeated until
+// the engine answers.
 #ifndef ROUTER_ENGINE_SWEEPER_H_
 #define ROUTER_ENGINE_SWEEPER_H_
 
@@ -45,6 +47,8 @@
   };
 
   void OnFleetChanged();
+  void ForgetLostEngines();
+  uint64_t FenceOf(const BackEndId& engine) const;
   void OnLoad(const BackEndId& engine, const EngineLoadReport& report);
   void Sweep(const BackEndId& engine, const MemberId& member);
   void Send(const Key& key);
@@ -56,6 +60,8 @@
   HttpClient* const client_;
   BookServer* const books_;
   const Duration grant_;
+  // The number of this member's orders, of each engine that it owns.
+  std::map<BackEndId, uint64_t> fences_;
   std::set<MemberId> members_;  // of the fleet, at the last change
   // Members that are in an engine's reports and not in the fleet; since when.
   std::map<Key, MonoTime> unknown_;
--- a/router/places_driver_test.cc
+++ b/router/places_driver_test.cc
@@ -194,7 +194,7 @@
   FakeFleet(FakeLoop* loop, SharedFleet* shared, MemberId self)
       : loop_(loop), shared_(shared), self_(std::move(self)) {}
   const MemberId& self() const override { return self_; }
-  uint64_t epoch() const override { return 7; }
+  uint64_t epoch() const override { return 99; }
   const std::vector<FleetMember>& members() const override {
     return shared_->members;
   }
@@ -263,8 +263,8 @@
         return;
       }
       handler->OnHead(200, {});
-      handler->OnBody("{\"running\":0,\"waiting\":0,\"held\":[" + held[port] +
-                      "]}");
+      handler->OnBody("{\"running\":0,\"waiting\":0,\"fence\":6,\"held\":[" +
+                      held[port] + "]}");
       handler->OnDone();
     });
     return call;
