--- a/decide/prefix_index.cc
+++ b/decide/prefix_index.cc
@@ -1,6 +1,8 @@
 #include "decide/prefix_index.h"
 
-#include <algorithm>
+#include <string>
+
+#include "decide/rendezvous.h"
 
 namespace mimosa {
 namespace {
@@ -25,10 +27,6 @@
 
 }  // namespace
 
-uint64_t HashBytes(std::string_view data) {
-  return Mix(Extend(kFnvOffset, data));
-}
-
 std::vector<uint64_t> PrefixIndex::BlocksOf(std::string_view prompt) const {
   std::vector<uint64_t> blocks;
   blocks.reserve(prompt.size() / block_bytes_);
@@ -70,10 +68,11 @@
 
 size_t RendezvousChoice(uint64_t key,
                         const std::vector<BackEndId>& candidates) {
+  const std::string thing = std::to_string(key);
   size_t best = 0;
   uint64_t best_weight = 0;
   for (size_t i = 0; i < candidates.size(); ++i) {
-    const uint64_t weight = Mix(key ^ HashBytes(candidates[i].value()));
+    const uint64_t weight = RendezvousScore(candidates[i].value(), thing);
     if (i == 0 || weight > best_weight) {
       best = i;
       best_weight = weight;
--- a/decide/prefix_index.h
+++ b/decide/prefix_index.h
@@ -22,9 +22,6 @@
 
 namespace mimosa {
 
-// FNV-1a with a final mix: the same on every daemon and platform.
-uint64_t HashBytes(std::string_view data);
-
 class PrefixIndex {
  public:
   // `block_bytes` > 0; the index keeps at most `max_blocks` names.
--- a/decide/request_queue.cc
+++ b/decide/request_queue.cc
@@ -43,6 +43,8 @@
 
   size_t size() const override { return waiting_.size(); }
 
+  void Advance(MonoTime /*now*/) override {}
+
   Units UnitsAhead(const QueuedRequest& /*request*/) const override {
     return units_;
   }
@@ -73,8 +75,11 @@
   Units units_;  // sum over waiting_
 };
 
+// Virtual time of one token at a rate of one a second.
+constexpr int64_t kVirtualTimeScale = 1000000;
+
 // Start-time fair queueing. Each customer has a virtual time: the tokens it was
-// served since it last had nothing waiting, on a scale shared by all. The
+// served, over its rate, on a scale shared by all. The
 // waiting customer with the lowest one is served next. A customer that comes
 // back starts at the time of the one served last, so idling saves up nothing.
 class FairQueue : public RequestQueue {
@@ -84,14 +89,10 @@
     if (customer.idle()) {
       customer.virtual_time = std::max(customer.virtual_time, virtual_now_);
     }
+    customer.rate = request.rate;
     const int band = BandOf(request);
-    const Key key{request.start_by, next_serial_++};
-    index_[request.request] = Where{request.customer, band, key};
-    if (customer.waiting[band].empty()) {
-      active_[band].insert({customer.virtual_time, request.customer});
-    }
-    customer.units[band] += request.units;
-    customer.waiting[band].emplace(key, std::move(request));
+    const Key key{request.target, request.start_by, next_serial_++};
+    Insert(band, key, std::move(request));
   }
 
   const QueuedRequest* Front() const override {
@@ -109,7 +110,7 @@
     const bool patient_waits = !active_[kPatient].empty();
     prompt_streak_ = band == kPrompt && patient_waits ? prompt_streak_ + 1 : 0;
     QueuedRequest front = TakeOut(customer.waiting[band].begin()->second);
-    Charge(id, front.cost);
+    Charge(id, front);
     return front;
   }
 
@@ -128,7 +129,7 @@
   size_t size() const override { return index_.size(); }
 
   // While this customer's own earlier requests and this one are served, each
-  // other customer gets as much as this one, or all it waits for. The other
+  // other customer gets as much by its rate, or all it waits for. The other
   // class adds what its precedence gives it.
   Units UnitsAhead(const QueuedRequest& request) const override {
     const int band = BandOf(request);
@@ -137,9 +138,21 @@
     Units ahead = own;
     for (const auto& [time, id] : active_[band]) {
       if (id == request.customer) continue;
-      ahead += std::min(customers_.at(id).units[band], share);
+      const Customer& other = customers_.at(id);
+      const Units by_rate(share.count() * other.rate.count() /
+                          request.rate.count());
+      ahead += std::min(other.units[band], by_rate);
+    }
+    return ahead + OtherBandsAhead(band, ahead);
+  }
+
+  void Advance(MonoTime now) override {
+    for (const Band band : {kPrompt, kPatient}) {
+      while (!by_target_[band].empty() &&
+             by_target_[band].begin()->first < now) {
+        MoveToLate(by_target_[band].begin()->second);
+      }
     }
-    return ahead + OtherBandAhead(band, ahead);
   }
 
   std::vector<QueuedRequest> RemoveExpired(MonoTime now) override {
@@ -158,23 +171,27 @@
   }
 
  private:
-  enum Band { kPrompt = 0, kPatient = 1, kBands = 2 };
+  enum Band { kPrompt = 0, kPatient = 1, kLate = 2, kBands = 3 };
 
-  // Earliest deadline first; of equal ones the first come.
+  // Earliest target first, then earliest deadline, then first come.
   struct Key {
+    MonoTime target;
     MonoTime start_by;
     uint64_t serial;
     friend bool operator<(const Key& a, const Key& b) {
-      return std::tie(a.start_by, a.serial) < std::tie(b.start_by, b.serial);
+      return std::tie(a.target, a.start_by, a.serial) <
+             std::tie(b.target, b.start_by, b.serial);
     }
   };
 
   struct Customer {
     int64_t virtual_time = 0;
+    Tokens rate{1};  // as of its latest request
     std::array<std::map<Key, QueuedRequest>, kBands> waiting;
     std::array<Units, kBands> units;  // sums over `waiting`
     bool idle() const {
-      return waiting[kPrompt].empty() && waiting[kPatient].empty();
+      return waiting[kPrompt].empty() && waiting[kPatient].empty() &&
+             waiting[kLate].empty();
     }
   };
 
@@ -189,33 +206,60 @@
   }
 
   int NextBand() const {
-    if (active_[kPrompt].empty()) return kPatient;
-    if (active_[kPatient].empty()) return kPrompt;
+    const bool prompt_waits = !active_[kPrompt].empty();
+    const bool patient_waits = !active_[kPatient].empty();
+    if (!prompt_waits) return patient_waits ? kPatient : kLate;
+    if (!patient_waits) return kPrompt;
     return prompt_streak_ < kPromptPerPatient ? kPrompt : kPatient;
   }
 
-  QueuedRequest TakeOut(const QueuedRequest& queued) {
-    const Where where = index_.at(queued.request);
+  void Insert(int band, const Key& key, QueuedRequest request) {
+    Customer& customer = customers_.at(request.customer);
+    index_[request.request] = Where{request.customer, band, key};
+    if (customer.waiting[band].empty()) {
+      active_[band].insert({customer.virtual_time, request.customer});
+    }
+    customer.units[band] += request.units;
+    by_target_[band].insert({request.target, request.request});
+    customer.waiting[band].emplace(key, std::move(request));
+  }
+
+  // Leaves the customer's entry, even if nothing of it waits any more.
+  QueuedRequest Extract(const RequestId& id) {
+    const Where where = index_.at(id);
     Customer& customer = customers_.at(where.customer);
     auto it = customer.waiting[where.band].find(where.key);
     QueuedRequest request = std::move(it->second);
     customer.waiting[where.band].erase(it);
     customer.units[where.band] -= request.units;
+    by_target_[where.band].erase({request.target, request.request});
     if (customer.waiting[where.band].empty()) {
       active_[where.band].erase({customer.virtual_time, where.customer});
     }
     index_.erase(request.request);
-    ForgetIfIdle(where.customer);
     return request;
   }
 
+  QueuedRequest TakeOut(const QueuedRequest& queued) {
+    QueuedRequest request = Extract(RequestId(queued.request));
+    ForgetIfIdle(request.customer);
+    return request;
+  }
+
+  void MoveToLate(RequestId id) {
+    const Key key = index_.at(id).key;
+    Insert(kLate, key, Extract(id));
+  }
+
   // Moves the customer's virtual time on by what it was served.
-  void Charge(const CustomerId& id, Tokens cost) {
+  void Charge(const CustomerId& id, const QueuedRequest& served) {
     Customer& customer = customers_[id];
     const int64_t before = customer.idle()
                                ? std::max(customer.virtual_time, virtual_now_)
                                : customer.virtual_time;
-    customer.virtual_time = before + cost.count();
+    customer.rate = served.rate;
+    customer.virtual_time =
+        before + served.cost.count() * kVirtualTimeScale / served.rate.count();
     for (int band = 0; band < kBands; ++band) {
       if (customer.waiting[band].empty()) continue;
       active_[band].erase({before, id});
@@ -224,7 +268,7 @@
   }
 
   // A customer without waiting requests matters only while its virtual time is
-  // ahead of the shared one: that bounds the map by the recently served.
+  // ahead of the shared one.
   void ForgetIfIdle(const CustomerId& id) {
     auto it = customers_.find(id);
     if (it->second.idle() && it->second.virtual_time <= virtual_now_) {
@@ -237,25 +281,31 @@
     auto it = customers_.find(request.customer);
     if (it == customers_.end()) return own;
     for (const auto& [key, other] : it->second.waiting[BandOf(request)]) {
-      if (key.start_by > request.start_by) break;
+      if (key.target > request.target) break;
       own += other.units;
     }
     return own;
   }
 
-  Units OtherBandAhead(int band, Units ahead) const {
-    Units other;
-    const int other_band = band == kPrompt ? kPatient : kPrompt;
-    for (const auto& [time, id] : active_[other_band]) {
-      other += customers_.at(id).units[other_band];
+  Units UnitsIn(int band) const {
+    Units units;
+    for (const auto& [time, id] : active_[band]) {
+      units += customers_.at(id).units[band];
     }
-    if (band == kPatient) return other;
-    return std::min(other, Units(ahead.count() / kPromptPerPatient));
+    return units;
+  }
+
+  // A new request is not late.
+  Units OtherBandsAhead(int band, Units ahead) const {
+    if (band == kPatient) return UnitsIn(kPrompt);
+    return std::min(UnitsIn(kPatient),
+                    Units(ahead.count() / kPromptPerPatient));
   }
 
   std::unordered_map<CustomerId, Customer> customers_;
   // Customers with waiting requests of the class, by virtual time.
   std::array<std::set<std::pair<int64_t, CustomerId>>, kBands> active_;
+  std::array<std::set<std::pair<MonoTime, RequestId>>, kBands> by_target_;
   std::unordered_map<RequestId, Where> index_;
   int64_t virtual_now_ = 0;  // virtual time of the customer served last
   int prompt_streak_ = 0;    // prompt requests served while a patient one waits
--- a/router/book_server.cc
+++ b/router/book_server.cc
@@ -49,6 +49,9 @@
   if (request.deadline_ms() > 0) {
     out.queued.start_by = now + Millis(request.deadline_ms());
   }
+  if (request.target_ms() > 0) {
+    out.queued.target = now + Millis(request.target_ms());
+  }
   out.member = MemberId(request.member());
   out.hold = Millis(request.hold_ms());
   out.may_wait = request.may_wait();
@@ -143,7 +146,13 @@
   const BackEndId engine(request.engine());
   owned->replies[RequestId(request.request())] = std::move(reply);
   const MonoTime now = loop_->Now();
-  Answer(engine, owned, owned->book->Reserve(FromWire(request, now), now));
+  BookRequest asked = FromWire(request, now);
+  const wire::Customer* customer =
+      catalogue_->current()->FindCustomer(asked.queued.customer);
+  if (customer != nullptr && customer->rate_tokens_per_second() > 0) {
+    asked.queued.rate = Tokens(customer->rate_tokens_per_second());
+  }
+  Answer(engine, owned, owned->book->Reserve(asked, now));
 }
 
 void BookServer::Release(const wire::ReleaseRequest& request) {
