--- a/decide/membership.cc
+++ b/decide/membership.cc
@@ -39,6 +39,15 @@
   return hash ^ (hash >> 31);
 }
 
+std::string NewId(RandomSource* random) {
+  static constexpr char kDigits[] = "0123456789abcdef";
+  std::string id;
+  for (uint64_t bits = random->Next(); id.size() < 16; bits >>= 4) {
+    id += kDigits[bits & 15];
+  }
+  return id;
+}
+
 std::string FleetView::MemberKey(const MemberId& id) const {
   return prefix_ + std::string(kMembers) + id.value();
 }
--- a/decide/membership.h
+++ b/decide/membership.h
@@ -17,6 +17,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/random.h"
 #include "decide/term.h"
 #include "wire/fleet.pb.h"
 
@@ -31,6 +32,9 @@
 // Alike at all daemons and stable: a node that goes moves its own keys only.
 uint64_t RendezvousWeight(std::string_view key, std::string_view node);
 
+// An id that no other writer has: of a change, a hand-over, an incarnation.
+std::string NewId(RandomSource* random);
+
 // One record under the fleet's prefix as it travels.
 struct FleetRecord {
   std::string key;
--- a/router/fleet_driver.cc
+++ b/router/fleet_driver.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/digest.h"
 #include "decide/slots.h"
 
 namespace mimosa {
@@ -18,8 +17,6 @@
 constexpr int kTicksPerGrant = 12;
 constexpr uint64_t kTicksPerRound = 4;
 
-std::string NewIncarnation() { return RandomHex(4); }
-
 // For a part that isn't there.
 class NoSlots : public SlotKeeper {
  public:
@@ -49,7 +46,7 @@
       bus_(bus),
       random_(random),
       options_(std::move(options)),
-      self_(options_.name + "#" + NewIncarnation()),
+      self_(options_.name + "#" + NewId(random_)),
       keeper_(NoSlotKeeper()),
       records_(loop, kv, bus, random, options_,
                {[this] { OnView(); },
@@ -173,12 +170,12 @@
   term_ = std::make_unique<TermKeeper>(loop_, kv_, bus_, random_, &records_,
                                        options_, incarnation, listed,
                                        std::move(observers));
-  ender_ =
-      std::make_unique<MemberEnder>(loop_, kv_, bus_, &records_, term_.get(),
-                                    options_, [this](const MemberId&) {
-                                      if (slots_ && !leaving_)
-                                        slots_->RepairNow();
-                                    });
+  ender_ = std::make_unique<MemberEnder>(loop_, kv_, bus_, random_, &records_,
+                                         term_.get(), options_,
+                                         [this](const MemberId&) {
+                                           if (slots_ && !leaving_)
+                                             slots_->RepairNow();
+                                         });
 }
 
 void FleetDriver::OnJoined() {
@@ -195,7 +192,7 @@
     slots_.reset();
     ender_.reset();
     term_.reset();
-    self_ = MemberId(options_.name + "#" + NewIncarnation());
+    self_ = MemberId(options_.name + "#" + NewId(random_));
     BecomeMember(listed_);
     term_->Tick();
     OnView();
--- a/router/member_ender.cc
+++ b/router/member_ender.cc
@@ -19,12 +19,13 @@
 }  // namespace
 
 MemberEnder::MemberEnder(EventLoop* loop, KvStore* kv, PeerBus* bus,
-                         FleetRecords* records, TermKeeper* term,
-                         const FleetOptions& options,
+                         RandomSource* random, FleetRecords* records,
+                         TermKeeper* term, const FleetOptions& options,
                          std::function<void(const MemberId&)> ended)
     : loop_(loop),
       kv_(kv),
       bus_(bus),
+      random_(random),
       records_(records),
       term_(term),
       options_(options),
@@ -173,7 +174,7 @@
   job.writing = true;
   wire::MemberRecord record = job.target.record;
   record.set_ended(true);
-  record.set_change_id(RandomHex(8));
+  record.set_change_id(NewId(random_));
   job.kv_call = kv_->Put(
       records_->view().MemberKey(id), ToJson(record), job.target.revision, "",
       [this, id](const KvResult& result) { OnWritten(id, result); });
--- a/router/member_ender.h
+++ b/router/member_ender.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/random.h"
 #include "decide/membership.h"
 #include "net/event_loop.h"
 #include "router/fleet_options.h"
@@ -28,8 +29,9 @@
 class MemberEnder {
  public:
   // `ended` runs after this daemon ended a member.
-  MemberEnder(EventLoop* loop, KvStore* kv, PeerBus* bus, FleetRecords* records,
-              TermKeeper* term, const FleetOptions& options,
+  MemberEnder(EventLoop* loop, KvStore* kv, PeerBus* bus, RandomSource* random,
+              FleetRecords* records, TermKeeper* term,
+              const FleetOptions& options,
               std::function<void(const MemberId&)> ended);
 
   // Several times a grant.
@@ -70,6 +72,7 @@
   EventLoop* const loop_;
   KvStore* const kv_;
   PeerBus* const bus_;
+  RandomSource* const random_;
   FleetRecords* const records_;
   TermKeeper* const term_;
   const FleetOptions options_;
--- a/router/model_call.cc
+++ b/router/model_call.cc
@@ -439,7 +439,7 @@
   DecodeHandler decode_handler_;
 
   std::unique_ptr<PendingCharge> charge_;
-  Tokens charged_;  // asked for and not given back
+  Tokens charged_;                // asked for and not given back
   MonoTime charged_at_ = kNever;  // until granted
   std::unique_ptr<PendingPlace> pending_place_;
   std::unique_ptr<Place> place_;  // of the live attempt
--- a/router/service_call.cc
+++ b/router/service_call.cc
@@ -321,7 +321,7 @@
   const std::shared_ptr<bool> alive_;  // false once destroyed
 
   std::unique_ptr<PendingCharge> charge_;
-  Tokens charged_;  // asked for and not given back
+  Tokens charged_;                // asked for and not given back
   MonoTime charged_at_ = kNever;  // until granted
   std::unique_ptr<class Claim> claim_;
 
--- a/router/slot_mover.cc
+++ b/router/slot_mover.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/digest.h"
 #include "base/json.h"
 
 namespace mimosa {
@@ -115,7 +114,7 @@
       });
   if (!changed) return;
   const std::string value =
-      ToJson(slots.ToTable(view.slots().version() + 1, ChangeId(RandomHex(8))));
+      ToJson(slots.ToTable(view.slots().version() + 1, ChangeId(NewId(random_))));
   repair_retry_at_ = loop_->Now() + kRepairRetry;
   repair_call_ = kv_->Put(
       view.SlotsKey(), value, view.slots_revision(), "",
@@ -182,7 +181,7 @@
   move_.emplace();
   move_->all = all;
   for (auto& [to, slots] : by_target) {
-    move_->targets.push_back({to, std::move(slots), RandomHex(8), nullptr});
+    move_->targets.push_back({to, std::move(slots), NewId(random_), nullptr});
   }
   move_->unanswered = move_->targets.size();
   if (move_->targets.empty()) EndMove();
@@ -232,7 +231,7 @@
     return;
   }
   move_->table =
-      slots.ToTable(view.slots().version() + 1, ChangeId(RandomHex(8)));
+      slots.ToTable(view.slots().version() + 1, ChangeId(NewId(random_)));
   move_->expect = view.slots_revision();
   SendMove();
 }
--- a/router/term_keeper.cc
+++ b/router/term_keeper.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/digest.h"
 #include "base/json.h"
 
 namespace mimosa {
@@ -21,8 +20,6 @@
 // For how many grants a peer that failed is not chosen again.
 constexpr int kAvoidGrants = 5;
 
-std::string NewChangeId() { return RandomHex(8); }
-
 // "a" of "a#1".
 std::string NameOf(const std::string& member) {
   return member.substr(0, member.rfind('#'));
@@ -265,7 +262,7 @@
 void TermKeeper::StartWrite(wire::MemberRecord record, Backing backing,
                             std::function<void(bool)> done) {
   record.set_epoch(record_.epoch() + 1);
-  record.set_change_id(NewChangeId());
+  record.set_change_id(NewId(random_));
   write_ = Write{std::move(record), std::move(backing), revision_, false, false,
                  loop_->Now(),      std::move(done)};
   holder_.BeginChange(SetOf(write_->backing));
--- /dev/null
+++ b/tests/fleet_model_test.cc
@@ -0,0 +1,505 @@
+// Seeded random histories of a fleet of real drivers in virtual time, against
+// an omniscient reference:
+//  - no term is held (by its holder's clock) once its record is ended or gone;
+//  - no slot is owned by two members at once;
+//  - the net tokens admitted to a customer, each at its admission, never exceed
+//    burst + rate * window, whatever the window, with no slack.
+// The same checks must fail on each of the mutants below.
+//
+// MIMOSA_HISTORIES: how many histories; MIMOSA_SEED: the first seed.
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/json.h"
+#include "router/fleet_driver.h"
+#include "router/limits_driver.h"
+#include "tests/virtual_fleet.h"
+
+namespace mimosa {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kGrant = seconds(3);
+constexpr int kSlots = 8;
+constexpr double kMaxDrift = 1.0 / kClockDriftInverse;
+
+enum class Mutant {
+  kNone,
+  kTermIgnored,          // the holder doesn't look at its deadline
+  kWitnessForgets,       // a witness agrees to any end
+  kEndWithoutWitnesses,  // members are ended on mere silence
+  kFullAfterTakeOver,    // a new home starts at the burst
+  kAllotmentOutlives,    // allotments live on after the home's term
+  kNoExpiry,             // allotments never end at the daemon
+};
+
+struct Customer {
+  CustomerId id;
+  BucketLimits limits;
+};
+
+struct Admission {
+  MonoTime at;  // real time
+  int64_t tokens;
+  int64_t refunded = 0;
+};
+
+struct Daemon {
+  Daemon(VirtualWorld* world, VirtualPlatform* platform,
+         VirtualNetwork* network, const std::string& name,
+         const Endpoint& address, uint64_t seed, const Mutant mutant,
+         const BucketLimitsOf& limits_of)
+      : random(seed),
+        loop(world, seconds(random.Below(1000)),
+             (2 * random.Unit() - 1) * kMaxDrift),
+        kv(platform, &loop),
+        bus(network, &loop, address),
+        fleet(&loop, &kv, &bus, &random, Options(name, address, mutant)),
+        limits(&loop, &fleet, &bus, LimitsOf(mutant), limits_of) {
+    fleet.SetSlotKeeper(&limits);
+    fleet.Start();
+  }
+
+  static FleetOptions Options(const std::string& name, const Endpoint& address,
+                              Mutant mutant) {
+    FleetOptions options;
+    options.name = name;
+    options.peer_address = address;
+    options.failure_domain = FailureDomain(name.substr(0, 1));
+    options.region = "r";
+    options.deployment = "d";
+    options.grant = kGrant;
+    options.slots = kSlots;
+    if (mutant == Mutant::kTermIgnored) options.disable = {"term"};
+    return options;
+  }
+  static LimitsOptions LimitsOf(Mutant mutant) {
+    LimitsOptions options;
+    options.grant = kGrant;
+    options.slots = kSlots;
+    if (mutant == Mutant::kNoExpiry) options.disable = {"allotment-expiry"};
+    return options;
+  }
+
+  SeededRandom random;
+  VirtualLoop loop;
+  VirtualKv kv;
+  VirtualBus bus;
+  FleetDriver fleet;
+  LimitsDriver limits;
+  Endpoint address;
+  std::vector<std::unique_ptr<PendingCharge>> pending;
+};
+
+struct Totals {
+  uint64_t admitted = 0;
+  uint64_t refused = 0;
+  uint64_t refunds = 0;
+  uint64_t ended = 0;
+  uint64_t take_overs = 0;
+  uint64_t platform_calls = 0;
+  uint64_t peer_calls = 0;
+};
+
+class History {
+ public:
+  History(uint64_t seed, Mutant mutant)
+      : seed_(seed),
+        mutant_(mutant),
+        random_(seed),
+        platform_(&world_, &random_, &weather_),
+        network_{&world_, &random_, &weather_, {}, {}, nullptr, 0} {
+    for (int i = 0; i < 3; ++i) {
+      const int64_t rate = 100 + static_cast<int64_t>(random_.Below(2000));
+      const int64_t burst =
+          rate / 2 + static_cast<int64_t>(random_.Below(4 * rate));
+      customers_.push_back(
+          {CustomerId("c" + std::to_string(i)), {rate, burst}});
+    }
+    platform_.on_put = [this](const std::string& key, std::string* value) {
+      OnPut(key, value);
+    };
+    platform_.on_delete = [this](const std::string& key) { OnOver(key); };
+    ApplyNetworkMutant();
+    world_.AfterEach([this] { CheckSome(); });
+  }
+
+  // Empty: all held. Else what did not.
+  const std::string& Run(Totals* totals) {
+    const size_t size = 1 + random_.Below(8);
+    for (size_t i = 0; i < size; ++i) {
+      AddDaemon(std::string(1, static_cast<char>('a' + i)));
+    }
+    const MonoTime end = world_.now() + seconds(20 + random_.Below(40));
+    ScheduleFault();
+    ScheduleCharge();
+    while (world_.now() < end && fault_.empty()) {
+      world_.RunUntil(world_.now() + milliseconds(100));
+    }
+    CheckBuckets();
+    totals_.platform_calls = platform_.calls;
+    totals_.peer_calls = network_.calls;
+    Add(totals);
+    return fault_;
+  }
+
+ private:
+  void Add(Totals* totals) const {
+    totals->admitted += totals_.admitted;
+    totals->refused += totals_.refused;
+    totals->refunds += totals_.refunds;
+    totals->ended += totals_.ended;
+    totals->take_overs += totals_.take_overs;
+    totals->platform_calls += totals_.platform_calls;
+    totals->peer_calls += totals_.peer_calls;
+  }
+
+  void Fail(const std::string& what) {
+    if (fault_.empty()) {
+      fault_ =
+          what + " at " +
+          std::to_string(ToMillis(world_.now().time_since_epoch()) - 3600000) +
+          " ms";
+    }
+  }
+
+  // --- Mutants ---------------------------------------------------------------
+
+  void ApplyNetworkMutant() {
+    network_.on_reply = [this](const std::string& method,
+                               google::protobuf::Message* reply) {
+      if (mutant_ == Mutant::kWitnessForgets && method == "fleet.end") {
+        static_cast<wire::EndReply*>(reply)->set_agreed(true);
+      }
+      if (mutant_ == Mutant::kAllotmentOutlives && method == "limits.allot") {
+        auto* allotments = static_cast<wire::AllotmentReply*>(reply);
+        for (auto& item : *allotments->mutable_items()) {
+          item.set_lifetime_ms(item.lifetime_ms() * 4);
+        }
+      }
+    };
+  }
+
+  void EndOnSilence() {
+    // Anyone whose process is paused now is ended without a question.
+    for (const auto& daemon : daemons_) {
+      if (!daemon->loop.paused() || daemon->loop.killed()) continue;
+      const std::string key = "d/fleet/members/" + daemon->fleet.self().value();
+      const KvResult there = platform_.Get(key);
+      wire::MemberRecord record;
+      if (there.status != KvStatus::kOk ||
+          !FromJson(there.record.value, false, &record) || record.ended()) {
+        continue;
+      }
+      record.set_ended(true);
+      platform_.Put(key, ToJson(record), there.record.revision, "");
+    }
+  }
+
+  // --- The reference ---------------------------------------------------------
+
+  void OnPut(const std::string& key, std::string* value) {
+    if (key == "d/fleet/slots") {
+      ++totals_.take_overs;
+      wire::SlotTable table;
+      if (mutant_ != Mutant::kFullAfterTakeOver ||
+          !FromJson(*value, false, &table)) {
+        return;
+      }
+      for (auto& start : *table.mutable_start()) {
+        if (start.empty()) start = kStartFull;
+      }
+      *value = ToJson(table);
+      return;
+    }
+    wire::MemberRecord record;
+    if (FromJson(*value, false, &record) && record.ended()) OnOver(key);
+  }
+
+  void OnOver(const std::string& key) {
+    ++totals_.ended;
+    over_.insert(key.substr(key.rfind('/') + 1));
+  }
+
+  bool Runs(const Daemon& daemon) const {
+    return !daemon.loop.killed() && !daemon.loop.paused();
+  }
+
+  // After each event; a paused process decides nothing.
+  void CheckSome() {
+    std::map<int, const Daemon*> owners;
+    for (const auto& daemon : daemons_) {
+      if (!Runs(*daemon)) continue;
+      const bool held = daemon->loop.Now() < daemon->fleet.TermDeadline();
+      if (held && over_.count(daemon->fleet.self().value()) > 0) {
+        Fail("term held after its end by " + daemon->fleet.self().value());
+      }
+      for (int slot = 0; slot < kSlots; ++slot) {
+        if (!daemon->fleet.OwnsSlot(slot)) continue;
+        if (!owners.emplace(slot, daemon.get()).second) {
+          Fail("slot " + std::to_string(slot) + " owned twice");
+        }
+      }
+    }
+  }
+
+  // A bucket that takes the net tokens at their admission never runs dry. That
+  // is the bound over all windows at once. In micro-tokens.
+  void CheckBuckets() {
+    for (const Customer& customer : customers_) {
+      const BucketLimits& limits = customer.limits;
+      const int64_t full = limits.burst * 1000000;
+      int64_t level = full;
+      MonoTime last{};
+      for (const Admission& admission : admitted_[customer.id]) {
+        const Duration gap = admission.at - last;
+        level = gap > seconds(3600)
+                    ? full
+                    : std::min(full, level + limits.rate * gap.count());
+        last = admission.at;
+        level -= (admission.tokens - admission.refunded) * 1000000;
+        if (level < 0) {
+          Fail("bucket of " + customer.id.value() + " overdrawn by " +
+               std::to_string(-level / 1000000) + " of rate " +
+               std::to_string(limits.rate) + " burst " +
+               std::to_string(limits.burst));
+          return;
+        }
+      }
+    }
+  }
+
+  // --- Load ------------------------------------------------------------------
+
+  void ScheduleCharge() {
+    world_.At(world_.now() + Duration(random_.Below(20000)), [this] {
+      ChargeSomewhere();
+      ScheduleCharge();
+    });
+  }
+
+  void ChargeSomewhere() {
+    // Uneven balancing: the first daemons get most.
+    const size_t pick = random_.Below(1 + random_.Below(daemons_.size()));
+    Daemon* daemon = daemons_[pick].get();
+    if (!Runs(*daemon)) return;
+    const Customer& customer = customers_[random_.Below(customers_.size())];
+    const auto tokens = static_cast<int64_t>(
+        1 + random_.Below(customer.limits.burst / (1 + random_.Below(20)) + 1));
+    const bool patient = random_.Below(3) == 0;
+    const MonoTime until =
+        daemon->loop.Now() + (patient ? seconds(8) : seconds(0));
+    daemon->pending.push_back(daemon->limits.Charge(
+        customer.id, Tokens(tokens), until,
+        [this, daemon, tokens, id = customer.id](const ChargeResult& result) {
+          OnDecided(daemon, id, tokens, result);
+        }));
+    if (daemon->pending.size() > 20) {
+      daemon->pending.erase(daemon->pending.begin());  // gives up on it
+    }
+  }
+
+  void OnDecided(Daemon* daemon, const CustomerId& customer, int64_t tokens,
+                 const ChargeResult& result) {
+    if (!result.granted) {
+      ++totals_.refused;
+      return;
+    }
+    ++totals_.admitted;
+    auto& admitted = admitted_[customer];
+    const size_t index = admitted.size();
+    admitted.push_back({world_.now(), tokens, 0});
+    if (random_.Below(2) == 0) return;
+    const auto unused = static_cast<int64_t>(random_.Below(tokens + 1));
+    const MonoTime charged_at = daemon->loop.Now();
+    daemon->loop.RunAt(world_.now() + milliseconds(random_.Below(10000)),
+                       [this, daemon, customer, index, unused, charged_at] {
+                         if (unused == 0) return;
+                         ++totals_.refunds;
+                         admitted_[customer][index].refunded = unused;
+                         daemon->limits.Refund(customer, Tokens(unused),
+                                               charged_at);
+                       });
+  }
+
+  // --- Faults ----------------------------------------------------------------
+
+  void AddDaemon(const std::string& name) {
+    const Endpoint address{"10.0.0." + std::to_string(++next_ip_), 1};
+    AddDaemonAt(name, address);
+  }
+
+  void AddDaemonAt(const std::string& name, const Endpoint& address) {
+    platform_.vms.insert(address.ip);
+    daemons_.push_back(std::make_unique<Daemon>(
+        &world_, &platform_, &network_, name, address, random_.Next(), mutant_,
+        [this](const CustomerId& id) { return LimitsOf(id); }));
+    daemons_.back()->address = address;
+    names_.push_back(name);
+  }
+
+  std::optional<BucketLimits> LimitsOf(const CustomerId& id) const {
+    for (const Customer& customer : customers_) {
+      if (customer.id == id) return customer.limits;
+    }
+    return std::nullopt;
+  }
+
+  void ScheduleFault() {
+    world_.At(world_.now() + milliseconds(200 + random_.Below(6000)), [this] {
+      Fault();
+      ScheduleFault();
+    });
+  }
+
+  void Fault() {
+    const size_t pick = random_.Below(daemons_.size());
+    Daemon* daemon = daemons_[pick].get();
+    const Duration span = milliseconds(random_.Below(12000));
+    switch (random_.Below(10)) {
+      case 0:
+      case 1:
+      case 2:
+        if (!Runs(*daemon)) return;
+        daemon->loop.Pause();
+        world_.At(world_.now() + span, [daemon] { daemon->loop.Resume(); });
+        if (mutant_ == Mutant::kEndWithoutWitnesses) {
+          world_.At(world_.now() + milliseconds(100),
+                    [this] { EndOnSilence(); });
+        }
+        return;
+      case 3:
+        Replace(pick, true);
+        return;
+      case 4:
+        Replace(pick, false);
+        return;
+      case 5: {
+        const auto pair = std::make_pair(
+            daemon->address, daemons_[random_.Below(daemons_.size())]->address);
+        network_.cut.insert(pair);
+        world_.At(world_.now() + span,
+                  [this, pair] { network_.cut.erase(pair); });
+        return;
+      }
+      case 6:
+        weather_.platform_down = true;
+        world_.At(world_.now() + 2 * span,
+                  [this] { weather_.platform_down = false; });
+        return;
+      case 7:
+        weather_.platform_lose = random_.Below(400);
+        world_.At(world_.now() + span, [this] { weather_.platform_lose = 0; });
+        return;
+      case 8:
+        weather_.lose = random_.Below(200);
+        weather_.twice = random_.Below(100);
+        weather_.late = random_.Below(100);
+        world_.At(world_.now() + span, [this] {
+          weather_.lose = weather_.twice = weather_.late = 0;
+        });
+        return;
+      default:
+        if (Runs(*daemon)) daemon->fleet.LeaveGracefully([] {});
+        return;
+    }
+  }
+
+  void Replace(size_t pick, bool same_address) {
+    Daemon* daemon = daemons_[pick].get();
+    if (daemon->loop.killed()) return;
+    daemon->loop.Kill();
+    network_.at.erase(daemon->address);
+    if (!same_address) platform_.vms.erase(daemon->address.ip);
+    const std::string name = names_[pick];
+    const Endpoint address = daemon->address;
+    world_.At(world_.now() + milliseconds(random_.Below(4000)),
+              [this, name, address, same_address] {
+                if (same_address) {
+                  AddDaemonAt(name, address);
+                } else {
+                  AddDaemon(name);
+                }
+              });
+  }
+
+  const uint64_t seed_;
+  const Mutant mutant_;
+  SeededRandom random_;
+  VirtualWorld world_;
+  Weather weather_;
+  VirtualPlatform platform_;
+  VirtualNetwork network_;
+  std::vector<Customer> customers_;
+  std::vector<std::unique_ptr<Daemon>> daemons_;  // the killed ones too
+  std::vector<std::string> names_;
+  std::set<std::string> over_;
+  std::map<CustomerId, std::vector<Admission>> admitted_;
+  int next_ip_ = 0;
+  std::string fault_;
+  Totals totals_;
+};
+
+uint64_t FromEnvironment(const char* name, uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+// Histories until one fails; returns how many ran, and the failure.
+uint64_t FirstFailure(Mutant mutant, uint64_t limit, std::string* fault) {
+  Totals totals;
+  for (uint64_t i = 0; i < limit; ++i) {
+    History history(1000 + i, mutant);
+    *fault = history.Run(&totals);
+    if (!fault->empty()) return i + 1;
+  }
+  return limit;
+}
+
+TEST_CASE("Terms, slots and buckets hold in all histories") {
+  const uint64_t seed = FromEnvironment("MIMOSA_SEED", 1);
+  const uint64_t count = FromEnvironment("MIMOSA_HISTORIES", 300);
+  Totals totals;
+  for (uint64_t i = 0; i < count; ++i) {
+    History history(seed + i, Mutant::kNone);
+    const std::string fault = history.Run(&totals);
+    INFO("seed " << seed + i);
+    REQUIRE(fault == "");
+  }
+  std::cout << "histories " << count << " from seed " << seed << ": admitted "
+            << totals.admitted << ", refused " << totals.refused << ", refunds "
+            << totals.refunds << ", members ended " << totals.ended
+            << ", slot table writes " << totals.take_overs
+            << ", platform calls " << totals.platform_calls << ", peer calls "
+            << totals.peer_calls << "\n";
+  CHECK(totals.admitted > 100 * count);
+  CHECK(totals.ended > count);
+}
+
+TEST_CASE("The histories find each mutant") {
+  const std::pair<Mutant, const char*> mutants[] = {
+      {Mutant::kTermIgnored, "the holder ignores its deadline"},
+      {Mutant::kWitnessForgets, "witnesses agree to any end"},
+      {Mutant::kEndWithoutWitnesses, "ended without asking witnesses"},
+      {Mutant::kFullAfterTakeOver, "a new home starts full"},
+      {Mutant::kAllotmentOutlives, "allotments outlive the term"},
+      {Mutant::kNoExpiry, "allotments never end at the daemon"},
+  };
+  for (const auto& [mutant, name] : mutants) {
+    std::string fault;
+    const uint64_t ran = FirstFailure(mutant, 400, &fault);
+    std::cout << "mutant: " << name << ": history " << ran << ": " << fault
+              << "\n";
+    CHECK(fault != "");
+  }
+}
+
+}  // namespace
+}  // namespace mimosa
--- /dev/null
+++ b/tests/virtual_fleet.h
@@ -0,0 +1,291 @@
+// A fleet in virtual time: loops, peers' calls and the platform as fakes of the
+// daemon's own interfaces, so that real drivers run thousands of histories a
+// minute. Every VM has its own clock with its own drift and can be paused.
+#ifndef TESTS_VIRTUAL_FLEET_H_
+#define TESTS_VIRTUAL_FLEET_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "net/event_loop.h"
+#include "router/kv_store.h"
+#include "router/peer_bus.h"
+
+namespace mimosa {
+
+// Real time, which no daemon sees, and what happens next.
+class VirtualWorld {
+ public:
+  MonoTime now() const { return now_; }
+  void At(MonoTime when, std::function<void()> what) {
+    events_.push({std::max(when, now_), serial_++, std::move(what)});
+  }
+  void RunUntil(MonoTime end) {
+    while (!events_.empty() && events_.top().when <= end) {
+      // The queue gives out const access only; the event leaves it next.
+      std::function<void()> what =
+          std::move(const_cast<Event&>(events_.top()).what);
+      now_ = events_.top().when;
+      events_.pop();
+      what();
+      if (after_each_) after_each_();
+    }
+    now_ = end;
+  }
+  void AfterEach(std::function<void()> check) {
+    after_each_ = std::move(check);
+  }
+
+ private:
+  struct Event {
+    MonoTime when;
+    uint64_t serial;
+    std::function<void()> what;
+    bool operator<(const Event& other) const {
+      return when != other.when ? when > other.when : serial > other.serial;
+    }
+  };
+  MonoTime now_{std::chrono::hours(1)};
+  uint64_t serial_ = 0;
+  std::priority_queue<Event> events_;
+  std::function<void()> after_each_;
+};
+
+// One VM's loop. Its callbacks run late while it is paused, never once killed.
+class VirtualLoop : public EventLoop {
+ public:
+  // The clock runs at 1 + `drift` of real time.
+  VirtualLoop(VirtualWorld* world, Duration offset, double drift)
+      : world_(world), offset_(offset), drift_(drift), born_(world->now()) {}
+
+  MonoTime Now() const override {
+    const auto elapsed = static_cast<double>((world_->now() - born_).count());
+    return born_ + offset_ +
+           Duration(static_cast<int64_t>(elapsed * (1 + drift_)));
+  }
+  TimerHandle After(Duration delay, std::function<void()> callback) override {
+    auto timer = std::make_unique<Timer>();
+    const auto real =
+        static_cast<int64_t>(static_cast<double>(delay.count()) / (1 + drift_));
+    // Rounded up: a timer that fires early by this clock would spin.
+    RunAt(world_->now() + Duration(real + 2),
+          [live = timer->live, callback = std::move(callback)] {
+            if (*live) callback();
+          });
+    return TimerHandle(std::move(timer));
+  }
+  void Post(std::function<void()> callback) override {
+    RunAt(world_->now(), std::move(callback));
+  }
+  void Run() override {}
+  void Stop() override {}
+  void OnSignal(std::function<void()>) override {}
+
+  // Runs `callback` in this process at that real time or when it resumes.
+  void RunAt(MonoTime when, std::function<void()> callback) {
+    world_->At(when, [state = state_, callback = std::move(callback)] {
+      if (state->killed) return;
+      if (state->paused) {
+        state->held.push_back(callback);
+      } else {
+        callback();
+      }
+    });
+  }
+  void Pause() { state_->paused = true; }
+  void Resume() {
+    state_->paused = false;
+    std::vector<std::function<void()>> held;
+    held.swap(state_->held);
+    for (auto& callback : held) RunAt(world_->now(), std::move(callback));
+  }
+  void Kill() { state_->killed = true; }
+  bool paused() const { return state_->paused; }
+  bool killed() const { return state_->killed; }
+
+ private:
+  struct Timer : public TimerHandle::Impl {
+    ~Timer() override { *live = false; }
+    const std::shared_ptr<bool> live = std::make_shared<bool>(true);
+  };
+  struct State {
+    bool paused = false;
+    bool killed = false;
+    std::vector<std::function<void()>> held;
+  };
+
+  VirtualWorld* const world_;
+  const Duration offset_;
+  const double drift_;
+  const MonoTime born_;
+  const std::shared_ptr<State> state_ = std::make_shared<State>();
+};
+
+// How messages fare. Chances are out of 1000.
+struct Weather {
+  uint64_t lose = 0;   // of each direction
+  uint64_t twice = 0;  // a call that the server sees twice
+  uint64_t late = 0;   // delayed by up to a few seconds
+  bool platform_down = false;
+  uint64_t platform_lose = 0;  // replies lost after the write took effect
+};
+
+// The platform's store.
+class VirtualPlatform {
+ public:
+  VirtualPlatform(VirtualWorld* world, RandomSource* random, Weather* weather)
+      : world_(world), random_(random), weather_(weather) {}
+
+  struct Entry {
+    std::string value;
+    Revision revision;
+    std::string lease;
+  };
+
+  // `on_put` may change a value before it is stored (a mutant), and sees it.
+  std::function<void(const std::string& key, std::string* value)> on_put;
+  std::function<void(const std::string& key)> on_delete;
+  std::set<std::string> vms;
+  uint64_t calls = 0;
+
+  KvResult Get(const std::string& key);
+  KvResult Put(const std::string& key, const std::string& value,
+               Revision expect, const std::string& lease);
+  KvResult Delete(const std::string& key, Revision expect);
+  KvListResult Changes(const std::string& prefix, Revision after, bool all);
+  KvResult CreateLease(Duration ttl);
+  KvResult RenewLease(const std::string& lease);
+
+  VirtualWorld* world() { return world_; }
+  RandomSource* random() { return random_; }
+  Weather* weather() { return weather_; }
+
+ private:
+  void ExpireLeases();
+  KvResult Conflict(const std::string& key);
+
+  VirtualWorld* const world_;
+  RandomSource* const random_;
+  Weather* const weather_;
+  std::map<std::string, Entry> entries_;
+  std::map<std::string, Revision> deleted_;
+  std::map<std::string, std::pair<MonoTime, Duration>> leases_;
+  Revision revision_{1};
+  uint64_t next_lease_ = 1;
+};
+
+// One daemon's connection to it.
+class VirtualKv : public KvStore {
+ public:
+  VirtualKv(VirtualPlatform* platform, VirtualLoop* loop)
+      : platform_(platform), loop_(loop) {}
+
+  CallPtr Get(const std::string& key, Done done) override;
+  CallPtr Put(const std::string& key, std::string value, Revision expect,
+              const std::string& lease, Done done) override;
+  CallPtr Delete(const std::string& key, Revision expect, Done done) override;
+  CallPtr List(const std::string& prefix, ListDone done) override;
+  CallPtr Watch(const std::string& prefix, Revision after, Duration wait,
+                ListDone done) override;
+  CallPtr CreateLease(Duration ttl, Done done) override;
+  CallPtr RenewLease(const std::string& lease, Done done) override;
+  CallPtr EndLease(const std::string& lease, Done done) override;
+  CallPtr ListVms(VmsDone done) override;
+
+ private:
+  struct Call : public KvCall {
+    ~Call() override { *live = false; }
+    const std::shared_ptr<bool> live = std::make_shared<bool>(true);
+  };
+  template <typename Result>
+  CallPtr Run(std::function<Result()> act, std::function<void(Result)> done);
+  void PollWatch(std::shared_ptr<bool> live, const std::string& prefix,
+                 Revision after, MonoTime until, ListDone done);
+
+  VirtualPlatform* const platform_;
+  VirtualLoop* const loop_;
+};
+
+class VirtualBus;
+
+// Who listens where, and which addresses can't talk to each other.
+struct VirtualNetwork {
+  VirtualWorld* world;
+  RandomSource* random;
+  Weather* weather;
+  std::map<Endpoint, VirtualBus*> at;
+  std::set<std::pair<Endpoint, Endpoint>> cut;
+  // A mutant may change replies on their way.
+  std::function<void(const std::string& method,
+                     google::protobuf::Message* reply)>
+      on_reply;
+  uint64_t calls = 0;
+};
+
+class VirtualBus : public PeerBus {
+ public:
+  VirtualBus(VirtualNetwork* network, VirtualLoop* loop, Endpoint address)
+      : network_(network), loop_(loop), address_(std::move(address)) {
+    network_->at[address_] = this;
+  }
+  ~VirtualBus() override {
+    auto it = network_->at.find(address_);
+    if (it != network_->at.end() && it->second == this) network_->at.erase(it);
+  }
+
+  void Register(const std::string& method,
+                const google::protobuf::Message& prototype,
+                Serve serve) override {
+    served_[method] = {&prototype, std::move(serve)};
+  }
+  std::unique_ptr<PeerCall> Call(const Endpoint& to, const std::string& method,
+                                 const google::protobuf::Message& params,
+                                 google::protobuf::Message* result,
+                                 Duration timeout, Done done) override;
+  uint64_t bytes_sent() const override { return bytes_; }
+  uint64_t bytes_received() const override { return 0; }
+
+ private:
+  struct Served {
+    const google::protobuf::Message* prototype;
+    Serve serve;
+  };
+  // Shared by a call and whatever of it is under way.
+  struct State {
+    google::protobuf::Message* result = nullptr;
+    Done done;
+    TimerHandle timer;
+    bool live = true;
+  };
+  struct CallHandle : public PeerCall {
+    ~CallHandle() override { state->live = false; }
+    std::shared_ptr<State> state = std::make_shared<State>();
+  };
+  class ReplyHandle;
+
+  static void Finish(const std::shared_ptr<State>& state, PeerStatus status);
+  void Deliver(const std::string& method,
+               const std::shared_ptr<google::protobuf::Message>& params,
+               const std::shared_ptr<State>& state, VirtualBus* caller);
+  Duration Delay();
+  bool Chance(uint64_t per_mille) {
+    return network_->random->Below(1000) < per_mille;
+  }
+
+  VirtualNetwork* const network_;
+  VirtualLoop* const loop_;
+  const Endpoint address_;
+  std::map<std::string, Served> served_;
+  uint64_t bytes_ = 0;
+};
+
+}  // namespace mimosa
+
+#endif  // TESTS_VIRTUAL_FLEET_H_
