--- a/tests/answered_once_test.cc
+++ b/tests/answered_once_test.cc
@@ -32,27 +32,33 @@
   return members;
 }
 
+// What was wrong with the answer to one letter; empty: nothing.
+std::string FaultOf(uint16_t router, size_t letter) {
+  const std::string prompt = "letter " + std::to_string(letter) +
+                             " [out=" + std::to_string(20 + letter) + "]";
+  const bool stream = letter % 2 == 0;
+  const Reply reply = Call(router, Completion(prompt, kMaxTokens, stream));
+  if (reply.whole && reply.status == 200 && HasEndMarker(reply) == stream &&
+      TextOf(reply) == ExpectedOutput(prompt, kMaxTokens))
+    return "";
+  return std::to_string(letter) + ": " + std::to_string(reply.status) +
+         (reply.whole ? " whole " : " cut ") + TextOf(reply) + reply.body;
+}
+
 // Sends `count` letters at once over all routers; how many of the answers are
 // the whole text of their own letter.
 int CorrectOf(Deployment& fleet, int count) {
   std::vector<std::thread> callers;
-  std::vector<int> correct(static_cast<size_t>(count), 0);
-  for (size_t i = 0; i < correct.size(); ++i) {
+  std::vector<std::string> faults(static_cast<size_t>(count));
+  for (size_t i = 0; i < faults.size(); ++i) {
     callers.emplace_back([&, i] {
-      const std::string prompt = "letter " + std::to_string(i) +
-                                 " [out=" + std::to_string(20 + i) + "]";
-      const bool stream = i % 2 == 0;
-      const Reply reply = Call(fleet.router(i % fleet.routers()).port(),
-                               Completion(prompt, kMaxTokens, stream));
-      correct[i] = reply.whole && reply.status == 200 &&
-                           HasEndMarker(reply) == stream &&
-                           TextOf(reply) == ExpectedOutput(prompt, kMaxTokens)
-                       ? 1
-                       : 0;
+      faults[i] = FaultOf(fleet.router(i % fleet.routers()).port(), i);
     });
   }
   for (std::thread& caller : callers) caller.join();
-  return static_cast<int>(std::count(correct.begin(), correct.end(), 1));
+  for (const std::string& fault : faults)
+    if (!fault.empty()) UNSCOPED_INFO(fault);
+  return static_cast<int>(std::count(faults.begin(), faults.end(), ""));
 }
 
 TEST_CASE("Crossed, doubled and late answers reach nobody wrongly") {
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -22,16 +22,22 @@
   return args;
 }
 
-// Engines fast enough for tests, with the memory and fencing asked for.
+// Engines fast enough for tests, with the memory and fencing asked for. Flags
+// of the test's own take the place of these.
 std::vector<std::string> EngineFlags(const DeploymentOptions& options,
                                      const char* role) {
-  std::vector<std::string> flags = {
-      std::string("--role=") + role,
-      "--pieces=" + std::to_string(options.pieces),
-      std::string("--fencing=") + (options.checks_fencing ? "check" : "ignore"),
-      "--prefill-us-per-token=20", "--token-us=4000"};
-  flags.insert(flags.end(), options.engine_flags.begin(),
-               options.engine_flags.end());
+  std::vector<std::string> flags = options.engine_flags;
+  const auto add = [&flags](const std::string& name, const std::string& value) {
+    const std::string start = "--" + name + "=";
+    for (const std::string& flag : flags)
+      if (flag.compare(0, start.size(), start) == 0) return;
+    flags.push_back(start + value);
+  };
+  add("role", role);
+  add("pieces", std::to_string(options.pieces));
+  add("fencing", options.checks_fencing ? "check" : "ignore");
+  add("prefill-us-per-token", "20");
+  add("token-us", "4000");
   return flags;
 }
 
