--- a/router/daemon.cc
+++ b/router/daemon.cc
@@ -91,6 +91,7 @@
 FrontOptions FrontOptionsOf(const wire::RouterSettings& settings) {
   const auto disable = SplitNames(settings.disable());
   FrontOptions options;
+  options.slots = static_cast<int>(settings.slots());
   options.max_body_bytes = static_cast<size_t>(settings.max_body_bytes());
   options.stale_after = std::chrono::milliseconds(settings.stale_ms());
   options.strip_keys = disable.count("key-strip") == 0;
--- a/router/front.cc
+++ b/router/front.cc
@@ -80,16 +80,30 @@
   Begin(serial, std::move(context));
 }
 
-void Front::AnswerHealth(HttpExchange* exchange) const {
-  const bool known = catalogue_->current()->version() > CatalogueVersion(0);
+bool Front::Ready() {
+  if (was_ready_) return true;
+  if (catalogue_->current()->version() == CatalogueVersion(0) ||
+      fleet_->Find(fleet_->self()) == nullptr)
+    return false;
+  // A customer whose slot has no owner can't be charged by anybody.
+  for (int slot = 0; slot < options_.slots; ++slot) {
+    const auto owner = fleet_->SlotOwner(slot);
+    if (!owner || fleet_->Find(*owner) == nullptr) return false;
+  }
+  was_ready_ = true;
+  return true;
+}
+
+void Front::AnswerHealth(HttpExchange* exchange) {
   const bool in_touch = fleet_->SilenceAge() <= options_.stale_after;
+  const bool ready = Ready();
   HttpResponse response;
-  response.status = known && in_touch && !leaving_ ? 200 : 503;
+  response.status = ready && in_touch && !leaving_ ? 200 : 503;
   response.headers.Set("Content-Type", "text/plain");
   if (leaving_) {
     response.body = "leaving\n";
-  } else if (!known) {
-    response.body = "no catalogue\n";
+  } else if (!ready) {
+    response.body = "starting\n";
   } else {
     response.body = in_touch ? "ok\n" : "out of touch\n";
   }
--- a/router/front.h
+++ b/router/front.h
@@ -43,6 +43,7 @@
 };
 
 struct FrontOptions {
+  int slots = 64;  // the fleet's
   size_t max_body_bytes = 8U << 20;
   // Without word from platform and peers for so long, keyed requests are
   // refused: this daemon would not hear of a withdrawn key.
@@ -76,7 +77,10 @@
  private:
   struct Running;
 
-  void AnswerHealth(HttpExchange* exchange) const;
+  void AnswerHealth(HttpExchange* exchange);
+  // Whether this daemon has all it needs to serve. Asked until it first holds:
+  // what is lost later for a while must not take all daemons from the balancer.
+  bool Ready();
   // The reason why this daemon admits no request now, or none.
   bool RefuseByState(Answer* answer, bool open) const;
   bool FindRoute(const HttpRequest& request, RequestContext* context) const;
@@ -98,6 +102,7 @@
   // Entries live from admission until their call's `done`.
   std::map<uint64_t, std::unique_ptr<Running>> running_;
   bool leaving_ = false;
+  bool was_ready_ = false;
   const std::shared_ptr<bool> alive_;  // false once destroyed
 };
 
--- a/router/slot_mover.cc
+++ b/router/slot_mover.cc
@@ -113,8 +113,8 @@
         return view.Over(owner, view.slots_revision());
       });
   if (!changed) return;
-  const std::string value =
-      ToJson(slots.ToTable(view.slots().version() + 1, ChangeId(NewId(random_))));
+  const std::string value = ToJson(
+      slots.ToTable(view.slots().version() + 1, ChangeId(NewId(random_))));
   repair_retry_at_ = loop_->Now() + kRepairRetry;
   repair_call_ = kv_->Put(
       view.SlotsKey(), value, view.slots_revision(), "",
