--- a/bench/rounds.cc
+++ b/bench/rounds.cc
@@ -127,7 +127,7 @@
   void BeginAttempt(Request* r);
   void Search(Request* r, SearchStage stage);
   void Follow(Request* r, const SearchStep& step);
-  void Ask(Request* r, int engine, bool may_wait);
+  void Ask(Request* r, int engine, const SearchStep& step);
   void Deliver(SearchStage stage, int engine, const BookAnswers& answers);
   void OnAnswer(Request* r, const BookAnswer& answer);
   void Choose(Request* r, int engine);
@@ -401,7 +401,7 @@
 void Run::Follow(Request* r, const SearchStep& step) {
   switch (step.kind) {
     case SearchStep::Kind::kAsk:
-      Ask(r, r->candidates[step.engine], step.may_wait);
+      Ask(r, r->candidates[step.engine], step);
       return;
     case SearchStep::Kind::kUse:
       Choose(r, r->candidates[step.engine]);
@@ -413,12 +413,12 @@
   }
 }
 
-void Run::Ask(Request* r, int engine, bool may_wait) {
+void Run::Ask(Request* r, int engine, const SearchStep& step) {
   r->asked = engine;
   const uint64_t question = ++r->question;
   const SearchStage stage = r->stage;
   const Duration hop = Hop(*r, BookOf(stage, engine).owner);
-  loop_.After(hop, [this, r, stage, engine, may_wait, question] {
+  loop_.After(hop, [this, r, stage, engine, step, question] {
     if (r->outcome != Outcome::kOpen || question != r->question) return;
     OwnedBook& owned = BookOf(stage, engine);
     if (owned.owner < 0) {
@@ -427,9 +427,11 @@
       });
       return;
     }
-    Deliver(
-        stage, engine,
-        owned.book->Reserve(MakeBookRequest(*r, stage, may_wait), loop_.now()));
+    BookRequest asked = MakeBookRequest(*r, stage, step.may_wait);
+    if (step.max_wait < asked.queued.start_by - loop_.now()) {
+      asked.queued.start_by = loop_.now() + step.max_wait;
+    }
+    Deliver(stage, engine, owned.book->Reserve(asked, loop_.now()));
   });
 }
 
--- a/decide/place_search.cc
+++ b/decide/place_search.cc
@@ -8,6 +8,8 @@
 
 // Engines at which a request waits, one after the other.
 constexpr int kMaxWaits = 3;
+// A shorter wait is not worth another question.
+constexpr Duration kMinMaxWait = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -15,7 +17,8 @@
                               const CandidateSource& candidates,
                               RandomSource* random) {
   ranked_ = policy_->Rank(query, candidates, random);
-  next_probe_ = 0;
+  next_ask_ = 0;
+  query_ = query;
   waits_ = 0;
   if (ranked_.empty()) return {};
   if (!policy_->reserves()) {
@@ -29,22 +32,38 @@
 }
 
 SearchStep PlaceSearch::Next(const CandidateSource& candidates) {
-  const bool probes = stage_ == SearchStage::kDecode;
-  if (probes && next_probe_ < ranked_.size()) {
-    return {SearchStep::Kind::kAsk, ranked_[next_probe_++], false};
+  if (next_ask_ < ranked_.size()) {
+    const size_t rank = next_ask_++;
+    const Duration max_wait = MaxWait(rank, candidates);
+    return {SearchStep::Kind::kAsk, ranked_[rank], max_wait > Duration(0),
+            max_wait};
   }
   if (waits_ >= kMaxWaits || ranked_.empty()) return {};
   ++waits_;
-  auto best = ranked_.begin();
-  if (probes) {
-    best = std::min_element(
-        ranked_.begin(), ranked_.end(), [&candidates](size_t a, size_t b) {
-          return candidates.At(a).queue_wait < candidates.At(b).queue_wait;
-        });
-  }
+  const auto best = std::min_element(
+      ranked_.begin(), ranked_.end(), [this, &candidates](size_t a, size_t b) {
+        return ExpectedTime(a, candidates) < ExpectedTime(b, candidates);
+      });
   const size_t engine = *best;
   ranked_.erase(best);
+  next_ask_ = ranked_.size();
   return {SearchStep::Kind::kAsk, engine, true};
 }
 
+Duration PlaceSearch::MaxWait(size_t rank,
+                              const CandidateSource& candidates) const {
+  if (stage_ == SearchStage::kDecode) return Duration(0);
+  if (rank + 1 == ranked_.size()) return Duration::max();
+  PlacementCandidate idle = candidates.At(ranked_[rank]);
+  idle.queue_wait = Duration(0);
+  const Duration gain = ExpectedTime(ranked_[rank + 1], candidates) -
+                        policy_->ExpectedTime(query_, idle);
+  return std::max(gain, kMinMaxWait);
+}
+
+Duration PlaceSearch::ExpectedTime(size_t engine,
+                                   const CandidateSource& candidates) const {
+  return policy_->ExpectedTime(query_, candidates.At(engine));
+}
+
 }  // namespace mimosa
--- a/decide/place_search.h
+++ b/decide/place_search.h
@@ -3,10 +3,11 @@
 //
 // Model: for decode memory the search asks the ranked engines whether there is
 // room at once, and then waits at the one whose queue is shortest by the
-// summaries that those answers brought. For a prefill turn it waits at the best
-// ranked at once: an engine that has the prefix and a short queue beats an idle
-// one without, and the ranking has weighed that. A refused wait moves on to
-// another engine, a few times.
+// summaries that those answers brought. A prefill turn is short, and an engine
+// that has the prefix and a short queue beats an idle one without: there the
+// search offers each ranked engine to wait no longer than makes it better than
+// the next one. The owner knows its queue and refuses at once if that is too
+// short. A refused wait moves on to another engine, a few times.
 //
 // Pure: steps out, refusals in. The driver keeps the network, the measuring
 // loop of bench/ its virtual time.
@@ -31,6 +32,7 @@
   Kind kind = Kind::kGiveUp;
   size_t engine = 0;  // index into the candidates; not for kGiveUp
   bool may_wait = false;
+  Duration max_wait = Duration::max();  // meaningful if may_wait
 };
 
 class PlaceSearch {
@@ -48,11 +50,14 @@
 
  private:
   SearchStep Next(const CandidateSource& candidates);
+  Duration MaxWait(size_t rank, const CandidateSource& candidates) const;
+  Duration ExpectedTime(size_t engine, const CandidateSource& candidates) const;
 
   const SearchStage stage_;
   PlacementPolicy* const policy_;
+  PlacementQuery query_;
   std::vector<size_t> ranked_;  // engines at which the search may still wait
-  size_t next_probe_ = 0;       // index into ranked_, while probing
+  size_t next_ask_ = 0;         // index into ranked_, in the first pass
   int waits_ = 0;
 };
 
--- a/decide/placement.cc
+++ b/decide/placement.cc
@@ -6,7 +6,18 @@
 namespace mimosa {
 namespace {
 
-class RandomPlacement : public PlacementPolicy {
+// What the policies that reserve nothing have in common.
+class NaivePlacement : public PlacementPolicy {
+ public:
+  Duration ExpectedTime(
+      const PlacementQuery& /*query*/,
+      const PlacementCandidate& /*candidate*/) const override {
+    return Duration(0);
+  }
+  bool reserves() const override { return false; }
+};
+
+class RandomPlacement : public NaivePlacement {
  public:
   std::vector<size_t> Rank(const PlacementQuery& /*query*/,
                            const CandidateSource& candidates,
@@ -14,10 +25,9 @@
     if (candidates.size() == 0) return {};
     return {random->Below(candidates.size())};
   }
-  bool reserves() const override { return false; }
 };
 
-class RoundRobinPlacement : public PlacementPolicy {
+class RoundRobinPlacement : public NaivePlacement {
  public:
   std::vector<size_t> Rank(const PlacementQuery& /*query*/,
                            const CandidateSource& candidates,
@@ -25,13 +35,12 @@
     if (candidates.size() == 0) return {};
     return {next_++ % candidates.size()};
   }
-  bool reserves() const override { return false; }
 
  private:
   size_t next_ = 0;
 };
 
-class LeastLoadedPlacement : public PlacementPolicy {
+class LeastLoadedPlacement : public NaivePlacement {
  public:
   // Reads all candidates. Ties go to a random one, else all daemons would
   // choose the same engine until the next report.
@@ -52,7 +61,6 @@
     if (best.empty()) return {};
     return {best[random->Below(best.size())]};
   }
-  bool reserves() const override { return false; }
 };
 
 class ReservePlacement : public PlacementPolicy {
@@ -72,6 +80,16 @@
     for (const Scored& s : scored) ranked.push_back(s.index);
     return ranked;
   }
+  // A queue is taken to have shortened by the summary's age since.
+  Duration ExpectedTime(const PlacementQuery& query,
+                        const PlacementCandidate& candidate) const override {
+    const Duration queue =
+        std::max(candidate.queue_wait - candidate.age, Duration(0));
+    const Tokens uncached = query.prompt_tokens - candidate.cached_prefix;
+    const Duration prefill =
+        query.prefill_per_token * std::max<int64_t>(uncached.count(), 0);
+    return queue + prefill + candidate.link_wait;
+  }
   bool reserves() const override { return true; }
 
  private:
@@ -102,20 +120,14 @@
     return chosen;
   }
 
-  // A queue is taken to have shortened by the summary's age since.
-  static Rating Score(const PlacementQuery& query,
-                      const PlacementCandidate& candidate) {
-    const Duration queue =
-        std::max(candidate.queue_wait - candidate.age, Duration(0));
-    const Tokens uncached = query.prompt_tokens - candidate.cached_prefix;
-    const Duration prefill =
-        query.prefill_per_token * std::max<int64_t>(uncached.count(), 0);
+  Rating Score(const PlacementQuery& query,
+               const PlacementCandidate& candidate) const {
     double used_share = 0;
     if (candidate.capacity > Units(0)) {
       used_share = 1 - static_cast<double>(candidate.free.count()) /
                            static_cast<double>(candidate.capacity.count());
     }
-    return {queue + prefill + candidate.link_wait, used_share};
+    return {ExpectedTime(query, candidate), used_share};
   }
 };
 
--- a/decide/placement.h
+++ b/decide/placement.h
@@ -68,6 +68,10 @@
   virtual std::vector<size_t> Rank(const PlacementQuery& query,
                                    const CandidateSource& candidates,
                                    RandomSource* random) = 0;
+  // How long it would take until the request could go on from this engine; zero
+  // for policies that don't know.
+  virtual Duration ExpectedTime(const PlacementQuery& query,
+                                const PlacementCandidate& candidate) const = 0;
   // Whether engines are reserved before use; else they are just used.
   virtual bool reserves() const = 0;
 };
--- a/decide/request_queue.h
+++ b/decide/request_queue.h
@@ -6,11 +6,12 @@
 //  - first come first served, the baseline;
 //  - fair: start-time fair queueing by customer: tokens served, divided by the
 //    customer's rate, are kept alike. A customer that sends several times its
-//    share waits behind itself, not before the others. Prompt requests go before patient ones, but after a few prompt
-//    ones in a row a waiting patient one is served. What has missed its latency
-//    target, but not its deadline, is served when nothing else waits: under
-//    overload it would else make everything behind it late too. Within
-//    customer and class the earliest target goes first.
+//    share waits behind itself, not before the others. Prompt requests go
+//    before patient ones, but after a few prompt ones in a row a waiting
+//    patient one is served. What has missed its latency target, but not its
+//    deadline, is served when nothing else waits: under overload it would else
+//    make everything behind it late too. Within customer and class the earliest
+//    target goes first.
 //
 // Pure: no clock, no random numbers, no I/O.
 #ifndef DECIDE_REQUEST_QUEUE_H_
--- a/router/places_driver.cc
+++ b/router/places_driver.cc
@@ -165,6 +165,7 @@
   // The open question.
   std::optional<size_t> asked_;
   bool asked_may_wait_ = false;
+  Duration max_wait_ = Duration::max();
   MemberId asked_owner_;
   wire::ReserveReply peer_reply_;
   std::unique_ptr<PeerCall> call_;
@@ -253,6 +254,7 @@
 void PlacesDriver::Attempt::Follow(const SearchStep& step) {
   switch (step.kind) {
     case SearchStep::Kind::kAsk:
+      max_wait_ = step.max_wait;
       Ask(step.engine, step.may_wait);
       return;
     case SearchStep::Kind::kUse:
@@ -357,7 +359,8 @@
   out.set_prompt_tokens(request_.prompt_tokens.count());
   out.set_output_tokens(request_.output_tokens.count());
   out.set_request_class(request_.request_class);
-  out.set_deadline_ms(std::max<int64_t>(ToMillis(Left(StartBy())), 1));
+  const Duration longest = std::min(Left(StartBy()), max_wait_);
+  out.set_deadline_ms(std::max<int64_t>(ToMillis(longest), 1));
   if (request_.first_token_deadline != kNever) {
     out.set_target_ms(std::max<int64_t>(ToMillis(Left(Target())), 1));
   }
