--- a/bench/rounds.cc
+++ b/bench/rounds.cc
@@ -32,6 +32,7 @@
 constexpr Duration kTick = milliseconds(100);
 constexpr Duration kHold = seconds(60);
 constexpr Duration kMeanDecode = seconds(3);
+constexpr Duration kPromptWait = milliseconds(500);  // as in places_driver.cc
 constexpr int kMaxAttempts = 3;
 constexpr int kGreedyCustomer = 3;
 constexpr double kGreedyFactor = 5;  // times its rate
@@ -448,8 +449,9 @@
   queued.cost = decode ? r.prompt + Tokens(workload_.output_max) : r.prompt;
   queued.rate = Tokens(static_cast<int64_t>(CustomerRate(r.customer)));
   queued.target = r.first_target - prefill;
-  queued.start_by =
-      r.patient ? r.deadline - kMeanDecode - prefill : r.first_target - prefill;
+  queued.start_by = r.patient
+                        ? r.deadline - kMeanDecode - prefill
+                        : std::max(queued.target, r.arrival + kPromptWait);
   request.member = MemberId(std::to_string(r.router));
   request.hold = kHold;
   request.may_wait = may_wait;
--- a/router/places_driver.cc
+++ b/router/places_driver.cc
@@ -9,6 +9,8 @@
 
 constexpr Duration kProbeTimeout = std::chrono::seconds(1);
 constexpr Duration kErrandTimeout = std::chrono::seconds(2);
+// What a prompt request may wait, however long its prompt is.
+constexpr Duration kPromptWait = std::chrono::milliseconds(500);
 // Owners differ between daemons for a moment while the fleet changes.
 constexpr Duration kOwnerRetryDelay = std::chrono::milliseconds(100);
 constexpr int kOwnerRetries = 30;
@@ -153,6 +155,7 @@
 
   PlacesDriver* const driver_;
   PlaceRequest request_;  // its prompt is not kept
+  const MonoTime began_;
   const std::vector<uint64_t> prompt_blocks_;
   Done done_;
   std::shared_ptr<const CatalogueSnapshot> snapshot_;
@@ -183,6 +186,7 @@
                                const PlaceRequest& request, Done done)
     : driver_(driver),
       request_(request),
+      began_(driver->loop_->Now()),
       prompt_blocks_(driver->prefixes_.BlocksOf(request.prompt)),
       done_(std::move(done)),
       snapshot_(driver->catalogue_->current()),
@@ -369,13 +373,15 @@
   return out;
 }
 
-// The latest useful start of the stage. A prompt request has to meet its first
-// token's target; a patient one is of use until its deadline.
+// The latest useful start of the stage. A prompt request is to meet its first
+// token's target; one whose prompt is too long for that even at an idle engine
+// is not refused for it, but does not wait long either. A patient one is of use
+// until its deadline.
 MonoTime PlacesDriver::Attempt::StartBy() const {
   MonoTime start_by = request_.deadline - driver_->decode_time_ - PrefillTime();
   if (request_.request_class != wire::PATIENT &&
       request_.first_token_deadline != kNever) {
-    start_by = std::min(start_by, Target());
+    start_by = std::min(start_by, std::max(Target(), began_ + kPromptWait));
   }
   return start_by;
 }
