--- a/bench/rounds.cc
+++ b/bench/rounds.cc
@@ -266,7 +266,10 @@
 std::unique_ptr<EngineBook> Run::NewBook(SearchStage stage) const {
   const bool decode = stage == SearchStage::kDecode;
   return std::make_unique<EngineBook>(
-      decode ? Units(workload_.decode_memory.count()) : Units(1),
+      decode ? Units(static_cast<int64_t>(
+                   static_cast<double>(workload_.decode_memory.count()) *
+                   (1 + policies_.overcommit)))
+             : Units(1),
       decode ? kMeanDecode : Duration(milliseconds(500)),
       MakeRequestQueue(decode ? policies_.queue : QueueKind::kFifo),
       MakeSheddingPolicy(policies_.shedding));
--- a/bench/rounds.h
+++ b/bench/rounds.h
@@ -28,6 +28,9 @@
   QueueKind queue;
   SheddingKind shedding;
   LimitsKind limits;
+  // Share of decode memory that is reserved beyond what there is, counting on
+  // streams that end while prompts are being computed.
+  double overcommit = 0;
 };
 
 enum class Fault {
--- a/bench/rounds_main.cc
+++ b/bench/rounds_main.cc
@@ -33,6 +33,8 @@
       {"no-shedding", P::kReserve, Q::kFair, S::kNone, home},
       {"static-limits", P::kReserve, Q::kFair, S::kDeadline,
        LimitsKind::kStatic},
+      {"overcommit-10", P::kReserve, Q::kFair, S::kDeadline, home, 0.1},
+      {"overcommit-20", P::kReserve, Q::kFair, S::kDeadline, home, 0.2},
       {"least-loaded", P::kLeastLoaded, Q::kFifo, S::kNone, home},
       {"round-robin", P::kRoundRobin, Q::kFifo, S::kNone, home},
       {"random", P::kRandom, Q::kFifo, S::kNone, home},
