--- a/bench/rounds.cc
+++ b/bench/rounds.cc
@@ -156,6 +156,10 @@
     return kRateOverFitting * kShares[customer] * FittingRate(workload_) *
            mean_charge_;
   }
+  SearchStage FirstStage() const {
+    return policies_.prefill_first ? SearchStage::kPrefill
+                                   : SearchStage::kDecode;
+  }
   Duration Hop(const Request& r, int owner) const {
     return r.router == owner ? Duration(0) : workload_.one_way;
   }
@@ -260,9 +264,9 @@
   }
 }
 
-// Fairness is decided once, for decode memory: whoever has that and waits for a
-// prefill turn keeps memory idle, so turns are handed out first come first
-// served.
+// Fairness is decided once, at the first stage: whoever has the first of the
+// two and waits for the second keeps an engine idle, so the second is handed
+// out first come first served.
 std::unique_ptr<EngineBook> Run::NewBook(SearchStage stage) const {
   const bool decode = stage == SearchStage::kDecode;
   return std::make_unique<EngineBook>(
@@ -271,7 +275,8 @@
                    (1 + policies_.overcommit)))
              : Units(1),
       decode ? kMeanDecode : Duration(milliseconds(500)),
-      MakeRequestQueue(decode ? policies_.queue : QueueKind::kFifo),
+      MakeRequestQueue(stage == FirstStage() ? policies_.queue
+                                             : QueueKind::kFifo),
       MakeSheddingPolicy(policies_.shedding));
 }
 
@@ -374,7 +379,7 @@
 void Run::BeginAttempt(Request* r) {
   ++r->attempt;
   r->computed = 0;
-  Search(r, SearchStage::kDecode);
+  Search(r, FirstStage());
 }
 
 void Run::Search(Request* r, SearchStage stage) {
@@ -495,13 +500,17 @@
 void Run::Choose(Request* r, int engine) {
   if (r->stage == SearchStage::kDecode) {
     r->decode = engine;
-    Search(r, SearchStage::kPrefill);
-    return;
+  } else {
+    r->prefill = engine;
+    routers_[r->router].prefixes.Add({static_cast<uint64_t>(r->text)},
+                                     BackEndId(std::to_string(engine)));
+  }
+  if (r->stage == FirstStage()) {
+    Search(r, policies_.prefill_first ? SearchStage::kDecode
+                                      : SearchStage::kPrefill);
+  } else {
+    StartPrefill(r);
   }
-  r->prefill = engine;
-  routers_[r->router].prefixes.Add({static_cast<uint64_t>(r->text)},
-                                   BackEndId(std::to_string(engine)));
-  StartPrefill(r);
 }
 
 // --- Prefill, transfer, decode ----------------------------------------------
--- a/bench/rounds.h
+++ b/bench/rounds.h
@@ -31,6 +31,7 @@
   // Share of decode memory that is reserved beyond what there is, counting on
   // streams that end while prompts are being computed.
   double overcommit = 0;
+  bool prefill_first = true;  // a prefill turn before decode memory
 };
 
 enum class Fault {
--- a/bench/rounds_main.cc
+++ b/bench/rounds_main.cc
@@ -35,6 +35,7 @@
        LimitsKind::kStatic},
       {"overcommit-10", P::kReserve, Q::kFair, S::kDeadline, home, 0.1},
       {"overcommit-20", P::kReserve, Q::kFair, S::kDeadline, home, 0.2},
+      {"memory-first", P::kReserve, Q::kFair, S::kDeadline, home, 0, false},
       {"least-loaded", P::kLeastLoaded, Q::kFifo, S::kNone, home},
       {"round-robin", P::kRoundRobin, Q::kFifo, S::kNone, home},
       {"random", P::kRandom, Q::kFifo, S::kNone, home},
--- a/router/book_server.cc
+++ b/router/book_server.cc
@@ -211,9 +211,9 @@
       owned.decode = engine.role() == wire::DECODE_ENGINE;
       owned.book = std::make_unique<EngineBook>(
           capacity, owned.decode ? kFirstDecodeHold : kFirstPrefillHold,
-          // Fairness is decided once, for decode memory: who has that and
-          // waits for a prefill turn keeps memory idle.
-          MakeRequestQueue(owned.decode ? options_.queue : QueueKind::kFifo),
+          // Fairness is decided once, for the prefill turn, which comes first:
+          // who has that and waits for memory keeps a prefill engine idle.
+          MakeRequestQueue(owned.decode ? QueueKind::kFifo : options_.queue),
           MakeSheddingPolicy(options_.shedding));
       owned.book->Pause();
       owned.owned_since = loop_->Now();
--- a/router/places.h
+++ b/router/places.h
@@ -67,7 +67,7 @@
 
   virtual ~Places() = default;
 
-  // Reserves decode memory, then a turn at a prefill engine. `done` runs once,
+  // Reserves a turn at a prefill engine and decode memory. `done` runs once,
   // from the loop.
   [[nodiscard]] virtual std::unique_ptr<PendingPlace> Reserve(
       const PlaceRequest& request, Done done) = 0;
--- a/router/places_driver.cc
+++ b/router/places_driver.cc
@@ -98,7 +98,7 @@
 // ---------------------------------------------------------------------------
 // One request on its way to a place.
 
-// States: decode engine, then prefill engine; within each, a PlaceSearch says
+// States: prefill engine, then decode engine; within each, a PlaceSearch says
 // whom to ask. At most one question to an owner is open at a time.
 class PlacesDriver::Attempt : public PendingPlace {
  public:
@@ -159,7 +159,7 @@
   const std::vector<uint64_t> prompt_blocks_;
   Done done_;
   std::shared_ptr<const CatalogueSnapshot> snapshot_;
-  Stage stage_ = Stage::kDecode;
+  Stage stage_ = Stage::kPrefill;
   std::set<BackEndId> avoid_;
   // Of the stage: its engines and the search among them.
   std::vector<const wire::BackEnd*> engines_;
@@ -204,7 +204,7 @@
 
 void PlacesDriver::Attempt::Start() {
   timer_ = driver_->loop_->After(Duration(0),
-                                 [this] { EnterStage(Stage::kDecode); });
+                                 [this] { EnterStage(Stage::kPrefill); });
 }
 
 void PlacesDriver::Attempt::OnFleetChanged() {
@@ -434,7 +434,7 @@
 }
 
 void PlacesDriver::Attempt::Advance() {
-  if (Left(StartBy()) < Duration(0) && stage_ == Stage::kDecode) {
+  if (Left(StartBy()) < Duration(0)) {
     Finish(PlaceStatus::kOverload);
     return;
   }
@@ -446,13 +446,13 @@
   GrantedPlace::Engine chosen;
   chosen.id = BackEndId(engine.id());
   Endpoint::Parse(engine.address(), &chosen.address);
-  if (stage_ == Stage::kDecode) {
-    decode_ = std::move(chosen);
+  if (stage_ == Stage::kPrefill) {
+    prefill_ = std::move(chosen);
     owner_retries_ = 0;
-    EnterStage(Stage::kPrefill);
+    EnterStage(Stage::kDecode);
     return;
   }
-  prefill_ = std::move(chosen);
+  decode_ = std::move(chosen);
   driver_->prefixes_.Add(prompt_blocks_, prefill_->id);
   GrantPlace();
 }
@@ -469,8 +469,8 @@
 // `done_` may destroy this object: nothing is touched after it.
 void PlacesDriver::Attempt::Finish(PlaceStatus status) {
   ForgetQuestion(/*give_back=*/true);
-  if (decode_) driver_->GiveBack(decode_->id, request_.request);
-  decode_.reset();
+  if (prefill_) driver_->GiveBack(prefill_->id, request_.request);
+  prefill_.reset();
   PlaceResult result;
   result.status = status;
   result.retry_after =
--- a/router/places_driver.h
+++ b/router/places_driver.h
@@ -1,11 +1,12 @@
 // Places by reservation at the owners of the engines' books.
 //
-// Model: a request gets decode memory first, then a turn at a prefill engine,
-// so that no prefill is started whose result has nowhere to go. For decode the
-// daemon asks a few likely owners whether there is room at once, and else waits
-// at the one with the shortest queue. For prefill it waits at the engine that
-// is best by cached prefix and queue together. When this member owns the book
-// itself, the book is asked without network.
+// Model: a request waits for a turn at a prefill engine, and with that for
+// memory at a decode engine; nothing is started before it has both, so no
+// prefill is computed whose result has nowhere to go. The turn comes first:
+// while it waits a request then holds no memory, and a prefill engine that
+// idles for want of memory costs nothing that could be used. PlaceSearch says
+// whom to ask. When this member owns the book itself, it is asked without
+// network.
 //
 // The daemon keeps the last summary that it heard of each engine; summaries
 // come with replies only. A reservation lapses at the owner unless renewed:
