Draining by list and by catalogue are one notion; engines left behind are swept

leaving_back_end_test before: the list did not reach engines (only services asked it) and 'drain' could not be turned off; 2 of 4 cases red. After: 4 of 4 pass, 445 checks.

--- a/router/book_server.cc
+++ b/router/book_server.cc
@@ -221,7 +221,7 @@
       Answer(id, &owned, owned.book->SetCapacity(capacity, loop_->Now()));
     }
     owned.capacity = capacity;
-    owned.draining = engine.draining();
+    owned.draining = options_.draining(engine);
     OpenIfReady(id, &owned);
   }
   poller_.SetEngines(polled);
--- a/router/book_server.h
+++ b/router/book_server.h
@@ -39,6 +39,9 @@
 inline constexpr char kRenewMethod[] = "places.renew";
 
 struct BookServerOptions {
+  // Whether an engine takes no new work (router/draining.h).
+  std::function<bool(const wire::BackEnd&)> draining =
+      [](const wire::BackEnd& engine) { return engine.draining(); };
   QueueKind queue = QueueKind::kFair;
   SheddingKind shedding = SheddingKind::kDeadline;
   // How long a new owner listens to the holders before it grants.
@@ -66,6 +69,10 @@
   void ObserveLoad(LoadObserver observer) {
     load_observer_ = std::move(observer);
   }
+  // Brings the books in line with fleet, catalogue and draining; runs by itself
+  // after changes of the first two.
+  void Sync();
+
   size_t owned_books() const { return books_.size(); }
   // Nullptr if this member doesn't own the engine's book.
   const EngineBook* Find(const BackEndId& engine) const;
@@ -91,7 +98,6 @@
   void RegisterMethods();
   void ServeReserve(const wire::ReserveRequest& request,
                     const std::shared_ptr<PeerReply>& reply);
-  void Sync();
   void DropLostBooks();
   void FreeLeftovers();
   OwnedBook* FindOwned(const std::string& engine);
--- a/router/daemon.cc
+++ b/router/daemon.cc
@@ -14,7 +14,9 @@
 #include "net/http.h"
 #include "router/catalogue_sync.h"
 #include "router/claims.h"
+#include "router/draining.h"
 #include "router/engine_canceller.h"
+#include "router/engine_sweeper.h"
 #include "router/fleet_driver.h"
 #include "router/front.h"
 #include "router/kv_client.h"
@@ -73,8 +75,12 @@
   return options;
 }
 
-PlacesOptions PlacesOptionsOf(const wire::RouterSettings& settings) {
+PlacesOptions PlacesOptionsOf(const wire::RouterSettings& settings,
+                              const Draining* draining) {
   PlacesOptions options;
+  options.books.draining = [draining](const wire::BackEnd& engine) {
+    return draining->IsDraining(engine);
+  };
   if (settings.placement() == "random") {
     options.placement = PlacementKind::kRandom;
   } else if (settings.placement() == "round-robin") {
@@ -153,6 +159,8 @@
     fleet_->SetSlotKeeper(limits_.get());
     vms_ =
         std::make_unique<VmList>(loop_.get(), &kv_, bus_.get(), fleet_.get());
+    draining_ = std::make_unique<Draining>(
+        vms_.get(), SplitNames(settings_.disable()).count("drain") == 0);
     claims_ =
         MakeClaims(loop_.get(), &kv_, settings_.deployment(), fleet_.get());
   }
@@ -160,10 +168,16 @@
   void MakeRequestParts() {
     places_ = std::make_unique<PlacesDriver>(
         loop_.get(), bus_.get(), fleet_.get(), catalogue_.get(), client_.get(),
-        &random_, PlacesOptionsOf(settings_));
+        &random_, PlacesOptionsOf(settings_, draining_.get()));
+    vms_->Observe([this] { places_->books()->Sync(); });
+    if (SplitNames(settings_.disable()).count("orphan-sweep") == 0) {
+      sweeper_ = std::make_unique<EngineSweeper>(
+          loop_.get(), fleet_.get(), catalogue_.get(), client_.get(),
+          places_->books(), std::chrono::milliseconds(settings_.grant_ms()));
+    }
     canceller_ = std::make_unique<EngineCanceller>(loop_.get(), client_.get());
     pool_ = std::make_unique<ServicePool>(
-        vms_.get(), FailureDomain(settings_.failure_domain()));
+        draining_.get(), FailureDomain(settings_.failure_domain()));
     request_metrics_ = std::make_unique<RequestMetrics>(&metrics_);
     const ServiceCallDeps service{loop_.get(), client_.get(), limits_.get(),
                                   pool_.get(), claims_.get()};
@@ -309,8 +323,10 @@
   std::unique_ptr<CatalogueSync> catalogue_;
   std::unique_ptr<LimitsDriver> limits_;
   std::unique_ptr<VmList> vms_;
+  std::unique_ptr<Draining> draining_;
   std::unique_ptr<Claims> claims_;
   std::unique_ptr<PlacesDriver> places_;
+  std::unique_ptr<EngineSweeper> sweeper_;  // null if disabled
   std::unique_ptr<EngineCanceller> canceller_;
   std::unique_ptr<ServicePool> pool_;
   ModelCallCounters model_counters_;
--- a/router/places_driver.cc
+++ b/router/places_driver.cc
@@ -278,7 +278,8 @@
   for (const wire::BackEnd* engine : snapshot_->Engines(
            request_.model.value(),
            decode ? wire::DECODE_ENGINE : wire::PREFILL_ENGINE)) {
-    if (engine->draining() || avoid_.count(BackEndId(engine->id())) > 0) {
+    if (driver_->options_.books.draining(*engine) ||
+        avoid_.count(BackEndId(engine->id())) > 0) {
       continue;
     }
     const bool suspect = driver_->IsSuspect(BackEndId(engine->id()));
--- a/router/service_pool.cc
+++ b/router/service_pool.cc
@@ -6,12 +6,11 @@
 
 namespace mimosa {
 
-ServicePool::ServicePool(const LeavingVms* leaving, FailureDomain own_domain)
-    : leaving_(leaving), own_domain_(std::move(own_domain)) {}
+ServicePool::ServicePool(const Draining* draining, FailureDomain own_domain)
+    : draining_(draining), own_domain_(std::move(own_domain)) {}
 
-bool ServicePool::Takes(const wire::BackEnd& back_end, const Endpoint& address,
-                        MonoTime now) const {
-  if (back_end.draining() || leaving_->IsLeaving(address.ip)) return false;
+bool ServicePool::Takes(const wire::BackEnd& back_end, MonoTime now) const {
+  if (draining_->IsDraining(back_end)) return false;
   const BackEndId id(back_end.id());
   const auto penalty = penalty_until_.find(id);
   if (penalty != penalty_until_.end() && now < penalty->second) return false;
@@ -31,7 +30,7 @@
     const wire::BackEnd& back_end = *back_ends[(i + turn_) % back_ends.size()];
     Choice choice{BackEndId(back_end.id()), {}};
     if (!Endpoint::Parse(back_end.address(), &choice.address) ||
-        avoid.count(choice.id) != 0 || !Takes(back_end, choice.address, now))
+        avoid.count(choice.id) != 0 || !Takes(back_end, now))
       continue;
     const auto open = open_.find(choice.id);
     const std::tuple<int64_t, bool> rank(
--- a/router/service_pool.h
+++ b/router/service_pool.h
@@ -17,22 +17,16 @@
 #include "base/ids.h"
 #include "decide/catalogue.h"
 #include "net/http.h"
+#include "router/draining.h"
 
 namespace mimosa {
 
-// The backend servers whose VMs the platform's list shows as leaving.
-class LeavingVms {
- public:
-  virtual ~LeavingVms() = default;
-  virtual bool IsLeaving(const std::string& ip) const = 0;
-};
-
 class ServicePool {
  public:
   // How long a backend server is passed over after a failed connection.
   static constexpr Duration kPenalty = std::chrono::seconds(2);
 
-  ServicePool(const LeavingVms* leaving, FailureDomain own_domain);
+  ServicePool(const Draining* draining, FailureDomain own_domain);
 
   struct Choice {
     BackEndId id;
@@ -48,10 +42,9 @@
   void ConnectFailed(const BackEndId& id, MonoTime now);
 
  private:
-  bool Takes(const wire::BackEnd& back_end, const Endpoint& address,
-             MonoTime now) const;
+  bool Takes(const wire::BackEnd& back_end, MonoTime now) const;
 
-  const LeavingVms* const leaving_;
+  const Draining* const draining_;
   const FailureDomain own_domain_;
   std::map<BackEndId, int64_t> open_;  // no entry: none open
   std::map<BackEndId, MonoTime> penalty_until_;
--- a/router/vm_list.cc
+++ b/router/vm_list.cc
@@ -108,12 +108,16 @@
 
 void VmList::Take(const wire::LeavingReport& report) {
   Report& entry = reports_[report.member()];
-  entry.leaving = {report.leaving().begin(), report.leaving().end()};
+  std::set<std::string> leaving(report.leaving().begin(),
+                                report.leaving().end());
+  const bool changed = entry.leaving != leaving;
+  entry.leaving = std::move(leaving);
   entry.at = loop_->Now();
   for (auto it = reports_.begin(); it != reports_.end();) {
     const bool old = loop_->Now() - it->second.at >= kReportLife;
     it = old ? reports_.erase(it) : std::next(it);
   }
+  if (changed && observer_) observer_();
 }
 
 wire::LeavingReport VmList::OwnReport() const {
--- a/router/vm_list.h
+++ b/router/vm_list.h
@@ -18,10 +18,10 @@
 
 #include "base/clock.h"
 #include "net/event_loop.h"
+#include "router/draining.h"
 #include "router/fleet.h"
 #include "router/kv_store.h"
 #include "router/peer_bus.h"
-#include "router/service_pool.h"
 #include "wire/fleet.pb.h"
 
 namespace mimosa {
@@ -39,6 +39,11 @@
 
   bool IsLeaving(const std::string& ip) const override;
 
+  // `observer` runs when a report changed what is leaving.
+  void Observe(std::function<void()> observer) {
+    observer_ = std::move(observer);
+  }
+
  private:
   struct Report {
     std::set<std::string> leaving;
@@ -67,6 +72,7 @@
   PeerAsk peer_ask_;
   // Tellings under way; each removes itself.
   std::list<PeerAsk> tellings_;
+  std::function<void()> observer_;
   MonoTime next_peer_ask_{};
   TimerHandle timer_;
 };
