--- a/standins/decode_role.cc
+++ b/standins/decode_role.cc
@@ -283,7 +283,7 @@
 CancelResult DecodeRole::Cancel(const RequestMatcher& matcher) {
   CancelResult out;
   for (auto it = streams_.begin(); it != streams_.end();) {
-    if (!matcher.Matches(it->second->request)) {
+    if (!matcher.Matches(it->second->request, it->second->attempt)) {
       ++it;
       continue;
     }
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -45,13 +45,19 @@
   int64_t close_after_bytes = -1;   // streams are cut after so many bytes
 };
 
-// Requests that an order to cancel means: one by its id, or all whose id
-// starts with a prefix.
+// What an order to cancel means: one request by its id, or all whose id starts
+// with a prefix; with `last_attempt` >= 0 only its attempts up to that one, so
+// that the order can't hit an attempt that began after it.
 class RequestMatcher {
  public:
-  RequestMatcher(std::string request, std::string prefix)
-      : request_(std::move(request)), prefix_(std::move(prefix)) {}
-  bool Matches(const std::string& request) const {
+  RequestMatcher(std::string request, std::string prefix, int64_t last_attempt)
+      : request_(std::move(request)),
+        prefix_(std::move(prefix)),
+        last_attempt_(last_attempt) {}
+  bool Matches(const std::string& request, const Json::Value& attempt) const {
+    if (last_attempt_ >= 0 && attempt.isInt64() &&
+        attempt.asInt64() > last_attempt_)
+      return false;
     if (!request_.empty()) return request == request_;
     return !prefix_.empty() && request.compare(0, prefix_.size(), prefix_) == 0;
   }
@@ -59,6 +65,7 @@
  private:
   std::string request_;
   std::string prefix_;
+  int64_t last_attempt_;
 };
 
 struct CancelResult {
--- a/standins/engine_server.cc
+++ b/standins/engine_server.cc
@@ -106,7 +106,8 @@
 void EngineServer::Cancel(const ExchangePtr& exchange,
                           const Json::Value& body) {
   const RequestMatcher matcher(StringOf(body, "request"),
-                               StringOf(body, "prefix"));
+                               StringOf(body, "prefix"),
+                               IntOf(body, "attempt", -1));
   CancelResult result = prefill_.Cancel(matcher);
   const CancelResult decoded = decode_.Cancel(matcher);
   result.cancelled += decoded.cancelled;
--- a/standins/engine_server.h
+++ b/standins/engine_server.h
@@ -4,7 +4,7 @@
 //
 //   POST /v1/prefill, GET /v1/kv/<id>          role prefill
 //   POST /v1/decode, /v1/resume                role decode
-//   POST /v1/cancel, /v1/order
+//   POST /v1/cancel {request | prefix, attempt: the last one meant}, /v1/order
 //   GET  /v1/load, /v1/cache_events?after=<seq>
 //   POST /debug/behave    members of EngineBehaviour
 //   GET  /debug/state     exact counts
--- a/standins/prefill_role.cc
+++ b/standins/prefill_role.cc
@@ -46,6 +46,7 @@
   }
   auto job = std::make_unique<Job>();
   job->request = StringOf(body, "request");
+  job->attempt = body["attempt"];
   job->prompt = StringOf(body, "prompt");
   job->prompt_tokens = IntOf(body, "prompt_tokens", PromptTokens(job->prompt));
   job->priority = IntOf(body, "priority");
@@ -107,6 +108,7 @@
   std::string kv = "kv-" + std::to_string(next_serial_++);
   Result& result = results_[kv];
   result.request = job.request;
+  result.attempt = job.attempt;
   result.prompt_tokens = job.prompt_tokens;
   result.eviction = loop_->After(options_->kv_ttl, [this, kv] { Evict(kv); });
   return kv;
@@ -200,7 +202,8 @@
     out.freed += PiecesOf(tokens);
   };
   for (auto it = waiting_.begin(); it != waiting_.end();) {
-    const bool matches = matcher.Matches(it->second->request);
+    const bool matches =
+        matcher.Matches(it->second->request, it->second->attempt);
     if (matches) {
       ++out.cancelled;
       RespondError(it->second->exchange.get(), 499, "cancelled");
@@ -208,7 +211,8 @@
     it = matches ? waiting_.erase(it) : std::next(it);
   }
   for (auto it = running_.begin(); it != running_.end();) {
-    const bool matches = matcher.Matches(it->second->request);
+    const bool matches =
+        matcher.Matches(it->second->request, it->second->attempt);
     if (matches) {
       take(it->second->prompt_tokens);
       ++cancelled_;
@@ -218,7 +222,8 @@
   }
   for (auto it = results_.begin(); it != results_.end();) {
     const bool matches =
-        !it->second.claimed && matcher.Matches(it->second.request);
+        !it->second.claimed &&
+        matcher.Matches(it->second.request, it->second.attempt);
     if (matches) {
       take(it->second.prompt_tokens);
       ++evicted_;
--- a/standins/prefill_role.h
+++ b/standins/prefill_role.h
@@ -34,6 +34,7 @@
  private:
   struct Job {
     std::string request;
+    Json::Value attempt;
     std::string prompt;
     int64_t prompt_tokens = 0;
     int64_t cached_tokens = 0;
@@ -43,6 +44,7 @@
   };
   struct Result {
     std::string request;
+    Json::Value attempt;
     int64_t prompt_tokens = 0;
     bool claimed = false;
     TimerHandle eviction;
--- a/tests/answered_once_test.cc
+++ b/tests/answered_once_test.cc
@@ -128,6 +128,8 @@
   Deployment fleet(Options("", /*decode=*/2));
   fleet.decode(0).Behave(Members({{"nonsense", true}}));
   CHECK(CorrectOf(fleet, 6) == 6);
+  // The orders that end a given-up attempt spare the next one.
+  CHECK(fleet.prefill().Count("prefills_cancelled") == 0);
   fleet.decode(1).Behave(Members({{"nonsense", true}}));
   const Reply reply =
       Call(fleet.router(0).port(), Completion("x [out=9]", kMaxTokens, false));
--- a/tests/standins_process_test.cc
+++ b/tests/standins_process_test.cc
@@ -118,6 +118,22 @@
   CHECK(engines.decode.Count("held_pieces") == 0);
 }
 
+TEST_CASE("Engines: an order to cancel an attempt spares the next one") {
+  Engines engines;
+  engines.prefill.Behave(Object({{"stall_prefill", 1}}));
+  Connection caller(engines.prefill.port());
+  Json::Value order = Order("r/1", "letter");
+  order["attempt"] = 2;
+  REQUIRE(caller.Send(PostOf("/v1/prefill", order)));
+  REQUIRE(Eventually([&] { return engines.prefill.Count("running") == 1; }));
+  for (const int attempt : {1, 2}) {
+    const Reply reply =
+        PostJson(engines.prefill.port(), "/v1/cancel",
+                 Object({{"request", "r/1"}, {"attempt", attempt}}));
+    CHECK(reply.Document()["cancelled"].asInt() == attempt - 1);
+  }
+}
+
 TEST_CASE("Engines: a cut stream resumes at the offset") {
   Engines engines;
   const std::string prompt = "letter [out=40]";
