An allotment kept past its return time no longer wakes its daemon all the time

The wake-up time lay in the past, so the driver's timer spun; found by the virtual-time histories (6 s of processor time each instead of 0.14 s).

--- a/decide/limits.cc
+++ b/decide/limits.cc
@@ -472,7 +472,9 @@
           std::min(wake, std::max(account->ask_after, now + kShortestAskWait));
     }
     for (const Lot& lot : account->lots) {
-      wake = std::min(wake, lot.expires - lot.lifetime / kReturnPart);
+      // Kept beyond the time to return it: demand spoke for it.
+      const MonoTime returned = lot.expires - lot.lifetime / kReturnPart;
+      wake = std::min(wake, returned > now ? returned : lot.expires);
     }
   }
   // The home may change without a word.
