--- a/decide/request_queue.cc
+++ b/decide/request_queue.cc
@@ -79,15 +79,18 @@
 constexpr int64_t kVirtualTimeScale = 1000000;
 
 // Start-time fair queueing. Each customer has a virtual time: the tokens it was
-// served, over its rate, on a scale shared by all. The
+// served, over its rate, on a scale shared by all. Its place in the order is
+// that, less a slack, and never behind its former place. The
 // waiting customer with the lowest one is served next. A customer that comes
 // back starts at the time of the one served last, so idling saves up nothing.
 class FairQueue : public RequestQueue {
  public:
+  explicit FairQueue(Tokens slack) : slack_(slack) {}
+
   void Push(QueuedRequest request) override {
     Customer& customer = customers_[request.customer];
     if (customer.idle()) {
-      customer.virtual_time = std::max(customer.virtual_time, virtual_now_);
+      customer.place = std::max(PlaceAfter(customer), virtual_now_);
     }
     customer.rate = request.rate;
     const int band = BandOf(request);
@@ -106,7 +109,7 @@
     const int band = NextBand();
     const CustomerId id = active_[band].begin()->second;
     Customer& customer = customers_.at(id);
-    virtual_now_ = std::max(virtual_now_, customer.virtual_time);
+    virtual_now_ = std::max(virtual_now_, customer.place);
     const bool patient_waits = !active_[kPatient].empty();
     prompt_streak_ = band == kPrompt && patient_waits ? prompt_streak_ + 1 : 0;
     QueuedRequest front = TakeOut(customer.waiting[band].begin()->second);
@@ -186,7 +189,8 @@
 
   struct Customer {
     int64_t virtual_time = 0;
-    Tokens rate{1};  // as of its latest request
+    int64_t place = 0;  // in active_, while something waits
+    Tokens rate{1};     // as of its latest request
     std::array<std::map<Key, QueuedRequest>, kBands> waiting;
     std::array<Units, kBands> units;  // sums over `waiting`
     bool idle() const {
@@ -217,7 +221,7 @@
     Customer& customer = customers_.at(request.customer);
     index_[request.request] = Where{request.customer, band, key};
     if (customer.waiting[band].empty()) {
-      active_[band].insert({customer.virtual_time, request.customer});
+      active_[band].insert({customer.place, request.customer});
     }
     customer.units[band] += request.units;
     by_target_[band].insert({request.target, request.request});
@@ -234,7 +238,7 @@
     customer.units[where.band] -= request.units;
     by_target_[where.band].erase({request.target, request.request});
     if (customer.waiting[where.band].empty()) {
-      active_[where.band].erase({customer.virtual_time, where.customer});
+      active_[where.band].erase({customer.place, where.customer});
     }
     index_.erase(request.request);
     return request;
@@ -254,19 +258,25 @@
   // Moves the customer's virtual time on by what it was served.
   void Charge(const CustomerId& id, const QueuedRequest& served) {
     Customer& customer = customers_[id];
-    const int64_t before = customer.idle()
-                               ? std::max(customer.virtual_time, virtual_now_)
-                               : customer.virtual_time;
+    const int64_t before = customer.place;
     customer.rate = served.rate;
-    customer.virtual_time =
-        before + served.cost.count() * kVirtualTimeScale / served.rate.count();
+    customer.virtual_time = std::max(customer.virtual_time, virtual_now_) +
+                            Scaled(served.cost, served.rate);
+    customer.place = std::max(PlaceAfter(customer), before);
     for (int band = 0; band < kBands; ++band) {
       if (customer.waiting[band].empty()) continue;
       active_[band].erase({before, id});
-      active_[band].insert({customer.virtual_time, id});
+      active_[band].insert({customer.place, id});
     }
   }
 
+  static int64_t Scaled(Tokens tokens, Tokens rate) {
+    return tokens.count() * kVirtualTimeScale / rate.count();
+  }
+  int64_t PlaceAfter(const Customer& customer) const {
+    return customer.virtual_time - Scaled(slack_, customer.rate);
+  }
+
   // A customer without waiting requests matters only while its virtual time is
   // ahead of the shared one.
   void ForgetIfIdle(const CustomerId& id) {
@@ -302,12 +312,13 @@
                     Units(ahead.count() / kPromptPerPatient));
   }
 
+  const Tokens slack_;
   std::unordered_map<CustomerId, Customer> customers_;
-  // Customers with waiting requests of the class, by virtual time.
+  // Customers with waiting requests of the class, by place.
   std::array<std::set<std::pair<int64_t, CustomerId>>, kBands> active_;
   std::array<std::set<std::pair<MonoTime, RequestId>>, kBands> by_target_;
   std::unordered_map<RequestId, Where> index_;
-  int64_t virtual_now_ = 0;  // virtual time of the customer served last
+  int64_t virtual_now_ = 0;  // place of the customer served last
   int prompt_streak_ = 0;    // prompt requests served while a patient one waits
   uint64_t next_serial_ = 0;
 };
@@ -320,9 +331,9 @@
   return std::nullopt;
 }
 
-std::unique_ptr<RequestQueue> MakeRequestQueue(QueueKind kind) {
+std::unique_ptr<RequestQueue> MakeRequestQueue(QueueKind kind, Tokens slack) {
   if (kind == QueueKind::kFifo) return std::make_unique<FifoQueue>();
-  return std::make_unique<FairQueue>();
+  return std::make_unique<FairQueue>(slack);
 }
 
 }  // namespace mimosa
--- a/decide/request_queue.h
+++ b/decide/request_queue.h
@@ -70,7 +70,14 @@
 // "fifo" or "fair"; nothing for any other name.
 std::optional<QueueKind> ParseQueueKind(std::string_view name);
 
-std::unique_ptr<RequestQueue> MakeRequestQueue(QueueKind kind);
+// Tokens that a customer may be ahead of its share without waiting for it. One
+// whose share of an engine is small would else wait seconds between any two
+// requests, though the engine has room for both.
+inline constexpr Tokens kShareSlack{16384};
+
+// `slack` is of use to kFair only.
+std::unique_ptr<RequestQueue> MakeRequestQueue(QueueKind kind,
+                                               Tokens slack = kShareSlack);
 
 // Prompt requests that are served in a row while a patient one waits.
 inline constexpr int kPromptPerPatient = 4;
