--- a/bench/rounds.h
+++ b/bench/rounds.h
@@ -66,7 +66,9 @@
   double refused_inside = 0;  // share of requests inside the rate
   double failed_inside = 0;
   double first_token_p95 = 0;  // seconds, of whole answers
-  double recovery = 0;  // seconds after a fault until goodput is back to 95 %
+  // By second of arrival, of requests inside the rate.
+  std::vector<double> offered_by_second;
+  std::vector<double> good_by_second;
 };
 
 // Arrivals are counted after the warm-up.
@@ -78,6 +80,12 @@
 Measures RunOnce(const Scenario& scenario, const Policies& policies,
                  uint64_t seed);
 
+// Seconds after the fault until the good share of all runs together, over
+// kRecoveryWindow, stays above 95 % of what it was in the 30 s before. Pooled,
+// because in one run the share of so few seconds is mostly noise.
+double RecoverySeconds(const std::vector<Measures>& runs);
+inline constexpr int kRecoveryWindow = 5;  // seconds
+
 }  // namespace mimosa::bench
 
 #endif  // BENCH_ROUNDS_H_
