--- a/tools/mimosactl_commands.cc
+++ b/tools/mimosactl_commands.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <fstream>
 #include <iterator>
+#include <limits>
 #include <ostream>
 #include <sstream>
 #include <utility>
@@ -308,7 +309,7 @@
   if (DiffCatalogues(now.catalogue, catalogue).empty() && version != 0)
     return Finish(version, Json::Value(Json::objectValue), "no differences; ");
   bool lost = false;
-  const auto written = leaf::try_handle_some(
+  auto written = leaf::try_handle_some(
       [&] { return store_->Write(now, catalogue, NewChange("apply")); },
       [&](const StoreFault& fault) -> leaf::result<uint64_t> {
         lost = fault.kind == StoreFaultKind::kLostRace;
@@ -383,7 +384,7 @@
     if (!faults.empty())
       return leaf::new_error(CatalogueFaults{std::move(faults)});
     bool lost = false;
-    const auto written = leaf::try_handle_some(
+    auto written = leaf::try_handle_some(
         [&] { return store_->Write(now, edited, NewChange(summary)); },
         [&](const StoreFault& fault) -> leaf::result<uint64_t> {
           lost = fault.kind == StoreFaultKind::kLostRace && round < kMaxRounds;
--- a/tools/mimosactl_store.cc
+++ b/tools/mimosactl_store.cc
@@ -118,7 +118,7 @@
   BOOST_LEAF_AUTO(plan, PlanCatalogueWrite(read.stored, catalogue, change));
   BOOST_LEAF_CHECK(WriteParts(plan.new_parts));
   bool lost = false;
-  const auto written =
+  auto written =
       leaf::try_handle_some([&] { return WriteHead(plan.head, read.revision); },
                             [&](const StoreFault& fault) -> leaf::result<void> {
                               // Nobody can refer to our parts: their digests
