mimosactl proved against races and lost replies; mimosa-load

mimosactl: a handler that makes a new LEAF error of the same type while the old one propagates loses it (the old one overwrites the slot): the racing edits ended as 'unknown error'. Handlers now pass the error on. tests/ctl_test: 5 cases pass: 8 racing edits all come in, a stale apply is told what changed, lost replies are settled by the change's id, an outage says 'unavailable', and one that can't be settled 'unknown'.

--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -80,9 +80,9 @@
   }
 
   size_t StoredParts() const {
+    const Json::Value all = GetJson(platform_.port(), "/debug/records");
     size_t parts = 0;
-    for (const Json::Value& record :
-         GetJson(platform_.port(), "/debug/records")["records"])
+    for (const Json::Value& record : all["records"])
       if (record["key"].asString().rfind(kPartsPrefix, 0) == 0) ++parts;
     return parts;
   }
--- /dev/null
+++ b/tools/mimosa_load_plan.cc
@@ -0,0 +1,133 @@
+// Drawing arrivals, classes and lengths.
+#include "tools/mimosa_load_plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
+#include "base/address.h"
+
+namespace mimosa {
+namespace {
+
+// Seconds to the next arrival of a Poisson process.
+double ExponentialGap(double per_second, RandomSource* random) {
+  return -std::log(1.0 - random->Unit()) / per_second;
+}
+
+// Log-uniform within [min, max]: lengths of prompts spread over magnitudes.
+Tokens DrawLength(int64_t min, int64_t max, RandomSource* random) {
+  const double low = std::log(static_cast<double>(std::max<int64_t>(min, 1)));
+  const double high = std::log(static_cast<double>(std::max(max, min)));
+  return Tokens(std::llround(std::exp(low + ((high - low) * random->Unit()))));
+}
+
+int DrawClass(const wire::Workload& workload, RandomSource* random) {
+  double sum = 0;
+  for (const auto& c : workload.classes()) sum += c.weight();
+  double left = sum * random->Unit();
+  for (int i = 0; i < workload.classes_size(); ++i) {
+    left -= workload.classes(i).weight();
+    if (left < 0) return i;
+  }
+  return workload.classes_size() - 1;
+}
+
+bool IsModelClass(const wire::WorkloadClass& c) {
+  return c.prompt_tokens_max() > 0;
+}
+
+PlannedRequest DrawRequest(const wire::Workload& workload, int customer,
+                           double at_seconds, RandomSource* random) {
+  PlannedRequest request;
+  request.at = Duration(std::llround(at_seconds * 1e6));
+  request.customer = customer;
+  request.request_class = DrawClass(workload, random);
+  const wire::WorkloadClass& c = workload.classes(request.request_class);
+  if (!IsModelClass(c)) {
+    request.cost = Tokens(std::max<int64_t>(c.cost_tokens(), 1));
+    return request;
+  }
+  request.prompt_tokens =
+      DrawLength(c.prompt_tokens_min(), c.prompt_tokens_max(), random);
+  request.output_tokens =
+      DrawLength(c.output_tokens_min(), c.output_tokens_max(), random);
+  request.cost = request.prompt_tokens + request.output_tokens;
+  return request;
+}
+
+// Marks the requests that the customer's own bucket would have admitted in
+// their order: full at first, charged for admitted requests only.
+void MarkInside(const wire::WorkloadCustomer& customer,
+                std::vector<PlannedRequest>* requests) {
+  const auto burst = static_cast<double>(customer.burst_tokens());
+  const auto rate = static_cast<double>(customer.rate_tokens_per_second());
+  double level = burst;
+  Duration last{};
+  for (PlannedRequest& request : *requests) {
+    level = std::min(burst, level + (rate * ToSeconds(request.at - last)));
+    last = request.at;
+    const auto cost = static_cast<double>(request.cost.count());
+    request.inside = cost <= level;
+    if (request.inside) level -= cost;
+  }
+}
+
+leaf::error_id Fail(WorkloadFaultKind kind, const std::string& field) {
+  return leaf::new_error(WorkloadFault{kind, field});
+}
+
+leaf::result<void> CheckClass(const wire::WorkloadClass& c) {
+  if (!(c.weight() > 0))
+    return Fail(WorkloadFaultKind::kOutOfRange, "classes.weight");
+  if (c.method().empty() || c.target().empty() || c.target()[0] != '/')
+    return Fail(WorkloadFaultKind::kMalformed, "classes.method or target");
+  if (c.prompt_tokens_min() < 0 ||
+      c.prompt_tokens_max() < c.prompt_tokens_min() ||
+      c.output_tokens_max() < c.output_tokens_min())
+    return Fail(WorkloadFaultKind::kOutOfRange, "classes lengths");
+  if (IsModelClass(c) && c.output_tokens_min() < 1)
+    return Fail(WorkloadFaultKind::kOutOfRange, "classes.output_tokens_min");
+  return {};
+}
+
+}  // namespace
+
+leaf::result<void> CheckWorkload(const wire::Workload& workload) {
+  if (workload.classes().empty())
+    return Fail(WorkloadFaultKind::kEmpty, "classes");
+  if (workload.customers().empty())
+    return Fail(WorkloadFaultKind::kEmpty, "customers");
+  for (const auto& c : workload.classes()) BOOST_LEAF_CHECK(CheckClass(c));
+  for (const auto& customer : workload.customers())
+    if (!(customer.requests_per_second() >= 0) || customer.id().empty())
+      return Fail(WorkloadFaultKind::kOutOfRange, "customers");
+  for (const auto& fault : workload.faults())
+    if (!fault.address().empty() && !IsReachableAddress(fault.address()))
+      return Fail(WorkloadFaultKind::kMalformed, "faults.address");
+  return {};
+}
+
+std::vector<PlannedRequest> PlanRequests(const wire::Workload& workload,
+                                         Duration duration, double speed,
+                                         RandomSource* random) {
+  std::vector<PlannedRequest> all;
+  for (int i = 0; i < workload.customers_size(); ++i) {
+    const wire::WorkloadCustomer& customer = workload.customers(i);
+    const double rate = customer.requests_per_second() * speed;
+    if (!(rate > 0)) continue;
+    std::vector<PlannedRequest> mine;
+    for (double at = ExponentialGap(rate, random); at < ToSeconds(duration);
+         at += ExponentialGap(rate, random))
+      mine.push_back(DrawRequest(workload, i, at, random));
+    MarkInside(customer, &mine);
+    all.insert(all.end(), mine.begin(), mine.end());
+  }
+  std::stable_sort(all.begin(), all.end(),
+                   [](const PlannedRequest& a, const PlannedRequest& b) {
+                     return a.at < b.at;
+                   });
+  return all;
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/tools/mimosa_load_report.cc
@@ -0,0 +1,273 @@
+// Rows by customer and class, and the four measures.
+#include "tools/mimosa_load_report.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <sstream>
+#include <utility>
+
+namespace mimosa {
+namespace {
+
+constexpr char kAll[] = "*";
+
+// What one row is made of.
+struct RowSamples {
+  wire::LoadRow row;
+  std::vector<double> first_token;
+  std::vector<double> token_gap;
+  std::vector<double> whole;
+};
+
+// The smallest value with at least `quantile` of the values at or below it.
+double Quantile(std::vector<double>* values, double quantile) {
+  if (values->empty()) return 0;
+  std::sort(values->begin(), values->end());
+  const double rank = std::ceil(quantile * static_cast<double>(values->size()));
+  const auto index = static_cast<size_t>(std::max(rank, 1.0)) - 1;
+  return (*values)[std::min(index, values->size() - 1)];
+}
+
+// Mean time between the tokens of an answer.
+std::optional<double> MeanGap(const RequestSample& sample) {
+  if (!sample.first_token || sample.tokens < 2) return std::nullopt;
+  return ToSeconds(sample.last_token - *sample.first_token) /
+         static_cast<double>(sample.tokens - 1);
+}
+
+void Add(const wire::WorkloadClass& c, const RequestSample& sample,
+         RowSamples* to) {
+  wire::LoadRow& row = to->row;
+  row.set_sent(row.sent() + 1);
+  if (sample.planned.inside) row.set_inside(row.inside() + 1);
+  switch (sample.end) {
+    case RequestEnd::kRefused:
+      row.set_refused(row.refused() + 1);
+      if (sample.planned.inside)
+        row.set_refused_inside(row.refused_inside() + 1);
+      return;
+    case RequestEnd::kFailed:
+      row.set_failed(row.failed() + 1);
+      return;
+    case RequestEnd::kWhole:
+      break;
+  }
+  row.set_whole(row.whole() + 1);
+  row.set_output_tokens(row.output_tokens() + sample.tokens);
+  if (IsGood(c, sample)) row.set_good(row.good() + 1);
+  to->whole.push_back(ToSeconds(sample.whole));
+  if (sample.first_token)
+    to->first_token.push_back(ToSeconds(*sample.first_token));
+  if (const auto gap = MeanGap(sample)) to->token_gap.push_back(*gap);
+}
+
+void Finish(double seconds, RowSamples* samples) {
+  constexpr double kMedian = 0.5;
+  constexpr double kTail = 0.95;
+  wire::LoadRow& row = samples->row;
+  row.set_goodput_per_second(static_cast<double>(row.good()) / seconds);
+  row.set_first_token_p50(Quantile(&samples->first_token, kMedian));
+  row.set_first_token_p95(Quantile(&samples->first_token, kTail));
+  row.set_token_gap_p50(Quantile(&samples->token_gap, kMedian));
+  row.set_token_gap_p95(Quantile(&samples->token_gap, kTail));
+  row.set_whole_p50(Quantile(&samples->whole, kMedian));
+  row.set_whole_p95(Quantile(&samples->whole, kTail));
+}
+
+// Good requests as a share of those inside the rate. Good ones beyond the rate
+// don't make up for others.
+struct CustomerService {
+  int64_t inside = 0;
+  int64_t good_inside = 0;
+};
+
+void FindWorstCustomer(const wire::Workload& workload,
+                       const std::vector<RequestSample>& samples,
+                       wire::LoadReport* report) {
+  std::map<int, CustomerService> served;
+  for (const RequestSample& sample : samples) {
+    if (!sample.planned.inside) continue;
+    CustomerService& service = served[sample.planned.customer];
+    ++service.inside;
+    if (IsGood(workload.classes(sample.planned.request_class), sample))
+      ++service.good_inside;
+  }
+  report->set_worst_customer_good_share(1);
+  for (const auto& [customer, service] : served) {
+    const double share = static_cast<double>(service.good_inside) /
+                         static_cast<double>(service.inside);
+    if (share > report->worst_customer_good_share()) continue;
+    report->set_worst_customer_good_share(share);
+    report->set_worst_customer(workload.customers(customer).id());
+  }
+}
+
+std::string Format(const char* format, double value) {
+  char text[48];
+  (void)std::snprintf(text, sizeof(text), format, value);
+  return text;
+}
+
+}  // namespace
+
+const char* RequestEndName(RequestEnd end) {
+  switch (end) {
+    case RequestEnd::kWhole:
+      return "whole";
+    case RequestEnd::kRefused:
+      return "refused";
+    case RequestEnd::kFailed:
+      return "failed";
+  }
+  return "?";
+}
+
+bool IsGood(const wire::WorkloadClass& c, const RequestSample& sample) {
+  if (sample.end != RequestEnd::kWhole) return false;
+  const auto within = [](int64_t target_ms, double seconds) {
+    constexpr double kMillisPerSecond = 1000;
+    return target_ms == 0 ||
+           seconds * kMillisPerSecond <= static_cast<double>(target_ms);
+  };
+  if (!within(c.whole_ms(), ToSeconds(sample.whole))) return false;
+  if (sample.planned.prompt_tokens == Tokens(0)) return true;
+  if (!sample.first_token ||
+      !within(c.first_token_ms(), ToSeconds(*sample.first_token)))
+    return false;
+  return within(c.between_tokens_ms(), MeanGap(sample).value_or(0));
+}
+
+wire::LoadReport MakeReport(const wire::Workload& workload,
+                            const std::vector<RequestSample>& samples,
+                            Duration duration,
+                            const std::optional<PrefillWork>& prefill) {
+  // Ordered: "*" goes before the names.
+  std::map<std::pair<std::string, std::string>, RowSamples> rows;
+  for (const RequestSample& sample : samples) {
+    const auto& c = workload.classes(sample.planned.request_class);
+    const std::string& customer =
+        workload.customers(sample.planned.customer).id();
+    const std::string& class_name = wire::RequestClass_Name(c.request_class());
+    for (const std::string& row : {std::string(kAll), customer})
+      for (const std::string& column : {std::string(kAll), class_name})
+        Add(c, sample, &rows[{row, column}]);
+  }
+  wire::LoadReport report;
+  report.set_workload(workload.name());
+  report.set_seconds(ToSeconds(duration));
+  for (auto& [names, row] : rows) {
+    row.row.set_customer(names.first);
+    row.row.set_request_class(names.second);
+    Finish(report.seconds(), &row);
+    *report.add_rows() = row.row;
+  }
+  const wire::LoadRow& total = rows[{kAll, kAll}].row;
+  report.set_goodput_per_second(total.goodput_per_second());
+  report.set_refused_inside(total.refused_inside());
+  FindWorstCustomer(workload, samples, &report);
+  report.set_wasted_prefill_tokens(prefill ? prefill->wasted_tokens : -1);
+  if (prefill && prefill->done_tokens > 0)
+    report.set_wasted_prefill_share(
+        static_cast<double>(prefill->wasted_tokens) /
+        static_cast<double>(prefill->done_tokens));
+  return report;
+}
+
+std::string ReportText(const wire::LoadReport& report) {
+  std::ostringstream out;
+  out << "workload " << report.workload() << ", seed " << report.seed() << ", "
+      << Format("%.1f", report.seconds()) << " s\n"
+      << "goodput within all targets: "
+      << Format("%.2f", report.goodput_per_second()) << " requests/s\n"
+      << "wasted prefill: ";
+  if (report.wasted_prefill_tokens() < 0)
+    out << "not asked\n";
+  else
+    out << report.wasted_prefill_tokens() << " tokens ("
+        << Format("%.2f", report.wasted_prefill_share() * 100) << " %)\n";
+  out << "worst-served customer: " << report.worst_customer() << " ("
+      << Format("%.1f", report.worst_customer_good_share() * 100)
+      << " % good of those inside its rate)\n"
+      << "refused although inside the rate: " << report.refused_inside()
+      << "\nmost that a request was sent late: "
+      << Format("%.1f", report.latest_send_ms()) << " ms\n\n";
+  out << "customer                 class           sent inside  good  ref."
+         " ref.in fail  first p95  gap p95 whole p95\n";
+  for (const wire::LoadRow& row : report.rows()) {
+    char line[192];
+    (void)std::snprintf(
+        line, sizeof(line),
+        "%-24s %-14s %5lld %6lld %5lld %5lld %6lld %4lld %8.3f s %6.1f ms"
+        " %7.3f s\n",
+        row.customer().c_str(), row.request_class().c_str(),
+        static_cast<long long>(row.sent()),
+        static_cast<long long>(row.inside()),
+        static_cast<long long>(row.good()),
+        static_cast<long long>(row.refused()),
+        static_cast<long long>(row.refused_inside()),
+        static_cast<long long>(row.failed()), row.first_token_p95(),
+        row.token_gap_p95() * 1000, row.whole_p95());
+    out << line;
+  }
+  return out.str();
+}
+
+std::string ReportCsv(const wire::LoadReport& report) {
+  std::ostringstream out;
+  out << "customer,class,sent,inside,whole,good,refused,refused_inside,failed,"
+         "output_tokens,goodput_per_second,first_token_p50,first_token_p95,"
+         "token_gap_p50,token_gap_p95,whole_p50,whole_p95\n";
+  for (const wire::LoadRow& row : report.rows())
+    out << row.customer() << "," << row.request_class() << "," << row.sent()
+        << "," << row.inside() << "," << row.whole() << "," << row.good() << ","
+        << row.refused() << "," << row.refused_inside() << "," << row.failed()
+        << "," << row.output_tokens() << "," << row.goodput_per_second() << ","
+        << row.first_token_p50() << "," << row.first_token_p95() << ","
+        << row.token_gap_p50() << "," << row.token_gap_p95() << ","
+        << row.whole_p50() << "," << row.whole_p95() << "\n";
+  return out.str();
+}
+
+std::string SamplesCsv(const wire::Workload& workload,
+                       const std::vector<RequestSample>& samples) {
+  std::ostringstream out;
+  out << "at_s,customer,class,prompt_tokens,max_tokens,inside,end,status,"
+         "first_token_s,tokens,whole_s\n";
+  for (const RequestSample& sample : samples) {
+    const PlannedRequest& planned = sample.planned;
+    const auto& c = workload.classes(planned.request_class);
+    out << ToSeconds(planned.at) << ","
+        << workload.customers(planned.customer).id() << ","
+        << wire::RequestClass_Name(c.request_class()) << ","
+        << planned.prompt_tokens << "," << planned.output_tokens << ","
+        << (planned.inside ? 1 : 0) << "," << RequestEndName(sample.end) << ","
+        << sample.status << ",";
+    if (sample.first_token) out << ToSeconds(*sample.first_token);
+    out << "," << sample.tokens << "," << ToSeconds(sample.whole) << "\n";
+  }
+  return out.str();
+}
+
+std::string PlotScript(const wire::LoadReport& report) {
+  std::ostringstream out;
+  out << "# gnuplot plot.gp, in the directory of the report\n"
+         "set terminal pngcairo size 1100,500\n"
+         "set output 'plot.png'\n"
+         "set datafile separator ','\n"
+         "set style data histograms\n"
+         "set style histogram clustered\n"
+         "set style fill solid 0.8\n"
+         "set xtics rotate by -25\n"
+         "set ylabel 'requests'\n"
+         "set title 'workload "
+      << report.workload() << ", seed " << report.seed()
+      << ": by customer'\n"
+         "plot '< grep -E \"^[^*,]+,[*],\" report.csv' using 4:xtic(1) title "
+         "'inside rate', '' using 6 title 'good', '' using 8 title 'refused "
+         "inside rate', '' using 9 title 'failed'\n";
+  return out.str();
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/tools/mimosa_load_run.cc
@@ -0,0 +1,258 @@
+// The open loop.
+#include "tools/mimosa_load_run.h"
+
+#include <json/value.h>
+#include <signal.h>
+#include <sys/types.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <string_view>
+#include <utility>
+
+#include "base/json.h"
+#include "router/completion_request.h"
+
+namespace mimosa {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kFirstErrorStatus = 300;
+constexpr int kStatusTooMany = 429;
+constexpr int kStatusUnavailable = 503;
+constexpr char kOutcomeHeader[] = "Mimosa-Outcome";
+constexpr char kNotRun[] = "not-run";
+// How long an answer may stay away before it counts as failed.
+constexpr Duration kAnswerTimeout = std::chrono::seconds(90);
+constexpr Duration kEngineTimeout = std::chrono::seconds(2);
+
+// Words of four bytes: one token each by the router's own estimate. The serial
+// keeps prompts apart, so that no prefix cache makes them cheap by accident.
+std::string MakePrompt(size_t serial, Tokens tokens) {
+  std::string prompt = "letter " + std::to_string(serial) + " ";
+  const auto size = static_cast<size_t>(tokens.count() * kBytesPerToken);
+  prompt.reserve(size);
+  while (prompt.size() < size) prompt += "abc ";
+  prompt.resize(size);
+  return prompt;
+}
+
+int64_t IntMember(const Json::Value& object, const char* name) {
+  return object.isObject() && object[name].isInt64() ? object[name].asInt64()
+                                                     : 0;
+}
+
+}  // namespace
+
+// One request under way.
+class LoadRun::RunningRequest : public HttpCallHandler {
+ public:
+  RunningRequest(LoadRun* run, size_t index, MonoTime due)
+      : run_(run), index_(index), due_(due) {
+    sample_.planned = run->plan_[index];
+  }
+
+  void Start(const HttpCallOptions& options, HttpRequest request) {
+    call_ = run_->client_->Start(options, std::move(request), this);
+  }
+
+  void OnHead(int status, const HttpHeaders& headers) override {
+    sample_.status = status;
+    const std::string* outcome = headers.Find(kOutcomeHeader);
+    not_run_ = outcome != nullptr && *outcome == kNotRun;
+  }
+
+  // Server-sent events: each "data:" line but the last is one token.
+  void OnBody(std::string_view data) override {
+    if (sample_.planned.prompt_tokens == Tokens(0)) return;
+    const Duration now = run_->loop_->Now() - due_;
+    buffer_ += data;
+    size_t end = 0;
+    while ((end = buffer_.find('\n')) != std::string::npos) {
+      OnLine(std::string_view(buffer_).substr(0, end), now);
+      buffer_.erase(0, end + 1);
+    }
+  }
+
+  void OnDone() override { End(WholeEnd()); }
+  void OnFailed(HttpFailure /*failure*/, bool /*sent*/) override {
+    End(RequestEnd::kFailed);
+  }
+
+ private:
+  void OnLine(std::string_view line, Duration now) {
+    if (line.rfind("data:", 0) != 0) return;
+    if (line.find("[DONE]") != std::string_view::npos) {
+      end_marker_ = true;
+      return;
+    }
+    // The last event brings the reason of the end and no text.
+    if (line.find("\"text\":\"\"") != std::string_view::npos) return;
+    if (!sample_.first_token) sample_.first_token = now;
+    sample_.last_token = now;
+    ++sample_.tokens;
+  }
+
+  RequestEnd WholeEnd() const {
+    const bool refused = sample_.status == kStatusTooMany ||
+                         sample_.status == kStatusUnavailable;
+    if (refused && not_run_) return RequestEnd::kRefused;
+    const bool ok =
+        sample_.status >= kStatusOk && sample_.status < kFirstErrorStatus;
+    const bool whole =
+        sample_.planned.prompt_tokens == Tokens(0) || end_marker_;
+    return ok && whole ? RequestEnd::kWhole : RequestEnd::kFailed;
+  }
+
+  // Destroys this request.
+  void End(RequestEnd end) {
+    sample_.end = end;
+    sample_.whole = run_->loop_->Now() - due_;
+    run_->OnEnd(index_, sample_);
+  }
+
+  LoadRun* const run_;
+  const size_t index_;
+  const MonoTime due_;
+  RequestSample sample_;
+  bool not_run_ = false;
+  bool end_marker_ = false;
+  std::string buffer_;  // an unfinished line
+  std::unique_ptr<HttpCall> call_;
+};
+
+LoadRun::LoadRun(LwsLoop* loop, HttpClient* client,
+                 const wire::Workload& workload,
+                 std::vector<PlannedRequest> plan,
+                 const LoadRunOptions& options)
+    : loop_(loop),
+      client_(client),
+      workload_(workload),
+      plan_(std::move(plan)),
+      options_(options) {}
+
+LoadRun::~LoadRun() = default;
+
+void LoadRun::Run() {
+  const std::optional<PrefillWork> before = AskEngines();
+  start_ = loop_->Now();
+  ScheduleFaults();
+  SendDue();
+  if (next_ < plan_.size() || !running_.empty()) loop_->Run();
+  const std::optional<PrefillWork> after = AskEngines();
+  if (!before || !after) return;
+  prefill_ = PrefillWork{after->done_tokens - before->done_tokens,
+                         after->wasted_tokens - before->wasted_tokens};
+}
+
+// The sum over the engines that answer; none if there are no engines.
+std::optional<PrefillWork> LoadRun::AskEngines() {
+  if (options_.engines.empty()) return std::nullopt;
+  PrefillWork sum;
+  size_t left = options_.engines.size();
+  std::vector<std::unique_ptr<HttpCall>> calls;
+  for (const Endpoint& engine : options_.engines) {
+    HttpCallOptions options;
+    options.to = engine;
+    options.head_timeout = kEngineTimeout;
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/debug/state";
+    calls.push_back(
+        Fetch(client_, options, std::move(request),
+              [this, &sum, &left](const HttpResult& result) {
+                if (const auto state = ParseJson(result.response.body)) {
+                  sum.done_tokens += IntMember(*state, "prefill_tokens");
+                  sum.wasted_tokens += IntMember(*state, "wasted_tokens");
+                }
+                if (--left == 0) loop_->Stop();
+              }));
+  }
+  while (left > 0) loop_->Run();
+  return sum;
+}
+
+void LoadRun::ScheduleFaults() {
+  for (const wire::WorkloadFault& fault : workload_.faults())
+    fault_timers_.push_back(
+        loop_->After(std::chrono::milliseconds(fault.at_ms()),
+                     [this, &fault] { Inject(fault); }));
+}
+
+void LoadRun::Inject(const wire::WorkloadFault& fault) {
+  if (!fault.pid_file().empty()) {
+    std::ifstream file(fault.pid_file());
+    pid_t pid = 0;
+    if (file >> pid && pid > 1) kill(pid, fault.signal());
+    return;
+  }
+  HttpCallOptions options;
+  if (!Endpoint::Parse(fault.address(), &options.to)) return;
+  HttpRequest request;
+  request.method = "POST";
+  request.target = fault.path();
+  request.body = fault.body();
+  fault_calls_.push_back(Fetch(client_, options, std::move(request),
+                               [](const HttpResult& /*result*/) {}));
+}
+
+void LoadRun::SendDue() {
+  const Duration now = loop_->Now() - start_;
+  while (next_ < plan_.size() && plan_[next_].at <= now) {
+    latest_send_ = std::max(latest_send_, now - plan_[next_].at);
+    Send(next_++);
+  }
+  if (next_ < plan_.size())
+    timer_ = loop_->After(plan_[next_].at - now, [this] { SendDue(); });
+}
+
+void LoadRun::Send(size_t index) {
+  HttpCallOptions options;
+  options.to = options_.routers[index % options_.routers.size()];
+  options.head_timeout = kAnswerTimeout;
+  options.idle_timeout = kAnswerTimeout;
+  auto& request = running_[index];
+  request =
+      std::make_unique<RunningRequest>(this, index, start_ + plan_[index].at);
+  request->Start(options, MakeRequest(index));
+}
+
+HttpRequest LoadRun::MakeRequest(size_t index) const {
+  const PlannedRequest& planned = plan_[index];
+  const auto& c = workload_.classes(planned.request_class);
+  HttpRequest request;
+  request.method = c.method();
+  request.target = c.target();
+  request.headers.Add("Authorization",
+                      "Bearer " + workload_.customers(planned.customer).key());
+  if (c.request_class() == wire::NEVER_REPEATED)
+    request.headers.Add(
+        "Idempotency-Key",
+        "load-" + std::to_string(options_.seed) + "-" + std::to_string(index));
+  Json::Value body;
+  if (planned.prompt_tokens > Tokens(0)) {
+    body["model"] = workload_.model();
+    body["prompt"] = MakePrompt(index, planned.prompt_tokens);
+    body["max_tokens"] = Json::Int64(planned.output_tokens.count());
+    body["stream"] = true;
+  } else if (c.method() != "GET") {
+    body["serial"] = Json::UInt64(index);
+  }
+  if (body.isNull()) return request;
+  request.headers.Add("Content-Type", "application/json");
+  request.body = WriteJson(body);
+  return request;
+}
+
+void LoadRun::OnEnd(size_t index, const RequestSample& sample) {
+  samples_.push_back(sample);
+  running_.erase(index);
+  StopIfOver();
+}
+
+void LoadRun::StopIfOver() {
+  if (next_ == plan_.size() && running_.empty()) loop_->Stop();
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/tools/mimosa_load_run.h
@@ -0,0 +1,72 @@
+// Sends a plan's requests when they are due, whatever became of the earlier
+// ones (open loop), and times the answers.
+#ifndef TOOLS_MIMOSA_LOAD_RUN_H_
+#define TOOLS_MIMOSA_LOAD_RUN_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/event_loop.h"
+#include "net/http.h"
+#include "tools/mimosa_load_plan.h"
+#include "tools/mimosa_load_report.h"
+#include "wire/workload.pb.h"
+
+namespace mimosa {
+
+struct LoadRunOptions {
+  std::vector<Endpoint> routers;  // used in turn
+  std::vector<Endpoint> engines;  // asked for their prefill work
+  uint64_t seed = 0;              // part of the idempotency keys
+};
+
+class LoadRun {
+ public:
+  LoadRun(LwsLoop* loop, HttpClient* client, const wire::Workload& workload,
+          std::vector<PlannedRequest> plan, const LoadRunOptions& options);
+  ~LoadRun();
+
+  // Runs the loop until the last answer came or gave out.
+  void Run();
+
+  const std::vector<RequestSample>& samples() const { return samples_; }
+  // Of this run: the engines' counts after it less those before it.
+  const std::optional<PrefillWork>& prefill() const { return prefill_; }
+  Duration latest_send() const { return latest_send_; }
+
+ private:
+  class RunningRequest;
+
+  std::optional<PrefillWork> AskEngines();
+  void ScheduleFaults();
+  void Inject(const wire::WorkloadFault& fault);
+  void SendDue();
+  void Send(size_t index);
+  HttpRequest MakeRequest(size_t index) const;
+  void OnEnd(size_t index, const RequestSample& sample);
+  void StopIfOver();
+
+  LwsLoop* const loop_;
+  HttpClient* const client_;
+  const wire::Workload& workload_;
+  const std::vector<PlannedRequest> plan_;
+  const LoadRunOptions options_;
+
+  MonoTime start_{};
+  size_t next_ = 0;  // of the plan
+  TimerHandle timer_;
+  std::vector<TimerHandle> fault_timers_;
+  std::vector<std::unique_ptr<HttpCall>> fault_calls_;
+  std::map<size_t, std::unique_ptr<RunningRequest>> running_;
+  std::vector<RequestSample> samples_;
+  std::optional<PrefillWork> prefill_;
+  Duration latest_send_{};
+};
+
+}  // namespace mimosa
+
+#endif  // TOOLS_MIMOSA_LOAD_RUN_H_
--- a/tools/mimosactl_commands.cc
+++ b/tools/mimosactl_commands.cc
@@ -311,10 +311,11 @@
   bool lost = false;
   auto written = leaf::try_handle_some(
       [&] { return store_->Write(now, catalogue, NewChange("apply")); },
-      [&](const StoreFault& fault) -> leaf::result<uint64_t> {
+      [&](const StoreFault& fault,
+          const leaf::error_info& info) -> leaf::result<uint64_t> {
         lost = fault.kind == StoreFaultKind::kLostRace;
         if (lost) return uint64_t{0};
-        return leaf::new_error(fault);
+        return info.error();
       });
   if (!written) return written.error();
   if (lost) return TellLostRace(now);
@@ -386,10 +387,11 @@
     bool lost = false;
     auto written = leaf::try_handle_some(
         [&] { return store_->Write(now, edited, NewChange(summary)); },
-        [&](const StoreFault& fault) -> leaf::result<uint64_t> {
+        [&](const StoreFault& fault,
+            const leaf::error_info& info) -> leaf::result<uint64_t> {
           lost = fault.kind == StoreFaultKind::kLostRace && round < kMaxRounds;
           if (lost) return uint64_t{0};
-          return leaf::new_error(fault);
+          return info.error();
         });
     if (!lost) return written;
   }
--- a/tools/mimosactl_store.cc
+++ b/tools/mimosactl_store.cc
@@ -118,15 +118,16 @@
   BOOST_LEAF_AUTO(plan, PlanCatalogueWrite(read.stored, catalogue, change));
   BOOST_LEAF_CHECK(WriteParts(plan.new_parts));
   bool lost = false;
-  auto written =
-      leaf::try_handle_some([&] { return WriteHead(plan.head, read.revision); },
-                            [&](const StoreFault& fault) -> leaf::result<void> {
-                              // Nobody can refer to our parts: their digests
-                              // hold our change id.
-                              lost = fault.kind == StoreFaultKind::kLostRace ||
-                                     fault.kind == StoreFaultKind::kUnavailable;
-                              return leaf::new_error(fault);
-                            });
+  auto written = leaf::try_handle_some(
+      [&] { return WriteHead(plan.head, read.revision); },
+      [&](const StoreFault& fault,
+          const leaf::error_info& info) -> leaf::result<void> {
+        // Nobody can refer to our parts: their digests
+        // hold our change id.
+        lost = fault.kind == StoreFaultKind::kLostRace ||
+               fault.kind == StoreFaultKind::kUnavailable;
+        return info.error();
+      });
   if (lost)
     for (const auto& [digest, text] : plan.new_parts) DeletePart(digest);
   if (!written) return written.error();
