--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -113,6 +113,7 @@
   constexpr int kWriters = 8;
   REQUIRE(Run({"catalogue", "apply", WriteFile(OneCustomer())}) == 0);
   std::vector<std::unique_ptr<Process>> writers;
+  writers.reserve(kWriters);
   for (int i = 0; i < kWriters; ++i)
     writers.push_back(
         Start({"key", "give", "guild", "key-" + std::to_string(i)}));
--- a/tools/mimosa_load_plan.cc
+++ b/tools/mimosa_load_plan.cc
@@ -56,9 +56,12 @@
   return request;
 }
 
-// Marks the requests that the customer's own bucket would have admitted in
-// their order: full at first, charged for admitted requests only.
-void MarkInside(const wire::WorkloadCustomer& customer,
+// Marks the requests that the customer's own bucket, full at first, would have
+// held. Patient requests beyond the rate wait for tokens and are charged in the
+// end: they leave a debt that makes later ones come too early as well. Others
+// beyond the rate are refused and charge nothing.
+void MarkInside(const wire::Workload& workload,
+                const wire::WorkloadCustomer& customer,
                 std::vector<PlannedRequest>* requests) {
   const auto burst = static_cast<double>(customer.burst_tokens());
   const auto rate = static_cast<double>(customer.rate_tokens_per_second());
@@ -69,7 +72,8 @@
     last = request.at;
     const auto cost = static_cast<double>(request.cost.count());
     request.inside = cost <= level;
-    if (request.inside) level -= cost;
+    const auto& c = workload.classes(request.request_class);
+    if (request.inside || c.request_class() == wire::PATIENT) level -= cost;
   }
 }
 
@@ -120,7 +124,7 @@
     for (double at = ExponentialGap(rate, random); at < ToSeconds(duration);
          at += ExponentialGap(rate, random))
       mine.push_back(DrawRequest(workload, i, at, random));
-    MarkInside(customer, &mine);
+    MarkInside(workload, customer, &mine);
     all.insert(all.end(), mine.begin(), mine.end());
   }
   std::stable_sort(all.begin(), all.end(),
--- a/tools/mimosa_load_report.cc
+++ b/tools/mimosa_load_report.cc
@@ -260,7 +260,7 @@
          "set style histogram clustered\n"
          "set style fill solid 0.8\n"
          "set xtics rotate by -25\n"
-         "set ylabel 'requests'\n"
+         "set key outside\nset ylabel 'requests'\n"
          "set title 'workload "
       << report.workload() << ", seed " << report.seed()
       << ": by customer'\n"
--- a/tools/mimosactl_routers.cc
+++ b/tools/mimosactl_routers.cc
@@ -49,7 +49,7 @@
   const size_t value = begin + 4;
   const size_t end = labels->find('"', value);
   if (end == std::string::npos) return "";
-  const std::string bound = labels->substr(value, end - value);
+  std::string bound = labels->substr(value, end - value);
   const size_t from = begin > 0 ? begin - 1 : begin;  // the comma before it
   labels->erase(from, end + 1 - from);
   return bound;
