--- a/bench/rounds.cc
+++ b/bench/rounds.cc
@@ -32,6 +32,7 @@
 constexpr Duration kTick = milliseconds(100);
 constexpr Duration kHold = seconds(60);
 constexpr Duration kMeanDecode = seconds(3);
+constexpr Duration kPromptWait = milliseconds(500);  // as in places_driver.cc
 constexpr int kMaxAttempts = 3;
 constexpr int kGreedyCustomer = 3;
 constexpr double kGreedyFactor = 5;  // times its rate
@@ -127,7 +128,7 @@
   void BeginAttempt(Request* r);
   void Search(Request* r, SearchStage stage);
   void Follow(Request* r, const SearchStep& step);
-  void Ask(Request* r, int engine, bool may_wait);
+  void Ask(Request* r, int engine, const SearchStep& step);
   void Deliver(SearchStage stage, int engine, const BookAnswers& answers);
   void OnAnswer(Request* r, const BookAnswer& answer);
   void Choose(Request* r, int engine);
@@ -155,6 +156,10 @@
     return kRateOverFitting * kShares[customer] * FittingRate(workload_) *
            mean_charge_;
   }
+  SearchStage FirstStage() const {
+    return policies_.prefill_first ? SearchStage::kPrefill
+                                   : SearchStage::kDecode;
+  }
   Duration Hop(const Request& r, int owner) const {
     return r.router == owner ? Duration(0) : workload_.one_way;
   }
@@ -259,15 +264,19 @@
   }
 }
 
-// Fairness is decided once, for decode memory: whoever has that and waits for a
-// prefill turn keeps memory idle, so turns are handed out first come first
-// served.
+// Fairness is decided once, at the first stage: whoever has the first of the
+// two and waits for the second keeps an engine idle, so the second is handed
+// out first come first served.
 std::unique_ptr<EngineBook> Run::NewBook(SearchStage stage) const {
   const bool decode = stage == SearchStage::kDecode;
   return std::make_unique<EngineBook>(
-      decode ? Units(workload_.decode_memory.count()) : Units(1),
+      decode ? Units(static_cast<int64_t>(
+                   static_cast<double>(workload_.decode_memory.count()) *
+                   (1 + policies_.overcommit)))
+             : Units(1),
       decode ? kMeanDecode : Duration(milliseconds(500)),
-      MakeRequestQueue(decode ? policies_.queue : QueueKind::kFifo),
+      MakeRequestQueue(stage == FirstStage() ? policies_.queue
+                                             : QueueKind::kFifo),
       MakeSheddingPolicy(policies_.shedding));
 }
 
@@ -370,7 +379,7 @@
 void Run::BeginAttempt(Request* r) {
   ++r->attempt;
   r->computed = 0;
-  Search(r, SearchStage::kDecode);
+  Search(r, FirstStage());
 }
 
 void Run::Search(Request* r, SearchStage stage) {
@@ -401,7 +410,7 @@
 void Run::Follow(Request* r, const SearchStep& step) {
   switch (step.kind) {
     case SearchStep::Kind::kAsk:
-      Ask(r, r->candidates[step.engine], step.may_wait);
+      Ask(r, r->candidates[step.engine], step);
       return;
     case SearchStep::Kind::kUse:
       Choose(r, r->candidates[step.engine]);
@@ -413,12 +422,12 @@
   }
 }
 
-void Run::Ask(Request* r, int engine, bool may_wait) {
+void Run::Ask(Request* r, int engine, const SearchStep& step) {
   r->asked = engine;
   const uint64_t question = ++r->question;
   const SearchStage stage = r->stage;
   const Duration hop = Hop(*r, BookOf(stage, engine).owner);
-  loop_.After(hop, [this, r, stage, engine, may_wait, question] {
+  loop_.After(hop, [this, r, stage, engine, step, question] {
     if (r->outcome != Outcome::kOpen || question != r->question) return;
     OwnedBook& owned = BookOf(stage, engine);
     if (owned.owner < 0) {
@@ -427,9 +436,11 @@
       });
       return;
     }
-    Deliver(
-        stage, engine,
-        owned.book->Reserve(MakeBookRequest(*r, stage, may_wait), loop_.now()));
+    BookRequest asked = MakeBookRequest(*r, stage, step.may_wait);
+    if (step.max_wait < asked.queued.start_by - loop_.now()) {
+      asked.queued.start_by = loop_.now() + step.max_wait;
+    }
+    Deliver(stage, engine, owned.book->Reserve(asked, loop_.now()));
   });
 }
 
@@ -446,8 +457,9 @@
   queued.cost = decode ? r.prompt + Tokens(workload_.output_max) : r.prompt;
   queued.rate = Tokens(static_cast<int64_t>(CustomerRate(r.customer)));
   queued.target = r.first_target - prefill;
-  queued.start_by =
-      r.patient ? r.deadline - kMeanDecode - prefill : r.first_target - prefill;
+  queued.start_by = r.patient
+                        ? r.deadline - kMeanDecode - prefill
+                        : std::max(queued.target, r.arrival + kPromptWait);
   request.member = MemberId(std::to_string(r.router));
   request.hold = kHold;
   request.may_wait = may_wait;
@@ -488,13 +500,17 @@
 void Run::Choose(Request* r, int engine) {
   if (r->stage == SearchStage::kDecode) {
     r->decode = engine;
-    Search(r, SearchStage::kPrefill);
-    return;
+  } else {
+    r->prefill = engine;
+    routers_[r->router].prefixes.Add({static_cast<uint64_t>(r->text)},
+                                     BackEndId(std::to_string(engine)));
+  }
+  if (r->stage == FirstStage()) {
+    Search(r, policies_.prefill_first ? SearchStage::kDecode
+                                      : SearchStage::kPrefill);
+  } else {
+    StartPrefill(r);
   }
-  r->prefill = engine;
-  routers_[r->router].prefixes.Add({static_cast<uint64_t>(r->text)},
-                                   BackEndId(std::to_string(engine)));
-  StartPrefill(r);
 }
 
 // --- Prefill, transfer, decode ----------------------------------------------
--- a/router/places_driver.cc
+++ b/router/places_driver.cc
@@ -9,6 +9,8 @@
 
 constexpr Duration kProbeTimeout = std::chrono::seconds(1);
 constexpr Duration kErrandTimeout = std::chrono::seconds(2);
+// What a prompt request may wait, however long its prompt is.
+constexpr Duration kPromptWait = std::chrono::milliseconds(500);
 // Owners differ between daemons for a moment while the fleet changes.
 constexpr Duration kOwnerRetryDelay = std::chrono::milliseconds(100);
 constexpr int kOwnerRetries = 30;
@@ -96,7 +98,7 @@
 // ---------------------------------------------------------------------------
 // One request on its way to a place.
 
-// States: decode engine, then prefill engine; within each, a PlaceSearch says
+// States: prefill engine, then decode engine; within each, a PlaceSearch says
 // whom to ask. At most one question to an owner is open at a time.
 class PlacesDriver::Attempt : public PendingPlace {
  public:
@@ -153,10 +155,11 @@
 
   PlacesDriver* const driver_;
   PlaceRequest request_;  // its prompt is not kept
+  const MonoTime began_;
   const std::vector<uint64_t> prompt_blocks_;
   Done done_;
   std::shared_ptr<const CatalogueSnapshot> snapshot_;
-  Stage stage_ = Stage::kDecode;
+  Stage stage_ = Stage::kPrefill;
   std::set<BackEndId> avoid_;
   // Of the stage: its engines and the search among them.
   std::vector<const wire::BackEnd*> engines_;
@@ -165,6 +168,7 @@
   // The open question.
   std::optional<size_t> asked_;
   bool asked_may_wait_ = false;
+  Duration max_wait_ = Duration::max();
   MemberId asked_owner_;
   wire::ReserveReply peer_reply_;
   std::unique_ptr<PeerCall> call_;
@@ -182,6 +186,7 @@
                                const PlaceRequest& request, Done done)
     : driver_(driver),
       request_(request),
+      began_(driver->loop_->Now()),
       prompt_blocks_(driver->prefixes_.BlocksOf(request.prompt)),
       done_(std::move(done)),
       snapshot_(driver->catalogue_->current()),
@@ -199,7 +204,7 @@
 
 void PlacesDriver::Attempt::Start() {
   timer_ = driver_->loop_->After(Duration(0),
-                                 [this] { EnterStage(Stage::kDecode); });
+                                 [this] { EnterStage(Stage::kPrefill); });
 }
 
 void PlacesDriver::Attempt::OnFleetChanged() {
@@ -253,6 +258,7 @@
 void PlacesDriver::Attempt::Follow(const SearchStep& step) {
   switch (step.kind) {
     case SearchStep::Kind::kAsk:
+      max_wait_ = step.max_wait;
       Ask(step.engine, step.may_wait);
       return;
     case SearchStep::Kind::kUse:
@@ -357,7 +363,8 @@
   out.set_prompt_tokens(request_.prompt_tokens.count());
   out.set_output_tokens(request_.output_tokens.count());
   out.set_request_class(request_.request_class);
-  out.set_deadline_ms(std::max<int64_t>(ToMillis(Left(StartBy())), 1));
+  const Duration longest = std::min(Left(StartBy()), max_wait_);
+  out.set_deadline_ms(std::max<int64_t>(ToMillis(longest), 1));
   if (request_.first_token_deadline != kNever) {
     out.set_target_ms(std::max<int64_t>(ToMillis(Left(Target())), 1));
   }
@@ -366,13 +373,15 @@
   return out;
 }
 
-// The latest useful start of the stage. A prompt request has to meet its first
-// token's target; a patient one is of use until its deadline.
+// The latest useful start of the stage. A prompt request is to meet its first
+// token's target; one whose prompt is too long for that even at an idle engine
+// is not refused for it, but does not wait long either. A patient one is of use
+// until its deadline.
 MonoTime PlacesDriver::Attempt::StartBy() const {
   MonoTime start_by = request_.deadline - driver_->decode_time_ - PrefillTime();
   if (request_.request_class != wire::PATIENT &&
       request_.first_token_deadline != kNever) {
-    start_by = std::min(start_by, Target());
+    start_by = std::min(start_by, std::max(Target(), began_ + kPromptWait));
   }
   return start_by;
 }
@@ -425,7 +434,7 @@
 }
 
 void PlacesDriver::Attempt::Advance() {
-  if (Left(StartBy()) < Duration(0) && stage_ == Stage::kDecode) {
+  if (Left(StartBy()) < Duration(0)) {
     Finish(PlaceStatus::kOverload);
     return;
   }
@@ -437,13 +446,13 @@
   GrantedPlace::Engine chosen;
   chosen.id = BackEndId(engine.id());
   Endpoint::Parse(engine.address(), &chosen.address);
-  if (stage_ == Stage::kDecode) {
-    decode_ = std::move(chosen);
+  if (stage_ == Stage::kPrefill) {
+    prefill_ = std::move(chosen);
     owner_retries_ = 0;
-    EnterStage(Stage::kPrefill);
+    EnterStage(Stage::kDecode);
     return;
   }
-  prefill_ = std::move(chosen);
+  decode_ = std::move(chosen);
   driver_->prefixes_.Add(prompt_blocks_, prefill_->id);
   GrantPlace();
 }
@@ -460,8 +469,8 @@
 // `done_` may destroy this object: nothing is touched after it.
 void PlacesDriver::Attempt::Finish(PlaceStatus status) {
   ForgetQuestion(/*give_back=*/true);
-  if (decode_) driver_->GiveBack(decode_->id, request_.request);
-  decode_.reset();
+  if (prefill_) driver_->GiveBack(prefill_->id, request_.request);
+  prefill_.reset();
   PlaceResult result;
   result.status = status;
   result.retry_after =
