--- /dev/null
+++ b/tools/settings_table.cc
@@ -0,0 +1,20 @@
+// Prints the settings of all programs as Markdown: the table that stands in
+// docs/OPERATORS.md. scripts/settings-table puts it there.
+#include <google/protobuf/message.h>
+
+#include <iostream>
+
+#include "base/settings.h"
+#include "wire/settings.pb.h"
+
+int main() {
+  const auto print = [](const char* program,
+                        const google::protobuf::Message& settings) {
+    std::cout << "\n### " << program << "\n\n"
+              << mimosa::SettingsTable(settings);
+  };
+  print("mimosa-router", mimosa::wire::RouterSettings());
+  print("mimosactl", mimosa::wire::CtlSettings());
+  print("mimosa-load", mimosa::wire::LoadSettings());
+  return 0;
+}
