--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -6,7 +6,9 @@
 #include <string>
 #include <vector>
 
+#include "base/digest.h"
 #include "base/json.h"
+#include "decide/credentials.h"
 #include "tests/harness.h"
 
 namespace mimosa::testing {
@@ -128,6 +130,16 @@
   CHECK(StoredParts() == kWriters + 1);
 }
 
+TEST_CASE_METHOD(CtlFixture, "a given key is shown once and kept as a digest") {
+  REQUIRE(Run({"catalogue", "apply", WriteFile(OneCustomer())}) == 0);
+  REQUIRE(Run({"key", "give", "guild", "k"}) == 0);
+  const std::string secret = Output()["secret"].asString();
+  CHECK(ContainsKeyForm(secret));
+  CHECK(Show().customers(0).keys(0).digest() == Sha256Hex(secret));
+  const Json::Value all = GetJson(platform_.port(), "/debug/records");
+  CHECK(WriteJson(all).find(secret) == std::string::npos);
+}
+
 TEST_CASE_METHOD(CtlFixture, "a racing apply loses and is told what changed") {
   REQUIRE(Run({"catalogue", "apply", WriteFile(OneCustomer())}) == 0);
   wire::Catalogue mine = Show();
--- /dev/null
+++ b/tests/fuzz/text_fuzz.cc
@@ -0,0 +1,79 @@
+// Fuzzes the small parsers of our own: settings, addresses, credentials,
+// engines' event streams, scrapes.
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/address.h"
+#include "base/settings.h"
+#include "decide/credentials.h"
+#include "decide/sse.h"
+#include "tools/mimosactl_routers.h"
+#include "wire/settings.pb.h"
+
+namespace {
+
+std::vector<std::string> Lines(const std::string& text) {
+  std::vector<std::string> lines;
+  std::istringstream in(text);
+  for (std::string line; std::getline(in, line);) lines.push_back(line);
+  return lines;
+}
+
+void TrySettings(const std::vector<std::string>& lines) {
+  std::vector<const char*> argv = {"fuzz"};
+  for (const std::string& line : lines) argv.push_back(line.c_str());
+  mimosa::wire::RouterSettings settings;
+  const auto read = mimosa::ReadSettings(
+      {"fuzz", "", "", ""}, static_cast<int>(argv.size()), argv.data(),
+      [](const char* /*name*/) -> const char* { return nullptr; }, &settings);
+  // The secrets come from the environment only, and there is none.
+  if (read && read->mode == mimosa::StartMode::kRun) std::abort();
+}
+
+// An event stream reads the same whole and byte by byte.
+void TryEvents(const std::string& text) {
+  std::vector<std::string> whole;
+  std::vector<std::string> by_byte;
+  mimosa::SseReader a;
+  mimosa::SseReader b;
+  (void)a.Feed(text, &whole);
+  for (const char c : text) (void)b.Feed(std::string_view(&c, 1), &by_byte);
+  if (whole != by_byte) std::abort();
+}
+
+void TryCredentials(const std::vector<std::string>& lines,
+                    const std::string& text) {
+  mimosa::HeaderFields headers;
+  for (const std::string& line : lines) {
+    const size_t colon = line.find(':');
+    if (colon == std::string::npos) continue;
+    headers.emplace_back(line.substr(0, colon), line.substr(colon + 1));
+  }
+  const mimosa::Credentials found = mimosa::SeparateCredentials(
+      headers, lines.empty() ? "/" : lines[0], text, {"session"});
+  if (found.fault != mimosa::CredentialFault::kNone || found.key.empty())
+    return;
+  for (const auto& [name, value] : found.headers)
+    if (mimosa::ContainsKeyForm(found.key) &&
+        value.find(found.key) != std::string::npos)
+      std::abort();
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const std::string text(reinterpret_cast<const char*>(data), size);
+  const std::vector<std::string> lines = Lines(text);
+  (void)mimosa::IsAddress(text);
+  TrySettings(lines);
+  TryEvents(text);
+  TryCredentials(lines, text);
+  mimosa::HistogramsByLabels histograms;
+  mimosa::AddHistograms(text, "m", &histograms);
+  return 0;
+}
--- a/tools/mimosactl_commands.cc
+++ b/tools/mimosactl_commands.cc
@@ -14,13 +14,12 @@
 #include "base/digest.h"
 #include "base/json.h"
 #include "decide/catalogue.h"
+#include "decide/credentials.h"
 
 namespace mimosa {
 namespace {
 
-constexpr int kSecretBytes = 24;
 constexpr int kChangeIdBytes = 16;
-constexpr char kSecretPrefix[] = "mk-";
 // Bars of histograms, in characters.
 constexpr int kBarWidth = 40;
 // The metrics that `histograms` shows.
@@ -398,7 +397,9 @@
 }
 
 CtlCommands::Result CtlCommands::GiveKey(const Arguments& arguments) {
-  const std::string secret = kSecretPrefix + RandomHex(kSecretBytes);
+  // The form by which keys are found where they don't belong.
+  const std::string secret =
+      std::string(kKeyPrefix) + RandomHex(kKeyHexDigits / 2);
   wire::Key key;
   key.set_id(arguments[1]);
   key.set_digest(Sha256Hex(secret));
