--- a/tools/mimosactl_commands.cc
+++ b/tools/mimosactl_commands.cc
@@ -14,13 +14,12 @@
 #include "base/digest.h"
 #include "base/json.h"
 #include "decide/catalogue.h"
+#include "decide/credentials.h"
 
 namespace mimosa {
 namespace {
 
-constexpr int kSecretBytes = 24;
 constexpr int kChangeIdBytes = 16;
-constexpr char kSecretPrefix[] = "mk-";
 // Bars of histograms, in characters.
 constexpr int kBarWidth = 40;
 // The metrics that `histograms` shows.
@@ -311,10 +310,11 @@
   bool lost = false;
   auto written = leaf::try_handle_some(
       [&] { return store_->Write(now, catalogue, NewChange("apply")); },
-      [&](const StoreFault& fault) -> leaf::result<uint64_t> {
+      [&](const StoreFault& fault,
+          const leaf::error_info& info) -> leaf::result<uint64_t> {
         lost = fault.kind == StoreFaultKind::kLostRace;
         if (lost) return uint64_t{0};
-        return leaf::new_error(fault);
+        return info.error();
       });
   if (!written) return written.error();
   if (lost) return TellLostRace(now);
@@ -386,17 +386,20 @@
     bool lost = false;
     auto written = leaf::try_handle_some(
         [&] { return store_->Write(now, edited, NewChange(summary)); },
-        [&](const StoreFault& fault) -> leaf::result<uint64_t> {
+        [&](const StoreFault& fault,
+            const leaf::error_info& info) -> leaf::result<uint64_t> {
           lost = fault.kind == StoreFaultKind::kLostRace && round < kMaxRounds;
           if (lost) return uint64_t{0};
-          return leaf::new_error(fault);
+          return info.error();
         });
     if (!lost) return written;
   }
 }
 
 CtlCommands::Result CtlCommands::GiveKey(const Arguments& arguments) {
-  const std::string secret = kSecretPrefix + RandomHex(kSecretBytes);
+  // The form by which keys are found where they don't belong.
+  const std::string secret =
+      std::string(kKeyPrefix) + RandomHex(kKeyHexDigits / 2);
   wire::Key key;
   key.set_id(arguments[1]);
   key.set_digest(Sha256Hex(secret));
