--- a/net/client_test.cc
+++ b/net/client_test.cc
@@ -442,6 +442,23 @@
   CHECK(recorded_.body.size() == kSize);
 }
 
+TEST_CASE_METHOD(ClientFixture, "what came before a close outlasts a pause",
+                 "[client]") {
+  Start();
+  auto peer = AcceptRequest();
+  recorded_.on_head = [this] { call_->Pause(true); };
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+  REQUIRE(Until([&] { return recorded_.heads == 1; }));
+  REQUIRE(peer->Send(std::string(100000, 'x')) == 100000);
+  peer->Close();
+  RunFor(loop_.get(), milliseconds(50));
+  CHECK(recorded_.ends == 0);
+  call_->Pause(false);
+  AwaitEnd();
+  CHECK(recorded_.done);
+  CHECK(recorded_.body.size() == 100000);
+}
+
 TEST_CASE_METHOD(ClientFixture, "a call may be destroyed at any point",
                  "[client]") {
   options_.reuse_connection = GENERATE(false, true);
