--- a/decide/limits.cc
+++ b/decide/limits.cc
@@ -409,7 +409,7 @@
 
   // An idle stock goes back before it is lost.
   bool returns = false;
-  if (account->waiting.empty() && !low) {
+  if (account->waiting.empty() && !low && !ignore_expiry_) {
     for (Lot& lot : account->lots) {
       if (now < lot.expires - lot.lifetime / kReturnPart) continue;
       account->reports[lot.serial].second += lot.tokens;
@@ -473,6 +473,7 @@
     }
     for (const Lot& lot : account->lots) {
       // Kept beyond the time to return it: demand spoke for it.
+      if (ignore_expiry_) break;
       const MonoTime returned = lot.expires - lot.lifetime / kReturnPart;
       wake = std::min(wake, returned > now ? returned : lot.expires);
     }
--- a/decide/limits.h
+++ b/decide/limits.h
@@ -14,6 +14,8 @@
 // Bound, for each window [a, b] and all daemons together, by real time, with
 // each charge counted whole at its admission and no refunds:
 //     admitted <= burst + rate * (b - a).
+// The home's clock may be fast by 1 / kClockDriftInverse, so it mints that much
+// less than the rate.
 // With refunds the same bound holds for net tokens: each charge counted at its
 // admission, less what is ever refunded of it. A refund is credited as if its
 // tokens had never been charged: at most as much as the bucket's headroom has
--- a/decide/token_bucket.cc
+++ b/decide/token_bucket.cc
@@ -96,7 +96,10 @@
 }
 
 void HomeBucket::Mint(MonoTime now) {
-  const Duration gap = std::min(now - minted_at_, kMaxGap);
+  // The bound is in real time, and this clock may be fast: a 500th of the rate
+  // is the price of no slack.
+  Duration gap = std::min(now - minted_at_, kMaxGap);
+  gap -= gap / kClockDriftInverse + Duration(gap.count() > 0 ? 1 : 0);
   minted_at_ = now;
   const int64_t cap =
       std::max<int64_t>((limits_.burst - outstanding_) * kMicros, 0);
--- a/tests/fleet_model_test.cc
+++ b/tests/fleet_model_test.cc
@@ -144,6 +144,7 @@
     const MonoTime end = world_.now() + seconds(20 + random_.Below(40));
     ScheduleFault();
     ScheduleCharge();
+    if (keen_) EnterPhase(Phase::kSteady);
     while (world_.now() < end && fault_.empty()) {
       world_.RunUntil(world_.now() + milliseconds(100));
     }
@@ -185,7 +186,7 @@
       if (mutant_ == Mutant::kAllotmentOutlives && method == "limits.allot") {
         auto* allotments = static_cast<wire::AllotmentReply*>(reply);
         for (auto& item : *allotments->mutable_items()) {
-          item.set_lifetime_ms(item.lifetime_ms() * 4);
+          item.set_lifetime_ms(item.lifetime_ms() * 20);
         }
       }
     };
@@ -285,21 +286,42 @@
 
   void ScheduleCharge() {
     world_.At(world_.now() + Duration(random_.Below(20000)), [this] {
-      ChargeSomewhere();
+      if (phase_ != Phase::kQuiet) ChargeSomewhere();
       ScheduleCharge();
     });
   }
 
+  // Demand within the rate builds up stocks, then the buckets fill up while
+  // nobody calls, then all call at once.
+  enum class Phase { kSteady, kQuiet, kFlood };
+  void EnterPhase(Phase phase) {
+    phase_ = phase;
+    const Phase next = phase == Phase::kSteady  ? Phase::kQuiet
+                       : phase == Phase::kQuiet ? Phase::kFlood
+                                                : Phase::kSteady;
+    const uint64_t longest = phase == Phase::kFlood ? 3000 : 8000;
+    world_.At(world_.now() + milliseconds(500 + random_.Below(longest)),
+              [this, next] { EnterPhase(next); });
+  }
+
+  int64_t ChargeSize(const BucketLimits& limits) {
+    if (!keen_) {
+      const auto part = static_cast<int64_t>(1 + random_.Below(20));
+      return 1 + static_cast<int64_t>(random_.Below(limits.burst / part + 1));
+    }
+    if (phase_ == Phase::kFlood) {
+      return 1 + limits.burst / static_cast<int64_t>(5 + random_.Below(100));
+    }
+    return 1 + limits.rate / 40;  // some 30 charges a second and customer
+  }
+
   void ChargeSomewhere() {
     // Uneven balancing: the first daemons get most.
     const size_t pick = random_.Below(1 + random_.Below(daemons_.size()));
     Daemon* daemon = daemons_[pick].get();
     if (!Runs(*daemon)) return;
     const Customer& customer = customers_[random_.Below(customers_.size())];
-    const int64_t part =
-        keen_ ? 50 : 1 + static_cast<int64_t>(random_.Below(20));
-    const auto tokens = static_cast<int64_t>(
-        1 + random_.Below(customer.limits.burst / part + 1));
+    const int64_t tokens = ChargeSize(customer.limits);
     const bool patient = random_.Below(3) == 0;
     const MonoTime until =
         daemon->loop.Now() + (patient ? seconds(8) : seconds(0));
@@ -472,6 +494,7 @@
   uint64_t events_ = 0;
   std::map<CustomerId, std::vector<Admission>> admitted_;
   int next_ip_ = 0;
+  Phase phase_ = Phase::kFlood;
   std::string fault_;
   Totals totals_;
 };
