--- a/router/fleet_driver.cc
+++ b/router/fleet_driver.cc
@@ -59,9 +59,7 @@
   Serve();
 }
 
-FleetDriver::~FleetDriver() {
-  *alive_ = false;
-}
+FleetDriver::~FleetDriver() { *alive_ = false; }
 
 void FleetDriver::ObserveCatalogueHead(HeadObserver observer) {
   head_observer_ = std::move(observer);
