--- a/base/metrics.cc
+++ b/base/metrics.cc
@@ -2,18 +2,20 @@
 #include "base/metrics.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
-#include <cstdio>
+#include <string_view>
 
 namespace mimosa {
 namespace {
 
 namespace accumulators = boost::accumulators;
 
+// The shortest text that reads back as the same number.
 std::string Number(double value) {
   char text[32];
-  (void)std::snprintf(text, sizeof(text), "%.9g", value);
-  return text;
+  const auto end = std::to_chars(text, text + sizeof(text), value).ptr;
+  return {text, end};
 }
 
 // A label value as the format wants it.
@@ -30,14 +32,24 @@
   return escaped;
 }
 
+// Labels as they stand between the braces. A scrape at the largest size has
+// tens of thousands of lines and is made within one callback of the loop, so
+// labels are put together once a cell and not once a line.
 std::string LabelText(const MetricLabels& labels) {
   std::string text;
   for (const auto& [name, value] : labels) {
-    text += text.empty() ? "{" : ",";
+    if (!text.empty()) text += ',';
     text += name;
-    text += "=\"" + Escaped(value) + "\"";
+    text += "=\"";
+    text += Escaped(value);
+    text += '"';
   }
-  return text.empty() ? text : text + "}";
+  return text;
+}
+
+std::string CustomerLabels(const std::string& customer, size_t class_index) {
+  return LabelText(
+      {{"customer", customer}, {"class", detail::ClassLabel(class_index)}});
 }
 
 void AppendHead(const std::string& name, const std::string& help,
@@ -46,44 +58,63 @@
       "# HELP " + name + " " + help + "\n# TYPE " + name + " " + type + "\n";
 }
 
-void AppendLine(const std::string& name, const MetricLabels& labels,
-                const std::string& value, std::string* out) {
-  *out += name;
-  *out += LabelText(labels);
-  *out += ' ';
-  *out += value;
-  *out += '\n';
+// `more`: further labels, such as the bucket's bound, or empty.
+void AppendLine(std::string_view name, std::string_view suffix,
+                std::string_view labels, std::string_view more,
+                std::string_view value, std::string* out) {
+  out->append(name).append(suffix);
+  if (!labels.empty() || !more.empty()) {
+    out->append("{").append(labels);
+    if (!labels.empty() && !more.empty()) out->append(",");
+    out->append(more).append("}");
+  }
+  out->append(" ").append(value).append("\n");
 }
 
-MetricLabels With(MetricLabels labels, std::string name, std::string value) {
-  labels.emplace_back(std::move(name), std::move(value));
+// The labels of bounds and quantiles, which all histograms share.
+const std::vector<std::string>& BoundLabels() {
+  static const std::vector<std::string> labels = [] {
+    std::vector<std::string> made;
+    made.reserve(kLatencyBuckets.size());
+    for (const double bound : kLatencyBuckets)
+      made.push_back(LabelText({{"le", Number(bound)}}));
+    return made;
+  }();
   return labels;
 }
 
-MetricLabels CustomerLabels(const std::string& customer, size_t class_index) {
-  return {{"customer", customer}, {"class", detail::ClassLabel(class_index)}};
+const std::vector<std::string>& QuantileLabels() {
+  static const std::vector<std::string> labels = [] {
+    std::vector<std::string> made;
+    made.reserve(Histogram::kQuantiles.size());
+    for (const double quantile : Histogram::kQuantiles)
+      made.push_back(LabelText({{"quantile", Number(quantile)}}));
+    return made;
+  }();
+  return labels;
 }
 
-void AppendBuckets(const std::string& name, const MetricLabels& labels,
+void AppendBuckets(const std::string& name, const std::string& labels,
                    const Histogram& histogram, std::string* out) {
   for (size_t i = 0; i < kLatencyBuckets.size(); ++i)
-    AppendLine(name + "_bucket", With(labels, "le", Number(kLatencyBuckets[i])),
+    AppendLine(name, "_bucket", labels, BoundLabels()[i],
                std::to_string(histogram.cumulative(i)), out);
-  AppendLine(name + "_bucket", With(labels, "le", "+Inf"),
+  AppendLine(name, "_bucket", labels, "le=\"+Inf\"",
              std::to_string(histogram.count()), out);
 }
 
-void AppendQuantiles(const std::string& name, const MetricLabels& labels,
+void AppendQuantiles(const std::string& name, const std::string& labels,
                      const Histogram& histogram, std::string* out) {
   for (size_t i = 0; i < Histogram::kQuantiles.size(); ++i)
-    AppendLine(name, With(labels, "quantile", Number(Histogram::kQuantiles[i])),
+    AppendLine(name, "", labels, QuantileLabels()[i],
                Number(histogram.quantile(i)), out);
 }
 
-void AppendSumAndCount(const std::string& name, const MetricLabels& labels,
+void AppendSumAndCount(const std::string& name, const std::string& labels,
                        const Histogram& histogram, std::string* out) {
-  AppendLine(name + "_sum", labels, Number(histogram.sum()), out);
-  AppendLine(name + "_count", labels, std::to_string(histogram.count()), out);
+  AppendLine(name, "_sum", labels, "", Number(histogram.sum()), out);
+  AppendLine(name, "_count", labels, "", std::to_string(histogram.count()),
+             out);
 }
 
 }  // namespace
@@ -198,7 +229,7 @@
   void RenderByClass(std::string* out) const {
     AppendHead(name(), help(), "histogram", out);
     for (size_t i = 0; i < detail::kClasses; ++i) {
-      const MetricLabels labels = {{"class", detail::ClassLabel(i)}};
+      const std::string labels = LabelText({{"class", detail::ClassLabel(i)}});
       AppendBuckets(name(), labels, by_class_[i], out);
       AppendSumAndCount(name(), labels, by_class_[i], out);
     }
@@ -210,7 +241,7 @@
     table_.ForEach([&](const std::string& customer, size_t class_index,
                        const Histogram& cell) {
       if (!Shown(wanted, customer)) return;
-      const MetricLabels labels = CustomerLabels(customer, class_index);
+      const std::string labels = CustomerLabels(customer, class_index);
       AppendQuantiles(name, labels, cell, out);
       AppendSumAndCount(name, labels, cell, out);
     });
@@ -222,7 +253,7 @@
     table_.ForEach([&](const std::string& customer, size_t class_index,
                        const Histogram& cell) {
       if (!Shown(wanted, customer)) return;
-      AppendLine(name, CustomerLabels(customer, class_index),
+      AppendLine(name, "", CustomerLabels(customer, class_index), "",
                  Number(cell.max()), out);
     });
   }
@@ -233,7 +264,7 @@
     table_.ForEach([&](const std::string& customer, size_t class_index,
                        const Histogram& cell) {
       if (!Shown(wanted, customer)) return;
-      const MetricLabels labels = CustomerLabels(customer, class_index);
+      const std::string labels = CustomerLabels(customer, class_index);
       AppendBuckets(name, labels, cell, out);
       AppendSumAndCount(name, labels, cell, out);
     });
@@ -270,10 +301,10 @@
     table_.ForEach(
         [&](const std::string& customer, size_t class_index, const Cell& cell) {
           if (!Shown(wanted, customer)) return;
-          const MetricLabels labels = CustomerLabels(customer, class_index);
+          const std::string labels = CustomerLabels(customer, class_index);
           for (size_t i = 0; i < cell.size(); ++i)
             if (cell[i] != 0)
-              AppendLine(name(), With(labels, label_, values_[i]),
+              AppendLine(name(), "", labels, LabelText({{label_, values_[i]}}),
                          std::to_string(cell[i]), out);
         });
   }
@@ -294,23 +325,23 @@
   SimpleFamily(std::string name, std::string help, const char* type)
       : Family(std::move(name), std::move(help)), type_(type) {}
 
-  Counter* AddCounter(MetricLabels labels) {
+  Counter* AddCounter(const MetricLabels& labels) {
     counters_.push_back(std::make_unique<Counter>());
     Counter* counter = counters_.back().get();
-    series_.push_back({std::move(labels),
+    series_.push_back({LabelText(labels),
                        [counter] { return std::to_string(counter->value()); }});
     return counter;
   }
 
-  Gauge* AddGauge(MetricLabels labels) {
+  Gauge* AddGauge(const MetricLabels& labels) {
     gauges_.push_back(std::make_unique<Gauge>());
     Gauge* gauge = gauges_.back().get();
-    AddFunction(std::move(labels), [gauge] { return gauge->value(); });
+    AddFunction(labels, [gauge] { return gauge->value(); });
     return gauge;
   }
 
-  void AddFunction(MetricLabels labels, std::function<double()> value) {
-    series_.push_back({std::move(labels),
+  void AddFunction(const MetricLabels& labels, std::function<double()> value) {
+    series_.push_back({LabelText(labels),
                        [value = std::move(value)] { return Number(value()); }});
   }
 
@@ -318,7 +349,7 @@
               std::string* out) const override {
     AppendHead(name(), help(), type_, out);
     for (const Series& series : series_)
-      AppendLine(name(), series.labels, series.value(), out);
+      AppendLine(name(), "", series.labels, "", series.value(), out);
   }
 
   void Retain(
@@ -326,7 +357,7 @@
 
  private:
   struct Series {
-    MetricLabels labels;
+    std::string labels;
     std::function<std::string()> value;
   };
 
@@ -356,20 +387,20 @@
 
 Counter* MetricsRegistry::AddCounter(const std::string& name,
                                      const std::string& help,
-                                     MetricLabels labels) {
-  return SimpleFamilyOf(name, help, "counter")->AddCounter(std::move(labels));
+                                     const MetricLabels& labels) {
+  return SimpleFamilyOf(name, help, "counter")->AddCounter(labels);
 }
 
 Gauge* MetricsRegistry::AddGauge(const std::string& name,
-                                 const std::string& help, MetricLabels labels) {
-  return SimpleFamilyOf(name, help, "gauge")->AddGauge(std::move(labels));
+                                 const std::string& help,
+                                 const MetricLabels& labels) {
+  return SimpleFamilyOf(name, help, "gauge")->AddGauge(labels);
 }
 
 void MetricsRegistry::AddGauge(const std::string& name, const std::string& help,
-                               MetricLabels labels,
+                               const MetricLabels& labels,
                                std::function<double()> value) {
-  SimpleFamilyOf(name, help, "gauge")
-      ->AddFunction(std::move(labels), std::move(value));
+  SimpleFamilyOf(name, help, "gauge")->AddFunction(labels, std::move(value));
 }
 
 CustomerHistograms* MetricsRegistry::AddCustomerHistograms(
--- a/base/metrics.h
+++ b/base/metrics.h
@@ -177,12 +177,12 @@
   // Names are whole ("mimosa_peer_calls_total"); metrics of one name and
   // different labels form one family and share the first one's help.
   Counter* AddCounter(const std::string& name, const std::string& help,
-                      MetricLabels labels = {});
+                      const MetricLabels& labels = {});
   Gauge* AddGauge(const std::string& name, const std::string& help,
-                  MetricLabels labels = {});
+                  const MetricLabels& labels = {});
   // A gauge that is computed when it is shown.
   void AddGauge(const std::string& name, const std::string& help,
-                MetricLabels labels, std::function<double()> value);
+                const MetricLabels& labels, std::function<double()> value);
   CustomerHistograms* AddCustomerHistograms(const std::string& name,
                                             const std::string& help);
   CustomerCounters* AddCustomerCounters(const std::string& name,
