--- a/tests/answered_once_test.cc
+++ b/tests/answered_once_test.cc
@@ -124,7 +124,8 @@
   CHECK(Eventually([&] { return fleet.decode(1).Count("held_pieces") == 0; }));
 }
 
-TEST_CASE("An engine that talks nonsense is not taken for an answer") {
+TEST_CASE("An engine that talks nonsense is not taken for an answer",
+          "[nonsense]") {
   Deployment fleet(Options("", /*decode=*/2));
   fleet.decode(0).Behave(Members({{"nonsense", true}}));
   CHECK(CorrectOf(fleet, 6) == 6);
--- a/tests/engine_memory_test.cc
+++ b/tests/engine_memory_test.cc
@@ -152,14 +152,14 @@
   CHECK(Eventually([&] { return Held(fleet) == 0; }, kRouterGoneBound));
 }
 
-TEST_CASE("Memory goes when the router is killed") {
+TEST_CASE("Memory goes when the router is killed", "[router_gone]") {
   CheckRouterGone(Stage::kStreaming, true, false);
   CheckRouterGone(Stage::kStreaming, false, false);
   CheckRouterGone(Stage::kPrefill, true, false);
   CheckRouterGone(Stage::kTransfer, true, false);
 }
 
-TEST_CASE("Memory goes when the router is frozen") {
+TEST_CASE("Memory goes when the router is frozen", "[router_gone]") {
   CheckRouterGone(Stage::kStreaming, true, true);
   CheckRouterGone(Stage::kStreaming, false, true);
 }
--- a/tests/graceful_shutdown_test.cc
+++ b/tests/graceful_shutdown_test.cc
@@ -148,14 +148,15 @@
   CHECK(outcome.cuts.empty());
 }
 
-TEST_CASE("While the platform is down nobody inside its rate is refused") {
+TEST_CASE("While the platform is down nobody inside its rate is refused",
+          "[outage]") {
   const Outcome outcome = TerminateUnderLoad(true, "");
   INFO(outcome);
   CHECK(outcome.refusals.empty());
   CHECK(outcome.others_serve);
 }
 
-TEST_CASE("Naive: leaving at once cuts requests") {
+TEST_CASE("Naive: leaving at once cuts requests", "[naive]") {
   CHECK_FALSE(TerminateUnderLoad(false, "drain").cuts.empty());
 }
 
--- a/tests/leaving_back_end_test.cc
+++ b/tests/leaving_back_end_test.cc
@@ -120,7 +120,8 @@
   CHECK(after.decodes == 0);
 }
 
-TEST_CASE("A back end that the platform lists as leaving gets nothing new") {
+TEST_CASE("A back end that the platform lists as leaving gets nothing new",
+          "[list]") {
   CheckNothingAfterBound(Way::kList);
 }
 
@@ -132,7 +133,8 @@
   CheckNothingAfterBound(Way::kControl);
 }
 
-TEST_CASE("Naive: without draining a leaving back end gets new work") {
+TEST_CASE("Naive: without draining a leaving back end gets new work",
+          "[naive]") {
   const Work after = GivenAfterBound(Way::kCatalogue, "drain");
   INFO(after);
   CHECK(after.calls > 0);
