--- a/tests/processes.cc
+++ b/tests/processes.cc
@@ -93,7 +93,7 @@
 
 Process::~Process() {
   Kill();
-  const bool failed = exit_code_ && *exit_code_ > 0;
+  const bool failed = exit_code_ && *exit_code_ != 0 && *exit_code_ != -SIGKILL;
   if (failed) {
     std::cout << program_ << " ended with " << *exit_code_ << ":\n"
               << Output() << std::endl;
