--- a/router/peer_bus.cc
+++ b/router/peer_bus.cc
@@ -142,11 +142,11 @@
       Finish(sent ? PeerStatus::kNoReply : PeerStatus::kNotSent);
     });
     call_ = Fetch(client, options, std::move(request),
-                  [this](HttpResult result) { OnResult(std::move(result)); });
+                  [this](const HttpResult& result) { OnResult(result); });
   }
 
  private:
-  void OnResult(HttpResult result) {
+  void OnResult(const HttpResult& result) {
     if (!result.ok) {
       Finish(result.sent ? PeerStatus::kNoReply : PeerStatus::kNotSent);
       return;
--- a/router/term_keeper.cc
+++ b/router/term_keeper.cc
@@ -29,8 +29,9 @@
 
 TermKeeper::TermKeeper(EventLoop* loop, KvStore* kv, PeerBus* bus,
                        RandomSource* random, FleetRecords* records,
-                       const FleetOptions& options, std::string incarnation,
-                       bool listed, Observers observers)
+                       const FleetOptions& options,
+                       const std::string& incarnation, bool listed,
+                       Observers observers)
     : loop_(loop),
       kv_(kv),
       bus_(bus),
--- a/router/term_keeper.h
+++ b/router/term_keeper.h
@@ -37,7 +37,7 @@
 
   TermKeeper(EventLoop* loop, KvStore* kv, PeerBus* bus, RandomSource* random,
              FleetRecords* records, const FleetOptions& options,
-             std::string incarnation, bool listed, Observers observers);
+             const std::string& incarnation, bool listed, Observers observers);
 
   const MemberId& self() const { return self_; }
   uint64_t epoch() const { return record_.epoch(); }
