--- a/bench/rounds.cc
+++ b/bench/rounds.cc
@@ -54,6 +54,7 @@
   MonoTime arrival;
   MonoTime first_target;
   MonoTime deadline;
+  MonoTime charged_at;
   Pieces pieces;
   // The live attempt; negative engines: none.
   int attempt = 0;
@@ -109,6 +110,10 @@
   int owner = 0;  // negative: its owner died and no other has taken over
 };
 
+CustomerId CustomerName(int customer) {
+  return CustomerId("customer-" + std::to_string(customer));
+}
+
 int StageIndex(SearchStage stage) {
   return stage == SearchStage::kDecode ? 0 : 1;
 }
@@ -124,7 +129,6 @@
   void Arrive();
   Request* NewRequest();
   void Admit(Request* r);
-  bool WithinLimits(const Request& r);
   void BeginAttempt(Request* r);
   void Search(Request* r, SearchStage stage);
   void Follow(Request* r, const SearchStep& step);
@@ -183,8 +187,8 @@
   std::array<std::vector<OwnedBook>, 2> books_;  // by stage and engine
   // Results that wait for memory at a decode engine, and until when.
   std::vector<std::deque<std::pair<Request*, MonoTime>>> imports_;
-  std::vector<Bucket> ideal_;                     // by customer
-  std::vector<std::vector<Bucket>> even_;         // by customer and router
+  std::vector<Bucket> ideal_;  // by customer
+  std::unique_ptr<FleetLimits> limits_;
   std::array<std::vector<int64_t>, 2> reported_;  // load, by stage and engine
   int64_t computed_ = 0;
   int64_t wasted_ = 0;
@@ -255,13 +259,18 @@
   for (int e = 0; e < engines[0]; ++e) {
     decode_[e].on_room = [this, e] { TryImports(e); };
   }
+  std::map<CustomerId, BucketLimits> limits;
   for (int customer = 0; customer < kCustomers; ++customer) {
     const double rate = CustomerRate(customer);
     ideal_.emplace_back(rate, rate * kBurstSeconds);
-    even_.emplace_back(workload_.routers,
-                       Bucket(rate / workload_.routers,
-                              rate * kBurstSeconds / workload_.routers));
+    limits[CustomerName(customer)] = {
+        static_cast<int64_t>(rate), static_cast<int64_t>(rate * kBurstSeconds)};
   }
+  limits_ = std::make_unique<FleetLimits>(
+      &loop_, policies.limits, workload_.routers, workload_.one_way,
+      [limits](const CustomerId& id) -> std::optional<BucketLimits> {
+        return limits.at(id);
+      });
 }
 
 // Fairness is decided once, at the first stage: whoever has the first of the
@@ -348,30 +357,24 @@
     }
     r->router = (r->router + 1) % workload_.routers;
   }
-  if (!WithinLimits(*r)) {
-    End(r, Outcome::kRefused);
-    return;
-  }
   loop_.At(r->deadline, [this, r] {
     if (r->outcome != Outcome::kOpen) return;
     AbandonAttempt(r, /*again=*/false);
     End(r, Outcome::kFailed);
   });
-  BeginAttempt(r);
-}
-
-bool Run::WithinLimits(const Request& r) {
-  const double charge =
-      static_cast<double>(r.prompt.count() + workload_.output_max);
-  switch (policies_.limits) {
-    case LimitsKind::kNone:
-      return true;
-    case LimitsKind::kStatic:
-      return even_[r.customer][r.router].Take(charge, loop_.now());
-    case LimitsKind::kHome:
-      return r.inside;
-  }
-  return true;
+  // As in the daemon: a patient request may wait for tokens.
+  limits_->Charge(r->router, CustomerName(r->customer),
+                  r->prompt + Tokens(workload_.output_max),
+                  r->patient ? r->first_target : loop_.now(),
+                  [this, r](bool granted) {
+                    if (r->outcome != Outcome::kOpen) return;
+                    r->charged_at = loop_.now();
+                    if (granted) {
+                      BeginAttempt(r);
+                    } else {
+                      End(r, Outcome::kRefused);
+                    }
+                  });
 }
 
 // --- Placing ----------------------------------------------------------------
@@ -633,6 +636,13 @@
 
 void Run::End(Request* r, Outcome outcome) {
   r->outcome = outcome;
+  if (r->charged_at != MonoTime{} && r->attempt > 0) {
+    const Tokens all = r->prompt + Tokens(workload_.output_max);
+    const Tokens used = r->prompt + Tokens(r->output);
+    limits_->Refund(r->router, CustomerName(r->customer),
+                    outcome == Outcome::kWhole ? all - used : all,
+                    r->charged_at);
+  }
   if (r->end == MonoTime{}) r->end = loop_.now();
 }
 
@@ -703,6 +713,7 @@
 // found after its term.
 void Run::KillRouter() {
   routers_[0].alive = false;
+  limits_->Kill(0);
   std::vector<Request*> left;
   for (Request& r : requests_) {
     if (r.router != 0 || r.outcome != Outcome::kOpen) continue;
@@ -722,6 +733,7 @@
 }
 
 void Run::TakeOver() {
+  limits_->TakeOver(0);
   for (const SearchStage stage :
        {SearchStage::kDecode, SearchStage::kPrefill}) {
     auto& books = books_[StageIndex(stage)];
--- a/bench/rounds.h
+++ b/bench/rounds.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "bench/limits_model.h"
 #include "bench/workload.h"
 #include "decide/placement.h"
 #include "decide/request_queue.h"
@@ -19,8 +20,6 @@
 
 namespace mimosa::bench {
 
-enum class LimitsKind { kNone, kStatic, kHome };
-
 // What is compared.
 struct Policies {
   std::string name;
