--- a/decide/placement_test.cc
+++ b/decide/placement_test.cc
@@ -157,6 +157,7 @@
 
 TEST_CASE("rendezvous moves only what belonged to a lost engine") {
   std::vector<BackEndId> engines;
+  engines.reserve(10);
   for (int i = 0; i < 10; ++i) engines.emplace_back("e" + std::to_string(i));
   std::vector<BackEndId> fewer = engines;
   fewer.pop_back();
--- a/decide/request_queue_test.cc
+++ b/decide/request_queue_test.cc
@@ -54,7 +54,7 @@
 
   QueuedRequest Pop() {
     const size_t next = Next();
-    const QueuedRequest request = waiting_[next];
+    QueuedRequest request = waiting_[next];
     const bool counts = BandOf(request) == kPrompt && Any(kPatient);
     streak_ = counts ? streak_ + 1 : 0;
     now_ = std::max(now_, places_[request.customer]);
--- a/router/places_driver_test.cc
+++ b/router/places_driver_test.cc
@@ -411,6 +411,7 @@
 TEST_CASE("another daemon's reservation waits until there is room") {
   Deployment d(3);
   std::vector<std::unique_ptr<PendingPlace>> pending;
+  pending.reserve(3);
   for (int i = 0; i < 3; ++i) pending.push_back(d.Reserve(1 + i % 2, i, 4));
   d.loop.RunFor(seconds(1));
   const int granted = d.Granted(0) + d.Granted(1) + d.Granted(2);
