--- a/net/server_test.cc
+++ b/net/server_test.cc
@@ -1,6 +1,10 @@
 // HttpServer against raw peers: framing that can't be trusted, slow and absent
 // clients, pipelining, and the ends of answers.
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <ctime>
 #include <string>
 #include <vector>
 
@@ -200,7 +204,7 @@
       {"GET / HTTP/1.1\r\nHost: a\r\n: no name\r\n\r\n", 400},
       {"GET  / HTTP/1.1\r\nHost: a\r\n\r\n", 400},
       {"GET /\r\n\r\n", 400},
-      {"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03 hello\r\n\r\n", 400},
+      {"\x16\x03\x01\x02\x01\x01\xfc\x03\x03 hello\r\n\r\n", 400},
       {"GET / HTTP/2.0\r\nHost: a\r\n\r\n", 505},
       {"CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n", 501},
       {"GET /" + std::string(40000, 'x') + " HTTP/1.1\r\n\r\n", 431},
@@ -362,7 +366,7 @@
     std::vector<std::string> contains;  // in what was received
     std::vector<std::string> lacks;
   };
-  const std::string http10 = "GET / HTTP/1.0\r\n\r\n";
+  const std::string http10 = "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
   const std::string head = "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n";
   const std::vector<Case> cases = {
       {"chunks",
@@ -627,6 +631,59 @@
   Request(kGet);
 }
 
+// Leaves the process without free descriptors while it lives.
+class NoDescriptors {
+ public:
+  NoDescriptors() {
+    getrlimit(RLIMIT_NOFILE, &before_);
+    const int next = dup(0);  // the lowest free one
+    close(next);
+    const rlimit none{static_cast<rlim_t>(next), before_.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &none);
+  }
+  NoDescriptors(const NoDescriptors&) = delete;
+  NoDescriptors& operator=(const NoDescriptors&) = delete;
+  ~NoDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
+
+ private:
+  rlimit before_{};
+};
+
+TEST_CASE_METHOD(ServerFixture, "descriptors may run out for a while",
+                 "[server]") {
+  Listen();
+  auto client = MakeHttpClient(loop_.get());
+  HttpCallOptions call_options;
+  call_options.to = {"127.0.0.1", server_->port()};
+  auto peer = Connect();
+  peer->Send(kGet);
+  HttpResult result;
+  bool over = false;
+  std::unique_ptr<HttpCall> call;
+  std::clock_t busy = 0;
+  {
+    // No checks in here: the sanitizers' own want descriptors.
+    const NoDescriptors none;
+    call = Fetch(client.get(), call_options, {"GET", "/", {}, ""},
+                 [&](HttpResult fetched) {
+                   result = std::move(fetched);
+                   over = true;
+                 });
+    Until([&] { return over; });
+    const std::clock_t before = std::clock();
+    Pause(milliseconds(300));
+    busy = std::clock() - before;
+  }
+  CHECK(over);
+  CHECK_FALSE(result.ok);
+  CHECK(result.failure == HttpFailure::kConnect);
+  CHECK_FALSE(result.sent);
+  // Busy waiting would take nearly all of the pause.
+  CHECK(busy < CLOCKS_PER_SEC / 5);
+  CHECK(handler_.exchanges.empty());
+  CHECK(Until([&] { return Contains(peer->received(), "[GET / ]"); }));
+}
+
 TEST_CASE_METHOD(ServerFixture, "a server may go within its handler",
                  "[server]") {
   handler_.answer = [this](HttpExchange* e) {
--- a/router/fleet_driver.cc
+++ b/router/fleet_driver.cc
@@ -59,10 +59,7 @@
   Serve();
 }
 
-FleetDriver::~FleetDriver() {
-  *alive_ = false;
-  slots_.reset();
-}
+FleetDriver::~FleetDriver() { *alive_ = false; }
 
 void FleetDriver::ObserveCatalogueHead(HeadObserver observer) {
   head_observer_ = std::move(observer);
@@ -189,6 +186,7 @@
   // From the loop: the parts that are replaced are in the midst of a call.
   loop_->Post([this, alive = alive_] {
     if (!*alive || leaving_) return;
+    if (slots_) slots_->LoseAll();
     slots_.reset();
     ender_.reset();
     term_.reset();
