--- a/router/places_driver_test.cc
+++ b/router/places_driver_test.cc
@@ -310,7 +310,7 @@
 // Daemons m0, m1, ..., prefill engine p1 and decode engines d1, d2.
 class Deployment {
  public:
-  explicit Deployment(int daemons, BookServerOptions books = {}) {
+  explicit Deployment(int daemons) {
     catalogue_message.set_version(1);
     *catalogue_message.add_back_ends() =
         Engine("p1", wire::PREFILL_ENGINE, kPrefillPort);
@@ -329,7 +329,6 @@
       shared.owners[BackEndId(engine)] = Member(0);
     }
     PlacesOptions options;
-    options.books = books;
     for (int i = 0; i < daemons; ++i) {
       buses.push_back(
           std::make_unique<FakeBus>(&loop, &network, static_cast<uint16_t>(i)));
