--- a/decide/placement_test.cc
+++ b/decide/placement_test.cc
@@ -89,7 +89,9 @@
     std::vector<PlacementCandidate> list;
     int rest = setting;
     for (int i = 0; i < 4; ++i, rest /= 9) {
-      list.push_back(Waiting(50 * (rest % 3), 60 * (rest / 3 % 3)));
+      const int64_t wait = rest % 3;
+      const int64_t cached = rest / 3 % 3;
+      list.push_back(Waiting(50 * wait, 60 * cached));
       list.back().link_wait = std::chrono::milliseconds(i);
     }
     const ListSource source(list);
@@ -155,6 +157,7 @@
 
 TEST_CASE("rendezvous moves only what belonged to a lost engine") {
   std::vector<BackEndId> engines;
+  engines.reserve(10);
   for (int i = 0; i < 10; ++i) engines.emplace_back("e" + std::to_string(i));
   std::vector<BackEndId> fewer = engines;
   fewer.pop_back();
--- a/router/places_driver_test.cc
+++ b/router/places_driver_test.cc
@@ -310,7 +310,7 @@
 // Daemons m0, m1, ..., prefill engine p1 and decode engines d1, d2.
 class Deployment {
  public:
-  explicit Deployment(int daemons, BookServerOptions books = {}) {
+  explicit Deployment(int daemons) {
     catalogue_message.set_version(1);
     *catalogue_message.add_back_ends() =
         Engine("p1", wire::PREFILL_ENGINE, kPrefillPort);
@@ -329,7 +329,6 @@
       shared.owners[BackEndId(engine)] = Member(0);
     }
     PlacesOptions options;
-    options.books = books;
     for (int i = 0; i < daemons; ++i) {
       buses.push_back(
           std::make_unique<FakeBus>(&loop, &network, static_cast<uint16_t>(i)));
@@ -411,6 +410,7 @@
 TEST_CASE("another daemon's reservation waits until there is room") {
   Deployment d(3);
   std::vector<std::unique_ptr<PendingPlace>> pending;
+  pending.reserve(3);
   for (int i = 0; i < 3; ++i) pending.push_back(d.Reserve(1 + i % 2, i, 4));
   d.loop.RunFor(seconds(1));
   const int granted = d.Granted(0) + d.Granted(1) + d.Granted(2);
