Cancel up to an attempt; readiness waits for a term that outlives the platform

Causes found by the integration tests: an order to cancel killed the request's next attempt on the same engine (503 no_back_end where another attempt was running), and an outage of the platform in the first second after readiness ended terms that still rested on its lease (in-rate lookups got 429). Ruled out for the latter: lost witnesses (terms held through 18 s of outage in a fleet that had changed to them).

--- a/router/daemon.cc
+++ b/router/daemon.cc
@@ -192,11 +192,22 @@
         [model](RequestContext context, RequestDone done) {
           return StartModelCall(model, std::move(context), std::move(done));
         },
-        FrontOptionsOf(settings_));
+        MakeFrontOptions());
     catalogue_->Observe([this] { OnCatalogue(); });
     AddGauges();
   }
 
+  FrontOptions MakeFrontOptions() const {
+    FrontOptions options = FrontOptionsOf(settings_);
+    // A fleet that has just formed rests on platform leases for a moment, and
+    // would not outlive an outage then.
+    options.term_backed = [this] {
+      return fleet_->members().size() <= kMinWitnesses ||
+             fleet_->witnesses() > 0;
+    };
+    return options;
+  }
+
   leaf::result<void> Listen() {
     operator_port_ = std::make_unique<OperatorPort>(
         settings_.operator_secret(), &metrics_, [this] { return Status(); });
@@ -239,6 +250,8 @@
         [this] { return double(fleet_->members().size()); });
     add("mimosa_term_held", "1 while this member's term holds",
         [this] { return fleet_->TermDeadline() > loop_->Now() ? 1.0 : 0.0; });
+    add("mimosa_term_witnesses", "0: the term rests on a platform lease",
+        [this] { return double(fleet_->witnesses()); });
     add("mimosa_platform_age_seconds", "Time since word from the platform",
         [this] { return ToSeconds(fleet_->PlatformAge()); });
     add("mimosa_running_requests", "Requests being served",
@@ -270,6 +283,7 @@
     status["catalogue_version"] =
         Json::Int64(catalogue_->current()->version().count());
     status["term_held"] = fleet_->TermDeadline() > loop_->Now();
+    status["witnesses"] = fleet_->witnesses();
     status["leaving"] = leaving_;
     status["platform_age_ms"] = Json::Int64(ToMillis(fleet_->PlatformAge()));
     status["silence_age_ms"] = Json::Int64(ToMillis(fleet_->SilenceAge()));
--- a/router/engine_canceller.cc
+++ b/router/engine_canceller.cc
@@ -9,6 +9,7 @@
 
 struct EngineCanceller::Order {
   RequestId request;
+  int attempt;
   std::vector<Endpoint> engines;  // not confirmed yet; the last one is asked
   std::unique_ptr<Place> place;
   MonoTime give_up;
@@ -21,12 +22,13 @@
 
 EngineCanceller::~EngineCanceller() = default;
 
-void EngineCanceller::Cancel(const RequestId& request,
+void EngineCanceller::Cancel(const RequestId& request, int attempt,
                              std::vector<Endpoint> engines,
                              std::unique_ptr<Place> place) {
   if (engines.empty()) return;  // nothing was sent; the place goes now
   auto order = std::make_unique<Order>();
   order->request = request;
+  order->attempt = attempt;
   order->engines = std::move(engines);
   order->place = std::move(place);
   order->give_up = loop_->Now() + kPatience;
@@ -41,6 +43,7 @@
   options.reuse_connection = true;
   Json::Value body(Json::objectValue);
   body["request"] = order->request.value();
+  body["attempt"] = order->attempt;
   HttpRequest request;
   request.method = "POST";
   request.target = "/v1/cancel";
--- a/router/engine_canceller.h
+++ b/router/engine_canceller.h
@@ -30,9 +30,10 @@
   EngineCanceller(EventLoop* loop, HttpClient* client);
   ~EngineCanceller();
 
-  // Cancels `request` at `engines` and then lets `place` go.
-  void Cancel(const RequestId& request, std::vector<Endpoint> engines,
-              std::unique_ptr<Place> place);
+  // Cancels `request` up to its attempt `attempt` at `engines` and then lets
+  // `place` go. A later attempt, perhaps on the same engines, lives on.
+  void Cancel(const RequestId& request, int attempt,
+              std::vector<Endpoint> engines, std::unique_ptr<Place> place);
 
   // Orders not confirmed yet; a graceful shutdown waits for zero.
   size_t pending() const { return orders_.size(); }
--- a/router/fleet_driver.h
+++ b/router/fleet_driver.h
@@ -62,6 +62,8 @@
 
   const MemberId& self() const override { return self_; }
   uint64_t epoch() const override { return term_ ? term_->epoch() : 0; }
+  // Of the own term; 0: it rests on a platform lease.
+  int witnesses() const { return term_ ? term_->witnesses() : 0; }
   const std::vector<FleetMember>& members() const override { return members_; }
   const FleetMember* Find(const MemberId& id) const override;
   MonoTime TermDeadline() const override;
--- a/router/front.cc
+++ b/router/front.cc
@@ -83,7 +83,7 @@
 bool Front::Ready() {
   if (was_ready_) return true;
   if (catalogue_->current()->version() == CatalogueVersion(0) ||
-      fleet_->Find(fleet_->self()) == nullptr)
+      fleet_->Find(fleet_->self()) == nullptr || !options_.term_backed())
     return false;
   // A customer whose slot has no owner can't be charged by anybody.
   for (int slot = 0; slot < options_.slots; ++slot) {
--- a/router/front.h
+++ b/router/front.h
@@ -48,6 +48,9 @@
   // Without word from platform and peers for so long, keyed requests are
   // refused: this daemon would not hear of a withdrawn key.
   Duration stale_after = std::chrono::seconds(5);
+  // Whether this daemon's term is backed as well as the fleet allows; asked for
+  // the first readiness.
+  std::function<bool()> term_backed = [] { return true; };
   bool strip_keys = true;  // test only: "key-strip"
   bool sweep_keys = true;  // test only: "key-sweep"
 };
--- a/router/model_call.cc
+++ b/router/model_call.cc
@@ -400,7 +400,8 @@
     decode_call_.reset();
     std::vector<Endpoint> engines;
     if (cancel) engines = {place_->prefill_address(), place_->decode_address()};
-    deps_.canceller->Cancel(context_.id, std::move(engines), std::move(place_));
+    deps_.canceller->Cancel(context_.id, stream_.attempt(), std::move(engines),
+                            std::move(place_));
     place_.reset();
   }
 
--- a/router/term_keeper.h
+++ b/router/term_keeper.h
@@ -42,6 +42,8 @@
   const MemberId& self() const { return self_; }
   uint64_t epoch() const { return record_.epoch(); }
   bool joined() const { return joined_; }
+  // Named in the record as last settled; 0: the term rests on a lease.
+  int witnesses() const { return record_.witnesses_size(); }
   MonoTime Deadline() const;
 
   // Several times a grant: renews, joins, changes the witnesses.
--- a/tests/graceful_shutdown_test.cc
+++ b/tests/graceful_shutdown_test.cc
@@ -105,6 +105,15 @@
             << " others' refusals: " << outcome.others_refusals;
 }
 
+// Whether every term would outlive the platform.
+bool RestsOnWitnesses(Deployment& fleet) {
+  for (size_t r = 0; r < fleet.routers(); ++r) {
+    const Json::Value status = fleet.router(r).Operator("/status").Document();
+    if (status["witnesses"].asInt() < 2) return false;
+  }
+  return true;
+}
+
 Outcome TerminateUnderLoad(bool platform_down, const std::string& disable) {
   DeploymentOptions options;
   options.routers = 3;
@@ -114,6 +123,8 @@
   Load load(fleet.router(0).port(), 8);
   REQUIRE(Eventually([&] { return load.good() >= 100; }));
   if (platform_down) {
+    // A fleet that has just formed rests on platform leases for a moment.
+    REQUIRE(Eventually([&] { return RestsOnWitnesses(fleet); }));
     Json::Value outage(Json::objectValue);
     outage["outage"] = true;
     fleet.platform().Behave(outage, "/debug/control");
