--- a/tests/answered_once_test.cc
+++ b/tests/answered_once_test.cc
@@ -119,8 +119,12 @@
   Deployment fleet(Options("", /*decode=*/2));
   fleet.decode(0).Behave(Members({{"die_after_tokens", 10}}));
   fleet.decode(1).Behave(Members({{"die_after_tokens", 1000000}}));
-  CHECK(CorrectOf(fleet, 6) == 6);
-  CHECK(Eventually([&] { return !fleet.decode(0).process().running(); }));
+  // Placement decides when the engine gets the letter that kills it.
+  constexpr int kMaxRounds = 20;
+  for (int round = 0; round < kMaxRounds && fleet.decode(0).process().running();
+       ++round)
+    CHECK(CorrectOf(fleet, 6) == 6);
+  CHECK_FALSE(fleet.decode(0).process().running());
   CHECK(Eventually([&] { return fleet.decode(1).Count("held_pieces") == 0; }));
 }
 
