--- a/decide/fleet_decisions_test.cc
+++ b/decide/fleet_decisions_test.cc
@@ -44,6 +44,7 @@
 TEST_CASE("Slots end up evened out and none is lost") {
   for (int members = 1; members <= 6; ++members) {
     std::vector<MemberId> staying;
+    staying.reserve(members);
     for (int i = 0; i < members; ++i) {
       staying.emplace_back("m" + std::to_string(i));
     }
--- a/decide/limits.h
+++ b/decide/limits.h
@@ -21,7 +21,8 @@
 // tokens had never been charged: at most as much as the bucket's headroom has
 // been at its least since the admission, and nothing across a change of home.
 // Gross charges of one window can exceed the bound by the refunds credited in
-// it, never by more.
+// it, never by more. A rate or burst that the catalogue changes holds from the
+// home's next look at the bucket; the bound then speaks of each span apart.
 #ifndef DECIDE_LIMITS_H_
 #define DECIDE_LIMITS_H_
 
--- a/router/slot_mover.cc
+++ b/router/slot_mover.cc
@@ -180,7 +180,7 @@
   for (const auto& [slot, to] : moves) {
     if (Owns(slot)) by_target[to].push_back(slot);
   }
-  move_.emplace();
+  move_ = Move();
   move_->all = all;
   for (auto& [to, slots] : by_target) {
     move_->targets.push_back({to, std::move(slots), NewId(random_), nullptr});
--- a/tests/fleet_model_test.cc
+++ b/tests/fleet_model_test.cc
@@ -114,8 +114,7 @@
 class History {
  public:
   History(uint64_t seed, Mutant mutant)
-      : seed_(seed),
-        mutant_(mutant),
+      : mutant_(mutant),
         random_(seed),
         keen_(seed % 2 == 1),
         platform_(&world_, &random_, &weather_),
@@ -477,7 +476,6 @@
               });
   }
 
-  const uint64_t seed_;
   const Mutant mutant_;
   SeededRandom random_;
   // Every other history: small charges, no refunds, few tokens lost, so that
--- a/tests/virtual_fleet.cc
+++ b/tests/virtual_fleet.cc
@@ -198,13 +198,13 @@
                                   Duration wait, ListDone done) {
   ++platform_->calls;
   auto call = std::make_unique<Call>();
-  PollWatch(call->live, prefix, after, platform_->world()->now() + wait,
-            std::move(done));
+  PollWatch(call->live, prefix, after, platform_->world()->now() + wait, done);
   return call;
 }
 
-void VirtualKv::PollWatch(std::shared_ptr<bool> live, const std::string& prefix,
-                          Revision after, MonoTime until, ListDone done) {
+void VirtualKv::PollWatch(const std::shared_ptr<bool>& live,
+                          const std::string& prefix, Revision after,
+                          MonoTime until, const ListDone& done) {
   VirtualWorld* world = platform_->world();
   world->At(world->now() + kWatchPoll, [=, loop = loop_] {
     if (!*live) return;
--- a/tests/virtual_fleet.h
+++ b/tests/virtual_fleet.h
@@ -206,8 +206,8 @@
   };
   template <typename Result>
   CallPtr Run(std::function<Result()> act, std::function<void(Result)> done);
-  void PollWatch(std::shared_ptr<bool> live, const std::string& prefix,
-                 Revision after, MonoTime until, ListDone done);
+  void PollWatch(const std::shared_ptr<bool>& live, const std::string& prefix,
+                 Revision after, MonoTime until, const ListDone& done);
 
   VirtualPlatform* const platform_;
   VirtualLoop* const loop_;
