--- a/router/engine_canceller.cc
+++ b/router/engine_canceller.cc
@@ -1,6 +1,7 @@
 // Orders to cancel, repeated until confirmed.
 #include "router/engine_canceller.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/json.h"
@@ -36,6 +37,12 @@
   Try(orders_.back().get());
 }
 
+bool EngineCanceller::IsPending(const RequestId& request) const {
+  return std::any_of(orders_.begin(), orders_.end(), [&](const auto& order) {
+    return order->request == request;
+  });
+}
+
 void EngineCanceller::Try(Order* order) {
   HttpCallOptions options;
   options.to = order->engines.back();
--- a/router/engine_canceller.h
+++ b/router/engine_canceller.h
@@ -35,6 +35,9 @@
   void Cancel(const RequestId& request, int attempt,
               std::vector<Endpoint> engines, std::unique_ptr<Place> place);
 
+  // Whether something of `request` is still being taken back.
+  bool IsPending(const RequestId& request) const;
+
   // Orders not confirmed yet; a graceful shutdown waits for zero.
   size_t pending() const { return orders_.size(); }
 
--- a/router/model_call.cc
+++ b/router/model_call.cc
@@ -21,6 +21,8 @@
 constexpr int kMaxResumes = 2;
 // Longest silence of a decode stream before it is taken for broken.
 constexpr Duration kStreamSilence = std::chrono::seconds(10);
+// Between looks at whether the former attempt has been taken back.
+constexpr Duration kRetryPause = std::chrono::milliseconds(50);
 // Advice to callers when engines fail rather than being full.
 constexpr Duration kFailureRetryAfter = std::chrono::seconds(1);
 
@@ -149,15 +151,26 @@
         place, [this](PlaceResult result) { OnPlace(std::move(result)); });
   }
 
+  // Books and engines know a request by its id: its former place must be gone
+  // from them before it takes another there.
+  void ReserveWhenFree() {
+    retry_ = deps_.loop->After(kRetryPause, [this] {
+      if (ended_) return;
+      if (deps_.canceller->IsPending(context_.id)) {
+        ReserveWhenFree();
+      } else {
+        Reserve();
+      }
+    });
+  }
+
   void OnPlace(PlaceResult result) {
     if (result.status != PlaceStatus::kGranted) {
       const bool no_engine = result.status == PlaceStatus::kNoEngine;
       if (no_engine && !avoid_.empty()) {
         // Every engine has failed once: a second chance beats a refusal.
         avoid_.clear();
-        deps_.loop->Post([this, alive = alive_] {
-          if (*alive && !ended_) Reserve();
-        });
+        ReserveWhenFree();
         return;
       }
       Fail(no_engine ? Refusal::kNoBackEnd : Refusal::kOverloaded,
@@ -207,7 +220,7 @@
         kv = (*document)["kv"].asString();
     }
     if (kv.empty()) {
-      NextAttempt(place_->prefill_engine());
+      NextAttempt();
       return;
     }
     Decode(kv);
@@ -362,15 +375,16 @@
     if (stream_.taken() > Tokens(0) && resumes_ < kMaxResumes) {
       Resume();
     } else {
-      NextAttempt(place_->decode_engine());
+      NextAttempt();
     }
   }
 
-  // Gives up the attempt because of `failed`, and begins another if there is
-  // one left.
-  void NextAttempt(const BackEndId& failed) {
+  // Gives up the attempt, and begins another if there is one left.
+  void NextAttempt() {
     ++deps_.counters->prefills_wasted;
-    avoid_.push_back(failed);
+    // The failed engine, and the other one while it takes back what it holds.
+    avoid_.push_back(place_->prefill_engine());
+    avoid_.push_back(place_->decode_engine());
     GiveBackPlace();
     if (stream_.attempt() >= kMaxAttempts) {
       Fail(Refusal::kBackEndFailed, kFailureRetryAfter);
@@ -460,6 +474,7 @@
   bool stream_ok_ = false;     // the open stream's head was good
   bool engine_asked_ = false;  // some engine may have seen the request
   int resumes_ = 0;
+  TimerHandle retry_;
   std::string text_;  // of an answer that isn't streamed
   MonoTime last_token_{};
   RequestResult result_;
