--- a/router/catalogue_sync.cc
+++ b/router/catalogue_sync.cc
@@ -15,7 +15,8 @@
 }  // namespace
 
 CatalogueSync::CatalogueSync(EventLoop* loop, KvStore* kv, PeerBus* bus,
-                             FleetDriver* fleet, std::string deployment)
+                             FleetDriver* fleet, std::string deployment,
+                             bool ask_peers)
     : loop_(loop),
       kv_(kv),
       bus_(bus),
@@ -25,6 +26,7 @@
   Serve();
   fleet_->ObserveCatalogueHead(
       [this](const KvRecord& record) { OnHeadText(record.value, kPlatform); });
+  if (!ask_peers) return;
   fleet_->ObserveNewerCatalogue([this](const MemberId& peer, uint64_t version) {
     if (version > current_->catalogue().version() && version > refused_version_)
       OnNewerAt(peer);
--- a/router/catalogue_sync.h
+++ b/router/catalogue_sync.h
@@ -32,8 +32,10 @@
   static constexpr Duration kRetryPause = std::chrono::milliseconds(500);
   static constexpr Duration kPeerTimeout = std::chrono::seconds(2);
 
+  // `ask_peers` false: only the platform is heard (test only,
+  // "peer-catalogue").
   CatalogueSync(EventLoop* loop, KvStore* kv, PeerBus* bus, FleetDriver* fleet,
-                std::string deployment);
+                std::string deployment, bool ask_peers = true);
   ~CatalogueSync() override;
 
   // Reads the head once; repeats that until one is in force.
--- a/router/claims.cc
+++ b/router/claims.cc
@@ -109,6 +109,7 @@
 
   std::unique_ptr<Claim> Make(const ClaimKey& key, const RequestId& attempt,
                               MonoTime deadline, Done done) override;
+  std::unique_ptr<Claim> Find(const ClaimKey& key, Done done) override;
 
   // Runs `use` with a lease, or with "" if none can be had.
   void WithLease(std::function<void(const std::string&)> use) {
@@ -207,6 +208,25 @@
     });
   }
 
+  void Look() {
+    call_ = claims_->kv()->Get(record_key_, [this](const KvResult& result) {
+      wire::ClaimRecord record;
+      if (result.status == KvStatus::kNotFound) {
+        End(ClaimStatus::kFree);
+      } else if (result.status != KvStatus::kOk ||
+                 !FromJson(result.record.value, /*strict=*/false, &record)) {
+        End(ClaimStatus::kUnavailable);
+      } else if (record.request_digest() != mine_.request_digest()) {
+        End(ClaimStatus::kMismatch);
+      } else if (record.state() == wire::ClaimRecord::FINISHED) {
+        End(ClaimStatus::kFinished, std::move(record));
+      } else {
+        const bool released = record.state() == wire::ClaimRecord::RELEASED;
+        End(released ? ClaimStatus::kFree : ClaimStatus::kUnfinished);
+      }
+    });
+  }
+
   void Release() override {
     if (!owned_) return;
     owned_ = false;
@@ -386,6 +406,13 @@
   return std::make_unique<ClaimHandle>(std::move(claim));
 }
 
+std::unique_ptr<Claim> ClaimsImpl::Find(const ClaimKey& key, Done done) {
+  auto claim = std::make_shared<ClaimImpl>(this, key, RequestId(), MonoTime(),
+                                           std::move(done));
+  claim->Look();
+  return std::make_unique<ClaimHandle>(std::move(claim));
+}
+
 }  // namespace
 
 std::unique_ptr<Claims> MakeClaims(EventLoop* loop, KvStore* kv,
--- a/router/claims.h
+++ b/router/claims.h
@@ -43,6 +43,7 @@
 
 enum class ClaimStatus {
   kOwned,        // this attempt may send
+  kFree,         // Find: no attempt under the key has been sent
   kFinished,     // `record` holds the outcome of the first attempt
   kUnfinished,   // the first attempt had no outcome by the deadline
   kMismatch,     // the key was used with another request
@@ -78,6 +79,10 @@
                                                     const RequestId& attempt,
                                                     MonoTime deadline,
                                                     Done done) = 0;
+  // Looks without claiming: kFree, kFinished, kUnfinished, kMismatch or
+  // kUnavailable. One read of the platform.
+  [[nodiscard]] virtual std::unique_ptr<Claim> Find(const ClaimKey& key,
+                                                    Done done) = 0;
 };
 
 // `fleet` tells who claims, and whether the member that made a claim found in
--- a/router/daemon.cc
+++ b/router/daemon.cc
@@ -113,6 +113,14 @@
   return switches;
 }
 
+ServiceCallSwitches ServiceSwitchesOf(const wire::RouterSettings& settings) {
+  const auto disable = SplitNames(settings.disable());
+  ServiceCallSwitches switches;
+  switches.claim = disable.count("claim") == 0;
+  switches.write_once = disable.count("write-once") == 0;
+  return switches;
+}
+
 // Members are declared in the order in which they need each other; they are
 // destroyed in the reverse order.
 class DaemonImpl : public Daemon {
@@ -152,7 +160,8 @@
     fleet_ = std::make_unique<FleetDriver>(loop_.get(), &kv_, bus_.get(),
                                            &random_, FleetOptionsOf(settings_));
     catalogue_ = std::make_unique<CatalogueSync>(
-        loop_.get(), &kv_, bus_.get(), fleet_.get(), settings_.deployment());
+        loop_.get(), &kv_, bus_.get(), fleet_.get(), settings_.deployment(),
+        SplitNames(settings_.disable()).count("peer-catalogue") == 0);
     limits_ = std::make_unique<LimitsDriver>(
         loop_.get(), fleet_.get(), bus_.get(), LimitsOptionsOf(settings_),
         [this](const CustomerId& id) { return LimitsOf(id); });
@@ -179,8 +188,9 @@
     pool_ = std::make_unique<ServicePool>(
         draining_.get(), FailureDomain(settings_.failure_domain()));
     request_metrics_ = std::make_unique<RequestMetrics>(&metrics_);
-    const ServiceCallDeps service{loop_.get(), client_.get(), limits_.get(),
-                                  pool_.get(), claims_.get()};
+    const ServiceCallDeps service{loop_.get(),   client_.get(),
+                                  limits_.get(), pool_.get(),
+                                  claims_.get(), ServiceSwitchesOf(settings_)};
     const ModelCallDeps model{
         loop_.get(),      client_.get(),    limits_.get(),        places_.get(),
         canceller_.get(), &model_counters_, SwitchesOf(settings_)};
--- a/router/service_call.cc
+++ b/router/service_call.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -98,34 +99,61 @@
   void OnCharged(const ChargeResult& result) {
     if (!result.granted) {
       charged_ = Tokens(0);
-      answer_->Refuse(Refusal::kRateLimited, Outcome::kNotRun,
-                      result.retry_after);
-      Done();
+      RefuseByRate(result.retry_after);
       return;
     }
-    charged_at_ = deps_.loop->Now();
     Claim();
   }
 
+  // "Not run" must be true of the request, not only of this attempt: an earlier
+  // one under the same Idempotency-Key may have run.
+  void RefuseByRate(Duration retry_after) {
+    const auto key = IdempotencyKey();
+    if (!key) {
+      answer_->Refuse(Refusal::kRateLimited, Outcome::kNotRun, retry_after);
+      Done();
+      return;
+    }
+    claim_ = deps_.claims->Find(
+        *key, [this, retry_after](const ClaimResult& result) {
+          const bool free = result.status == ClaimStatus::kFree;
+          if (free || result.status == ClaimStatus::kUnavailable) {
+            answer_->Refuse(Refusal::kRateLimited,
+                            free ? Outcome::kNotRun : Outcome::kUnknown,
+                            retry_after);
+            Done();
+          } else {
+            AnswerForFirst(result);
+          }
+        });
+  }
+
   // --- Claim -------------------------------------------------------------
 
-  void Claim() {
+  // What to claim; none: the request has no Idempotency-Key, or needs none.
+  std::optional<ClaimKey> IdempotencyKey() const {
     const std::string* key =
-        NeverRepeated() ? context_.outbound.headers.Find("idempotency-key")
-                        : nullptr;
-    if (key == nullptr) {
-      Send();
-      return;
-    }
+        NeverRepeated() && deps_.switches.claim
+            ? context_.outbound.headers.Find("idempotency-key")
+            : nullptr;
+    if (key == nullptr) return std::nullopt;
     std::string material = context_.outbound.method;
     material += '\0';
     material += context_.outbound.target;
     material += '\0';
     material += context_.outbound.body;
+    return ClaimKey{context_.customer, RouteId(context_.route->id()), *key,
+                    Sha256Hex(material)};
+  }
+
+  void Claim() {
+    const auto key = IdempotencyKey();
+    if (!key) {
+      Send();
+      return;
+    }
     claim_ = deps_.claims->Make(
-        {context_.customer, RouteId(context_.route->id()), *key,
-         Sha256Hex(material)},
-        context_.id, context_.deadline,
+        *key, context_.id, context_.deadline,
         [this](const ClaimResult& result) { OnClaim(result); });
   }
 
@@ -140,8 +168,12 @@
       Send();
       return;
     }
-    // This attempt sent nothing; what the answer says is about the first one.
     Refund();
+    AnswerForFirst(result);
+  }
+
+  // This attempt sent nothing; the answer is about the first one.
+  void AnswerForFirst(const ClaimResult& result) {
     switch (result.status) {
       case ClaimStatus::kFinished:
         Replay(result.record);
@@ -270,7 +302,7 @@
       return;
     }
     const bool may_repeat =
-        !sent_ ||
+        !sent_ || !deps_.switches.write_once ||
         (!NeverRepeated() && IsIdempotentMethod(context_.outbound.method));
     response_ = {};
     if (may_repeat && deps_.loop->Now() < context_.deadline) {
--- a/router/service_call.h
+++ b/router/service_call.h
@@ -23,6 +23,12 @@
 
 namespace mimosa {
 
+// Mechanisms that tests turn off to see the promise broken.
+struct ServiceCallSwitches {
+  bool claim = true;       // "claim": Idempotency-Keys are claimed
+  bool write_once = true;  // "write-once": NEVER_REPEATED isn't tried again
+};
+
 // What service calls need of the daemon; outlives them.
 struct ServiceCallDeps {
   EventLoop* loop;
@@ -30,6 +36,7 @@
   Limiter* limiter;
   ServicePool* pool;
   Claims* claims;
+  ServiceCallSwitches switches;
 };
 
 // Starts serving; `done` runs once, from the loop, when the request has ended.
