--- a/decide/membership.h
+++ b/decide/membership.h
@@ -18,6 +18,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/random.h"
+#include "decide/rendezvous.h"
 #include "decide/term.h"
 #include "wire/fleet.pb.h"
 
@@ -28,10 +29,6 @@
 // With fewer peers to witness it, a member's term rests on a platform lease.
 inline constexpr size_t kMinWitnesses = 2;
 
-// The weight of `key` at `node`; the node with the highest weight is first.
-// Alike at all daemons and stable: a node that goes moves its own keys only.
-uint64_t RendezvousWeight(std::string_view key, std::string_view node);
-
 // An id that no other writer has: of a change, a hand-over, an incarnation.
 std::string NewId(RandomSource* random);
 
--- a/decide/prefix_index.cc
+++ b/decide/prefix_index.cc
@@ -72,7 +72,7 @@
   size_t best = 0;
   uint64_t best_weight = 0;
   for (size_t i = 0; i < candidates.size(); ++i) {
-    const uint64_t weight = RendezvousScore(candidates[i].value(), thing);
+    const uint64_t weight = RendezvousWeight(thing, candidates[i].value());
     if (i == 0 || weight > best_weight) {
       best = i;
       best_weight = weight;
--- a/decide/rendezvous.h
+++ b/decide/rendezvous.h
@@ -12,50 +12,28 @@
 
 namespace mimosa {
 
-namespace detail {
+// The weight of `key` at `node`; the node with the highest weight is first.
+// Alike on every machine, which std::hash doesn't promise.
+uint64_t RendezvousWeight(std::string_view key, std::string_view node);
 
-// FNV-1a over both texts and a final mix: alike on every machine, which
-// std::hash doesn't promise.
-inline uint64_t HashPair(std::string_view a, std::string_view b) {
-  constexpr uint64_t kPrime = 1099511628211U;
-  uint64_t hash = 14695981039346656037U;
-  for (const std::string_view text : {a, b}) {
-    for (const char c : text)
-      hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
-    hash = (hash ^ 0xffU) * kPrime;
-  }
-  hash ^= hash >> 33;
-  hash *= 0xff51afd7ed558ccdU;
-  hash ^= hash >> 33;
-  return hash;
-}
-
-}  // namespace detail
-
-// The score of `member` for `thing`; the highest is first in line.
-inline uint64_t RendezvousScore(std::string_view member,
-                                std::string_view thing) {
-  return detail::HashPair(member, thing);
-}
-
-// The (at most) `count` members with the highest scores for `thing`, the
+// The (at most) `count` members with the highest weights for `thing`, the
 // highest first. M needs a field `id` with value(). Pointers into `members`.
 template <typename M>
-std::vector<const M*> HighestScores(const std::vector<M>& members,
-                                    std::string_view thing, size_t count) {
-  std::vector<std::pair<uint64_t, const M*>> scored;
-  scored.reserve(members.size());
+std::vector<const M*> FirstInLine(const std::vector<M>& members,
+                                  std::string_view thing, size_t count) {
+  std::vector<std::pair<uint64_t, const M*>> weighed;
+  weighed.reserve(members.size());
   for (const M& member : members)
-    scored.emplace_back(RendezvousScore(member.id.value(), thing), &member);
-  count = std::min(count, scored.size());
-  std::partial_sort(scored.begin(),
-                    scored.begin() + static_cast<std::ptrdiff_t>(count),
-                    scored.end(), [](const auto& a, const auto& b) {
+    weighed.emplace_back(RendezvousWeight(thing, member.id.value()), &member);
+  count = std::min(count, weighed.size());
+  std::partial_sort(weighed.begin(),
+                    weighed.begin() + static_cast<std::ptrdiff_t>(count),
+                    weighed.end(), [](const auto& a, const auto& b) {
                       return a.first != b.first ? a.first > b.first
                                                 : a.second->id < b.second->id;
                     });
   std::vector<const M*> first;
-  for (size_t i = 0; i < count; ++i) first.push_back(scored[i].second);
+  for (size_t i = 0; i < count; ++i) first.push_back(weighed[i].second);
   return first;
 }
 
--- a/router/flow.cc
+++ b/router/flow.cc
@@ -2,17 +2,12 @@
 #include "router/flow.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <string_view>
 
 namespace mimosa {
 namespace {
 
-constexpr std::array<std::string_view, 9> kHopByHop = {
-    "connection",        "keep-alive", "proxy-authenticate",
-    "proxy-connection",  "te",         "trailer",
-    "transfer-encoding", "upgrade",    "content-length"};
 constexpr std::string_view kOwnFieldPrefix = "mimosa-";
 
 }  // namespace
@@ -23,9 +18,7 @@
     std::string lower = name;
     std::transform(lower.begin(), lower.end(), lower.begin(),
                    [](unsigned char c) { return std::tolower(c); });
-    if (std::find(kHopByHop.begin(), kHopByHop.end(), lower) ==
-            kHopByHop.end() &&
-        lower.rfind(kOwnFieldPrefix, 0) != 0)
+    if (lower != "content-length" && lower.rfind(kOwnFieldPrefix, 0) != 0)
       kept.Add(name, value);
   }
   return kept;
--- a/router/vm_list.cc
+++ b/router/vm_list.cc
@@ -42,7 +42,7 @@
 }
 
 std::vector<const FleetMember*> VmList::Askers() const {
-  return HighestScores(fleet_->members(), "vm-list", kAskers);
+  return FirstInLine(fleet_->members(), "vm-list", kAskers);
 }
 
 void VmList::Tick() {
