A second attempt never waits for a dead engine

Now each engine has its own order to cancel, the sound engine is used again once it has confirmed, the failed one last.

--- a/router/engine_canceller.cc
+++ b/router/engine_canceller.cc
@@ -11,7 +11,7 @@
 struct EngineCanceller::Order {
   RequestId request;
   int attempt;
-  std::vector<Endpoint> engines;  // not confirmed yet; the last one is asked
+  Endpoint engine;
   std::unique_ptr<Place> place;
   MonoTime give_up;
   std::unique_ptr<HttpCall> call;
@@ -24,28 +24,28 @@
 EngineCanceller::~EngineCanceller() = default;
 
 void EngineCanceller::Cancel(const RequestId& request, int attempt,
-                             std::vector<Endpoint> engines,
+                             const Endpoint& engine,
                              std::unique_ptr<Place> place) {
-  if (engines.empty()) return;  // nothing was sent; the place goes now
   auto order = std::make_unique<Order>();
   order->request = request;
   order->attempt = attempt;
-  order->engines = std::move(engines);
+  order->engine = engine;
   order->place = std::move(place);
   order->give_up = loop_->Now() + kPatience;
   orders_.push_back(std::move(order));
   Try(orders_.back().get());
 }
 
-bool EngineCanceller::IsPending(const RequestId& request) const {
+bool EngineCanceller::IsPending(const RequestId& request,
+                                const Endpoint& engine) const {
   return std::any_of(orders_.begin(), orders_.end(), [&](const auto& order) {
-    return order->request == request;
+    return order->request == request && order->engine == engine;
   });
 }
 
 void EngineCanceller::Try(Order* order) {
   HttpCallOptions options;
-  options.to = order->engines.back();
+  options.to = order->engine;
   options.head_timeout = kCallTimeout;
   options.reuse_connection = true;
   Json::Value body(Json::objectValue);
@@ -62,8 +62,7 @@
 }
 
 void EngineCanceller::OnAnswer(Order* order, bool confirmed) {
-  if (confirmed) order->engines.pop_back();
-  if (order->engines.empty() || loop_->Now() >= order->give_up) {
+  if (confirmed || loop_->Now() >= order->give_up) {
     // Posted: the finished call is still on the stack.
     loop_->Post([this, order] {
       orders_.remove_if(
@@ -71,8 +70,7 @@
     });
     return;
   }
-  order->timer = loop_->After(confirmed ? Duration::zero() : kRetryPause,
-                              [this, order] { Try(order); });
+  order->timer = loop_->After(kRetryPause, [this, order] { Try(order); });
 }
 
 }  // namespace mimosa
--- a/router/engine_canceller.h
+++ b/router/engine_canceller.h
@@ -30,13 +30,14 @@
   EngineCanceller(EventLoop* loop, HttpClient* client);
   ~EngineCanceller();
 
-  // Cancels `request` up to its attempt `attempt` at `engines` and then lets
-  // `place` go. A later attempt, perhaps on the same engines, lives on.
-  void Cancel(const RequestId& request, int attempt,
-              std::vector<Endpoint> engines, std::unique_ptr<Place> place);
-
-  // Whether something of `request` is still being taken back.
-  bool IsPending(const RequestId& request) const;
+  // Cancels `request` up to its attempt `attempt` at `engine` and then lets
+  // `place` (may be null) go. A later attempt, perhaps on the same engine,
+  // lives on.
+  void Cancel(const RequestId& request, int attempt, const Endpoint& engine,
+              std::unique_ptr<Place> place);
+
+  // Whether something of `request` is still being taken back at `engine`.
+  bool IsPending(const RequestId& request, const Endpoint& engine) const;
 
   // Orders not confirmed yet; a graceful shutdown waits for zero.
   size_t pending() const { return orders_.size(); }
--- a/router/flow.h
+++ b/router/flow.h
@@ -11,8 +11,8 @@
 
 namespace mimosa {
 
-// The headers of an answer (net/http.h: without connection-level fields) without
-// Content-Length and our own fields.
+// The headers of an answer (net/http.h: without connection-level fields)
+// without Content-Length and our own fields.
 HttpHeaders AnswerHeaders(const HttpHeaders& headers);
 
 // The number in a Content-Length field; -1 if it isn't one.
--- a/router/model_call.cc
+++ b/router/model_call.cc
@@ -113,6 +113,11 @@
     ModelCall* const call_;
   };
 
+  struct Engine {
+    BackEndId id;
+    Endpoint address;
+  };
+
   Outcome WhatHappened() const {
     return engine_asked_ ? Outcome::kUnknown : Outcome::kNotRun;
   }
@@ -146,33 +151,50 @@
           context_.arrived +
           std::chrono::milliseconds(context_.route->first_token_ms());
     }
-    place.avoid = avoid_;
+    place.avoid = failed_;
+    for (const Engine& engine : resting_) place.avoid.push_back(engine.id);
     pending_place_ = deps_.places->Reserve(
         place, [this](PlaceResult result) { OnPlace(std::move(result)); });
   }
 
+  // No engine is left. Sound ones of former attempts come back first, then the
+  // ones that failed: a second chance beats a refusal. False: none was avoided.
+  bool ReserveWithFewerAvoided() {
+    if (!resting_.empty()) {
+      ReserveWhenRested();
+    } else if (!failed_.empty()) {
+      failed_.clear();
+      retry_ = deps_.loop->After(kRetryPause, [this] {
+        if (!ended_) Reserve();
+      });
+    } else {
+      return false;
+    }
+    return true;
+  }
+
   // Books and engines know a request by its id: its former place must be gone
   // from them before it takes another there.
-  void ReserveWhenFree() {
+  void ReserveWhenRested() {
     retry_ = deps_.loop->After(kRetryPause, [this] {
       if (ended_) return;
-      if (deps_.canceller->IsPending(context_.id)) {
-        ReserveWhenFree();
-      } else {
-        Reserve();
+      const bool pending = std::any_of(
+          resting_.begin(), resting_.end(), [this](const Engine& engine) {
+            return deps_.canceller->IsPending(context_.id, engine.address);
+          });
+      if (pending) {
+        ReserveWhenRested();
+        return;
       }
+      resting_.clear();
+      Reserve();
     });
   }
 
   void OnPlace(PlaceResult result) {
     if (result.status != PlaceStatus::kGranted) {
       const bool no_engine = result.status == PlaceStatus::kNoEngine;
-      if (no_engine && !avoid_.empty()) {
-        // Every engine has failed once: a second chance beats a refusal.
-        avoid_.clear();
-        ReserveWhenFree();
-        return;
-      }
+      if (no_engine && ReserveWithFewerAvoided()) return;
       Fail(no_engine ? Refusal::kNoBackEnd : Refusal::kOverloaded,
            std::max(result.retry_after, kFailureRetryAfter));
       return;
@@ -220,7 +242,7 @@
         kv = (*document)["kv"].asString();
     }
     if (kv.empty()) {
-      NextAttempt();
+      NextAttempt(/*prefill_failed=*/true);
       return;
     }
     Decode(kv);
@@ -252,6 +274,7 @@
   void OpenStream(HttpRequest request) {
     reader_ = SseReader();
     stream_ok_ = false;
+    decode_asked_ = true;
     HttpCallOptions options;
     options.to = place_->decode_address();
     options.head_timeout = context_.deadline - deps_.loop->Now();
@@ -375,16 +398,18 @@
     if (stream_.taken() > Tokens(0) && resumes_ < kMaxResumes) {
       Resume();
     } else {
-      NextAttempt();
+      NextAttempt(/*prefill_failed=*/false);
     }
   }
 
-  // Gives up the attempt, and begins another if there is one left.
-  void NextAttempt() {
+  // Gives up the attempt because of an engine, and begins another if there is
+  // one left.
+  void NextAttempt(bool prefill_failed) {
     ++deps_.counters->prefills_wasted;
-    // The failed engine, and the other one while it takes back what it holds.
-    avoid_.push_back(place_->prefill_engine());
-    avoid_.push_back(place_->decode_engine());
+    const Engine prefill{place_->prefill_engine(), place_->prefill_address()};
+    const Engine decode{place_->decode_engine(), place_->decode_address()};
+    failed_.push_back(prefill_failed ? prefill.id : decode.id);
+    resting_.push_back(prefill_failed ? decode : prefill);
     GiveBackPlace();
     if (stream_.attempt() >= kMaxAttempts) {
       Fail(Refusal::kBackEndFailed, kFailureRetryAfter);
@@ -407,15 +432,22 @@
   // --- Ends --------------------------------------------------------------
 
   // The engines may hold memory for this request unless its answer came whole.
+  // The place goes when the decode engine has let go of it.
   void GiveBackPlace() {
     if (!place_) return;
     const bool cancel = !whole_ && deps_.switches.cancel_at_engine;
     prefill_call_.reset();
     decode_call_.reset();
-    std::vector<Endpoint> engines;
-    if (cancel) engines = {place_->prefill_address(), place_->decode_address()};
-    deps_.canceller->Cancel(context_.id, stream_.attempt(), std::move(engines),
-                            std::move(place_));
+    const int attempt = stream_.attempt();
+    if (cancel) {
+      deps_.canceller->Cancel(context_.id, attempt, place_->prefill_address(),
+                              nullptr);
+    }
+    if (cancel && decode_asked_) {
+      const Endpoint decode = place_->decode_address();
+      deps_.canceller->Cancel(context_.id, attempt, decode, std::move(place_));
+    }
+    decode_asked_ = false;
     place_.reset();
   }
 
@@ -465,8 +497,10 @@
   Tokens charged_;                // asked for and not given back
   MonoTime charged_at_ = kNever;  // until granted
   std::unique_ptr<PendingPlace> pending_place_;
-  std::unique_ptr<Place> place_;  // of the live attempt
-  std::vector<BackEndId> avoid_;
+  std::unique_ptr<Place> place_;   // of the live attempt
+  bool decode_asked_ = false;      // the decode engine may hold memory
+  std::vector<BackEndId> failed_;  // engines that ended an attempt
+  std::vector<Engine> resting_;    // the sound engines of those attempts
   std::unique_ptr<HttpCall> prefill_call_;
   std::unique_ptr<HttpCall> decode_call_;
   std::unique_ptr<FlowControl> flow_;  // refers to decode_call_
