--- a/bench/engine_models.cc
+++ b/bench/engine_models.cc
@@ -1,3 +1,4 @@
+// Batches, prefix caches and links of the measured engines, in virtual time.
 #include "bench/engine_models.h"
 
 #include <algorithm>
--- a/bench/limits_model.cc
+++ b/bench/limits_model.cc
@@ -1,3 +1,4 @@
+// Daemons that charge customers through the limits, in virtual time.
 #include "bench/limits_model.h"
 
 #include <algorithm>
--- a/bench/rounds.cc
+++ b/bench/rounds.cc
@@ -1,3 +1,4 @@
+// The loop that drives the pure modules for one round and takes the measures.
 #include "bench/rounds.h"
 
 #include <algorithm>
--- a/decide/engine_book.cc
+++ b/decide/engine_book.cc
@@ -1,3 +1,4 @@
+// Grants, the waiting queue and the lapse of reservations.
 #include "decide/engine_book.h"
 
 #include <algorithm>
--- a/decide/limits.cc
+++ b/decide/limits.cc
@@ -1,3 +1,4 @@
+// Buckets at the home, accounts at the daemons, and the static split.
 #include "decide/limits.h"
 
 #include <algorithm>
--- a/decide/membership.cc
+++ b/decide/membership.cc
@@ -1,3 +1,4 @@
+// The view of the records, and the choices that follow from it.
 #include "decide/membership.h"
 
 #include <algorithm>
--- a/decide/place_search.cc
+++ b/decide/place_search.cc
@@ -1,3 +1,4 @@
+// The steps of a search as a state machine.
 #include "decide/place_search.h"
 
 #include <algorithm>
--- a/decide/placement.cc
+++ b/decide/placement.cc
@@ -1,3 +1,4 @@
+// The four placement policies.
 #include "decide/placement.h"
 
 #include <algorithm>
--- a/decide/prefix_index.cc
+++ b/decide/prefix_index.cc
@@ -1,3 +1,4 @@
+// Digests of prompt prefixes and where they were seen.
 #include "decide/prefix_index.h"
 
 #include <string>
--- a/decide/request_queue.cc
+++ b/decide/request_queue.cc
@@ -1,3 +1,4 @@
+// First come, first served; and fair by customer.
 #include "decide/request_queue.h"
 
 #include <algorithm>
--- a/decide/shedding.cc
+++ b/decide/shedding.cc
@@ -1,3 +1,4 @@
+// What can still be met, and when to come back.
 #include "decide/shedding.h"
 
 #include <algorithm>
--- a/decide/slots.cc
+++ b/decide/slots.cc
@@ -1,3 +1,4 @@
+// Changes of the slot table: claim, take over, hand over, even out.
 #include "decide/slots.h"
 
 #include <algorithm>
--- a/decide/term.cc
+++ b/decide/term.cc
@@ -1,3 +1,4 @@
+// Quorums of grants at the holder, promises at the witness.
 #include "decide/term.h"
 
 #include <algorithm>
--- a/decide/token_bucket.cc
+++ b/decide/token_bucket.cc
@@ -1,3 +1,4 @@
+// Minting without drift, and the headroom that bounds refunds.
 #include "decide/token_bucket.h"
 
 #include <algorithm>
--- a/router/book_server.cc
+++ b/router/book_server.cc
@@ -1,3 +1,4 @@
+// Books in line with fleet and catalogue, and the calls that they answer.
 #include "router/book_server.h"
 
 #include <algorithm>
--- a/router/engine_load.cc
+++ b/router/engine_load.cc
@@ -1,3 +1,4 @@
+// Polling and reading of the engines' load reports.
 #include "router/engine_load.h"
 
 #include <json/value.h>
--- a/router/engine_sweeper.cc
+++ b/router/engine_sweeper.cc
@@ -1,3 +1,4 @@
+// Finding what ended members left, and ordering it cancelled.
 #include "router/engine_sweeper.h"
 
 #include <json/value.h>
--- a/router/fleet_driver.cc
+++ b/router/fleet_driver.cc
@@ -1,3 +1,4 @@
+// Joining, leaving, and what the rest of the daemon is told.
 #include "router/fleet_driver.h"
 
 #include <algorithm>
--- a/router/fleet_records.cc
+++ b/router/fleet_records.cc
@@ -1,3 +1,4 @@
+// Watching the platform or following peers, and pushing what is new.
 #include "router/fleet_records.h"
 
 #include <algorithm>
--- a/router/limits_driver.cc
+++ b/router/limits_driver.cc
@@ -1,3 +1,4 @@
+// Questions to homes batched by home, and answers to other daemons.
 #include "router/limits_driver.h"
 
 #include <utility>
--- a/router/member_ender.cc
+++ b/router/member_ender.cc
@@ -1,3 +1,4 @@
+// Collecting agreement and writing the end of a member.
 #include "router/member_ender.h"
 
 #include <algorithm>
--- a/router/places_driver.cc
+++ b/router/places_driver.cc
@@ -1,3 +1,4 @@
+// The holder's side: searching, holding, renewing and releasing places.
 #include "router/places_driver.h"
 
 #include <algorithm>
--- a/router/slot_mover.cc
+++ b/router/slot_mover.cc
@@ -1,3 +1,4 @@
+// Writing the slot table and carrying buckets to new owners.
 #include "router/slot_mover.h"
 
 #include <algorithm>
--- a/router/term_keeper.cc
+++ b/router/term_keeper.cc
@@ -1,3 +1,4 @@
+// Rounds of grants, witness sets and the writes of the own record.
 #include "router/term_keeper.h"
 
 #include <algorithm>
--- a/tests/virtual_fleet.cc
+++ b/tests/virtual_fleet.cc
@@ -1,3 +1,4 @@
+// Loop, platform and network of the virtual fleet, with their faults.
 #include "tests/virtual_fleet.h"
 
 #include <algorithm>
