--- a/router/daemon.cc
+++ b/router/daemon.cc
@@ -117,6 +117,7 @@
   const auto disable = SplitNames(settings.disable());
   ServiceCallSwitches switches;
   switches.claim = disable.count("claim") == 0;
+  switches.whole_check = disable.count("whole-check") == 0;
   switches.write_once = disable.count("write-once") == 0;
   return switches;
 }
--- a/router/service_call.cc
+++ b/router/service_call.cc
@@ -297,7 +297,11 @@
       deps_.pool->ConnectFailed(back_end_, deps_.loop->Now());
     sent_ = sent_ || sent;
     if (answer_->begun()) {
-      answer_->Break(Outcome::kUnknown);
+      if (deps_.switches.whole_check) {
+        answer_->Break(Outcome::kUnknown);
+      } else {
+        answer_->Finish();
+      }
       Done();
       return;
     }
--- a/router/service_call.h
+++ b/router/service_call.h
@@ -25,8 +25,9 @@
 
 // Mechanisms that tests turn off to see the promise broken.
 struct ServiceCallSwitches {
-  bool claim = true;       // "claim": Idempotency-Keys are claimed
-  bool write_once = true;  // "write-once": NEVER_REPEATED isn't tried again
+  bool claim = true;        // "claim": Idempotency-Keys are claimed
+  bool whole_check = true;  // "whole-check": a cut answer is broken off
+  bool write_once = true;   // "write-once": NEVER_REPEATED isn't tried again
 };
 
 // What service calls need of the daemon; outlives them.
--- a/tests/whole_answers_test.cc
+++ b/tests/whole_answers_test.cc
@@ -103,6 +103,17 @@
   CHECK((Call(port, Echo("body", body)).body == body));
 }
 
+TEST_CASE("Naive: passed on without the check a cut answer looks whole") {
+  DeploymentOptions options;
+  options.router_flags = {"--disable=whole-check"};
+  Deployment fleet(options);
+  fleet.service().Behave(Member("close_after_bytes", 1000));
+  const std::string body = RandomBytes(20000, Seed());
+  const Reply reply = Call(fleet.router(0).port(), Echo("chunked", body));
+  CHECK(reply.whole);
+  CHECK(reply.body.size() < body.size());
+}
+
 TEST_CASE("A letter whose engines are gone doesn't end like a whole one") {
   DeploymentOptions options;
   options.engine_flags = {"--token-us=10000"};
