--- a/router/daemon.cc
+++ b/router/daemon.cc
@@ -1,9 +1,12 @@
 // Wiring, status and graceful end.
 #include "router/daemon.h"
 
+#include <algorithm>
+#include <array>
 #include <set>
 #include <sstream>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "base/digest.h"
@@ -42,8 +45,31 @@
   return endpoint;
 }
 
-std::set<std::string> SplitNames(const std::string& text) {
-  std::set<std::string> names;
+// The mechanisms that tests may turn off (docs/DEVELOPING.md).
+constexpr std::array<std::string_view, 15> kMechanisms = {"term",
+                                                          "witness",
+                                                          "home",
+                                                          "allotment-expiry",
+                                                          "claim",
+                                                          "write-once",
+                                                          "whole-check",
+                                                          "attempt-check",
+                                                          "disconnect-cancel",
+                                                          "orphan-sweep",
+                                                          "drain",
+                                                          "graceful",
+                                                          "key-strip",
+                                                          "key-sweep",
+                                                          "peer-catalogue"};
+
+using Disabled = std::set<std::string>;
+
+bool On(const Disabled& disabled, const char* mechanism) {
+  return disabled.count(mechanism) == 0;
+}
+
+Disabled SplitNames(const std::string& text) {
+  Disabled names;
   std::istringstream stream(text);
   for (std::string name; std::getline(stream, name, ',');) names.insert(name);
   return names;
@@ -95,30 +121,30 @@
 }
 
 FrontOptions FrontOptionsOf(const wire::RouterSettings& settings) {
-  const auto disable = SplitNames(settings.disable());
+  const Disabled disabled = SplitNames(settings.disable());
   FrontOptions options;
   options.slots = static_cast<int>(settings.slots());
   options.max_body_bytes = static_cast<size_t>(settings.max_body_bytes());
   options.stale_after = std::chrono::milliseconds(settings.stale_ms());
-  options.strip_keys = disable.count("key-strip") == 0;
-  options.sweep_keys = disable.count("key-sweep") == 0;
+  options.strip_keys = On(disabled, "key-strip");
+  options.sweep_keys = On(disabled, "key-sweep");
   return options;
 }
 
 ModelCallSwitches SwitchesOf(const wire::RouterSettings& settings) {
-  const auto disable = SplitNames(settings.disable());
+  const Disabled disabled = SplitNames(settings.disable());
   ModelCallSwitches switches;
-  switches.check_identity = disable.count("attempt-check") == 0;
-  switches.cancel_at_engine = disable.count("disconnect-cancel") == 0;
+  switches.check_identity = On(disabled, "attempt-check");
+  switches.cancel_at_engine = On(disabled, "disconnect-cancel");
   return switches;
 }
 
 ServiceCallSwitches ServiceSwitchesOf(const wire::RouterSettings& settings) {
-  const auto disable = SplitNames(settings.disable());
+  const Disabled disabled = SplitNames(settings.disable());
   ServiceCallSwitches switches;
-  switches.claim = disable.count("claim") == 0;
-  switches.whole_check = disable.count("whole-check") == 0;
-  switches.write_once = disable.count("write-once") == 0;
+  switches.claim = On(disabled, "claim");
+  switches.whole_check = On(disabled, "whole-check");
+  switches.write_once = On(disabled, "write-once");
   return switches;
 }
 
@@ -129,6 +155,7 @@
   DaemonImpl(const wire::RouterSettings& settings,
              std::unique_ptr<LwsLoop> loop)
       : settings_(settings),
+        disabled_(SplitNames(settings.disable())),
         loop_(std::move(loop)),
         random_(RandomSeed()),
         client_(MakeHttpClient(loop_.get())),
@@ -140,6 +167,11 @@
 
   // Listens and wires; the member functions below may be used after that.
   leaf::result<void> Start() {
+    for (const std::string& name : disabled_) {
+      if (std::find(kMechanisms.begin(), kMechanisms.end(), name) ==
+          kMechanisms.end())
+        return leaf::new_error(StartFault::kUnknownMechanism);
+    }
     bus_ = MakePeerBus(
         loop_.get(), client_.get(),
         {ParsedEndpoint(settings_.peer_listen()), settings_.peer_secret()});
@@ -162,15 +194,14 @@
                                            &random_, FleetOptionsOf(settings_));
     catalogue_ = std::make_unique<CatalogueSync>(
         loop_.get(), &kv_, bus_.get(), fleet_.get(), settings_.deployment(),
-        SplitNames(settings_.disable()).count("peer-catalogue") == 0);
+        On(disabled_, "peer-catalogue"));
     limits_ = std::make_unique<LimitsDriver>(
         loop_.get(), fleet_.get(), bus_.get(), LimitsOptionsOf(settings_),
         [this](const CustomerId& id) { return LimitsOf(id); });
     fleet_->SetSlotKeeper(limits_.get());
     vms_ =
         std::make_unique<VmList>(loop_.get(), &kv_, bus_.get(), fleet_.get());
-    draining_ = std::make_unique<Draining>(
-        vms_.get(), SplitNames(settings_.disable()).count("drain") == 0);
+    draining_ = std::make_unique<Draining>(vms_.get(), On(disabled_, "drain"));
     claims_ =
         MakeClaims(loop_.get(), &kv_, settings_.deployment(), fleet_.get());
   }
@@ -180,7 +211,7 @@
         loop_.get(), bus_.get(), fleet_.get(), catalogue_.get(), client_.get(),
         &random_, PlacesOptionsOf(settings_, draining_.get()));
     vms_->Observe([this] { places_->books()->Sync(); });
-    if (SplitNames(settings_.disable()).count("orphan-sweep") == 0) {
+    if (On(disabled_, "orphan-sweep")) {
       sweeper_ = std::make_unique<EngineSweeper>(
           loop_.get(), fleet_.get(), catalogue_.get(), client_.get(),
           places_->books(), std::chrono::milliseconds(settings_.grant_ms()));
@@ -316,7 +347,7 @@
     if (leaving_) return;
     leaving_ = true;
     LogEvent(LogLevel::kInfo, "leaving_begun");
-    if (SplitNames(settings_.disable()).count("graceful") > 0) {
+    if (!On(disabled_, "graceful")) {
       loop_->Stop();
       return;
     }
@@ -342,6 +373,7 @@
   }
 
   const wire::RouterSettings settings_;
+  const Disabled disabled_;
   const std::unique_ptr<LwsLoop> loop_;
   SeededRandom random_;
   MetricsRegistry metrics_;
@@ -374,6 +406,8 @@
   switch (fault) {
     case StartFault::kLoop:
       return "the event loop can't be made";
+    case StartFault::kUnknownMechanism:
+      return "disable names a mechanism that isn't one";
     case StartFault::kPeerPort:
       return "peer-listen can't be listened on";
     case StartFault::kOperatorPort:
--- a/router/daemon.h
+++ b/router/daemon.h
@@ -20,9 +20,10 @@
 // Why a daemon can't start.
 enum class StartFault {
   kLoop,
-  kPeerPort,      // the address can't be listened on
-  kOperatorPort,  // likewise
-  kCallerPort,    // likewise
+  kUnknownMechanism,  // in the test-only setting "disable"
+  kPeerPort,          // the address can't be listened on
+  kOperatorPort,      // likewise
+  kCallerPort,        // likewise
 };
 const char* StartFaultName(StartFault fault);
 
--- a/tests/smoke_test.cc
+++ b/tests/smoke_test.cc
@@ -2,6 +2,7 @@
 // and the platform.
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "base/digest.h"
 #include "standins/answer.h"
@@ -67,6 +68,34 @@
   CHECK(fleet.prefill().Count("prefills_done") == 0);
 }
 
+TEST_CASE("A router that can't start says why and ends with 2") {
+  const uint16_t peer_port = FreePort();
+  const std::string peer = Loopback(peer_port);
+  const std::vector<std::string> common = {
+      "--name=x",
+      "--failure-domain=d",
+      "--peer-listen=" + peer,
+      "--listen=" + Loopback(FreePort()),
+      "--operator-listen=" + Loopback(FreePort()),
+      "--platform=" + Loopback(FreePort())};
+  const Process::Environment secrets = {{"MIMOSA_PEER_SECRET", "a"},
+                                        {"MIMOSA_OPERATOR_SECRET", "b"}};
+  auto unknown = common;
+  unknown.emplace_back("--disable=nonsense");
+  Process refused("tools/mimosa-router", unknown, secrets);
+  refused.Start();
+  CHECK(refused.Wait() == 2);
+  CHECK(refused.Output().find("start_failed") != std::string::npos);
+  // Two processes can't be one member: the peers' port is exclusive.
+  Process first("tools/mimosa-router", common, secrets);
+  first.Start();
+  REQUIRE(Eventually([&] { return !Call(peer_port, {}).headers.empty(); }));
+  Process second("tools/mimosa-router", common, secrets);
+  second.Start();
+  CHECK(second.Wait() == 2);
+  CHECK(first.running());
+}
+
 TEST_CASE("A router that says that it is ready admits requests") {
   DeploymentOptions options;
   options.warm_up = false;
