--- a/tests/graceful_shutdown_test.cc
+++ b/tests/graceful_shutdown_test.cc
@@ -1,7 +1,9 @@
 // Promise: a graceful shutdown cuts no request. SIGTERM under load, with the
 // platform up and down.
+#include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -114,6 +116,16 @@
   return true;
 }
 
+// The shortest time over all routers since word from the platform.
+int64_t PlatformAgeMs(Deployment& fleet) {
+  int64_t age = INT64_MAX;
+  for (size_t r = 0; r < fleet.routers(); ++r) {
+    const Json::Value status = fleet.router(r).Operator("/status").Document();
+    age = std::min(age, status["platform_age_ms"].asInt64());
+  }
+  return age;
+}
+
 Outcome TerminateUnderLoad(bool platform_down, const std::string& disable) {
   DeploymentOptions options;
   options.routers = 3;
@@ -128,7 +140,8 @@
     Json::Value outage(Json::objectValue);
     outage["outage"] = true;
     fleet.platform().Behave(outage, "/debug/control");
-    std::this_thread::sleep_for(Seconds(3));
+    // Longer than any grant: terms that rested on the platform are over.
+    REQUIRE(Eventually([&] { return PlatformAgeMs(fleet) >= 3000; }));
   }
   fleet.router(0).process().Terminate();
   Outcome outcome;
