--- a/router/claims.cc
+++ b/router/claims.cc
@@ -278,13 +278,21 @@
       End(ClaimStatus::kUnavailable);
       return;
     }
-    call_ = claims_->kv()->Get(record_key_, [this](const KvResult& result) {
+    Read([this] {
+      timer_ = claims_->loop()->After(kRetryPause, [this] { ReadBack(); });
+    });
+  }
+
+  // Decides by the record as it is now; `failed` runs if it can't be read.
+  void Read(std::function<void()> failed) {
+    call_ = claims_->kv()->Get(record_key_, [this, failed = std::move(failed)](
+                                                const KvResult& result) {
       if (result.status == KvStatus::kOk) {
         OnRecord(result.record);
       } else if (result.status == KvStatus::kNotFound) {
         Write(Revision(0));
       } else {
-        timer_ = claims_->loop()->After(kRetryPause, [this] { ReadBack(); });
+        failed();
       }
     });
   }
@@ -342,15 +350,7 @@
         End(ClaimStatus::kUnfinished);
         return;
       }
-      call_ = claims_->kv()->Get(record_key_, [this](const KvResult& result) {
-        if (result.status == KvStatus::kOk) {
-          OnRecord(result.record);
-        } else if (result.status == KvStatus::kNotFound) {
-          Write(Revision(0));
-        } else {
-          Reread();
-        }
-      });
+      Read([this] { Reread(); });
     });
   }
 
