--- a/router/front.cc
+++ b/router/front.cc
@@ -184,8 +184,10 @@
 
 void Front::Begin(uint64_t serial, RequestContext context) {
   auto running = std::make_unique<Running>();
+  // The request itself goes to the call alone: its body may be large.
+  HttpRequest outbound = std::move(context.outbound);
   running->context = context;
-  running->context.outbound = {};  // the call's copy is the only one
+  context.outbound = std::move(outbound);
   running->deadline =
       loop_->After(context.deadline - loop_->Now(),
                    [this, serial] { End(serial, EndReason::kDeadline); });
