A keyed retry whose deadline passes behind a claim doesn't say not-run

Cause: at its deadline a call said "not-run" when it had sent nothing itself, also while it waited for another attempt's claim, which may have run. Seen as "k4 ran, told not-run with 504" in 2 of 18 runs of the killed-router test beside five others; ruled out: the store's answers (the claim was found each time). Before: the new test fails ("not-run").

--- a/router/service_call.cc
+++ b/router/service_call.cc
@@ -69,7 +69,7 @@
     StopCall();
     charge_.reset();
     if (!sent_) Refund();
-    const Outcome outcome = sent_ ? Outcome::kUnknown : Outcome::kNotRun;
+    const Outcome outcome = OutcomeSoFar();
     if (reason == EndReason::kKeyWithdrawn) {
       RefuseWithdrawn();
     } else if (answer_->begun()) {
@@ -84,7 +84,7 @@
  private:
   // The caller learns at once that its key is no longer good.
   void RefuseWithdrawn() {
-    const Outcome outcome = sent_ ? Outcome::kUnknown : Outcome::kNotRun;
+    const Outcome outcome = OutcomeSoFar();
     if (answer_->begun()) {
       answer_->Break(outcome);
     } else {
@@ -92,6 +92,14 @@
     }
   }
 
+  // "Not run" must be true of the request, not only of this attempt: until the
+  // claim on its Idempotency-Key is this attempt's, an earlier one may have
+  // run.
+  Outcome OutcomeSoFar() const {
+    const bool earlier_may_run = IdempotencyKey().has_value() && !claim_owned_;
+    return sent_ || earlier_may_run ? Outcome::kUnknown : Outcome::kNotRun;
+  }
+
   bool NeverRepeated() const {
     return context_.route->request_class() == wire::NEVER_REPEATED;
   }
@@ -105,8 +113,7 @@
     Claim();
   }
 
-  // "Not run" must be true of the request, not only of this attempt: an earlier
-  // one under the same Idempotency-Key may have run.
+  // An earlier attempt under the same Idempotency-Key may have run.
   void RefuseByRate(Duration retry_after) {
     const auto key = IdempotencyKey();
     if (!key) {
@@ -159,6 +166,7 @@
 
   void OnClaim(const ClaimResult& result) {
     if (result.status == ClaimStatus::kOwned) {
+      claim_owned_ = true;
       Send();
       return;
     }
@@ -229,7 +237,7 @@
 
   // No backend server is left to try.
   void GiveUp() {
-    const Outcome outcome = sent_ ? Outcome::kUnknown : Outcome::kNotRun;
+    const Outcome outcome = OutcomeSoFar();
     if (!sent_) Refund();
     answer_->Refuse(
         sent_ ? Refusal::kBackEndFailed : Refusal::kNoBackEnd, outcome,
@@ -369,6 +377,7 @@
   int tries_ = 0;
   // Never falls back to false: some backend server may have seen the request.
   bool sent_ = false;
+  bool claim_owned_ = false;  // the key's first run is this attempt's
 
   HttpResponse response_;
   bool passing_ = false;  // the answer streams through
--- a/tests/at_most_once_test.cc
+++ b/tests/at_most_once_test.cc
@@ -184,6 +184,30 @@
   CHECK(faults.empty());
 }
 
+TEST_CASE("A deadline behind another one's claim doesn't say not-run") {
+  DeploymentOptions options;
+  options.routers = 3;
+  Deployment fleet(options);
+  for (auto& route : *fleet.catalogue().mutable_routes())
+    route.set_deadline_ms(400);  // far below the time that ends a member
+  fleet.Apply();
+  Json::Value slow(Json::objectValue);
+  slow["delay_ms"] = 300;
+  fleet.service().Behave(slow);
+  Connection first(fleet.router(0).port());
+  REQUIRE(first.Send(Booking("held", true)));
+  REQUIRE(Eventually([&] { return Runs(fleet, 1)["/booking/held"] > 0; }));
+  fleet.router(0).process().Freeze();
+  // The deadline passes while the retry waits for word about the claim.
+  Json::Value late(Json::objectValue);
+  late["slow_ms"] = 250;
+  fleet.platform().Behave(late, "/debug/control");
+  const Told told = Ask(fleet.router(1).port(), "held", true);
+  fleet.router(0).process().Thaw();
+  CHECK(told.outcome != "not-run");
+  CHECK(Runs(fleet, 1)["/booking/held"] == 1);
+}
+
 TEST_CASE("The platform is down, slow, or loses replies") {
   DeploymentOptions options;
   options.routers = 3;  // fewer rest on the platform's lease
