net: reads and writes made here, orderly ends told from resets

Cause: libwebsockets' raw socket role writes one poll later than asked and doesn't tell an orderly end from a reset; answers without length need the latter, and each wake-up is charged on small VMs. Sockets use its raw file role now.

--- a/net/event_loop.h
+++ b/net/event_loop.h
@@ -58,6 +58,9 @@
 class LwsLoop : public EventLoop {
  public:
   static std::unique_ptr<LwsLoop> Create();
+  // `callback` runs on the loop at each SIGHUP. Without one SIGHUP is ignored:
+  // it must never end a daemon.
+  virtual void OnHangup(std::function<void()> callback) = 0;
   virtual lws_context* context() = 0;
 };
 
--- a/net/http.h
+++ b/net/http.h
@@ -15,7 +15,8 @@
 //  - Client: `sent == false` in a failure means that no byte of the request was
 //    written to the connection: the back end can't have seen it.
 //  - Client: OnDone means that the answer was whole by its own framing (length
-//    or last chunk). An answer that ends any other way ends in OnFailed.
+//    or last chunk), or, only if the call allows it, that an answer without
+//    either ended in order. An answer that ends any other way ends in OnFailed.
 #ifndef NET_HTTP_H_
 #define NET_HTTP_H_
 
@@ -130,7 +131,8 @@
 
   // `callback` runs once, if the client goes away before the answer ended.
   virtual void OnClientGone(std::function<void()> callback) = 0;
-  // `callback` runs whenever UnsentBytes() has fallen to zero.
+  // `callback` runs, from the loop, whenever UnsentBytes() has fallen to zero,
+  // and soon if it is zero already. Empty: no more.
   virtual void OnDrained(std::function<void()> callback) = 0;
 };
 
@@ -152,6 +154,11 @@
   // open_exchanges() is zero and the answers are read (two seconds at most).
   virtual void StopAccepting() = 0;
   virtual size_t open_exchanges() const = 0;
+  // From now on answers carry "Connection: close"; connections are still
+  // accepted, for a balancer that has not noticed yet.
+  virtual void CloseAfterAnswers() = 0;
+  // For connections that become idle from now on.
+  virtual void SetIdleTimeout(Duration timeout) = 0;
 };
 
 // Returns nullptr when the address can't be listened on. `handler` must outlive
@@ -178,10 +185,22 @@
   Duration idle_timeout =
       std::chrono::seconds(30);  // between parts of the body
   size_t max_response_bytes = 64u << 20;
-  // True: may use a kept-alive connection, and is then retried once on a fresh
-  // one if the kept one turns out closed. False: always a fresh connection,
-  // written to at most once. Requests that are not idempotent need false.
+  // True: may use a kept-alive connection, and leaves one. False: always a
+  // fresh connection, written to at most once.
   bool reuse_connection = false;
+  // A kept connection that has been idle for longer isn't used: the back end
+  // may be closing it at this moment.
+  Duration max_idle = std::chrono::seconds(30);
+  // A kept connection that turns out closed before any answer: the request is
+  // written once more on a fresh one. Must be false for requests that are not
+  // idempotent.
+  bool resend_on_fresh = true;
+  // Whether an answer without length or chunks is whole at an orderly end of
+  // its connection.
+  bool accept_unframed = false;
+  // Decides by its head whether an answer is one to this request; one that
+  // isn't is passed over. Empty: each is.
+  std::function<bool(const HttpHeaders&)> is_answer;
 };
 
 class HttpCallHandler {
--- a/net/http_codec.cc
+++ b/net/http_codec.cc
@@ -13,6 +13,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <charconv>
 #include <utility>
 
 namespace mimosa::detail {
@@ -119,6 +120,7 @@
   HttpHeaders headers;
   int version = 0;
   std::string* body = nullptr;  // where decoded bytes go
+  std::string keep_alive_field;
 
  protected:
   void on_field_impl(http::field name, beast::string_view name_string,
@@ -136,6 +138,7 @@
         error = http::error::bad_transfer_encoding;
       }
     }
+    if (name == http::field::keep_alive) keep_alive_field = ToString(value);
     if (!error) headers.Add(ToString(name_string), ToString(value));
   }
 
@@ -350,6 +353,22 @@
 
 bool ResponseReader::keep_alive() const { return parser_->keep_alive(); }
 
+Duration ResponseReader::keep_alive_timeout() const {
+  constexpr std::string_view kParameter = "timeout=";
+  const std::string& field = parser_->keep_alive_field;
+  const size_t at = field.find(kParameter);
+  if (at == std::string::npos) return Duration::zero();
+  int64_t seconds = 0;
+  const char* begin = field.data() + at + kParameter.size();
+  std::from_chars(begin, field.data() + field.size(), seconds);
+  constexpr int64_t kLongestSeconds = 3600;
+  return std::chrono::seconds(std::clamp<int64_t>(seconds, 0, kLongestSeconds));
+}
+
+bool ResponseReader::ends_with_connection() const {
+  return parser_->need_eof();
+}
+
 bool IsWritableRequestLine(const HttpRequest& request) {
   const std::string& target = request.target;
   return IsToken(request.method) && !target.empty() &&
--- a/net/http_codec.h
+++ b/net/http_codec.h
@@ -78,6 +78,11 @@
   const HttpHeaders& headers() const;
   // True if the connection may carry another request after kComplete.
   bool keep_alive() const;
+  // How long the connection is kept idle, as the Keep-Alive field says; zero if
+  // it doesn't.
+  Duration keep_alive_timeout() const;
+  // In kBody: neither length nor chunks delimit the body.
+  bool ends_with_connection() const;
 
  private:
   class Parser;
--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -3,6 +3,7 @@
 // A call owns its connection while it runs. A connection whose answer was whole
 // goes to the pool, if the call allows reuse; calls that don't allow it neither
 // take from the pool nor leave anything there.
+#include <algorithm>
 #include <cassert>
 #include <map>
 #include <memory>
@@ -20,7 +21,10 @@
 using detail::RawSocket;
 using detail::ResponseReader;
 
+// Kept this long where the back end announces no timeout of its own.
 constexpr Duration kPooledIdle = std::chrono::seconds(30);
+// An announced timeout is used up to this share: its end may cross a request.
+constexpr double kIdleShare = 0.7;
 constexpr size_t kMaxPooledPerEndpoint = 32;
 
 // A connection that outlives its call. Whoever has it set as `user` gets the
@@ -60,22 +64,31 @@
  public:
   explicit Pool(LwsLoop* loop) : loop_(loop) {}
 
-  // nullptr if there is none.
-  std::unique_ptr<ClientConnection> Take(const Endpoint& to) {
+  // nullptr if there is none that has been idle for at most `max_idle`.
+  std::unique_ptr<ClientConnection> Take(const Endpoint& to,
+                                         Duration max_idle) {
     const auto it = idle_.find(to);
     if (it == idle_.end()) return nullptr;
+    if (loop_->Now() - it->second.back()->since > max_idle) return nullptr;
     auto connection = std::move(it->second.back()->connection);
     it->second.pop_back();
     if (it->second.empty()) idle_.erase(it);
     return connection;
   }
 
-  void Put(const Endpoint& to, std::unique_ptr<ClientConnection> connection) {
+  // `announced`: how long the back end keeps it; zero: it didn't say.
+  void Put(const Endpoint& to, std::unique_ptr<ClientConnection> connection,
+           Duration announced) {
+    Duration keep = kPooledIdle;
+    if (announced > Duration::zero()) {
+      keep = std::min(
+          keep, std::chrono::duration_cast<Duration>(announced * kIdleShare));
+    }
     auto& entries = idle_[to];
     if (entries.size() >= kMaxPooledPerEndpoint) entries.erase(entries.begin());
     auto entry = std::make_unique<Entry>(this, to, std::move(connection));
-    entry->timer =
-        loop_->After(kPooledIdle, [this, e = entry.get()] { Remove(e); });
+    entry->since = loop_->Now();
+    entry->timer = loop_->After(keep, [this, e = entry.get()] { Remove(e); });
     entries.push_back(std::move(entry));
   }
 
@@ -97,6 +110,7 @@
     Pool* const pool;
     const Endpoint to;
     std::unique_ptr<ClientConnection> connection;
+    MonoTime since{};
     TimerHandle timer;
   };
 
@@ -169,10 +183,12 @@
  private:
   enum class State { kConnecting, kHead, kBody, kOver };
 
+  bool ReadAnswer();
+
   bool TakePooled() {
     const auto pool = pool_.lock();
     if (pool == nullptr) return false;
-    connection_ = pool->Take(options_.to);
+    connection_ = pool->Take(options_.to, options_.max_idle);
     if (connection_ == nullptr) return false;
     pooled_ = true;
     connection_->set_user(this);
@@ -202,11 +218,22 @@
     base_offered_ = connection_->socket()->offered();
     if (paused_) connection_->socket()->Pause(true);
     connection_->socket()->Send(
-        detail::RequestHead(request_, options_.to, options_.reuse_connection));
-    connection_->socket()->Send(request_.body);
+        detail::RequestHead(request_, options_.to, options_.reuse_connection) +
+        request_.body);
     ArmTimer(options_.head_timeout);
   }
 
+  // Passes over an answer that isn't to this request. True if one was begun.
+  bool SkipForeignAnswer() {
+    if (!skipping_) return false;
+    if (reader_->state() == ResponseReader::State::kComplete) {
+      skipping_ = false;
+      reader_ = std::make_unique<ResponseReader>(request_.method == "HEAD",
+                                                 options_.max_response_bytes);
+    }
+    return true;
+  }
+
   bool SentOnConnection() const {
     return connection_ != nullptr &&
            connection_->socket()->offered() > base_offered_;
@@ -237,7 +264,8 @@
     sent_before_ = true;
     if (const auto pool = keep ? pool_.lock() : nullptr) {
       connection_->socket()->Pause(false);
-      pool->Put(options_.to, std::move(connection_));
+      pool->Put(options_.to, std::move(connection_),
+                reader_->keep_alive_timeout());
     }
     connection_.reset();
     std::exchange(handler_, nullptr)->OnDone();
@@ -256,6 +284,7 @@
   bool sent_before_ = false;   // as far as earlier connections are concerned
   bool pooled_ = false;        // connection_ came from the pool
   bool answer_begun_ = false;  // a byte of the answer came
+  bool skipping_ = false;      // reader_ reads an answer to another request
   bool paused_ = false;
   TimerHandle timer_;
 };
@@ -264,42 +293,62 @@
   const auto self = shared_from_this();
   answer_begun_ = true;
   input_.append(data);
+  while (ReadAnswer()) {
+  }
+}
+
+// Feeds the reader once; true if there is another answer to read behind one
+// that was passed over.
+bool CallState::ReadAnswer() {
   std::string body;
   if (state_ == State::kHead) {
     input_.erase(0, reader_->Feed(input_, &body));
-    if (reader_->state() == ResponseReader::State::kHead) return;
+    if (reader_->state() == ResponseReader::State::kHead) return false;
     if (reader_->state() == ResponseReader::State::kBody ||
         reader_->state() == ResponseReader::State::kComplete) {
-      state_ = State::kBody;
-      handler_->OnHead(reader_->status(), reader_->headers());
-      if (handler_ == nullptr) return;
+      skipping_ = skipping_ || (options_.is_answer &&
+                                !options_.is_answer(reader_->headers()));
+      if (!skipping_) {
+        state_ = State::kBody;
+        handler_->OnHead(reader_->status(), reader_->headers());
+        if (handler_ == nullptr) return false;
+      }
     }
   }
   if (reader_->state() == ResponseReader::State::kBody && !input_.empty()) {
     input_.erase(0, reader_->Feed(input_, &body));
   }
+  if (SkipForeignAnswer()) return !skipping_ && !input_.empty();
   if (!body.empty()) handler_->OnBody(body);
-  if (handler_ == nullptr) return;
+  if (handler_ == nullptr) return false;
   switch (reader_->state()) {
     case ResponseReader::State::kComplete:
       Done(options_.reuse_connection && reader_->keep_alive() &&
            input_.empty() && connection_->socket()->unsent() == 0);
-      return;
+      return false;
     case ResponseReader::State::kTooLarge:
       Fail(HttpFailure::kTooLarge);
-      return;
+      return false;
     case ResponseReader::State::kMalformed:
       Fail(HttpFailure::kMalformed);
-      return;
+      return false;
     default:
       if (!paused_) ArmTimer(options_.idle_timeout);
+      return false;
   }
 }
 
 void CallState::OnClosed() {
   const auto self = shared_from_this();
   const State state = state_;
-  const bool retry = pooled_ && !answer_begun_;
+  const bool retry = pooled_ && !answer_begun_ && options_.resend_on_fresh;
+  const bool whole = state == State::kBody && options_.accept_unframed &&
+                     connection_->socket()->ended_orderly() &&
+                     reader_->ends_with_connection();
+  if (whole) {
+    Done(/*keep=*/false);
+    return;
+  }
   CloseConnection();
   if (retry) {
     // Kept-alive connections are closed by the other end at any time.
--- a/net/lws_loop.cc
+++ b/net/lws_loop.cc
@@ -74,6 +74,7 @@
   LwsLoopImpl() : timers_(std::make_shared<TimerMap>()) {
     // Writes to closed connections must fail instead of ending the process.
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);
     lws_set_log_level(LLL_ERR, nullptr);
     lws_context_creation_info info{};
     info.port = CONTEXT_PORT_NO_LISTEN;
@@ -90,6 +91,7 @@
     if (g_signal_loop.compare_exchange_strong(self, nullptr)) {
       std::signal(SIGTERM, SIG_DFL);
       std::signal(SIGINT, SIG_DFL);
+      std::signal(SIGHUP, SIG_IGN);
     }
     posted_.clear();
     timers_.reset();
@@ -147,6 +149,14 @@
     sigaction(SIGINT, &action, nullptr);
   }
 
+  void OnHangup(std::function<void()> callback) override {
+    on_hangup_ = std::move(callback);
+    g_signal_loop = this;
+    struct sigaction action {};
+    action.sa_handler = &LwsLoopImpl::HangupHandler;
+    sigaction(SIGHUP, &action, nullptr);
+  }
+
   lws_context* context() override { return context_; }
 
  private:
@@ -159,6 +169,15 @@
     errno = saved_errno;
   }
 
+  static void HangupHandler(int /*signal*/) {
+    const int saved_errno = errno;
+    if (LwsLoopImpl* loop = g_signal_loop) {
+      loop->hung_up_ = true;
+      lws_cancel_service(loop->context_);
+    }
+    errno = saved_errno;
+  }
+
   void ScheduleWake() {
     Duration wait = kLongestWait;
     if (!timers_->empty()) {
@@ -192,6 +211,7 @@
 
   void HandleSignal() {
     if (signalled_.exchange(false) && on_signal_) on_signal_();
+    if (hung_up_.exchange(false) && on_hangup_) on_hangup_();
   }
 
   lws_context* context_ = nullptr;
@@ -199,10 +219,12 @@
   uint64_t serial_ = 0;  // of the timer set last
   std::vector<std::function<void()>> posted_;
   std::function<void()> on_signal_;
+  std::function<void()> on_hangup_;
   Waker waker_;
   bool stopped_ = false;
   bool in_service_ = false;  // within lws_service()
   std::atomic<bool> signalled_{false};
+  std::atomic<bool> hung_up_{false};
 };
 
 }  // namespace
--- a/net/lws_server.cc
+++ b/net/lws_server.cc
@@ -69,7 +69,8 @@
 };
 
 // One request and its answer.
-class Exchange : public HttpExchange {
+class Exchange : public HttpExchange,
+                 public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(Connection* connection, HttpRequest request, Endpoint client,
            bool http11)
@@ -93,9 +94,7 @@
   void OnClientGone(std::function<void()> callback) override {
     if (!over()) on_gone_ = std::move(callback);
   }
-  void OnDrained(std::function<void()> callback) override {
-    if (!over()) on_drained_ = std::move(callback);
-  }
+  void OnDrained(std::function<void()> callback) override;
 
   // For the connection.
   void Drained();
@@ -104,8 +103,11 @@
   void Detach();
 
  private:
+  // `body`, unless the answer has none, goes out in the same write.
+  // Small pieces go to the kernel at once: the callback is owed all the same.
+  void TellIfDrained();
   void SendHead(int status, const HttpHeaders& headers,
-                const BodyFraming& framing);
+                const BodyFraming& framing, std::string_view body = {});
 
   Connection* connection_;  // nullptr once over
   const HttpRequest request_;
@@ -143,6 +145,7 @@
 
   // For the exchange.
   void Send(std::string_view data);
+  LwsLoop* loop() { return host_->loop(); }
   size_t unsent() const { return socket_ ? socket_->unsent() : 0; }
   // True if the answer may leave the connection open.
   bool MayKeepAlive() const {
@@ -197,15 +200,17 @@
 };
 
 void Exchange::SendHead(int status, const HttpHeaders& headers,
-                        const BodyFraming& framing) {
+                        const BodyFraming& framing, std::string_view body) {
   started_ = true;
   framing_ = framing;
   keep_alive_ = connection_->MayKeepAlive();
   discard_body_ = head_only_ || detail::IsBodyless(status);
   BodyFraming announced = framing;
   if (detail::IsBodyless(status)) announced.kind = BodyFraming::Kind::kNone;
-  connection_->Send(
-      detail::ResponseHead(status, headers, announced, keep_alive_));
+  std::string text =
+      detail::ResponseHead(status, headers, announced, keep_alive_);
+  if (!discard_body_) text.append(body);
+  connection_->Send(text);
 }
 
 void Exchange::Respond(HttpResponse response) {
@@ -213,8 +218,7 @@
   auto length = static_cast<int64_t>(response.body.size());
   if (head_only_ && length == 0) length = DeclaredLength(response.headers, 0);
   SendHead(response.status, response.headers,
-           {BodyFraming::Kind::kLength, length});
-  if (!discard_body_) connection_->Send(response.body);
+           {BodyFraming::Kind::kLength, length}, response.body);
   connection_->ExchangeDone(keep_alive_);
 }
 
@@ -245,6 +249,7 @@
   if (discard_body_) return;
   if (framing_.kind == BodyFraming::Kind::kChunked) {
     connection_->Send(detail::Chunk(data));
+    TellIfDrained();
     return;
   }
   written_ += static_cast<int64_t>(data.size());
@@ -253,6 +258,7 @@
     return;
   }
   connection_->Send(data);
+  TellIfDrained();
 }
 
 void Exchange::Finish() {
@@ -282,6 +288,21 @@
   return over() ? 0 : connection_->unsent();
 }
 
+void Exchange::OnDrained(std::function<void()> callback) {
+  if (over()) return;
+  on_drained_ = std::move(callback);
+  TellIfDrained();
+}
+
+void Exchange::TellIfDrained() {
+  if (!on_drained_ || connection_->unsent() > 0) return;
+  connection_->loop()->Post([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->over() && self->connection_->unsent() == 0)
+      self->Drained();
+  });
+}
+
 void Exchange::Drained() {
   const auto callback = on_drained_;  // may be replaced while it runs
   if (callback) callback();
@@ -522,6 +543,10 @@
   }
 
   size_t open_exchanges() const override { return open_exchanges_; }
+  void CloseAfterAnswers() override { draining_ = true; }
+  void SetIdleTimeout(Duration timeout) override {
+    options_.idle_timeout = timeout;
+  }
 
   const HttpServerOptions& options() const override { return options_; }
   LwsLoop* loop() override { return loop_; }
@@ -548,7 +573,7 @@
   }
 
   LwsLoop* const loop_;
-  const HttpServerOptions options_;
+  HttpServerOptions options_;
   HttpHandler* const handler_;
   uint16_t port_ = 0;
   bool draining_ = false;
--- a/net/raw_socket.cc
+++ b/net/raw_socket.cc
@@ -1,4 +1,6 @@
-// RawSocket and Listener on libwebsockets' raw socket and raw file roles.
+// RawSocket and Listener on libwebsockets' raw file role: the library polls and
+// owns the descriptors, reads and writes are made here. Its raw socket role
+// doesn't tell an orderly end from a reset, and writes one poll later.
 #include "net/raw_socket.h"
 
 #include <arpa/inet.h>
@@ -18,7 +20,10 @@
 
 // One write to the kernel. Larger pieces save system calls; smaller ones show
 // sooner that a slow reader makes progress.
-constexpr size_t kWritePieceBytes = 16U << 10;
+constexpr size_t kWritePieceBytes = 64U << 10;
+
+// One read from a connection.
+constexpr size_t kReadBufferBytes = 64U << 10;
 
 // Written bytes are dropped from the front of the queue once they are this many
 // and no fewer than what follows, so that moving that costs O(1) a byte.
@@ -31,12 +36,17 @@
 
 // Reasons on which a wsi without owner is told to close.
 bool ClosesWithoutOwner(lws_callback_reasons reason) {
-  return reason == LWS_CALLBACK_RAW_RX ||
-         reason == LWS_CALLBACK_RAW_WRITEABLE ||
-         reason == LWS_CALLBACK_RAW_CONNECTED ||
+  return reason == LWS_CALLBACK_RAW_WRITEABLE_FILE ||
          reason == LWS_CALLBACK_RAW_RX_FILE;
 }
 
+void SetOption(int fd, int level, int option) {
+  const int on = 1;
+  setsockopt(fd, level, option, &on, sizeof(on));
+}
+
+}  // namespace
+
 bool ToSockaddr(const Endpoint& endpoint, sockaddr_storage* storage,
                 socklen_t* length) {
   std::memset(storage, 0, sizeof(*storage));
@@ -73,23 +83,16 @@
   return endpoint;
 }
 
-void SetOption(int fd, int level, int option) {
-  const int on = 1;
-  setsockopt(fd, level, option, &on, sizeof(on));
-}
-
-lws* AdoptDescriptor(LwsLoop* loop, int fd, int type, WsiOwner* owner) {
+lws* AdoptDescriptor(LwsLoop* loop, int fd, WsiOwner* owner) {
   lws_adopt_desc_t info{};
   info.vh = lws_get_vhost_by_name(loop->context(), "default");
-  info.type = static_cast<lws_adoption_type>(type);
+  info.type = LWS_ADOPT_RAW_FILE_DESC;
   info.fd.sockfd = fd;
   info.vh_prot_name = kRawProtocolName;
   info.opaque = owner;
   return lws_adopt_descriptor_vhost_via_info(&info);
 }
 
-}  // namespace
-
 int RawProtocolCallback(lws* wsi, lws_callback_reasons reason, void* /*user*/,
                         void* in, size_t len) {
   auto* owner = static_cast<WsiOwner*>(lws_get_opaque_user_data(wsi));
@@ -107,9 +110,7 @@
 }
 
 int WsiOwner::Dispatch(lws_callback_reasons reason, void* in, size_t len) {
-  if (reason == LWS_CALLBACK_RAW_CLOSE ||
-      reason == LWS_CALLBACK_RAW_CLOSE_FILE ||
-      reason == LWS_CALLBACK_CLIENT_CONNECTION_ERROR) {
+  if (reason == LWS_CALLBACK_RAW_CLOSE_FILE) {
     lws_set_opaque_user_data(wsi_, nullptr);
     wsi_ = nullptr;
     OnEvent(reason, in, len);
@@ -125,9 +126,9 @@
 
 std::unique_ptr<RawSocket> RawSocket::Adopt(LwsLoop* loop, int fd,
                                             Handler* handler) {
-  std::unique_ptr<RawSocket> socket(new RawSocket(handler));
+  std::unique_ptr<RawSocket> socket(new RawSocket(loop, fd, handler));
   SetOption(fd, IPPROTO_TCP, TCP_NODELAY);
-  lws* wsi = AdoptDescriptor(loop, fd, LWS_ADOPT_SOCKET, socket.get());
+  lws* wsi = AdoptDescriptor(loop, fd, socket.get());
   if (wsi == nullptr) return nullptr;
   socket->set_wsi(wsi);
   socket->connected_ = true;
@@ -136,27 +137,35 @@
 
 std::unique_ptr<RawSocket> RawSocket::Connect(LwsLoop* loop, const Endpoint& to,
                                               Handler* handler) {
-  std::unique_ptr<RawSocket> socket(new RawSocket(handler));
-  lws_client_connect_info info{};
-  info.context = loop->context();
-  info.vhost = lws_get_vhost_by_name(loop->context(), "default");
-  info.address = to.ip.c_str();
-  info.host = to.ip.c_str();
-  info.port = to.port;
-  info.method = "RAW";
-  info.local_protocol_name = kRawProtocolName;
-  // The owner is named only afterwards, so that an error met within the call
-  // comes back as the result and not as a callback.
-  lws* wsi = lws_client_connect_via_info(&info);
+  sockaddr_storage storage;
+  socklen_t length = 0;
+  if (!ToSockaddr(to, &storage, &length)) return nullptr;
+  const int fd =
+      socket(storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return nullptr;
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY);
+  if (connect(fd, reinterpret_cast<sockaddr*>(&storage), length) != 0 &&
+      errno != EINPROGRESS) {
+    close(fd);
+    return nullptr;
+  }
+  std::unique_ptr<RawSocket> socket(new RawSocket(loop, fd, handler));
+  lws* wsi = AdoptDescriptor(loop, fd, socket.get());
   if (wsi == nullptr) return nullptr;
-  lws_set_opaque_user_data(wsi, static_cast<WsiOwner*>(socket.get()));
   socket->set_wsi(wsi);
+  lws_callback_on_writable(wsi);
   return socket;
 }
 
 void RawSocket::Send(std::string_view data) {
+  if (wsi() == nullptr || broken_) return;
+  if (connected_ && out_begin_ == out_.size()) {
+    const size_t written = WriteNow(data);
+    data.remove_prefix(written);
+  }
+  if (data.empty() || broken_) return;
   out_.append(data);
-  if (connected_ && wsi() != nullptr) lws_callback_on_writable(wsi());
+  if (connected_) lws_callback_on_writable(wsi());
 }
 
 void RawSocket::Pause(bool pause) {
@@ -168,24 +177,17 @@
 }
 
 void RawSocket::ShutdownWrite() {
-  if (wsi() != nullptr) shutdown(lws_get_socket_fd(wsi()), SHUT_WR);
+  if (wsi() != nullptr) shutdown(fd_, SHUT_WR);
 }
 
-int RawSocket::OnEvent(lws_callback_reasons reason, void* in, size_t len) {
+int RawSocket::OnEvent(lws_callback_reasons reason, void* /*in*/,
+                       size_t /*len*/) {
   switch (reason) {
-    case LWS_CALLBACK_RAW_CONNECTED:
-      connected_ = true;
-      if (paused_) lws_rx_flow_control(wsi(), 0);
-      if (unsent() > 0) lws_callback_on_writable(wsi());
-      handler_->OnConnected();
-      return 0;
-    case LWS_CALLBACK_RAW_RX:
-      handler_->OnRead({static_cast<const char*>(in), len});
-      return 0;
-    case LWS_CALLBACK_RAW_WRITEABLE:
-      return OnWritable();
-    case LWS_CALLBACK_RAW_CLOSE:
-    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+    case LWS_CALLBACK_RAW_RX_FILE:
+      return connected_ ? OnReadable() : 0;
+    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
+      return connected_ ? OnWritable() : OnConnectEnded();
+    case LWS_CALLBACK_RAW_CLOSE_FILE:
       handler_->OnClosed();
       return 0;
     default:
@@ -193,37 +195,79 @@
   }
 }
 
+int RawSocket::OnConnectEnded() {
+  int error = 0;
+  socklen_t length = sizeof(error);
+  if (getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &length) != 0 ||
+      error != 0) {
+    return -1;
+  }
+  connected_ = true;
+  if (paused_) lws_rx_flow_control(wsi(), 0);
+  if (out_begin_ < out_.size()) RequestWritable();
+  handler_->OnConnected();
+  return 0;
+}
+
+int RawSocket::OnReadable() {
+  // One buffer serves all sockets: the loop is one thread, and handlers don't
+  // read from within OnRead.
+  static std::array<char, kReadBufferBytes> buffer;
+  const ssize_t n = recv(fd_, buffer.data(), buffer.size(), 0);
+  if (n > 0) {
+    handler_->OnRead({buffer.data(), static_cast<size_t>(n)});
+    return 0;
+  }
+  if (n < 0 && (errno == EAGAIN || errno == EINTR)) return 0;
+  ended_orderly_ = n == 0;
+  return -1;
+}
+
 int RawSocket::OnWritable() {
-  const bool had_unsent = unsent() > 0;
-  in_flight_ = 0;
-  if (out_begin_ < out_.size() && !WritePiece()) return -1;
-  if (unsent() > 0) {
-    lws_callback_on_writable(wsi());
+  if (broken_) return -1;
+  if (out_begin_ == out_.size()) return 0;
+  const std::string_view rest = std::string_view(out_).substr(out_begin_);
+  out_begin_ += WriteNow(rest);
+  if (broken_) return -1;
+  if (out_begin_ < out_.size()) {
+    if (out_begin_ >= kCompactBytes && out_begin_ >= out_.size() / 2) {
+      out_.erase(0, out_begin_);
+      out_begin_ = 0;
+    }
+    RequestWritable();
     return 0;
   }
   out_.clear();
   out_.shrink_to_fit();
   out_begin_ = 0;
-  if (had_unsent) handler_->OnDrained();
+  handler_->OnDrained();
   return 0;
 }
 
-bool RawSocket::WritePiece() {
-  // The library wants room of its own before the data.
-  std::array<unsigned char, LWS_PRE + kWritePieceBytes> piece;  // NOLINT
-  const size_t n = std::min(out_.size() - out_begin_, kWritePieceBytes);
-  std::memcpy(piece.data() + LWS_PRE, out_.data() + out_begin_, n);
-  offered_ += n;
-  out_begin_ += n;
-  if (out_begin_ >= kCompactBytes && out_begin_ >= out_.size() / 2) {
-    out_.erase(0, out_begin_);
-    out_begin_ = 0;
-  }
-  if (lws_write(wsi(), piece.data() + LWS_PRE, n, LWS_WRITE_RAW) < 0) {
-    return false;
+// The library clears the wish to write after its callback returns, so that a
+// wish uttered within the callback would be lost: it is uttered later.
+void RawSocket::RequestWritable() {
+  loop_->Post([this, alive = std::weak_ptr<char>(alive_)] {
+    if (!alive.expired() && wsi() != nullptr) lws_callback_on_writable(wsi());
+  });
+}
+
+size_t RawSocket::WriteNow(std::string_view data) {
+  size_t written = 0;
+  while (written < data.size()) {
+    const size_t piece = std::min(data.size() - written, kWritePieceBytes);
+    const ssize_t n = send(fd_, data.data() + written, piece, MSG_NOSIGNAL);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) {
+      // The poll that follows reports the broken connection.
+      if (errno != EAGAIN) broken_ = true;
+      break;
+    }
+    written += static_cast<size_t>(n);
+    if (static_cast<size_t>(n) < piece) break;
   }
-  if (lws_partial_buffered(wsi()) != 0) in_flight_ = n;
-  return true;
+  offered_ += written;
+  return written;
 }
 
 std::unique_ptr<Listener> Listener::Open(LwsLoop* loop, const Endpoint& address,
@@ -247,7 +291,7 @@
   std::unique_ptr<Listener> listener(
       new Listener(loop, fd, std::move(on_accept)));
   listener->port_ = FromSockaddr(storage).port;
-  lws* wsi = AdoptDescriptor(loop, fd, LWS_ADOPT_RAW_FILE_DESC, listener.get());
+  lws* wsi = AdoptDescriptor(loop, fd, listener.get());
   if (wsi == nullptr) return nullptr;
   listener->set_wsi(wsi);
   return listener;
--- a/net/raw_socket.h
+++ b/net/raw_socket.h
@@ -8,6 +8,7 @@
 #define NET_RAW_SOCKET_H_
 
 #include <libwebsockets.h>
+#include <sys/socket.h>
 
 #include <cstdint>
 #include <functional>
@@ -51,6 +52,15 @@
   bool* destroyed_ = nullptr;
 };
 
+// Lets the loop poll `fd` for `owner`. nullptr, and `fd` closed, if the library
+// has no room for it.
+lws* AdoptDescriptor(LwsLoop* loop, int fd, WsiOwner* owner);
+
+// False if the endpoint's address isn't one in numbers.
+bool ToSockaddr(const Endpoint& endpoint, sockaddr_storage* storage,
+                socklen_t* length);
+Endpoint FromSockaddr(const sockaddr_storage& storage);
+
 class RawSocket : public WsiOwner {
  public:
   class Handler {
@@ -75,30 +85,41 @@
   static std::unique_ptr<RawSocket> Connect(LwsLoop* loop, const Endpoint& to,
                                             Handler* handler);
 
+  // Writes at once what the kernel takes and keeps the rest.
   void Send(std::string_view data);
   // Bytes sent here that the kernel has not taken.
-  size_t unsent() const { return out_.size() - out_begin_ + in_flight_; }
-  // Bytes that went or may have gone to the kernel. Grows just before a write.
+  size_t unsent() const { return out_.size() - out_begin_; }
+  // Bytes that went to the kernel.
   uint64_t offered() const { return offered_; }
+  // In OnClosed(): the other end finished sending, as opposed to a reset or a
+  // connection that was never made.
+  bool ended_orderly() const { return ended_orderly_; }
   void Pause(bool pause);
   // Sends FIN; reading goes on. Only after everything was drained.
   void ShutdownWrite();
 
  private:
-  explicit RawSocket(Handler* handler) : handler_(handler) {}
+  RawSocket(LwsLoop* loop, int fd, Handler* handler)
+      : loop_(loop), fd_(fd), handler_(handler) {}
   int OnEvent(lws_callback_reasons reason, void* in, size_t len) override;
+  int OnConnectEnded();
+  int OnReadable();
   int OnWritable();
-  // Hands one piece to the library; false if the connection broke.
-  bool WritePiece();
+  void RequestWritable();
+  // Writes what the kernel takes; returns how much that was.
+  size_t WriteNow(std::string_view data);
 
+  LwsLoop* const loop_;
+  const int fd_;  // owned by the wsi
   Handler* const handler_;
   bool connected_ = false;
   bool paused_ = false;
-  std::string out_;       // [out_begin_, size) waits to be written
-  size_t out_begin_ = 0;  // <= out_.size()
-  // Given to lws_write(), which buffers what the kernel did not take.
-  size_t in_flight_ = 0;
+  bool broken_ = false;         // a write failed; OnClosed() follows
+  bool ended_orderly_ = false;  // the other end closed without a reset
+  std::string out_;             // [out_begin_, size) waits to be written
+  size_t out_begin_ = 0;        // <= out_.size()
   uint64_t offered_ = 0;
+  const std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
 
 // A listening socket, exclusive to this process: without SO_REUSEPORT.
