--- a/router/kv_store.h
+++ b/base/kv_store.h
@@ -1,4 +1,4 @@
-// The platform's key-value service, as the daemons and mimosactl use it.
+// The platform's metadata store, as the daemons and mimosactl use it.
 //
 // Model: records are (key, value, revision). Revisions grow over the whole
 // store; a record's revision changes with each write of it. A write names the
@@ -10,27 +10,8 @@
 // A call that fails with kNoReply may have taken effect. The writer settles
 // that by reading the record back and looking for its change id, never by
 // writing again blindly.
-//
-// On the wire (the platform's protocol, HTTP/1.1 with JSON bodies):
-//   GET    /v1/kv/<key>                          200 Record | 404
-//   PUT    /v1/kv/<key>?expect=<rev>[&lease=<id>]  body: value
-//                                                200 {"revision"} |
-//                                                409 Record that is there
-//   DELETE /v1/kv/<key>?expect=<rev>             200 {"revision"} | 409 | 404
-//   GET    /v1/list?prefix=<p>                   200 {"revision","records":[]}
-//   GET    /v1/watch?prefix=<p>&after=<rev>&wait_ms=<n>
-//          200 {"revision","records":[changed],"deleted":["key"]}, empty lists
-//          after wait_ms without a change; 410 if <rev> is too old to tell
-//   POST   /v1/lease?ttl_ms=<n>                  200 {"lease"}
-//   POST   /v1/lease/<id>/renew                  200 {"lease"} | 404
-//   DELETE /v1/lease/<id>                        200
-//   GET    /v1/vms                               200 {"vms":[{"address" (ip),
-//                                                "failure_domain","state":
-//                                                "live"|"leaving"}]}
-//   Record = {"key","value" (string),"revision"}; 503: down; 429: over its rate
-//   Keys consist of [A-Za-z0-9_./#-]; '#' travels as %23.
-#ifndef ROUTER_KV_STORE_H_
-#define ROUTER_KV_STORE_H_
+#ifndef BASE_KV_STORE_H_
+#define BASE_KV_STORE_H_
 
 #include <functional>
 #include <memory>
@@ -75,16 +56,6 @@
   std::vector<std::string> deleted;  // watch only
 };
 
-struct VmEntry {
-  std::string address;  // ip
-  std::string failure_domain;
-  bool leaving = false;
-};
-struct VmListResult {
-  KvStatus status = KvStatus::kUnavailable;
-  std::vector<VmEntry> vms;
-};
-
 // An unanswered call; destroying it drops the answer (the effect may come).
 class KvCall {
  public:
@@ -95,7 +66,6 @@
  public:
   using Done = std::function<void(KvResult)>;
   using ListDone = std::function<void(KvListResult)>;
-  using VmsDone = std::function<void(VmListResult)>;
   using CallPtr = std::unique_ptr<KvCall>;
 
   virtual ~KvStore() = default;
@@ -120,9 +90,8 @@
                                            Done done) = 0;
   [[nodiscard]] virtual CallPtr EndLease(const std::string& lease,
                                          Done done) = 0;
-  [[nodiscard]] virtual CallPtr ListVms(VmsDone done) = 0;
 };
 
 }  // namespace mimosa
 
-#endif  // ROUTER_KV_STORE_H_
+#endif  // BASE_KV_STORE_H_
--- a/base/settings.cc
+++ b/base/settings.cc
@@ -12,7 +12,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -266,6 +268,8 @@
     switch (field.cpp_type()) {
       case FieldDescriptor::CPPTYPE_INT64:
         return SetInteger(field, text);
+      case FieldDescriptor::CPPTYPE_DOUBLE:
+        return SetFraction(field, text);
       case FieldDescriptor::CPPTYPE_BOOL:
         return SetSwitch(field, text);
       case FieldDescriptor::CPPTYPE_STRING:
@@ -291,6 +295,18 @@
     settings_->GetReflection()->SetInt64(settings_, &field, number);
   }
 
+  // Amounts are at least zero.
+  void SetFraction(const FieldDescriptor& field, const std::string& text) {
+    double number = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, number);
+    if (error != std::errc() || stop != end || !(number >= 0) ||
+        !std::isfinite(number))
+      return Fault(SettingFaultKind::kMalformed, field,
+                   Shown(field, text) + " is not a number of at least 0");
+    settings_->GetReflection()->SetDouble(settings_, &field, number);
+  }
+
   void SetSwitch(const FieldDescriptor& field, const std::string& text) {
     const bool on = text == "true" || text == "1";
     if (!on && text != "false" && text != "0")
@@ -370,7 +386,9 @@
   if (IsSwitch(field)) return "";
   if (option.endpoint()) return " IP:PORT";
   if (option.endpoint_list()) return " IP:PORT,...";
-  if (field.cpp_type() == FieldDescriptor::CPPTYPE_INT64) return " NUMBER";
+  if (field.cpp_type() == FieldDescriptor::CPPTYPE_INT64 ||
+      field.cpp_type() == FieldDescriptor::CPPTYPE_DOUBLE)
+    return " NUMBER";
   return " TEXT";
 }
 
@@ -443,16 +461,16 @@
   return line.result;
 }
 
-std::optional<int> StartWithSettings(const ProgramInfo& program, int argc,
-                                     const char* const* argv, Message* settings,
-                                     std::vector<std::string>* operands) {
+namespace {
+
+std::optional<int> StartWith(const ProgramInfo& program, int argc,
+                             const char* const* argv,
+                             const Environment& environment, Message* settings,
+                             std::vector<std::string>* operands) {
   return leaf::try_handle_all(
       [&]() -> leaf::result<std::optional<int>> {
         BOOST_LEAF_AUTO(
-            read,
-            ReadSettings(
-                program, argc, argv,
-                [](const char* name) { return std::getenv(name); }, settings));
+            read, ReadSettings(program, argc, argv, environment, settings));
         if (operands != nullptr) *operands = read.operands;
         return PrintWhatWasAsked(program, read.mode, *settings);
       },
@@ -463,6 +481,77 @@
       []() -> std::optional<int> { return kExitUsage; });
 }
 
+constexpr char kSettingsFileFlag[] = "--settings-file";
+constexpr char kSettingsFileVariable[] = "MIMOSA_SETTINGS_FILE";
+
+// Empty: none is named.
+std::string SettingsFilePath(int argc, const char* const* argv) {
+  const std::string flag = kSettingsFileFlag;
+  for (int i = 1; i < argc; ++i) {
+    const std::string arg = argv[i];
+    if (arg == flag && i + 1 < argc) return argv[i + 1];
+    if (arg.rfind(flag + "=", 0) == 0) return arg.substr(flag.size() + 1);
+  }
+  const char* variable = std::getenv(kSettingsFileVariable);
+  return variable == nullptr ? "" : variable;
+}
+
+using SettingsLines = std::map<std::string, std::string>;
+
+// False if the file can't be read or has a line of another form.
+bool ReadSettingsLines(const ProgramInfo& program, const std::string& path,
+                       SettingsLines* lines) {
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << program.name << ": " << path << ": can't be read\n";
+    return false;
+  }
+  int number = 0;
+  for (std::string line; std::getline(file, line);) {
+    ++number;
+    if (line.empty() || line[0] == '#') continue;
+    const size_t equals = line.find('=');
+    if (equals == std::string::npos) {
+      std::cerr << program.name << ": " << path << ":" << number
+                << ": not NAME=value\n";
+      return false;
+    }
+    (*lines)[line.substr(0, equals)] = line.substr(equals + 1);
+  }
+  return true;
+}
+
+}  // namespace
+
+std::optional<int> StartWithSettings(const ProgramInfo& program, int argc,
+                                     const char* const* argv, Message* settings,
+                                     std::vector<std::string>* operands) {
+  return StartWith(
+      program, argc, argv, [](const char* name) { return std::getenv(name); },
+      settings, operands);
+}
+
+std::optional<int> StartWithSettingsFile(const ProgramInfo& program, int argc,
+                                         const char* const* argv,
+                                         Message* settings) {
+  SettingsLines lines;
+  const std::string path = SettingsFilePath(argc, argv);
+  if (!path.empty() && !ReadSettingsLines(program, path, &lines))
+    return kExitUsage;
+  const Environment environment = [&lines](const char* name) -> const char* {
+    const char* variable = std::getenv(name);
+    if (variable != nullptr) return variable;
+    const auto line = lines.find(name);
+    return line == lines.end() ? nullptr : line->second.c_str();
+  };
+  return StartWith(program, argc, argv, environment, settings, nullptr);
+}
+
+bool RereadSettingsFile(const ProgramInfo& program, int argc,
+                        const char* const* argv, Message* settings) {
+  return !StartWithSettingsFile(program, argc, argv, settings).has_value();
+}
+
 std::string HelpText(const ProgramInfo& program, const Message& settings) {
   std::ostringstream out;
   out << program.name << ": " << program.purpose
--- a/base/settings.h
+++ b/base/settings.h
@@ -81,6 +81,21 @@
                                      google::protobuf::Message* settings,
                                      std::vector<std::string>* operands);
 
+// The same for a program whose message has the field "settings_file": the file
+// that it names stands behind the environment. Its lines are NAME=value with
+// the names of the environment variables; empty ones and those that begin with
+// '#' are passed over, and so are names that are no setting, since a newer
+// platform may write more. Without the field's value there is no file.
+std::optional<int> StartWithSettingsFile(const ProgramInfo& program, int argc,
+                                         const char* const* argv,
+                                         google::protobuf::Message* settings);
+
+// Reads again, for SIGHUP. False, and all faults on standard error, if the
+// settings are faulty now.
+bool RereadSettingsFile(const ProgramInfo& program, int argc,
+                        const char* const* argv,
+                        google::protobuf::Message* settings);
+
 // The text of --help.
 std::string HelpText(const ProgramInfo& program,
                      const google::protobuf::Message& settings);
--- a/cmake/mimosa.cmake
+++ b/cmake/mimosa.cmake
@@ -13,6 +13,11 @@
 
 # A unit test program: mimosa_test(name SOURCES... LIBS libs...). All its
 # Catch2 cases run as one ctest entry.
+function(mimosa_test name)
+endfunction()
+if(MIMOSA_ONLY_ENTRY)
+  return()
+endif()
 add_library(mimosa_catch_main STATIC ${CMAKE_SOURCE_DIR}/tests/catch_main.cc)
 target_link_libraries(mimosa_catch_main PUBLIC mimosa_flags PkgConfig::CATCH2
                                                trompeloeil::trompeloeil)
--- /dev/null
+++ b/decide/back_end_choice.h
@@ -0,0 +1,147 @@
+// Places requests on prefill engines, decode engines and plain servers by what
+// this daemon has seen of them.
+//
+// Model: for each back end the daemon counts its own open work, keeps a decayed
+// count of failures and the time until which it is passed over, and is told
+// what its peers have open. A request goes where its first answer is expected
+// soonest: work ahead of it, the way to another failure domain, and what past
+// failures make it expect. Whoever failed is passed over for a pause that grows
+// with each failure in a row, and is then tried again with one request at a
+// time.
+//
+// Load patterns answered: a quarter of the engines dark or grey in a burst of
+// twice the rate; engines that are full for a moment; prefill engines whose
+// results lapse at once; a restart of many engines.
+#ifndef DECIDE_BACK_END_CHOICE_H_
+#define DECIDE_BACK_END_CHOICE_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/random.h"
+#include "decide/back_end_list.h"
+#include "decide/site.h"
+
+namespace mimosa {
+
+// How a call to a back end ended, as far as its health is concerned.
+enum class CallVerdict {
+  kGood,         // an answer of its own, whatever its status
+  kFull,         // it said that it did not run the request for want of room
+  kFailed,       // no answer, a broken or an unreadable one
+  kUnreachable,  // no connection
+  kOtherOwner,   // another server has its address
+  kHandleLost,   // a prefill engine's result was gone when it was taken
+  kUnknown,      // given up by the caller or by us: says nothing
+};
+
+struct WorkSize {
+  Tokens prompt;  // to be read by a prefill
+  Tokens total;   // prompt and output: KV memory at a decode engine
+};
+
+struct ChoiceQuery {
+  ServiceId service;
+  EngineRole role = EngineRole::kNone;
+  WorkSize work;
+  FailureDomain near;  // where the other end of the traffic is
+  // KV memory of an engine; zero: not a model engine.
+  Tokens kv_memory;
+  const std::set<BackEndId>* exclude = nullptr;
+};
+
+class BackEndChoice {
+ public:
+  struct Options {
+    // Prompt tokens that a prefill engine reads in a millisecond, until
+    // measured. Of the same order on all engine types in use.
+    double prefill_tokens_per_ms = 30;
+    // What a request to another failure domain costs more than one within, in
+    // expected milliseconds: two ways and a transfer at half the speed.
+    double other_zone_ms = 8;
+    // What one recent failure adds to the expected time. A failed request that
+    // may not be repeated is lost: a failure weighs as much as a long queue.
+    double failure_ms = 400;
+    // First pause after a failure; doubles with each further one in a row.
+    Duration first_pause = std::chrono::milliseconds(300);
+    Duration longest_pause = std::chrono::seconds(6);
+    // Pause after "full": the time in which some of its requests end.
+    Duration full_pause = std::chrono::milliseconds(100);
+    // Failures fade by half in this time.
+    Duration failure_half_life = std::chrono::seconds(8);
+  };
+
+  BackEndChoice(const BackEndList* list, RandomSource* random,
+                const Options& options)
+      : list_(list), random_(random), options_(options) {}
+
+  // nullptr: no back end of the service and role takes new work.
+  const BackEndEntry* Choose(const ChoiceQuery& query, MonoTime now);
+  // Whether the service has a back end of that role that takes new work, apart
+  // from its health.
+  bool Exists(const ServiceId& service, EngineRole role) const;
+  // Whether some back end of that role is listed that isn't passed over now.
+  bool HasHealthy(const ServiceId& service, EngineRole role,
+                  MonoTime now) const;
+
+  // `size` as given to Choose(); each CallBegan needs one CallEnded.
+  void CallBegan(const BackEndEntry& back_end, const WorkSize& size);
+  void CallEnded(const BackEndEntry& back_end, const WorkSize& size,
+                 CallVerdict verdict, MonoTime now);
+  // A verdict apart from a call's end, such as silence where an answer was due.
+  void Report(const BackEndEntry& back_end, CallVerdict verdict, MonoTime now);
+
+  // What the other daemons have open at a back end.
+  struct PeerLoad {
+    int calls = 0;
+    Tokens tokens;
+  };
+  void SetPeerLoad(std::map<BackEndId, PeerLoad> load) {
+    peer_load_ = std::move(load);
+  }
+
+  // For status pages: what is believed of a back end.
+  struct Belief {
+    int open_calls = 0;
+    double failures = 0;  // decayed
+    bool passed_over = false;
+  };
+  Belief BeliefOf(const BackEndId& id, MonoTime now) const;
+
+ private:
+  struct Seen {
+    int64_t incarnation = 0;  // all below is about this one
+    int open_calls = 0;
+    Tokens open_prompt;
+    Tokens open_total;
+    int failures_in_row = 0;
+    double failures = 0;  // as of failures_at
+    MonoTime failures_at{};
+    MonoTime passed_over_until{};
+    bool on_trial = false;  // one call at a time until it has answered
+  };
+
+  Seen& SeenOf(const BackEndEntry& back_end);
+  bool Takes(const BackEndEntry& entry, const ServiceId& service,
+             EngineRole role) const;
+  bool PassedOver(const Seen& seen, MonoTime now) const;
+  double FailuresNow(const Seen& seen, MonoTime now) const;
+  double ExpectedMillis(const BackEndList::Listed& listed, const Seen& seen,
+                        const ChoiceQuery& query, MonoTime now) const;
+  void Judge(Seen* seen, CallVerdict verdict, MonoTime now);
+
+  const BackEndList* const list_;
+  RandomSource* const random_;
+  const Options options_;
+  std::map<BackEndId, Seen> seen_;
+  std::map<BackEndId, PeerLoad> peer_load_;
+};
+
+}  // namespace mimosa
+
+#endif  // DECIDE_BACK_END_CHOICE_H_
--- /dev/null
+++ b/decide/site.cc
@@ -0,0 +1,63 @@
+// Look-ups in a configuration.
+#include "decide/site.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace mimosa {
+namespace {
+
+std::string LowerHost(std::string_view host) {
+  std::string lower(host.substr(0, host.find(':')));
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+}  // namespace
+
+SiteConfig::SiteConfig(int64_t version, std::vector<SiteRoute> routes,
+                       std::vector<SiteService> services,
+                       std::vector<SiteCustomer> customers, CallerLimits limits)
+    : version_(version),
+      routes_(std::move(routes)),
+      services_(std::move(services)),
+      customers_(std::move(customers)),
+      limits_(limits) {
+  for (const SiteRoute& route : routes_)
+    by_host_[LowerHost(route.host)][route.prefix] = &route;
+  for (const SiteCustomer& customer : customers_)
+    for (const std::string& key : customer.keys) by_key_[key] = &customer;
+  for (const SiteService& service : services_)
+    by_service_[service.id] = &service;
+}
+
+const SiteRoute* SiteConfig::FindRoute(std::string_view host,
+                                       std::string_view path) const {
+  const auto routes = by_host_.find(LowerHost(host));
+  if (routes == by_host_.end()) return nullptr;
+  path = path.substr(0, path.find('?'));
+  // Prefixes end with a slash: the candidates are the path cut behind each of
+  // its slashes, the longest first.
+  for (size_t slash = path.rfind('/'); slash != std::string_view::npos;
+       slash = path.rfind('/', slash - 1)) {
+    const auto route =
+        routes->second.find(std::string(path.substr(0, slash + 1)));
+    if (route != routes->second.end()) return route->second;
+    if (slash == 0) break;
+  }
+  return nullptr;
+}
+
+const SiteCustomer* SiteConfig::FindKey(const std::string& key) const {
+  const auto it = by_key_.find(key);
+  return it == by_key_.end() ? nullptr : it->second;
+}
+
+const SiteService* SiteConfig::FindService(const ServiceId& id) const {
+  const auto it = by_service_.find(id);
+  return it == by_service_.end() ? nullptr : it->second;
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/decide/usage_totals.h
@@ -0,0 +1,57 @@
+// Adds up what the daemons of a fleet report to have admitted.
+//
+// Model: reports carry totals since a daemon's start, so that a lost one costs
+// nothing but time. A daemon that starts again counts from zero: what its
+// former start had reported stays in the sum. Sums only grow, so that a reader
+// can work with differences.
+#ifndef DECIDE_USAGE_TOTALS_H_
+#define DECIDE_USAGE_TOTALS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "base/ids.h"
+
+namespace mimosa {
+
+using AdmittedByCustomer = std::map<CustomerId, double>;
+
+class UsageTotals {
+ public:
+  // Reports older than one already taken are passed over.
+  void Take(const std::string& daemon, uint64_t boot, uint64_t serial,
+            const AdmittedByCustomer& admitted);
+
+  // Summed over all starts of all daemons but the present one of `daemon`.
+  AdmittedByCustomer AllBut(const std::string& daemon) const;
+
+ private:
+  struct Report {
+    uint64_t boot = 0;
+    uint64_t serial = 0;
+    AdmittedByCustomer admitted;
+  };
+
+  std::map<std::string, Report> reports_;
+  AdmittedByCustomer sum_;  // over all starts, the present ones included
+};
+
+// Differences between consecutive sums of one collector. A new collector's
+// first sum says nothing: it is the next one's base.
+class UsageDifference {
+ public:
+  // False if there is nothing to compare with.
+  bool Next(const std::string& collector, uint64_t boot, uint64_t serial,
+            const AdmittedByCustomer& sum, AdmittedByCustomer* difference);
+
+ private:
+  std::string collector_;
+  uint64_t boot_ = 0;
+  uint64_t serial_ = 0;
+  AdmittedByCustomer last_;
+};
+
+}  // namespace mimosa
+
+#endif  // DECIDE_USAGE_TOTALS_H_
--- a/router/catalogue_sync.h
+++ b/router/catalogue_sync.h
@@ -17,11 +17,11 @@
 #include <string>
 #include <vector>
 
+#include "base/kv_store.h"
 #include "decide/catalogue_parts.h"
 #include "net/event_loop.h"
 #include "router/catalogue_view.h"
 #include "router/fleet_driver.h"
-#include "router/kv_store.h"
 #include "router/peer_bus.h"
 #include "wire/fleet.pb.h"
 
--- a/router/claims.h
+++ b/router/claims.h
@@ -21,10 +21,10 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/kv_store.h"
 #include "net/event_loop.h"
 #include "net/http.h"
 #include "router/fleet.h"
-#include "router/kv_store.h"
 #include "wire/fleet.pb.h"
 
 namespace mimosa {
--- a/router/daemon.cc
+++ b/router/daemon.cc
@@ -15,6 +15,7 @@
 #include "base/random.h"
 #include "net/event_loop.h"
 #include "net/http.h"
+#include "platform/store_client.h"
 #include "router/catalogue_sync.h"
 #include "router/claims.h"
 #include "router/draining.h"
@@ -22,7 +23,6 @@
 #include "router/engine_sweeper.h"
 #include "router/fleet_driver.h"
 #include "router/front.h"
-#include "router/kv_client.h"
 #include "router/limits_driver.h"
 #include "router/model_call.h"
 #include "router/operator_port.h"
@@ -120,6 +120,12 @@
   return options;
 }
 
+StoreClientOptions StoreOptionsOf(const wire::RouterSettings& settings) {
+  StoreClientOptions options;
+  options.store = ParsedEndpoint(settings.platform());
+  return options;
+}
+
 FrontOptions FrontOptionsOf(const wire::RouterSettings& settings) {
   const Disabled disabled = SplitNames(settings.disable());
   FrontOptions options;
@@ -159,7 +165,7 @@
         loop_(std::move(loop)),
         random_(RandomSeed()),
         client_(MakeHttpClient(loop_.get())),
-        kv_(client_.get(), {ParsedEndpoint(settings.platform())}, &metrics_) {}
+        kv_(client_.get(), StoreOptionsOf(settings), &metrics_) {}
 
   ~DaemonImpl() override {
     if (fleet_) fleet_->DetachSlotKeeper();
@@ -378,7 +384,7 @@
   SeededRandom random_;
   MetricsRegistry metrics_;
   const std::unique_ptr<HttpClient> client_;
-  KvClient kv_;
+  StoreClient kv_;
   std::unique_ptr<HttpPeerBus> bus_;
   std::unique_ptr<FleetDriver> fleet_;
   std::unique_ptr<CatalogueSync> catalogue_;
--- a/router/fleet_driver.cc
+++ b/router/fleet_driver.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "decide/slots.h"
+#include "router/vm_list.h"
 
 namespace mimosa {
 namespace {
@@ -145,13 +146,10 @@
 // Whether this VM is on the platform's list decides if its absence proves
 // anything later.
 void FleetDriver::AskVmList() {
-  vm_list_ = kv_->ListVms([this](const VmListResult& result) {
+  vm_list_ = kv_->List(kVmPrefix, [this](const KvListResult& result) {
     const KvStore::CallPtr call = std::move(vm_list_);
     listed_ = result.status == KvStatus::kOk &&
-              std::any_of(result.vms.begin(), result.vms.end(),
-                          [this](const VmEntry& vm) {
-                            return vm.address == options_.peer_address.ip;
-                          });
+              ListsVm(result, options_.peer_address.ip);
     BecomeMember(listed_);
     Tick();
   });
--- a/router/fleet_driver.h
+++ b/router/fleet_driver.h
@@ -15,12 +15,12 @@
 #include <string>
 #include <vector>
 
+#include "base/kv_store.h"
 #include "base/random.h"
 #include "net/event_loop.h"
 #include "router/fleet.h"
 #include "router/fleet_options.h"
 #include "router/fleet_records.h"
-#include "router/kv_store.h"
 #include "router/member_ender.h"
 #include "router/peer_bus.h"
 #include "router/slot_keeper.h"
--- a/router/fleet_records.h
+++ b/router/fleet_records.h
@@ -19,11 +19,11 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/kv_store.h"
 #include "base/random.h"
 #include "decide/membership.h"
 #include "net/event_loop.h"
 #include "router/fleet_options.h"
-#include "router/kv_store.h"
 #include "router/peer_bus.h"
 
 namespace mimosa {
--- a/router/member_ender.cc
+++ b/router/member_ender.cc
@@ -6,6 +6,7 @@
 
 #include "base/digest.h"
 #include "base/json.h"
+#include "router/vm_list.h"
 
 namespace mimosa {
 namespace {
@@ -152,16 +153,14 @@
 
 void MemberEnder::AskVmList(const MemberId& id) {
   Job& job = jobs_.at(id);
-  job.kv_call = kv_->ListVms([this, id](const VmListResult& result) {
+  job.kv_call = kv_->List(kVmPrefix, [this, id](const KvListResult& result) {
     Job& own = jobs_.at(id);
     const KvStore::CallPtr call = std::move(own.kv_call);
     Endpoint address;
     const bool gone =
         result.status == KvStatus::kOk &&
         Endpoint::Parse(own.target.record.peer_address(), &address) &&
-        std::none_of(
-            result.vms.begin(), result.vms.end(),
-            [&](const VmEntry& vm) { return vm.address == address.ip; });
+        !ListsVm(result, address.ip);
     if (gone) {
       WriteEnded(id);
     } else {
--- a/router/slot_mover.h
+++ b/router/slot_mover.h
@@ -18,12 +18,12 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/kv_store.h"
 #include "base/random.h"
 #include "decide/slots.h"
 #include "net/event_loop.h"
 #include "router/fleet_options.h"
 #include "router/fleet_records.h"
-#include "router/kv_store.h"
 #include "router/peer_bus.h"
 #include "router/slot_keeper.h"
 
--- a/router/term_keeper.h
+++ b/router/term_keeper.h
@@ -15,13 +15,13 @@
 #include <string>
 
 #include "base/clock.h"
+#include "base/kv_store.h"
 #include "base/random.h"
 #include "decide/membership.h"
 #include "decide/term.h"
 #include "net/event_loop.h"
 #include "router/fleet_options.h"
 #include "router/fleet_records.h"
-#include "router/kv_store.h"
 #include "router/peer_bus.h"
 
 namespace mimosa {
--- a/router/vm_list.cc
+++ b/router/vm_list.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/json.h"
 #include "decide/rendezvous.h"
 
 namespace mimosa {
@@ -14,8 +15,21 @@
 constexpr char kAskMethod[] = "vms.ask";
 constexpr Duration kPeerTimeout = std::chrono::seconds(2);
 
+// {"state": "live" | "leaving", ...}; what can't be read isn't leaving.
+bool IsLeavingRecord(const std::string& value) {
+  const auto object = ParseJson(value);
+  return object && object->isObject() && (*object)["state"].isString() &&
+         (*object)["state"].asString() == "leaving";
+}
+
 }  // namespace
 
+bool ListsVm(const KvListResult& listing, const std::string& ip) {
+  return std::any_of(
+      listing.records.begin(), listing.records.end(),
+      [&](const KvRecord& record) { return record.key == kVmPrefix + ip; });
+}
+
 VmList::VmList(EventLoop* loop, KvStore* kv, PeerBus* bus, const Fleet* fleet)
     : loop_(loop), kv_(kv), bus_(bus), fleet_(fleet) {
   bus_->Register(kTellMethod, wire::LeavingReport::default_instance(),
@@ -60,16 +74,17 @@
 }
 
 void VmList::AskPlatform() {
-  platform_call_ =
-      kv_->ListVms([this](const VmListResult& result) { OnList(result); });
+  platform_call_ = kv_->List(
+      kVmPrefix, [this](const KvListResult& result) { OnList(result); });
 }
 
-void VmList::OnList(const VmListResult& result) {
+void VmList::OnList(const KvListResult& result) {
   if (result.status != KvStatus::kOk) return;
   wire::LeavingReport report;
   report.set_member(fleet_->self().value());
-  for (const VmEntry& vm : result.vms) {
-    if (vm.leaving) report.add_leaving(vm.address);
+  for (const KvRecord& record : result.records) {
+    if (IsLeavingRecord(record.value))
+      report.add_leaving(record.key.substr(sizeof(kVmPrefix) - 1));
   }
   const auto known = reports_.find(report.member());
   const std::set<std::string> leaving(report.leaving().begin(),
--- a/router/vm_list.h
+++ b/router/vm_list.h
@@ -1,4 +1,5 @@
-// Learns from the platform's list which VMs are leaving.
+// Learns from the platform's list which VMs are leaving: records "vms/<ip>" of
+// its store.
 //
 // Model: asking the list costs a platform call, and the fleet's calls must not
 // grow with its size. So kAskers members, the first in rendezvous order, ask
@@ -17,15 +18,21 @@
 #include <string>
 
 #include "base/clock.h"
+#include "base/kv_store.h"
 #include "net/event_loop.h"
 #include "router/draining.h"
 #include "router/fleet.h"
-#include "router/kv_store.h"
 #include "router/peer_bus.h"
 #include "wire/fleet.pb.h"
 
 namespace mimosa {
 
+// Prefix of the records that list the VMs; the rest of a key is an address.
+inline constexpr char kVmPrefix[] = "vms/";
+
+// Whether a listing of kVmPrefix has the VM at `ip`.
+bool ListsVm(const KvListResult& listing, const std::string& ip);
+
 class VmList : public LeavingVms {
  public:
   static constexpr size_t kAskers = 2;
@@ -57,7 +64,7 @@
   void Tick();
   std::vector<const FleetMember*> Askers() const;
   void AskPlatform();
-  void OnList(const VmListResult& result);
+  void OnList(const KvListResult& result);
   void AskPeer(const FleetMember& asker);
   void Tell(const wire::LeavingReport& report);
   void Take(const wire::LeavingReport& report);
--- /dev/null
+++ b/serving/answers.cc
@@ -0,0 +1,24 @@
+// Heads of the daemon's own answers.
+#include "serving/answers.h"
+
+#include <array>
+#include <cstdio>
+
+namespace mimosa {
+
+HttpResponse RefusalAnswer(int status, Duration retry_after) {
+  HttpResponse response;
+  response.status = status;
+  std::array<char, 32> seconds{};
+  std::snprintf(seconds.data(), seconds.size(), "%.3f", ToSeconds(retry_after));
+  response.headers.Add("Retry-After", seconds.data());
+  return response;
+}
+
+HttpResponse FailureAnswer(int status) {
+  HttpResponse response;
+  response.status = status;
+  return response;
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/serving/answers.h
@@ -0,0 +1,25 @@
+// Answers of the daemon's own: refusals, which are true only of requests that
+// have not run, and failures, which say nothing about that.
+#ifndef SERVING_ANSWERS_H_
+#define SERVING_ANSWERS_H_
+
+#include "base/clock.h"
+#include "net/http.h"
+
+namespace mimosa {
+
+inline constexpr int kStatusBadRequest = 400;
+inline constexpr int kStatusUnauthorized = 401;
+inline constexpr int kStatusNotFound = 404;
+inline constexpr int kStatusTooManyRequests = 429;
+inline constexpr int kStatusBadGateway = 502;
+inline constexpr int kStatusUnavailable = 503;
+inline constexpr int kStatusGatewayTimeout = 504;
+
+// `retry_after` is written in seconds with three decimals.
+HttpResponse RefusalAnswer(int status, Duration retry_after);
+HttpResponse FailureAnswer(int status);
+
+}  // namespace mimosa
+
+#endif  // SERVING_ANSWERS_H_
--- /dev/null
+++ b/serving/back_end_call.h
@@ -0,0 +1,105 @@
+// One call to one back end: sends it, watches the answer and tells the choice
+// of back ends how it went.
+//
+// Invariant: each call that began is counted at its back end until the call is
+// destroyed or has ended, whichever is first.
+#ifndef SERVING_BACK_END_CALL_H_
+#define SERVING_BACK_END_CALL_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "decide/back_end_choice.h"
+#include "net/http.h"
+#include "serving/relay_deps.h"
+
+namespace mimosa {
+
+// How a call ended without a whole answer of the back end's own.
+enum class CallLoss {
+  kNotSent,      // no byte went out: it has not run
+  kNotExecuted,  // the back end says that it has not run
+  kNoAnswer,     // sent, and no head of an answer came
+  kCut,          // the answer began and did not come whole
+  kUnreadable,   // what came is no answer
+};
+const char* CallLossName(CallLoss loss);
+// Whether the request certainly has not run there.
+constexpr bool CertainlyNotRun(CallLoss loss) {
+  return loss == CallLoss::kNotSent || loss == CallLoss::kNotExecuted;
+}
+
+class BackEndCall : public HttpCallHandler {
+ public:
+  // Each may destroy the call.
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    // An answer of the back end's own begins. Not called for refusals that say
+    // the request has not run: they end in OnLost.
+    virtual void OnAnswer(BackEndCall* call, int status,
+                          const HttpHeaders& headers) = 0;
+    virtual void OnAnswerBody(BackEndCall* call, std::string_view data) = 0;
+    virtual void OnAnswerEnd(BackEndCall* call) = 0;
+    virtual void OnLost(BackEndCall* call, CallLoss loss) = 0;
+  };
+
+  struct Options {
+    // The request may be written again where a kept connection turns out
+    // closed.
+    bool repeatable = false;
+    // How long a kept connection may have been idle.
+    Duration max_idle = std::chrono::seconds(4);
+    // An answer to be read whose success needs no mark of the back end.
+    bool unsealed = false;
+    // Until the head of the answer.
+    Duration patience{};
+    // Between parts of the answer.
+    Duration gap{};
+  };
+
+  BackEndCall(const RelayDeps& deps, const BackEndEntry& back_end,
+              const WorkSize& size, const RequestId& id, Owner* owner);
+  ~BackEndCall() override;
+
+  void Start(HttpRequest request, const Options& options);
+  // What the call says of its back end if it is destroyed now; else nothing.
+  void GiveUp(CallVerdict verdict);
+
+  const BackEndEntry& back_end() const { return back_end_; }
+  Endpoint address() const { return {back_end_.ip, back_end_.port}; }
+  bool answered() const { return answered_; }
+  bool sent() const { return call_ != nullptr && call_->sent(); }
+  MonoTime started() const { return started_; }
+  void Pause(bool pause) {
+    if (call_ != nullptr) call_->Pause(pause);
+  }
+
+  // HttpCallHandler:
+  void OnHead(int status, const HttpHeaders& headers) override;
+  void OnBody(std::string_view data) override;
+  void OnDone() override;
+  void OnFailed(HttpFailure failure, bool sent) override;
+
+ private:
+  void End(CallVerdict verdict);
+  void Lose(CallLoss loss, CallVerdict verdict);
+
+  const RelayDeps& deps_;
+  const BackEndEntry back_end_;
+  const WorkSize size_;
+  const RequestId id_;
+  Owner* const owner_;
+  bool unsealed_ = false;
+  bool counted_ = false;
+  bool answered_ = false;
+  bool not_executed_ = false;  // the answer under way is such a refusal
+  int refusal_status_ = 0;
+  MonoTime started_{};
+  std::unique_ptr<HttpCall> call_;
+};
+
+}  // namespace mimosa
+
+#endif  // SERVING_BACK_END_CALL_H_
--- /dev/null
+++ b/serving/entry_daemon.cc
@@ -0,0 +1,424 @@
+// Wiring, readiness, status and the graceful end of the entry daemon.
+#include "serving/entry_daemon.h"
+
+#include <json/value.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "base/digest.h"
+#include "base/json.h"
+#include "base/line_log.h"
+#include "base/metrics.h"
+#include "base/random.h"
+#include "decide/allotments.h"
+#include "decide/back_end_choice.h"
+#include "decide/back_end_list.h"
+#include "decide/retry_budget.h"
+#include "net/datagram.h"
+#include "serving/answers.h"
+#include "serving/entry_front.h"
+#include "serving/handle_freer.h"
+#include "serving/member_list.h"
+#include "serving/site_sync.h"
+#include "serving/usage_exchange.h"
+
+namespace mimosa {
+namespace {
+
+constexpr int kStatusOk = 200;
+
+// The balancer asks once a second and takes a daemon out after two misses: for
+// so long a leaving daemon still accepts, with a second to spare.
+constexpr Duration kBalancerNotice = std::chrono::milliseconds(3200);
+// What is left of the time before SIGKILL when a leaving daemon ends whatever
+// is still running.
+constexpr Duration kEndMargin = std::chrono::milliseconds(400);
+constexpr Duration kLeavePoll = std::chrono::milliseconds(50);
+// Lines wait at most so long for their writing.
+constexpr Duration kLogFlushPause = std::chrono::milliseconds(250);
+
+Endpoint ParsedEndpoint(const std::string& text) {
+  Endpoint endpoint;
+  Endpoint::Parse(text, &endpoint);  // checked with the settings
+  return endpoint;
+}
+
+uint64_t RandomSeed() { return std::stoull(RandomHex(8), nullptr, 16); }
+
+RetryBudget::Options BudgetOptionsOf(const wire::EntrySettings& settings) {
+  RetryBudget::Options options;
+  options.ratio = settings.retry_budget_ratio();
+  options.slack = settings.retry_budget_slack();
+  options.window = Duration(static_cast<Duration::rep>(
+      std::max(1.0, settings.retry_budget_window_s()) * 1e6));
+  return options;
+}
+
+LineLog::Options LogOptionsOf(const wire::EntrySettings& settings) {
+  LineLog::Options options;
+  options.process = settings.name();
+  options.lines_per_second = static_cast<int>(settings.log_lines_per_second());
+  return options;
+}
+
+// Answers each request with what `answer` says of its path.
+class SimplePort : public HttpHandler {
+ public:
+  explicit SimplePort(std::function<HttpResponse(const std::string&)> answer)
+      : answer_(std::move(answer)) {}
+  void OnRequest(std::shared_ptr<HttpExchange> exchange) override {
+    const std::string& target = exchange->request().target;
+    exchange->Respond(answer_(target.substr(0, target.find('?'))));
+  }
+
+ private:
+  const std::function<HttpResponse(const std::string&)> answer_;
+};
+
+// Members are declared in the order in which they need each other.
+class EntryDaemonImpl : public EntryDaemon {
+ public:
+  EntryDaemonImpl(const wire::EntrySettings& settings,
+                  const EntryPlatform& platform, Reload reload,
+                  std::unique_ptr<LwsLoop> loop)
+      : settings_(settings),
+        platform_(platform),
+        reload_(std::move(reload)),
+        loop_(std::move(loop)),
+        random_(RandomSeed()),
+        log_(STDOUT_FILENO, loop_.get(), LogOptionsOf(settings)),
+        client_(MakeHttpClient(loop_.get())),
+        store_(platform.open_store(
+            client_.get(), ParsedEndpoint(settings.store()), &metrics_)),
+        choice_(&back_ends_, &random_, BackEndChoice::Options{}),
+        budget_(BudgetOptionsOf(settings)),
+        allotments_(Allotments::Options{}),
+        freer_(loop_.get(), client_.get(), platform.requests),
+        members_(loop_.get(), store_.get(), &random_, &log_, Self(settings),
+                 MemberOptions()),
+        usage_(loop_.get(), &members_, &allotments_, &log_,
+               UsageExchange::Options{}),
+        sync_(loop_.get(), store_.get(), platform.site, &random_, &log_,
+              &back_ends_, SyncOptions()),
+        deps_{loop_.get(),
+              client_.get(),
+              platform.requests,
+              &choice_,
+              &budget_,
+              &random_,
+              &log_,
+              &freer_,
+              &counters_,
+              FailureDomain(settings.failure_domain())},
+        front_(&deps_, &allotments_, [this] { return sync_.config(); }),
+        ready_port_([this](const std::string& path) { return Ready(path); }),
+        control_port_(
+            [this](const std::string& path) { return Control(path); }) {
+    AddMetrics();
+  }
+
+  leaf::result<void> Listen() {
+    caller_server_ = Server(settings_.listen(), &front_);
+    if (!caller_server_) return leaf::new_error(EntryFault::kCallerPort);
+    ready_server_ = Server(settings_.ready_listen(), &ready_port_);
+    if (!ready_server_) return leaf::new_error(EntryFault::kReadyPort);
+    control_server_ = Server(settings_.control_listen(), &control_port_);
+    if (!control_server_) return leaf::new_error(EntryFault::kControlPort);
+    datagrams_ = DatagramSocket::Open(
+        loop_.get(), ParsedEndpoint(settings_.peer_listen()),
+        [this](const Endpoint& from, std::string_view data) {
+          usage_.OnDatagram(from, data);
+        });
+    if (!datagrams_) return leaf::new_error(EntryFault::kPeerPort);
+    return {};
+  }
+
+  void Run() override {
+    log_.WriteAlways(LogLine("started")
+                         .Add("zone", settings_.failure_domain())
+                         .Add("listen", settings_.listen())
+                         .Add("store", settings_.store()));
+    loop_->OnSignal([this] { BeginLeaving(); });
+    loop_->OnHangup([this] { ReloadSettings(); });
+    sync_.ObserveConfig([this](const SiteConfig& config) { OnConfig(config); });
+    sync_.ObserveMembers(
+        [this](const std::string& name, const std::string* value) {
+          members_.OnRecord(name, value);
+          budget_.SetMembers(members_.size());
+        });
+    sync_.Start();
+    members_.Start();
+    usage_.Start(datagrams_.get());
+    FlushLog();
+    loop_->Run();
+    log_.WriteAlways(LogLine("stopped").Add("running", front_.running()));
+    log_.Flush();
+  }
+
+ private:
+  static wire::EntryMember Self(const wire::EntrySettings& settings) {
+    wire::EntryMember self;
+    self.set_name(settings.name());
+    self.set_peer_address(settings.peer_listen());
+    self.set_failure_domain(settings.failure_domain());
+    self.set_boot(RandomSeed());
+    return self;
+  }
+
+  std::string MemberPrefix() const {
+    return settings_.deployment() + "/members/";
+  }
+
+  MemberList::Options MemberOptions() const {
+    MemberList::Options options;
+    options.prefix = MemberPrefix();
+    return options;
+  }
+
+  SiteSync::Options SyncOptions() const {
+    SiteSync::Options options;
+    options.member_prefix = MemberPrefix();
+    return options;
+  }
+
+  std::unique_ptr<HttpServer> Server(const std::string& address,
+                                     HttpHandler* handler) {
+    HttpServerOptions options;
+    options.listen = ParsedEndpoint(address);
+    options.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes());
+    return MakeHttpServer(loop_.get(), options, handler);
+  }
+
+  void OnConfig(const SiteConfig& config) {
+    for (const SiteCustomer& customer : config.customers()) {
+      log_.Write(
+          LogLine("allotment_in_force")
+              .Add("version", config.version())
+              .Add("customer", customer.id.value())
+              .Add("rate", static_cast<int64_t>(customer.rate_per_second))
+              .Add("burst", static_cast<int64_t>(customer.burst))
+              .Add("tokens", customer.counts_tokens));
+    }
+    allotments_.SetCustomers(config.customers(), loop_->Now());
+    if (config.limits().idle_timeout > Duration::zero())
+      caller_server_->SetIdleTimeout(config.limits().idle_timeout);
+  }
+
+  bool IsReady() const {
+    return !leaving_ && sync_.config() != nullptr && sync_.listed();
+  }
+
+  HttpResponse Ready(const std::string& path) const {
+    if (path != platform_.requests->ready_path())
+      return FailureAnswer(kStatusNotFound);
+    return FailureAnswer(IsReady() ? kStatusOk : kStatusUnavailable);
+  }
+
+  HttpResponse Control(const std::string& path) const {
+    HttpResponse response;
+    response.status = kStatusOk;
+    if (path == "/metrics") {
+      response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+      response.body = metrics_.Render();
+    } else if (path == "/status") {
+      response.headers.Add("Content-Type", "application/json");
+      response.body = WriteJson(Status());
+    } else {
+      response.status = kStatusNotFound;
+    }
+    return response;
+  }
+
+  Json::Value Status() const {
+    const MonoTime now = loop_->Now();
+    Json::Value status(Json::objectValue);
+    status["name"] = settings_.name();
+    status["ready"] = IsReady();
+    status["leaving"] = leaving_;
+    status["running"] = Json::UInt64(front_.running());
+    status["members"] = members_.size();
+    status["collector"] = usage_.collector();
+    status["store_lost"] = sync_.store_lost();
+    status["store_age_ms"] = Json::Int64(ToMillis(now - sync_.last_word()));
+    status["configuration_version"] =
+        sync_.config() == nullptr ? Json::Value()
+                                  : Json::Int64(sync_.config()->version());
+    Json::Value& list = status["back_ends"] = Json::Value(Json::arrayValue);
+    for (const auto& [id, listed] : back_ends_.all()) {
+      const BackEndChoice::Belief belief = choice_.BeliefOf(id, now);
+      Json::Value item(Json::objectValue);
+      item["id"] = id.value();
+      item["service"] = listed.entry.service.value();
+      item["draining"] = listed.entry.draining;
+      item["held"] = listed.held;
+      item["open_calls"] = belief.open_calls;
+      item["failures"] = belief.failures;
+      item["passed_over"] = belief.passed_over;
+      list.append(item);
+    }
+    return status;
+  }
+
+  void AddMetrics();
+
+  void FlushLog() {
+    log_.Flush();
+    log_timer_ = loop_->After(kLogFlushPause, [this] { FlushLog(); });
+  }
+
+  void ReloadSettings() {
+    const auto settings = reload_();
+    if (!settings) {
+      log_.WriteAlways(LogLine("reload_refused").Add("why", "faulty settings"));
+      return;
+    }
+    settings_.set_grace_ms(settings->grace_ms());
+    settings_.set_retry_budget_ratio(settings->retry_budget_ratio());
+    settings_.set_retry_budget_slack(settings->retry_budget_slack());
+    settings_.set_retry_budget_window_s(settings->retry_budget_window_s());
+    budget_.SetOptions(BudgetOptionsOf(settings_));
+    log_.WriteAlways(LogLine("reloaded").Add("grace_ms", settings_.grace_ms()));
+  }
+
+  // --- Graceful end ------------------------------------------------------
+
+  void BeginLeaving() {
+    if (leaving_) return;
+    leaving_ = true;
+    log_.WriteAlways(LogLine("leaving").Add("running", front_.running()));
+    const MonoTime now = loop_->Now();
+    accept_until_ = now + kBalancerNotice;
+    end_at_ =
+        now + std::chrono::milliseconds(settings_.grace_ms()) - kEndMargin;
+    caller_server_->CloseAfterAnswers();
+    members_.Leave();
+    FinishRequests();
+  }
+
+  void FinishRequests() {
+    const MonoTime now = loop_->Now();
+    const bool accepting = now < accept_until_;
+    const bool busy = caller_server_->open_exchanges() > 0;
+    if ((accepting || busy) && now < end_at_) {
+      leave_timer_ = loop_->After(kLeavePoll, [this] { FinishRequests(); });
+      return;
+    }
+    loop_->Stop();
+  }
+
+  wire::EntrySettings settings_;
+  const EntryPlatform& platform_;
+  const Reload reload_;
+  const std::unique_ptr<LwsLoop> loop_;
+  SeededRandom random_;
+  MetricsRegistry metrics_;
+  LineLog log_;
+  const std::unique_ptr<HttpClient> client_;
+  const std::unique_ptr<KvStore> store_;
+  BackEndList back_ends_;
+  BackEndChoice choice_;
+  RetryBudget budget_;
+  Allotments allotments_;
+  HandleFreer freer_;
+  RelayCounters counters_;
+  MemberList members_;
+  UsageExchange usage_;
+  SiteSync sync_;
+  const RelayDeps deps_;
+  EntryFront front_;
+  SimplePort ready_port_;
+  SimplePort control_port_;
+  std::unique_ptr<HttpServer> caller_server_;
+  std::unique_ptr<HttpServer> ready_server_;
+  std::unique_ptr<HttpServer> control_server_;
+  std::unique_ptr<DatagramSocket> datagrams_;
+  bool leaving_ = false;
+  MonoTime accept_until_{};
+  MonoTime end_at_{};
+  TimerHandle leave_timer_;
+  TimerHandle log_timer_;
+};
+
+void EntryDaemonImpl::AddMetrics() {
+  const auto add = [this](const char* name, const char* help,
+                          std::function<double()> value) {
+    metrics_.AddGauge(name, help, {}, std::move(value));
+  };
+  add("mimosa_configuration_version", "Version of the configuration in force",
+      [this] {
+        return sync_.config() ? double(sync_.config()->version()) : 0.0;
+      });
+  add("mimosa_members", "Daemons of the fleet, this one included",
+      [this] { return double(members_.size()); });
+  add("mimosa_back_ends", "Backend servers listed",
+      [this] { return double(back_ends_.all().size()); });
+  add("mimosa_store_lost", "1 while the store doesn't answer",
+      [this] { return sync_.store_lost() ? 1.0 : 0.0; });
+  add("mimosa_running_requests", "Requests being served",
+      [this] { return double(front_.running()); });
+  add("mimosa_callers_gone", "Requests whose caller left before the answer",
+      [this] { return double(front_.counters().callers_gone); });
+  add("mimosa_prefills", "Prefills begun",
+      [this] { return double(counters_.prefills); });
+  add("mimosa_prefills_unused", "Prefills whose result nobody took",
+      [this] { return double(counters_.prefills_unused); });
+  add("mimosa_repeats", "Requests sent to a backend server once more",
+      [this] { return double(counters_.repeats); });
+  add("mimosa_repeats_refused", "Repeats given up for want of budget",
+      [this] { return double(counters_.repeats_refused); });
+  add("mimosa_hedges", "Second calls beside a slow first one",
+      [this] { return double(counters_.hedges); });
+  add("mimosa_streams_resumed", "Streams that went on at another engine",
+      [this] { return double(counters_.resumed); });
+  add("mimosa_streams_broken", "Streams that ended midway",
+      [this] { return double(counters_.broken); });
+  add("mimosa_log_lines_left_out", "Lines over budget or without room",
+      [this] { return double(log_.lines_left_out()); });
+  for (const int status : {0, 200, 400, 401, 404, 429, 500, 502, 503, 504}) {
+    metrics_.AddGauge(
+        "mimosa_answers", "Answers by status; 0: closed without one",
+        {{"status", std::to_string(status)}}, [this, status] {
+          return double(front_.counters().by_status[size_t(status)]);
+        });
+  }
+  for (size_t i = 0; i < Histogram::kQuantiles.size(); ++i) {
+    metrics_.AddGauge(
+        "mimosa_answer_seconds", "Time to the end of an answer",
+        {{"quantile", std::to_string(Histogram::kQuantiles[i])}},
+        [this, i] { return front_.counters().latency.quantile(i); });
+  }
+}
+
+}  // namespace
+
+const char* EntryFaultName(EntryFault fault) {
+  switch (fault) {
+    case EntryFault::kLoop:
+      return "the event loop can't be made";
+    case EntryFault::kCallerPort:
+      return "listen can't be listened on";
+    case EntryFault::kReadyPort:
+      return "ready-listen can't be listened on";
+    case EntryFault::kControlPort:
+      return "control-listen can't be listened on";
+    case EntryFault::kPeerPort:
+      return "peer-listen can't be bound";
+  }
+  return "unknown";
+}
+
+leaf::result<std::unique_ptr<EntryDaemon>> EntryDaemon::Create(
+    const wire::EntrySettings& settings, const EntryPlatform& platform,
+    Reload reload) {
+  auto loop = LwsLoop::Create();
+  if (!loop) return leaf::new_error(EntryFault::kLoop);
+  auto daemon = std::make_unique<EntryDaemonImpl>(
+      settings, platform, std::move(reload), std::move(loop));
+  BOOST_LEAF_CHECK(daemon->Listen());
+  return std::unique_ptr<EntryDaemon>(std::move(daemon));
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/serving/entry_front.cc
@@ -0,0 +1,231 @@
+// Admission and the bookkeeping of running requests.
+#include "serving/entry_front.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "serving/answers.h"
+#include "serving/plain_relay.h"
+#include "serving/stream_relay.h"
+
+namespace mimosa {
+namespace {
+
+// Before the first configuration is here: it comes within a second of the
+// store's first answer.
+constexpr Duration kNoConfigRetryAfter = std::chrono::milliseconds(700);
+constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(300);
+
+// A caller that doesn't say how long it waits, on a route without a limit.
+constexpr Duration kLongestWait = std::chrono::seconds(60);
+
+// The lowest of the priorities that engines know.
+constexpr int kLowestPriority = 9;
+
+std::optional<int> PriorityOf(const SiteRoute& route,
+                              const SiteCustomer* customer) {
+  const int priority = customer != nullptr && customer->priority
+                           ? *customer->priority
+                           : route.priority;
+  return std::clamp(priority, 0, kLowestPriority);
+}
+
+}  // namespace
+
+struct EntryFront::Running {
+  std::unique_ptr<Relay> relay;
+  RelayRequest request;  // without its body
+};
+
+EntryFront::EntryFront(const RelayDeps* deps, Allotments* allotments,
+                       ConfigSource config)
+    : deps_(deps), allotments_(allotments), config_(std::move(config)) {}
+
+EntryFront::~EntryFront() = default;
+
+void EntryFront::OnRequest(std::shared_ptr<HttpExchange> exchange) {
+  RelayRequest request;
+  request.arrived = deps_->loop->Now();
+  const auto config = config_();
+  if (config == nullptr) {
+    Refuse(exchange.get(), request,
+           {kStatusUnavailable, kNoConfigRetryAfter, "no_configuration"});
+    return;
+  }
+  const bool readable = leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_ASSIGN(request.caller,
+                          deps_->format->ReadRequest(exchange->request()));
+        return true;
+      },
+      [&](RequestFault fault) {
+        Refuse(exchange.get(), request,
+               {kStatusBadRequest, Duration::zero(), RequestFaultName(fault)});
+        return false;
+      },
+      [] { return false; });
+  if (!readable) return;
+  Refusal refusal;
+  if (!Admit(*config, &request, &refusal)) {
+    Refuse(exchange.get(), request, refusal);
+    return;
+  }
+  Begin(std::move(request), std::move(exchange));
+}
+
+bool EntryFront::Admit(const SiteConfig& config, RelayRequest* request,
+                       Refusal* refusal) {
+  CallerRequest& caller = request->caller;
+  const SiteRoute* route = config.FindRoute(caller.host, caller.http.target);
+  if (route == nullptr) {
+    *refusal = {kStatusNotFound, Duration::zero(), "no_route"};
+    return false;
+  }
+  request->route = *route;
+  const SiteCustomer* customer =
+      caller.key.empty() ? nullptr : config.FindKey(caller.key);
+  if (customer == nullptr && !route->open && !config.customers().empty()) {
+    *refusal = {kStatusUnauthorized, Duration::zero(), "unknown_key"};
+    return false;
+  }
+  const SiteService* service = PickService(config, *route);
+  if (service == nullptr) {
+    *refusal = {kStatusUnavailable, kNoConfigRetryAfter, "no_service"};
+    return false;
+  }
+  request->service = *service;
+  request->priority = PriorityOf(*route, customer);
+  Duration wait = caller.patience.value_or(kLongestWait);
+  if (route->timeout > Duration::zero()) wait = std::min(wait, route->timeout);
+  request->deadline = request->arrived + wait;
+  deps_->budget->RequestArrived(service->id, request->arrived);
+  if (customer == nullptr || route->open) return true;
+  request->customer = customer->id;
+  return ChargeAllotment(*customer, request, refusal);
+}
+
+bool EntryFront::ChargeAllotment(const SiteCustomer& customer,
+                                 RelayRequest* request, Refusal* refusal) {
+  if (customer.rate_per_second <= 0) return true;
+  double cost = 1;
+  if (customer.counts_tokens) {
+    const auto& work = request->caller.model;
+    cost = work ? static_cast<double>((work->prompt + work->max_output).count())
+                : customer.plain_tokens;
+  }
+  Duration wait{};
+  if (allotments_->Take(customer.id, cost, request->arrived, &wait))
+    return true;
+  deps_->log->Write(LogLine("allotment_spent")
+                        .Add("request", request->caller.id.value())
+                        .Add("customer", customer.id.value())
+                        .Add("cost", static_cast<int64_t>(cost))
+                        .Add("level", static_cast<int64_t>(allotments_->LevelOf(
+                                          customer.id, request->arrived)))
+                        .AddMillis("report_age_ms",
+                                   allotments_->ReportAge(request->arrived)));
+  *refusal = {kStatusTooManyRequests, wait, "over_allotment"};
+  return false;
+}
+
+// By weight; a service without any back end only if there is no other.
+const SiteService* EntryFront::PickService(const SiteConfig& config,
+                                           const SiteRoute& route) const {
+  const SiteService* fallback = nullptr;
+  std::vector<std::pair<double, const SiteService*>> able;
+  double weights = 0;
+  for (const SplitShare& share : route.split) {
+    const SiteService* service = config.FindService(share.service);
+    if (service == nullptr || share.weight <= 0) continue;
+    fallback = service;
+    const EngineRole role =
+        service->engine ? EngineRole::kDecode : EngineRole::kNone;
+    if (!deps_->choice->Exists(service->id, role)) continue;
+    able.emplace_back(share.weight, service);
+    weights += share.weight;
+  }
+  double drawn = deps_->random->Unit() * weights;
+  for (const auto& [weight, service] : able) {
+    if (drawn < weight) return service;
+    drawn -= weight;
+  }
+  return able.empty() ? fallback : able.back().second;
+}
+
+void EntryFront::Refuse(HttpExchange* exchange, const RelayRequest& request,
+                        const Refusal& refusal) {
+  const bool comes_back = refusal.retry_after > Duration::zero();
+  Duration wait = refusal.retry_after;
+  if (comes_back) {
+    wait += Duration(static_cast<Duration::rep>(
+        deps_->random->Unit() *
+        static_cast<double>(kRetryAfterSpread.count())));
+  }
+  exchange->Respond(comes_back ? RefusalAnswer(refusal.status, wait)
+                               : FailureAnswer(refusal.status));
+  ++counters_.by_status[static_cast<size_t>(refusal.status)];
+  deps_->log->Write(LogLine("request_refused")
+                        .Add("request", request.caller.id.value())
+                        .Add("route", request.route.id.value())
+                        .Add("customer", request.customer.value())
+                        .Add("status", refusal.status)
+                        .Add("why", refusal.why)
+                        .AddMillis("retry_after_ms", wait));
+}
+
+void EntryFront::Begin(RelayRequest request,
+                       std::shared_ptr<HttpExchange> exchange) {
+  const uint64_t serial = next_serial_++;
+  auto running = std::make_unique<Running>();
+  running->request = request;
+  running->request.caller.http = HttpRequest{};
+  const bool streams = request.service.engine.has_value();
+  const auto make = streams ? MakeStreamRelay : MakePlainRelay;
+  running->relay = make(
+      *deps_, std::move(request), exchange,
+      [this, serial](const RelayResult& result) { OnDone(serial, result); });
+  Relay* const relay = running->relay.get();
+  running_[serial] = std::move(running);
+  exchange->OnClientGone([this, serial] {
+    const auto it = running_.find(serial);
+    if (it != running_.end()) it->second->relay->OnCallerGone();
+  });
+  relay->Start();
+}
+
+void EntryFront::OnDone(uint64_t serial, const RelayResult& result) {
+  const auto it = running_.find(serial);
+  const std::shared_ptr<Running> running = std::move(it->second);
+  running_.erase(it);
+  // Its functions are on the stack.
+  deps_->loop->Post([running] {});
+  const RelayRequest& request = running->request;
+  const Duration total = deps_->loop->Now() - request.arrived;
+  if (result.caller_gone) {
+    ++counters_.callers_gone;
+  } else {
+    ++counters_.by_status[static_cast<size_t>(result.status)];
+    counters_.latency.Observe(ToSeconds(total));
+  }
+  const bool good = result.status / 100 == 2;
+  LogLine line(good ? "request_answered" : "request_failed");
+  line.Add("request", request.caller.id.value())
+      .Add("route", request.route.id.value())
+      .Add("customer", request.customer.value())
+      .Add("service", request.service.id.value())
+      .Add("back_end", result.back_end.value())
+      .Add("status", result.status)
+      .Add("why", result.why)
+      .Add("calls", result.calls)
+      .Add("prompt",
+           request.caller.model ? request.caller.model->prompt.count() : 0)
+      .Add("max_output",
+           request.caller.model ? request.caller.model->max_output.count() : 0)
+      .Add("events", result.events)
+      .AddMillis("first_ms", result.first_event)
+      .AddMillis("total_ms", total)
+      .AddMillis("left_ms", request.deadline - deps_->loop->Now());
+  deps_->log->Write(line);
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/serving/request_format.h
@@ -0,0 +1,102 @@
+// How callers' requests and calls to engines are written on a platform: the
+// seam between the relays and the header fields of one platform.
+#ifndef SERVING_REQUEST_FORMAT_H_
+#define SERVING_REQUEST_FORMAT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/errors.h"
+#include "base/ids.h"
+#include "decide/site.h"
+#include "net/http.h"
+
+namespace mimosa {
+
+// What a model request asks of an engine.
+struct ModelWork {
+  Tokens prompt;      // to be read
+  Tokens max_output;  // that may be generated
+};
+
+// A caller's request, read once. `http` is what will be passed on: without the
+// caller's key and without fields that only the daemon may set.
+struct CallerRequest {
+  RequestId id;
+  std::string host;
+  std::string key;  // empty: none was shown
+  // How long the caller waits, from its sending; absent: it didn't say.
+  std::optional<Duration> patience;
+  std::optional<ModelWork> model;       // absent: a plain request
+  std::optional<int64_t> resume_after;  // id of the last event that it has
+  HttpRequest http;
+};
+
+// A prefill's result in the memory of the engine that made it.
+struct KvHandle {
+  Endpoint engine;
+  std::string id;
+};
+
+// What one call to a back end adds to the caller's request.
+struct EngineCall {
+  BackEndId expect;  // another server at the address refuses the request
+  Duration time_left{};
+  CustomerId customer;  // empty: open route
+  std::optional<int> priority;
+  bool prefill_only = false;
+  std::optional<KvHandle> take;  // goes on from this prefill
+  std::optional<int64_t> resume_after;
+};
+
+// What the head of a back end's answer says beside its status.
+struct AnswerMarks {
+  RequestId id;               // empty: it names none
+  bool not_executed = false;  // the request has not run there
+  bool sealed = false;        // an answer of the back end's own
+  bool encoded = false;       // a body under another encoding than its own
+};
+
+enum class RequestFault {
+  kNoId,           // the request has no id
+  kBadPatience,    // the time that the caller waits is no number
+  kBadTokenCounts  // the token counts are no two numbers
+};
+inline const char* RequestFaultName(RequestFault fault) {
+  switch (fault) {
+    case RequestFault::kNoId:
+      return "no request id";
+    case RequestFault::kBadPatience:
+      return "the caller's time limit is not a number";
+    case RequestFault::kBadTokenCounts:
+      return "the token counts are not two numbers";
+  }
+  return "?";
+}
+
+class RequestFormat {
+ public:
+  virtual ~RequestFormat() = default;
+
+  // Path at which the balancer asks whether this daemon takes requests.
+  virtual const std::string& ready_path() const = 0;
+
+  // Fails with RequestFault.
+  virtual leaf::result<CallerRequest> ReadRequest(HttpRequest http) const = 0;
+
+  virtual HttpRequest WriteCall(const CallerRequest& request,
+                                const EngineCall& call) const = 0;
+  virtual AnswerMarks ReadMarks(const HttpHeaders& headers) const = 0;
+  // Nothing if the body isn't a prefill's result.
+  virtual std::optional<KvHandle> ReadPrefillAnswer(
+      const Endpoint& engine, const std::string& body) const = 0;
+  // Frees a prefill's result that nobody will take.
+  virtual HttpRequest WriteFree(const KvHandle& handle) const = 0;
+};
+
+}  // namespace mimosa
+
+#endif  // SERVING_REQUEST_FORMAT_H_
--- /dev/null
+++ b/serving/site_sync.cc
@@ -0,0 +1,235 @@
+// Listing and watching.
+#include "serving/site_sync.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace mimosa {
+namespace {
+
+bool StartsWith(const std::string& text, const std::string& prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+const char* RoleName(EngineRole role) {
+  switch (role) {
+    case EngineRole::kNone:
+      return "plain";
+    case EngineRole::kPrefill:
+      return "prefill";
+    case EngineRole::kDecode:
+      return "decode";
+  }
+  return "?";
+}
+
+}  // namespace
+
+SiteSync::SiteSync(EventLoop* loop, KvStore* store, const SiteFormat* format,
+                   RandomSource* random, LineLog* log, BackEndList* back_ends,
+                   const Options& options)
+    : loop_(loop),
+      store_(store),
+      format_(format),
+      random_(random),
+      log_(log),
+      back_ends_(back_ends),
+      options_(options) {}
+
+SiteSync::~SiteSync() = default;
+
+void SiteSync::Start() { List(); }
+
+void SiteSync::List() {
+  former_call_ = std::move(call_);
+  call_ = store_->List(
+      "", [this](KvListResult result) { OnList(std::move(result)); });
+}
+
+void SiteSync::OnList(KvListResult result) {
+  if (result.status != KvStatus::kOk) {
+    Lost(result.status);
+    Retry([this] { List(); });
+    return;
+  }
+  Regained();
+  std::vector<BackEndEntry> entries;
+  std::set<std::string> members;
+  for (const KvRecord& record : result.records) {
+    if (StartsWith(record.key, format_->back_end_prefix())) {
+      if (auto entry = ReadBackEnd(record))
+        entries.push_back(*std::move(entry));
+    } else {
+      TakeRecord(record);
+    }
+  }
+  back_ends_->ReplaceAll(std::move(entries), loop_->Now());
+  ArmExpiry();
+  listed_ = true;
+  revision_ = result.revision;
+  log_->WriteAlways(LogLine("site_listed")
+                        .Add("revision", revision_.count())
+                        .Add("back_ends", back_ends_->all().size()));
+  Watch();
+}
+
+void SiteSync::Watch() {
+  former_call_ = std::move(call_);
+  // A store that has just been lost is asked with a short wait: its return must
+  // be noticed at once.
+  call_ = store_->Watch(
+      "", revision_, lost_ ? options_.probe_wait : options_.watch_wait,
+      [this](KvListResult result) { OnWatch(std::move(result)); });
+}
+
+void SiteSync::OnWatch(KvListResult result) {
+  if (result.status == KvStatus::kCompacted) {
+    Regained();
+    log_->WriteAlways(
+        LogLine("watch_compacted").Add("revision", revision_.count()));
+    List();
+    return;
+  }
+  if (result.status != KvStatus::kOk) {
+    Lost(result.status);
+    Retry([this] { Watch(); });
+    return;
+  }
+  Regained();
+  for (const KvRecord& record : result.records) TakeRecord(record);
+  for (const std::string& key : result.deleted) TakeRemoval(key);
+  revision_ = std::max(revision_, result.revision);
+  Watch();
+}
+
+void SiteSync::Lost(KvStatus status) {
+  if (!lost_) {
+    log_->WriteAlways(LogLine("store_lost")
+                          .Add("status", KvStatusName(status))
+                          .Add("revision", revision_.count()));
+  }
+  lost_ = true;
+  back_ends_->StoreLost();
+}
+
+void SiteSync::Regained() {
+  const MonoTime now = loop_->Now();
+  last_word_ = now;
+  if (!lost_) return;
+  lost_ = false;
+  back_ends_->StoreRegained(now);
+  ArmExpiry();
+  log_->WriteAlways(
+      LogLine("store_regained").Add("revision", revision_.count()));
+}
+
+void SiteSync::Retry(std::function<void()> action) {
+  const auto jitter = static_cast<Duration::rep>(
+      random_->Unit() * static_cast<double>(options_.retry_pause.count()));
+  retry_timer_ =
+      loop_->After(options_.retry_pause + Duration(jitter), std::move(action));
+}
+
+void SiteSync::TakeRecord(const KvRecord& record) {
+  if (record.key == format_->config_key()) {
+    TakeConfig(record);
+  } else if (StartsWith(record.key, format_->back_end_prefix())) {
+    TakeBackEnd(record);
+  } else if (StartsWith(record.key, options_.member_prefix) && on_member_) {
+    on_member_(record.key.substr(options_.member_prefix.size()), &record.value);
+  }
+}
+
+void SiteSync::TakeRemoval(const std::string& key) {
+  if (StartsWith(key, format_->back_end_prefix())) {
+    const BackEndId id(key.substr(format_->back_end_prefix().size()));
+    back_ends_->Remove(id, loop_->Now());
+    ArmExpiry();
+    log_->Write(LogLine("back_end_removed")
+                    .Add("back_end", id.value())
+                    .Add("held", back_ends_->all().count(id) != 0)
+                    .Add("revision", revision_.count()));
+  } else if (StartsWith(key, options_.member_prefix) && on_member_) {
+    on_member_(key.substr(options_.member_prefix.size()), nullptr);
+  }
+}
+
+void SiteSync::TakeConfig(const KvRecord& record) {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(config, format_->ReadConfig(record.value));
+        // A version in force never gives way to an older one.
+        if (config_ != nullptr && config->version() <= config_->version())
+          return {};
+        config_ = config;
+        log_->WriteAlways(LogLine("configuration_in_force")
+                              .Add("version", config->version())
+                              .Add("revision", record.revision.count())
+                              .Add("routes", config->routes().size())
+                              .Add("customers", config->customers().size()));
+        if (on_config_) on_config_(*config);
+        return {};
+      },
+      [&](const SiteFormatError& error) {
+        log_->WriteAlways(LogLine("configuration_unreadable")
+                              .Add("revision", record.revision.count())
+                              .Add("field", error.field)
+                              .Add("why", SiteFormatErrorName(error.kind)));
+      },
+      [&] {
+        log_->WriteAlways(LogLine("configuration_unreadable")
+                              .Add("revision", record.revision.count())
+                              .Add("why", "unknown error"));
+      });
+}
+
+std::optional<BackEndEntry> SiteSync::ReadBackEnd(const KvRecord& record) {
+  const BackEndId id(record.key.substr(format_->back_end_prefix().size()));
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<BackEndEntry>> {
+        BOOST_LEAF_AUTO(entry, format_->ReadBackEnd(id, record.value));
+        return std::optional<BackEndEntry>(std::move(entry));
+      },
+      [&](const SiteFormatError& error) {
+        log_->Write(LogLine("back_end_unreadable")
+                        .Add("back_end", id.value())
+                        .Add("field", error.field)
+                        .Add("why", SiteFormatErrorName(error.kind)));
+        return std::optional<BackEndEntry>();
+      },
+      [] { return std::optional<BackEndEntry>(); });
+}
+
+void SiteSync::TakeBackEnd(const KvRecord& record) {
+  std::optional<BackEndEntry> entry = ReadBackEnd(record);
+  if (!entry) {
+    back_ends_->Remove(
+        BackEndId(record.key.substr(format_->back_end_prefix().size())),
+        loop_->Now());
+    ArmExpiry();
+    return;
+  }
+  log_->Write(LogLine("back_end_changed")
+                  .Add("back_end", entry->id.value())
+                  .Add("service", entry->service.value())
+                  .Add("role", RoleName(entry->role))
+                  .Add("draining", entry->draining)
+                  .Add("incarnation", entry->incarnation)
+                  .Add("revision", record.revision.count()));
+  back_ends_->Put(*std::move(entry), loop_->Now());
+}
+
+void SiteSync::ArmExpiry() {
+  const auto at = back_ends_->NextExpiry();
+  if (!at) return;
+  const Duration wait = std::max(Duration::zero(), *at - loop_->Now());
+  expiry_timer_ = loop_->After(wait, [this] {
+    back_ends_->Expire(loop_->Now());
+    ArmExpiry();
+  });
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/serving/site_sync.h
@@ -0,0 +1,103 @@
+// Keeps this daemon's view of the site in step with the platform's store: the
+// configuration, the backend servers and the fleet's members.
+//
+// One watch over all keys carries every change; it is renewed before a silent
+// connection could hide one for longer than a change may take to be in force.
+// After a loss of the store everything in force stays as it is until the store
+// answers again.
+#ifndef SERVING_SITE_SYNC_H_
+#define SERVING_SITE_SYNC_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/kv_store.h"
+#include "base/line_log.h"
+#include "base/random.h"
+#include "decide/back_end_list.h"
+#include "decide/site.h"
+#include "net/event_loop.h"
+#include "serving/site_format.h"
+
+namespace mimosa {
+
+class SiteSync {
+ public:
+  struct Options {
+    // Records under this prefix go to the member observer.
+    std::string member_prefix;
+    // One watch waits so long. With the call's timeout it is shorter than the
+    // time within which a change has to be in force.
+    Duration watch_wait = std::chrono::milliseconds(2500);
+    // Pause after a failed call, before jitter: a store that is back is noticed
+    // well within the time in which entries return.
+    Duration retry_pause = std::chrono::milliseconds(250);
+    // One watch waits so long while the store's return is waited for.
+    Duration probe_wait = std::chrono::milliseconds(50);
+  };
+  using ConfigObserver = std::function<void(const SiteConfig&)>;
+  // A member's record; nullptr: it is gone.
+  using MemberObserver =
+      std::function<void(const std::string& name, const std::string* value)>;
+
+  SiteSync(EventLoop* loop, KvStore* store, const SiteFormat* format,
+           RandomSource* random, LineLog* log, BackEndList* back_ends,
+           const Options& options);
+  ~SiteSync();
+
+  void ObserveConfig(ConfigObserver observer) {
+    on_config_ = std::move(observer);
+  }
+  void ObserveMembers(MemberObserver observer) {
+    on_member_ = std::move(observer);
+  }
+  void Start();
+
+  std::shared_ptr<const SiteConfig> config() const { return config_; }
+  // Whether the backend servers were listed once.
+  bool listed() const { return listed_; }
+  bool store_lost() const { return lost_; }
+  MonoTime last_word() const { return last_word_; }
+
+ private:
+  void List();
+  void OnList(KvListResult result);
+  void Watch();
+  void OnWatch(KvListResult result);
+  void Lost(KvStatus status);
+  void Regained();
+  void Retry(std::function<void()> action);
+
+  void TakeRecord(const KvRecord& record);
+  void TakeRemoval(const std::string& key);
+  void TakeConfig(const KvRecord& record);
+  void TakeBackEnd(const KvRecord& record);
+  // Nothing if the record names no backend server.
+  std::optional<BackEndEntry> ReadBackEnd(const KvRecord& record);
+  void ArmExpiry();
+
+  EventLoop* const loop_;
+  KvStore* const store_;
+  const SiteFormat* const format_;
+  RandomSource* const random_;
+  LineLog* const log_;
+  BackEndList* const back_ends_;
+  const Options options_;
+  ConfigObserver on_config_;
+  MemberObserver on_member_;
+
+  std::shared_ptr<const SiteConfig> config_;
+  bool listed_ = false;
+  bool lost_ = false;
+  MonoTime last_word_{};
+  Revision revision_;  // all changes up to it are in force
+  KvStore::CallPtr call_;
+  KvStore::CallPtr former_call_;  // may be on the stack
+  TimerHandle retry_timer_;
+  TimerHandle expiry_timer_;
+};
+
+}  // namespace mimosa
+
+#endif  // SERVING_SITE_SYNC_H_
--- /dev/null
+++ b/serving/stream_relay.cc
@@ -0,0 +1,448 @@
+// The stages of a model request.
+#include "serving/stream_relay.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "decide/event_stream.h"
+#include "serving/answers.h"
+#include "serving/back_end_call.h"
+
+namespace mimosa {
+namespace {
+
+// A prefill that takes longer than this is repeated elsewhere: a fixed part for
+// the queue ahead of it and a part for its own prompt, at a quarter of the
+// speed that engines have.
+constexpr Duration kPrefillPatience = std::chrono::milliseconds(250);
+constexpr double kPrefillMillisPerToken = 4.0 / 30;
+// A stream that may go on elsewhere does so after this silence, in multiples of
+// the longest gap that still counts as on time.
+constexpr int kSilentGaps = 2;
+// Before its first event, in multiples of the wanted latency.
+constexpr double kFirstEventShare = 0.8;
+// A kept connection that was idle for longer isn't used for a run that may not
+// be repeated: its engine may be closing it, or be gone.
+constexpr Duration kMaxIdleOnce = std::chrono::seconds(2);
+// How many decode engines may say "not executed" before the request is refused.
+constexpr int kMaxRejections = 3;
+// Unsent bytes of a caller beyond which its engine isn't read.
+constexpr size_t kMaxUnsentBytes = 256U << 10;
+// Retry-After of a refusal: about the time in which runs end and make room.
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(400);
+
+bool IsSuccess(int status) { return status / 100 == 2; }
+
+class StreamRelay : public Relay, public BackEndCall::Owner {
+ public:
+  StreamRelay(const RelayDeps& deps, RelayRequest request,
+              std::shared_ptr<HttpExchange> exchange, RelayDone done)
+      : deps_(deps),
+        request_(std::move(request)),
+        exchange_(std::move(exchange)),
+        done_(std::move(done)),
+        last_id_(request_.caller.resume_after) {
+    const ModelWork work = request_.caller.model.value_or(ModelWork{});
+    size_.prompt = work.prompt;
+    size_.total = work.prompt + work.max_output;
+  }
+
+  ~StreamRelay() override {
+    if (handle_) deps_.freer->Free(*handle_);
+  }
+
+  void Start() override {
+    const Duration left = request_.deadline - deps_.loop->Now();
+    deadline_timer_ = deps_.loop->After(std::max(left, Duration::zero()),
+                                        [this] { OnDeadline(); });
+    if (!deps_.choice->Exists(request_.service.id, EngineRole::kDecode)) {
+      Refuse("no_decode_engine");
+      return;
+    }
+    if (!TryPrefill()) Run();
+  }
+
+  void OnCallerGone() override {
+    result_.caller_gone = true;
+    GiveUpCall(CallVerdict::kUnknown);
+    End(0, "caller_gone");
+  }
+
+  // BackEndCall::Owner:
+  void OnAnswer(BackEndCall* call, int status,
+                const HttpHeaders& headers) override {
+    answer_.status = status;
+    answer_.headers = headers;
+    answer_.body.clear();
+    if (stage_ == Stage::kPrefill || !IsSuccess(status)) return;
+    handle_.reset();  // taken
+    ArmSilenceTimer();
+    if (exchange_->started()) return;  // goes on within the first answer
+    result_.back_end = call->back_end().id;
+    exchange_->StartStream(status, headers);
+  }
+
+  void OnAnswerBody(BackEndCall* /*call*/, std::string_view data) override {
+    if (stage_ == Stage::kPrefill || !IsSuccess(answer_.status)) {
+      answer_.body.append(data);
+      return;
+    }
+    const std::string events = events_.Feed(data);
+    if (events.empty()) return;
+    if (result_.events == 0)
+      result_.first_event = deps_.loop->Now() - request_.arrived;
+    result_.events = events_.events();
+    exchange_->Write(events);
+    ArmSilenceTimer();
+    HoldBack();
+  }
+
+  void OnAnswerEnd(BackEndCall* call) override {
+    silence_timer_.Cancel();
+    const BackEndEntry back_end = call->back_end();
+    DropCall();
+    if (stage_ == Stage::kPrefill) {
+      OnPrefillEnd(back_end);
+      return;
+    }
+    if (IsSuccess(answer_.status)) {
+      exchange_->Write(events_.rest());
+      exchange_->Finish();
+      End(answer_.status, "answered");
+      return;
+    }
+    ++may_have_run_;
+    if (exchange_->started()) {  // went on here, and this engine failed
+      Break("engine_failed");
+      return;
+    }
+    result_.back_end = back_end.id;
+    Deliver(std::move(answer_), "answered");
+  }
+
+  void OnLost(BackEndCall* call, CallLoss loss) override {
+    silence_timer_.Cancel();
+    const BackEndEntry back_end = call->back_end();
+    DropCall();
+    if (loss == CallLoss::kNotSent) --arrivals_;
+    if (stage_ == Stage::kPrefill) {
+      OnPrefillLost();
+    } else if (loss == CallLoss::kNotSent) {
+      Run();
+    } else if (loss == CallLoss::kNotExecuted) {
+      OnRejected(back_end);
+    } else {
+      OnRunLost();
+    }
+  }
+
+ private:
+  enum class Stage { kPrefill, kRun };
+
+  ChoiceQuery Query(EngineRole role, const FailureDomain& near,
+                    const std::set<BackEndId>* exclude) const {
+    ChoiceQuery query;
+    query.service = request_.service.id;
+    query.role = role;
+    query.work = size_;
+    query.near = near;
+    query.exclude = exclude;
+    if (request_.service.engine)
+      query.kv_memory = request_.service.engine->kv_memory;
+    return query;
+  }
+
+  // Whether another call to an engine may be made: the first one is free.
+  bool TakeArrival(bool repeat) {
+    if (!repeat) return true;
+    if (deps_.budget->TakeRepeat(request_.service.id, deps_.loop->Now())) {
+      ++deps_.counters->repeats;
+      return true;
+    }
+    ++deps_.counters->repeats_refused;
+    budget_spent_ = true;
+    return false;
+  }
+
+  // False if no prefill engine can be asked.
+  bool TryPrefill() {
+    const MonoTime now = deps_.loop->Now();
+    if (!deps_.choice->HasHealthy(request_.service.id, EngineRole::kPrefill,
+                                  now))
+      return false;
+    const BackEndEntry* decode = deps_.choice->Choose(
+        Query(EngineRole::kDecode, deps_.zone, &tried_decode_), now);
+    const FailureDomain near = decode != nullptr ? decode->zone : deps_.zone;
+    const BackEndEntry* chosen = deps_.choice->Choose(
+        Query(EngineRole::kPrefill, near, &tried_prefill_), now);
+    if (chosen == nullptr || !TakeArrival(prefills_ > 0)) return false;
+    const BackEndEntry engine = *chosen;
+    tried_prefill_.insert(engine.id);
+    stage_ = Stage::kPrefill;
+    ++prefills_;
+    ++deps_.counters->prefills;
+    EngineCall call = CallTo(engine);
+    call.prefill_only = true;
+    BackEndCall::Options options;
+    options.repeatable = true;
+    options.unsealed = true;
+    const auto reading = static_cast<Duration::rep>(
+        kPrefillMillisPerToken * static_cast<double>(size_.prompt.count()));
+    options.patience = std::min(
+        call.time_left, kPrefillPatience + std::chrono::milliseconds(reading));
+    options.gap = options.patience;
+    StartCall(engine, call, options);
+    return true;
+  }
+
+  void OnPrefillEnd(const BackEndEntry& engine) {
+    if (IsSuccess(answer_.status)) {
+      handle_ = deps_.format->ReadPrefillAnswer({engine.ip, engine.port},
+                                                answer_.body);
+    }
+    if (!handle_) {
+      deps_.choice->Report(engine, CallVerdict::kFailed, deps_.loop->Now());
+      OnPrefillLost();
+      return;
+    }
+    prefill_engine_ = engine;
+    handle_since_ = deps_.loop->Now();
+    Run();
+  }
+
+  void OnPrefillLost() {
+    if (prefills_ < kMaxPrefills && TryPrefill()) return;
+    Run();
+  }
+
+  // Sends the run to a decode engine, with the prefill's result if there is one
+  // that still lives.
+  void Run() {
+    const MonoTime now = deps_.loop->Now();
+    stage_ = Stage::kRun;
+    if (handle_ && HandleOver(now)) handle_.reset();
+    const FailureDomain near =
+        handle_ && prefill_engine_ ? prefill_engine_->zone : deps_.zone;
+    const BackEndEntry* chosen = deps_.choice->Choose(
+        Query(EngineRole::kDecode, near, &tried_decode_), now);
+    if (chosen == nullptr || !TakeArrival(arrivals_ > 0)) {
+      Conclude();
+      return;
+    }
+    const BackEndEntry engine = *chosen;
+    tried_decode_.insert(engine.id);
+    ++arrivals_;
+    EngineCall call = CallTo(engine);
+    call.take = handle_;
+    call.resume_after = last_id_;
+    BackEndCall::Options options;
+    options.max_idle = kMaxIdleOnce;
+    options.patience = call.time_left;
+    options.gap = call.time_left;
+    StartCall(engine, call, options);
+    ArmSilenceTimer();
+  }
+
+  bool HandleOver(MonoTime now) const {
+    const Duration life = request_.service.engine
+                              ? request_.service.engine->handle_life
+                              : Duration::zero();
+    return life > Duration::zero() && now - handle_since_ >= life;
+  }
+
+  // The engine said that it has not run the request: it is full, or the
+  // prefill's result is gone.
+  void OnRejected(const BackEndEntry& engine) {
+    ++rejections_;
+    if (handle_ && prefill_engine_) {
+      deps_.choice->Report(*prefill_engine_, CallVerdict::kHandleLost,
+                           deps_.loop->Now());
+      handle_.reset();
+      // The result was the cause more often than this engine.
+      tried_decode_.erase(engine.id);
+    }
+    if (rejections_ >= kMaxRejections) {
+      Conclude();
+      return;
+    }
+    Run();
+  }
+
+  void OnRunLost() {
+    ++may_have_run_;
+    handle_.reset();
+    events_.DropRest();
+    if (events_.last_id()) last_id_ = events_.last_id();
+    const bool may_go_on = request_.route.repeat == RepeatRule::kResumeStream &&
+                           may_have_run_ < request_.route.max_attempts &&
+                           (!exchange_->started() || last_id_);
+    if (!may_go_on) {
+      Conclude();
+      return;
+    }
+    ++deps_.counters->resumed;
+    Run();
+  }
+
+  void ArmSilenceTimer() {
+    if (request_.route.repeat != RepeatRule::kResumeStream) return;
+    Duration wait = request_.route.target_gap * kSilentGaps;
+    if (events_.events() == 0) {
+      wait =
+          std::max(wait, std::chrono::duration_cast<Duration>(
+                             request_.route.target_latency * kFirstEventShare));
+    }
+    if (wait <= Duration::zero()) return;
+    silence_timer_ = deps_.loop->After(wait, [this] { OnSilence(); });
+  }
+
+  // Nothing is lost by asking another engine, where that is allowed.
+  void OnSilence() {
+    silence_timer_.Cancel();
+    if (call_ == nullptr || stage_ != Stage::kRun) return;
+    if (may_have_run_ + 1 >= request_.route.max_attempts) return;
+    if (exchange_->started() && !events_.last_id()) return;
+    const BackEndEntry engine = call_->back_end();
+    GiveUpCall(CallVerdict::kFailed);
+    OnRunLost();
+  }
+
+  // Reads the engine no faster than the caller reads.
+  void HoldBack() {
+    if (exchange_->UnsentBytes() <= kMaxUnsentBytes || call_ == nullptr) return;
+    call_->Pause(true);
+    exchange_->OnDrained([this] {
+      exchange_->OnDrained(nullptr);
+      if (call_ != nullptr) call_->Pause(false);
+    });
+  }
+
+  void OnDeadline() {
+    const bool asked = call_ != nullptr && stage_ == Stage::kRun;
+    GiveUpCall(asked && !call_->answered() ? CallVerdict::kFailed
+                                           : CallVerdict::kUnknown);
+    if (exchange_->started()) {
+      Break("timeout");
+    } else if (asked || may_have_run_ > 0) {
+      Deliver(FailureAnswer(kStatusGatewayTimeout), "timeout");
+    } else {
+      Refuse("timeout");
+    }
+  }
+
+  // No call is under way and none will be.
+  void Conclude() {
+    if (exchange_->started()) {
+      Break("stream_lost");
+    } else if (may_have_run_ > 0) {
+      Deliver(FailureAnswer(kStatusBadGateway), "lost");
+    } else if (budget_spent_) {
+      Refuse("retry_budget");
+    } else {
+      Refuse(rejections_ > 0 ? "engines_full" : "no_decode_engine");
+    }
+  }
+
+  void Refuse(const char* why) {
+    const auto spread = static_cast<Duration::rep>(
+        deps_.random->Unit() * static_cast<double>(kRetryAfterSpread.count()));
+    Deliver(
+        RefusalAnswer(kStatusUnavailable, kLeastRetryAfter + Duration(spread)),
+        why);
+  }
+
+  // Ends a stream so that it doesn't look whole.
+  void Break(const char* why) {
+    ++deps_.counters->broken;
+    exchange_->Abort();
+    End(0, why);
+  }
+
+  void Deliver(HttpResponse answer, const char* why) {
+    const int status = answer.status;
+    exchange_->Respond(std::move(answer));
+    End(status, why);
+  }
+
+  void End(int status, const char* why) {
+    deadline_timer_.Cancel();
+    silence_timer_.Cancel();
+    if (handle_) ++deps_.counters->prefills_unused;
+    result_.status = status;
+    result_.why = why;
+    const RelayDone done = std::move(done_);
+    done(result_);
+  }
+
+  EngineCall CallTo(const BackEndEntry& engine) const {
+    EngineCall call;
+    call.expect = engine.id;
+    call.time_left = request_.deadline - deps_.loop->Now();
+    call.customer = request_.customer;
+    call.priority = request_.priority;
+    return call;
+  }
+
+  void StartCall(const BackEndEntry& engine, const EngineCall& call,
+                 const BackEndCall::Options& options) {
+    ++result_.calls;
+    result_.back_end = engine.id;
+    call_ = std::make_unique<BackEndCall>(deps_, engine, size_,
+                                          request_.caller.id, this);
+    call_->Start(deps_.format->WriteCall(request_.caller, call), options);
+  }
+
+  void GiveUpCall(CallVerdict verdict) {
+    if (call_ == nullptr) return;
+    call_->GiveUp(verdict);
+    DropCall();
+  }
+
+  // The call may be on the stack: it dies with the relay.
+  void DropCall() { ended_.push_back(std::move(call_)); }
+
+  // A prefill beyond these isn't worth its engine's time.
+  static constexpr int kMaxPrefills = 2;
+
+  const RelayDeps& deps_;
+  const RelayRequest request_;
+  const std::shared_ptr<HttpExchange> exchange_;
+  RelayDone done_;
+  RelayResult result_;
+  WorkSize size_;
+  Stage stage_ = Stage::kPrefill;
+  std::unique_ptr<BackEndCall> call_;  // nullptr: none is under way
+  std::vector<std::unique_ptr<BackEndCall>> ended_;
+  HttpResponse answer_;  // of call_, as far as it came
+  std::set<BackEndId> tried_prefill_;
+  std::set<BackEndId> tried_decode_;
+  std::optional<KvHandle> handle_;              // ours to take or to free
+  std::optional<BackEndEntry> prefill_engine_;  // that made handle_
+  MonoTime handle_since_{};
+  EventCutter events_;
+  std::optional<int64_t> last_id_;  // of the last event that the caller has
+  int prefills_ = 0;
+  int arrivals_ = 0;      // runs of which a byte went out
+  int rejections_ = 0;    // of runs
+  int may_have_run_ = 0;  // runs that have ended and may have run
+  bool budget_spent_ = false;
+  TimerHandle deadline_timer_;
+  TimerHandle silence_timer_;
+};
+
+}  // namespace
+
+std::unique_ptr<Relay> MakeStreamRelay(const RelayDeps& deps,
+                                       RelayRequest request,
+                                       std::shared_ptr<HttpExchange> exchange,
+                                       RelayDone done) {
+  return std::make_unique<StreamRelay>(deps, std::move(request),
+                                       std::move(exchange), std::move(done));
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/serving/usage_exchange.cc
@@ -0,0 +1,157 @@
+// Reports, summaries and the choice of the collector.
+#include "serving/usage_exchange.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "decide/rendezvous.h"
+
+namespace mimosa {
+namespace {
+
+constexpr char kCollectorThing[] = "usage";
+
+AdmittedByCustomer ToMap(
+    const google::protobuf::RepeatedPtrField<wire::AdmittedCost>& list) {
+  AdmittedByCustomer map;
+  for (const wire::AdmittedCost& cost : list)
+    map[CustomerId(cost.customer())] = cost.cost();
+  return map;
+}
+
+void FromMap(const AdmittedByCustomer& map,
+             google::protobuf::RepeatedPtrField<wire::AdmittedCost>* list) {
+  for (const auto& [customer, cost] : map) {
+    wire::AdmittedCost* const item = list->Add();
+    item->set_customer(customer.value());
+    item->set_cost(cost);
+  }
+}
+
+}  // namespace
+
+UsageExchange::UsageExchange(EventLoop* loop, const MemberList* members,
+                             Allotments* allotments, LineLog* log,
+                             const Options& options)
+    : loop_(loop),
+      members_(members),
+      allotments_(allotments),
+      log_(log),
+      options_(options) {}
+
+void UsageExchange::Start(DatagramSocket* socket) {
+  socket_ = socket;
+  Tick();
+}
+
+void UsageExchange::Tick() {
+  const MonoTime now = loop_->Now();
+  timer_ = loop_->After(options_.busy_pause, [this] { Tick(); });
+  allotments_->SetMembers(members_->size());
+  const bool news = allotments_->admitted() != reported_;
+  if (!news && now - reported_at_ < options_.idle_pause) return;
+  ChooseCollector(now);
+  SendReport();
+  reported_ = allotments_->admitted();
+  reported_at_ = now;
+}
+
+void UsageExchange::ChooseCollector(MonoTime now) {
+  const std::string& self = members_->self().name();
+  if (collector_ != self && !collector_.empty() &&
+      now - collector_heard_ > options_.silence) {
+    passed_over_until_[collector_] = now + options_.penalty;
+    log_->Write(LogLine("collector_silent")
+                    .Add("collector", collector_)
+                    .AddMillis("age_ms", now - collector_heard_));
+  }
+  const auto usable = [&](const std::string& name) {
+    const auto it = passed_over_until_.find(name);
+    return it == passed_over_until_.end() || now >= it->second;
+  };
+  std::string first = self;
+  uint64_t first_weight = RendezvousWeight(kCollectorThing, self);
+  for (const auto& [name, member] : members_->others()) {
+    const uint64_t weight = RendezvousWeight(kCollectorThing, name);
+    if (weight > first_weight && usable(name)) {
+      first = name;
+      first_weight = weight;
+    }
+  }
+  if (first == collector_) return;
+  collector_ = first;
+  collector_heard_ = now;
+  log_->Write(LogLine("collector_chosen").Add("collector", collector_));
+}
+
+wire::UsageReport UsageExchange::OwnReport() {
+  wire::UsageReport report;
+  report.set_name(members_->self().name());
+  report.set_boot(members_->self().boot());
+  report.set_serial(++serial_);
+  FromMap(allotments_->admitted(), report.mutable_admitted());
+  return report;
+}
+
+void UsageExchange::SendReport() {
+  const wire::UsageReport report = OwnReport();
+  if (collector_ == members_->self().name()) {
+    totals_.Take(report.name(), report.boot(), report.serial(),
+                 allotments_->admitted());
+    TakeOthers(collector_, report.boot(), report.serial(),
+               totals_.AllBut(report.name()));
+    return;
+  }
+  const auto member = members_->others().find(collector_);
+  Endpoint to;
+  if (member == members_->others().end() ||
+      !Endpoint::Parse(member->second.peer_address(), &to))
+    return;
+  wire::UsageDatagram datagram;
+  *datagram.mutable_report() = report;
+  socket_->Send(to, datagram.SerializeAsString());
+}
+
+void UsageExchange::OnDatagram(const Endpoint& from, std::string_view data) {
+  wire::UsageDatagram datagram;
+  if (!datagram.ParseFromArray(data.data(), static_cast<int>(data.size()))) {
+    log_->Write(LogLine("datagram_unreadable").Add("from", from.ToString()));
+    return;
+  }
+  if (datagram.has_report()) TakeReport(datagram.report(), from);
+  if (datagram.has_summary()) TakeSummary(datagram.summary());
+}
+
+void UsageExchange::TakeReport(const wire::UsageReport& report,
+                               const Endpoint& from) {
+  totals_.Take(report.name(), report.boot(), report.serial(),
+               ToMap(report.admitted()));
+  // What this daemon admitted belongs to the sum, whether or not it is its own
+  // collector.
+  const wire::UsageReport own = OwnReport();
+  totals_.Take(own.name(), own.boot(), own.serial(), allotments_->admitted());
+  wire::UsageDatagram datagram;
+  wire::UsageSummary* const summary = datagram.mutable_summary();
+  summary->set_collector(own.name());
+  summary->set_collector_boot(own.boot());
+  summary->set_serial(report.serial());
+  FromMap(totals_.AllBut(report.name()), summary->mutable_admitted_by_others());
+  socket_->Send(from, datagram.SerializeAsString());
+}
+
+void UsageExchange::TakeSummary(const wire::UsageSummary& summary) {
+  if (summary.collector() != collector_) return;
+  collector_heard_ = loop_->Now();
+  TakeOthers(summary.collector(), summary.collector_boot(), summary.serial(),
+             ToMap(summary.admitted_by_others()));
+}
+
+void UsageExchange::TakeOthers(const std::string& collector, uint64_t boot,
+                               uint64_t serial, const AdmittedByCustomer& sum) {
+  AdmittedByCustomer difference;
+  if (difference_.Next(collector, boot, serial, sum, &difference))
+    allotments_->OthersAdmitted(difference, loop_->Now());
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/tools/mimosa_entry.cc
@@ -0,0 +1,66 @@
+// mimosa-entry: the daemon of an entry VM on a platform whose backend servers
+// register themselves in its store. See serving/entry_daemon.h.
+#include <cstdlib>
+#include <memory>
+
+#include "base/logging.h"
+#include "base/settings.h"
+#include "platform/request_codec.h"
+#include "platform/site_codec.h"
+#include "platform/store_client.h"
+#include "serving/entry_daemon.h"
+#include "wire/settings.pb.h"
+
+namespace mimosa {
+namespace {
+
+// Exit codes beside those of base/settings.h.
+constexpr int kExitCannotStart = 2;
+
+int Main(int argc, char** argv) {
+  const ProgramInfo program = {
+      "mimosa-entry",
+      "Routes model and service requests to the backend servers that the "
+      "platform's store lists.",
+      "",
+      "Exit codes: 0 after a graceful end, 1 settings refused, 2 can't "
+      "start."};
+  wire::EntrySettings settings;
+  if (const auto code = StartWithSettingsFile(program, argc, argv, &settings))
+    return *code;
+  ConfigureLogging(program.name, LogLevelFromName(settings.log_level()));
+  const PlatformSiteFormat site;
+  const PlatformRequestFormat requests;
+  EntryPlatform platform;
+  platform.site = &site;
+  platform.requests = &requests;
+  platform.open_store = [](HttpClient* client, const Endpoint& store,
+                           MetricsRegistry* metrics) {
+    StoreClientOptions options;
+    options.store = store;
+    return std::make_unique<StoreClient>(client, options, metrics);
+  };
+  const auto reload = [&]() -> std::optional<wire::EntrySettings> {
+    wire::EntrySettings again;
+    if (!RereadSettingsFile(program, argc, argv, &again)) return std::nullopt;
+    return again;
+  };
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(daemon,
+                        EntryDaemon::Create(settings, platform, reload));
+        daemon->Run();
+        return kExitOk;
+      },
+      [](EntryFault fault) {
+        LogEvent(LogLevel::kError, "start_failed",
+                 {{"reason", EntryFaultName(fault)}});
+        return kExitCannotStart;
+      },
+      [] { return kExitCannotStart; });
+}
+
+}  // namespace
+}  // namespace mimosa
+
+int main(int argc, char** argv) { return mimosa::Main(argc, argv); }
--- a/tools/mimosactl.cc
+++ b/tools/mimosactl.cc
@@ -9,7 +9,7 @@
 #include "base/settings.h"
 #include "net/event_loop.h"
 #include "net/http.h"
-#include "router/kv_client.h"
+#include "platform/store_client.h"
 #include "tools/mimosactl_commands.h"
 #include "wire/settings.pb.h"
 
@@ -32,10 +32,10 @@
   const std::unique_ptr<LwsLoop> loop = LwsLoop::Create();
   const std::unique_ptr<HttpClient> client = MakeHttpClient(loop.get());
   const std::chrono::milliseconds timeout(settings.timeout_ms());
-  KvClientOptions options;
-  (void)Endpoint::Parse(settings.platform(), &options.platform);
+  StoreClientOptions options;
+  (void)Endpoint::Parse(settings.platform(), &options.store);
   options.call_timeout = timeout;
-  KvClient kv(client.get(), options, /*metrics=*/nullptr);
+  StoreClient kv(client.get(), options, /*metrics=*/nullptr);
   CatalogueStore store(loop.get(), &kv, settings.deployment(),
                        std::chrono::milliseconds(settings.retry_ms()));
   RouterClient routers(loop.get(), client.get(),
--- a/tools/mimosactl_store.h
+++ b/tools/mimosactl_store.h
@@ -16,9 +16,9 @@
 
 #include "base/clock.h"
 #include "base/errors.h"
+#include "base/kv_store.h"
 #include "decide/catalogue_parts.h"
 #include "net/event_loop.h"
-#include "router/kv_store.h"
 
 namespace mimosa {
 
