--- /dev/null
+++ b/decide/room_wait.h
@@ -0,0 +1,62 @@
+// How a model request waits for room at a decode engine, and when it is turned
+// away.
+//
+// Model: no daemon knows the whole queue, so there is none: each waiting
+// request asks again after a pause. One whose first event can still come in
+// time asks often; one that is late already asks seldom, so that in a burst the
+// fresh requests get what becomes free and the late ones what is left of it. A
+// request that could not be finished in the time its caller still waits is
+// turned away, and so is one that has waited for long: its caller is better
+// served by an answer, with the time when to come back.
+//
+// Load pattern answered: bursts of about twice what the engines' memory holds,
+// for a few seconds.
+#ifndef DECIDE_ROOM_WAIT_H_
+#define DECIDE_ROOM_WAIT_H_
+
+#include <optional>
+
+#include "base/clock.h"
+#include "base/random.h"
+
+namespace mimosa {
+
+struct WaitingRequest {
+  Duration waited{};          // since its arrival
+  Duration left{};            // until its caller gives up
+  Duration target_latency{};  // to the first event
+  Duration to_first_event{};  // once it has room: prefill and transfer
+  Duration run{};             // expected, from the first event to the last
+};
+
+class RoomWait {
+ public:
+  struct Options {
+    // Between questions of a request that can be in time: a few times the way
+    // to an engine and back.
+    Duration eager_pause = std::chrono::milliseconds(30);
+    // Of one that is late: about the time in which an engine ends a run.
+    Duration late_pause = std::chrono::milliseconds(250);
+    // The longest wait, as a share of the time that the caller gave.
+    double longest_share = 0.4;
+  };
+
+  RoomWait(const Options& options, RandomSource* random)
+      : options_(options), random_(random) {}
+
+  // The pause until the request should ask again; nothing: turn it away.
+  std::optional<Duration> NextPause(const WaitingRequest& request) const;
+
+  // When a caller that is turned away should come back: after a share of what
+  // it still has, spread so that callers turned away together don't return
+  // together.
+  Duration RetryAfter(const WaitingRequest& request) const;
+
+ private:
+  const Options options_;
+  RandomSource* const random_;
+};
+
+}  // namespace mimosa
+
+#endif  // DECIDE_ROOM_WAIT_H_
--- a/decide/site.h
+++ b/decide/site.h
@@ -58,8 +58,10 @@
   double kv_token_bytes = 0;  // KV memory of one token
   double link_mbps = 0;       // of an engine's link for KV transfers
   Duration handle_life{};     // of a prefill's result that nobody takes
+  Duration hold_life{};       // of room set aside at an engine; zero: none
   Duration role_switch{};     // time an engine needs to change its role
   bool copies_runs = false;   // keeps copies of other engines' runs
+  int tokens_per_event = 1;   // of a stream
 };
 
 struct SiteService {
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -44,7 +44,7 @@
 
 void BackEndCall::Start(HttpRequest request, const Options& options) {
   started_ = deps_.loop->Now();
-  unsealed_ = options.unsealed;
+  own_call_ = options.own_call;
   deps_.choice->CallBegan(back_end_, size_);
   counted_ = true;
   HttpCallOptions http;
@@ -71,12 +71,13 @@
 
 void BackEndCall::OnHead(int status, const HttpHeaders& headers) {
   const AnswerMarks marks = deps_.format->ReadMarks(headers);
-  if (marks.not_executed || status == kMisdirected) {
+  if (marks.not_executed || status == kMisdirected ||
+      (own_call_ && PromisesNotRun(status))) {
     not_executed_ = true;
     refusal_status_ = status;
     return;
   }
-  const bool own = unsealed_ || (marks.sealed && marks.id == id_);
+  const bool own = own_call_ || (marks.sealed && marks.id == id_);
   if (marks.encoded || PromisesNotRun(status) || (IsSuccess(status) && !own)) {
     call_.reset();
     Lose(CallLoss::kUnreadable, CallVerdict::kFailed);
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -51,8 +51,9 @@
     bool repeatable = false;
     // How long a kept connection may have been idle.
     Duration max_idle = std::chrono::seconds(4);
-    // An answer to be read whose success needs no mark of the back end.
-    bool unsealed = false;
+    // A call of the daemon's own, not the caller's request: success needs no
+    // mark of the back end, and a refusal without one says that it is full.
+    bool own_call = false;
     // Until the head of the answer.
     Duration patience{};
     // Between parts of the answer.
@@ -91,7 +92,7 @@
   const WorkSize size_;
   const RequestId id_;
   Owner* const owner_;
-  bool unsealed_ = false;
+  bool own_call_ = false;
   bool counted_ = false;
   bool answered_ = false;
   bool not_executed_ = false;  // the answer under way is such a refusal
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -95,6 +95,7 @@
             client_.get(), ParsedEndpoint(settings.store()), &metrics_)),
         choice_(&back_ends_, &random_, BackEndChoice::Options{}),
         budget_(BudgetOptionsOf(settings)),
+        room_wait_(RoomWait::Options{}, &random_),
         allotments_(Allotments::Options{}),
         freer_(loop_.get(), client_.get(), platform.requests),
         members_(loop_.get(), store_.get(), &random_, &log_, Self(settings),
@@ -108,6 +109,7 @@
               platform.requests,
               &choice_,
               &budget_,
+              &room_wait_,
               &random_,
               &log_,
               &freer_,
@@ -321,6 +323,7 @@
   BackEndList back_ends_;
   BackEndChoice choice_;
   RetryBudget budget_;
+  RoomWait room_wait_;
   Allotments allotments_;
   HandleFreer freer_;
   RelayCounters counters_;
@@ -365,6 +368,10 @@
       [this] { return double(counters_.prefills); });
   add("mimosa_prefills_unused", "Prefills whose result nobody took",
       [this] { return double(counters_.prefills_unused); });
+  add("mimosa_rooms", "Rooms set aside at decode engines",
+      [this] { return double(counters_.rooms); });
+  add("mimosa_rooms_refused", "Rooms that a decode engine had not",
+      [this] { return double(counters_.rooms_refused); });
   add("mimosa_repeats", "Requests sent to a backend server once more",
       [this] { return double(counters_.repeats); });
   add("mimosa_repeats_refused", "Repeats given up for want of budget",
--- a/serving/handle_freer.cc
+++ b/serving/handle_freer.cc
@@ -12,15 +12,23 @@
 }  // namespace
 
 void HandleFreer::Free(const KvHandle& handle) {
+  Send(handle.engine, format_->WriteFree(handle));
+}
+
+void HandleFreer::GiveBack(const Endpoint& engine, const std::string& room) {
+  Send(engine, format_->WriteGiveBack(room));
+}
+
+void HandleFreer::Send(const Endpoint& engine, HttpRequest request) {
   HttpCallOptions options;
-  options.to = handle.engine;
+  options.to = engine;
   options.connect_timeout = kFreeTimeout;
   options.head_timeout = kFreeTimeout;
   options.idle_timeout = kFreeTimeout;
   options.reuse_connection = true;
   calls_.emplace_back();
   const auto at = std::prev(calls_.end());
-  *at = Fetch(client_, options, format_->WriteFree(handle),
+  *at = Fetch(client_, options, std::move(request),
               [this, at](const HttpResult&) {
                 // Posted: the call is still on the stack.
                 loop_->Post([this, at] { calls_.erase(at); });
--- a/serving/handle_freer.h
+++ b/serving/handle_freer.h
@@ -1,10 +1,11 @@
-// Frees results of prefills that nobody will take: they hold engine memory
-// until they lapse.
+// Frees what nobody will use at engines: results of prefills and room set
+// aside. Both take engine memory until they lapse.
 #ifndef SERVING_HANDLE_FREER_H_
 #define SERVING_HANDLE_FREER_H_
 
 #include <list>
 #include <memory>
+#include <string>
 
 #include "net/event_loop.h"
 #include "net/http.h"
@@ -17,10 +18,13 @@
   HandleFreer(EventLoop* loop, HttpClient* client, const RequestFormat* format)
       : loop_(loop), client_(client), format_(format) {}
 
-  // One attempt: what it doesn't free lapses by itself.
+  // One attempt each: what it doesn't free lapses by itself.
   void Free(const KvHandle& handle);
+  void GiveBack(const Endpoint& engine, const std::string& room);
 
  private:
+  void Send(const Endpoint& engine, HttpRequest request);
+
   using Calls = std::list<std::unique_ptr<HttpCall>>;
 
   EventLoop* const loop_;
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -10,6 +10,7 @@
 #include "base/random.h"
 #include "decide/back_end_choice.h"
 #include "decide/retry_budget.h"
+#include "decide/room_wait.h"
 #include "decide/site.h"
 #include "net/event_loop.h"
 #include "net/http.h"
@@ -26,6 +27,8 @@
   uint64_t repeats_refused = 0;  // not sent for want of budget
   uint64_t hedges = 0;           // second calls beside a slow first one
   uint64_t resumed = 0;          // streams that went on at another engine
+  uint64_t rooms = 0;            // set aside at decode engines
+  uint64_t rooms_refused = 0;    // that an engine had not
   uint64_t broken = 0;           // streams that ended midway
 };
 
@@ -36,6 +39,7 @@
   const RequestFormat* format;
   BackEndChoice* choice;
   RetryBudget* budget;
+  const RoomWait* room_wait;
   RandomSource* random;
   LineLog* log;
   HandleFreer* freer;
--- a/serving/request_format.h
+++ b/serving/request_format.h
@@ -20,6 +20,8 @@
 struct ModelWork {
   Tokens prompt;      // to be read
   Tokens max_output;  // that may be generated
+  // The caller's guess of what will be generated; absent: it made none.
+  std::optional<Tokens> likely_output;
 };
 
 // A caller's request, read once. `http` is what will be passed on: without the
@@ -50,6 +52,7 @@
   bool prefill_only = false;
   std::optional<KvHandle> take;  // goes on from this prefill
   std::optional<int64_t> resume_after;
+  std::string room;  // set aside at the engine before; empty: none
 };
 
 // What the head of a back end's answer says beside its status.
@@ -95,6 +98,14 @@
       const Endpoint& engine, const std::string& body) const = 0;
   // Frees a prefill's result that nobody will take.
   virtual HttpRequest WriteFree(const KvHandle& handle) const = 0;
+
+  // Sets a slot and KV memory aside at an engine, for `life` at most.
+  virtual HttpRequest WriteSetAside(const BackEndId& expect, Tokens memory,
+                                    Duration life) const = 0;
+  // The room's id; nothing if the body isn't the answer.
+  virtual std::optional<std::string> ReadSetAside(
+      const std::string& body) const = 0;
+  virtual HttpRequest WriteGiveBack(const std::string& room) const = 0;
 };
 
 }  // namespace mimosa
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -16,10 +16,10 @@
 namespace {
 
 // A prefill that takes longer than this is repeated elsewhere: a fixed part for
-// the queue ahead of it and a part for its own prompt, at a quarter of the
-// speed that engines have.
+// the queue ahead of it, and a multiple of the time that its own prompt takes.
 constexpr Duration kPrefillPatience = std::chrono::milliseconds(250);
-constexpr double kPrefillMillisPerToken = 4.0 / 30;
+constexpr double kPrefillMicrosPerToken = 1000.0 / 30;
+constexpr int kPrefillSlowness = 4;
 // A stream that may go on elsewhere does so after this silence, in multiples of
 // the longest gap that still counts as on time.
 constexpr int kSilentGaps = 2;
@@ -32,9 +32,18 @@
 constexpr int kMaxRejections = 3;
 // Unsent bytes of a caller beyond which its engine isn't read.
 constexpr size_t kMaxUnsentBytes = 256U << 10;
-// Retry-After of a refusal: about the time in which runs end and make room.
-constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(200);
-constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(400);
+// How many engines are asked for room before a pause.
+constexpr size_t kRoomQuestions = 3;
+// An engine that doesn't answer so simple a question in this time is in no
+// state to run a request.
+constexpr Duration kRoomPatience = std::chrono::milliseconds(150);
+// Callers' guesses of the output are right at the median: the mean is above.
+constexpr double kGuessMargin = 1.2;
+// Time to the first event beside the prefill: transfer and first step.
+constexpr Duration kFirstEventOverhead = std::chrono::milliseconds(80);
+// A decode engine's step for one token of each run; of the order that all
+// engine types in use have.
+constexpr Duration kTokenTime = std::chrono::microseconds(3000);
 
 bool IsSuccess(int status) { return status / 100 == 2; }
 
@@ -48,12 +57,14 @@
         done_(std::move(done)),
         last_id_(request_.caller.resume_after) {
     const ModelWork work = request_.caller.model.value_or(ModelWork{});
+    output_ = LikelyOutput(work);
     size_.prompt = work.prompt;
-    size_.total = work.prompt + work.max_output;
+    size_.total = work.prompt + output_;
   }
 
   ~StreamRelay() override {
     if (handle_) deps_.freer->Free(*handle_);
+    GiveRoomBack();
   }
 
   void Start() override {
@@ -64,7 +75,7 @@
       Refuse("no_decode_engine");
       return;
     }
-    if (!TryPrefill()) Run();
+    Begin();
   }
 
   void OnCallerGone() override {
@@ -79,8 +90,9 @@
     answer_.status = status;
     answer_.headers = headers;
     answer_.body.clear();
-    if (stage_ == Stage::kPrefill || !IsSuccess(status)) return;
+    if (stage_ != Stage::kRun || !IsSuccess(status)) return;
     handle_.reset();  // taken
+    ForgetRoom();     // used
     ArmSilenceTimer();
     if (exchange_->started()) return;  // goes on within the first answer
     result_.back_end = call->back_end().id;
@@ -88,7 +100,7 @@
   }
 
   void OnAnswerBody(BackEndCall* /*call*/, std::string_view data) override {
-    if (stage_ == Stage::kPrefill || !IsSuccess(answer_.status)) {
+    if (stage_ != Stage::kRun || !IsSuccess(answer_.status)) {
       answer_.body.append(data);
       return;
     }
@@ -106,6 +118,10 @@
     silence_timer_.Cancel();
     const BackEndEntry back_end = call->back_end();
     DropCall();
+    if (stage_ == Stage::kRoom) {
+      OnRoomEnd(back_end);
+      return;
+    }
     if (stage_ == Stage::kPrefill) {
       OnPrefillEnd(back_end);
       return;
@@ -129,11 +145,18 @@
     silence_timer_.Cancel();
     const BackEndEntry back_end = call->back_end();
     DropCall();
-    if (loss == CallLoss::kNotSent) --arrivals_;
+    if (stage_ == Stage::kRoom) {
+      OnRoomRefused(back_end);
+      return;
+    }
     if (stage_ == Stage::kPrefill) {
       OnPrefillLost();
-    } else if (loss == CallLoss::kNotSent) {
-      Run();
+      return;
+    }
+    if (loss == CallLoss::kNotSent) {
+      --arrivals_;
+      GiveRoomBack();
+      Begin();
     } else if (loss == CallLoss::kNotExecuted) {
       OnRejected(back_end);
     } else {
@@ -142,7 +165,133 @@
   }
 
  private:
-  enum class Stage { kPrefill, kRun };
+  enum class Stage { kRoom, kPrefill, kRun };
+
+  // Room set aside at a decode engine, counted there until it is used.
+  struct Room {
+    BackEndEntry engine;
+    std::string id;
+  };
+
+  static Tokens LikelyOutput(const ModelWork& work) {
+    if (!work.likely_output) return work.max_output;
+    const auto guess = static_cast<int64_t>(
+        kGuessMargin * static_cast<double>(work.likely_output->count()));
+    return std::min(work.max_output, Tokens(guess));
+  }
+
+  Duration HoldLife() const {
+    return request_.service.engine ? request_.service.engine->hold_life
+                                   : Duration::zero();
+  }
+
+  // From room to run; what is there already is kept.
+  void Begin() {
+    refused_now_.clear();
+    if (HoldLife() > Duration::zero()) {
+      TryRoom();
+    } else {
+      GoOn();
+    }
+  }
+
+  // With room, or without where engines don't set any aside.
+  void GoOn() {
+    if (handle_ && !HandleOver(deps_.loop->Now())) {
+      Run();
+    } else if (prefills_ >= kMaxPrefills || !TryPrefill()) {
+      Run();
+    }
+  }
+
+  void TryRoom() {
+    const MonoTime now = deps_.loop->Now();
+    stage_ = Stage::kRoom;
+    std::set<BackEndId> passed = tried_decode_;
+    passed.insert(refused_now_.begin(), refused_now_.end());
+    const BackEndEntry* chosen =
+        refused_now_.size() < kRoomQuestions &&
+                deps_.choice->HasHealthy(request_.service.id,
+                                         EngineRole::kDecode, now)
+            ? deps_.choice->Choose(
+                  Query(EngineRole::kDecode, deps_.zone, &passed), now)
+            : nullptr;
+    if (chosen == nullptr) {
+      WaitForRoom();
+      return;
+    }
+    const BackEndEntry engine = *chosen;
+    BackEndCall::Options options;
+    options.own_call = true;
+    options.repeatable = true;
+    options.patience = kRoomPatience;
+    options.gap = kRoomPatience;
+    ++result_.calls;
+    call_ = std::make_unique<BackEndCall>(deps_, engine, size_,
+                                          request_.caller.id, this);
+    call_->Start(
+        deps_.format->WriteSetAside(engine.id, size_.total, HoldLife()),
+        options);
+  }
+
+  void OnRoomEnd(const BackEndEntry& engine) {
+    const auto id = IsSuccess(answer_.status)
+                        ? deps_.format->ReadSetAside(answer_.body)
+                        : std::nullopt;
+    if (!id) {
+      OnRoomRefused(engine);
+      return;
+    }
+    ++deps_.counters->rooms;
+    room_ = Room{engine, *id};
+    deps_.choice->CallBegan(engine, size_);
+    GoOn();
+  }
+
+  void OnRoomRefused(const BackEndEntry& engine) {
+    ++deps_.counters->rooms_refused;
+    refused_now_.insert(engine.id);
+    TryRoom();
+  }
+
+  WaitingRequest Waiting() const {
+    const MonoTime now = deps_.loop->Now();
+    WaitingRequest waiting;
+    waiting.waited = now - request_.arrived;
+    waiting.left = request_.deadline - now;
+    waiting.target_latency = request_.route.target_latency;
+    waiting.to_first_event = kFirstEventOverhead + ReadingTime();
+    waiting.run = kTokenTime * output_.count();
+    return waiting;
+  }
+
+  Duration ReadingTime() const {
+    return Duration(static_cast<Duration::rep>(
+        kPrefillMicrosPerToken * static_cast<double>(size_.prompt.count())));
+  }
+
+  void WaitForRoom() {
+    const auto pause = deps_.room_wait->NextPause(Waiting());
+    if (!pause) {
+      Conclude();
+      return;
+    }
+    refused_now_.clear();
+    room_timer_ = deps_.loop->After(*pause, [this] { TryRoom(); });
+  }
+
+  void ForgetRoom() {
+    if (!room_) return;
+    deps_.choice->CallEnded(room_->engine, size_, CallVerdict::kUnknown,
+                            deps_.loop->Now());
+    room_.reset();
+  }
+
+  void GiveRoomBack() {
+    if (!room_) return;
+    deps_.freer->GiveBack({room_->engine.ip, room_->engine.port}, room_->id);
+    ForgetRoom();
+  }
 
   ChoiceQuery Query(EngineRole role, const FailureDomain& near,
                     const std::set<BackEndId>* exclude) const {
@@ -175,9 +324,7 @@
     if (!deps_.choice->HasHealthy(request_.service.id, EngineRole::kPrefill,
                                   now))
       return false;
-    const BackEndEntry* decode = deps_.choice->Choose(
-        Query(EngineRole::kDecode, deps_.zone, &tried_decode_), now);
-    const FailureDomain near = decode != nullptr ? decode->zone : deps_.zone;
+    const FailureDomain near = room_ ? room_->engine.zone : deps_.zone;
     const BackEndEntry* chosen = deps_.choice->Choose(
         Query(EngineRole::kPrefill, near, &tried_prefill_), now);
     if (chosen == nullptr || !TakeArrival(prefills_ > 0)) return false;
@@ -190,11 +337,9 @@
     call.prefill_only = true;
     BackEndCall::Options options;
     options.repeatable = true;
-    options.unsealed = true;
-    const auto reading = static_cast<Duration::rep>(
-        kPrefillMillisPerToken * static_cast<double>(size_.prompt.count()));
+    options.own_call = true;
     options.patience = std::min(
-        call.time_left, kPrefillPatience + std::chrono::milliseconds(reading));
+        call.time_left, kPrefillPatience + kPrefillSlowness * ReadingTime());
     options.gap = options.patience;
     StartCall(engine, call, options);
     return true;
@@ -228,8 +373,10 @@
     if (handle_ && HandleOver(now)) handle_.reset();
     const FailureDomain near =
         handle_ && prefill_engine_ ? prefill_engine_->zone : deps_.zone;
-    const BackEndEntry* chosen = deps_.choice->Choose(
-        Query(EngineRole::kDecode, near, &tried_decode_), now);
+    const BackEndEntry* chosen =
+        room_ ? &room_->engine
+              : deps_.choice->Choose(
+                    Query(EngineRole::kDecode, near, &tried_decode_), now);
     if (chosen == nullptr || !TakeArrival(arrivals_ > 0)) {
       Conclude();
       return;
@@ -240,11 +387,14 @@
     EngineCall call = CallTo(engine);
     call.take = handle_;
     call.resume_after = last_id_;
+    if (room_) call.room = room_->id;
     BackEndCall::Options options;
     options.max_idle = kMaxIdleOnce;
     options.patience = call.time_left;
     options.gap = call.time_left;
     StartCall(engine, call, options);
+    // The run is counted at the engine by its call now.
+    ForgetRoom();
     ArmSilenceTimer();
   }
 
@@ -270,7 +420,7 @@
       Conclude();
       return;
     }
-    Run();
+    Begin();
   }
 
   void OnRunLost() {
@@ -286,7 +436,7 @@
       return;
     }
     ++deps_.counters->resumed;
-    Run();
+    Begin();
   }
 
   void ArmSilenceTimer() {
@@ -349,11 +499,9 @@
   }
 
   void Refuse(const char* why) {
-    const auto spread = static_cast<Duration::rep>(
-        deps_.random->Unit() * static_cast<double>(kRetryAfterSpread.count()));
-    Deliver(
-        RefusalAnswer(kStatusUnavailable, kLeastRetryAfter + Duration(spread)),
-        why);
+    Deliver(RefusalAnswer(kStatusUnavailable,
+                          deps_.room_wait->RetryAfter(Waiting())),
+            why);
   }
 
   // Ends a stream so that it doesn't look whole.
@@ -372,6 +520,7 @@
   void End(int status, const char* why) {
     deadline_timer_.Cancel();
     silence_timer_.Cancel();
+    room_timer_.Cancel();
     if (handle_) ++deps_.counters->prefills_unused;
     result_.status = status;
     result_.why = why;
@@ -415,7 +564,11 @@
   RelayDone done_;
   RelayResult result_;
   WorkSize size_;
-  Stage stage_ = Stage::kPrefill;
+  Tokens output_;  // as expected
+  Stage stage_ = Stage::kRoom;
+  std::optional<Room> room_;
+  std::set<BackEndId> refused_now_;  // that had no room since the last pause
+  TimerHandle room_timer_;
   std::unique_ptr<BackEndCall> call_;  // nullptr: none is under way
   std::vector<std::unique_ptr<BackEndCall>> ended_;
   HttpResponse answer_;  // of call_, as far as it came
