--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -36,6 +36,9 @@
 // What is left of the time before SIGKILL when a leaving daemon ends whatever
 // is still running.
 constexpr Duration kEndMargin = std::chrono::milliseconds(400);
+// The server keeps idle connections for a second more, for requests that are on
+// their way.
+constexpr Duration kIdleNotice = std::chrono::milliseconds(1100);
 constexpr Duration kLeavePoll = std::chrono::milliseconds(50);
 // Lines wait at most so long for their writing.
 constexpr Duration kLogFlushPause = std::chrono::milliseconds(250);
@@ -295,16 +298,20 @@
     accept_until_ = now + kBalancerNotice;
     end_at_ =
         now + std::chrono::milliseconds(settings_.grace_ms()) - kEndMargin;
+    front_.BeginLeaving(end_at_);
     caller_server_->CloseAfterAnswers();
     members_.Leave();
-    FinishRequests();
+    leave_timer_ = loop_->After(kBalancerNotice, [this] {
+      caller_server_->StopAccepting();
+      FinishRequests();
+    });
   }
 
   void FinishRequests() {
     const MonoTime now = loop_->Now();
-    const bool accepting = now < accept_until_;
+    const bool idling = now < accept_until_ + kIdleNotice;
     const bool busy = caller_server_->open_exchanges() > 0;
-    if ((accepting || busy) && now < end_at_) {
+    if ((idling || busy) && now < end_at_) {
       leave_timer_ = loop_->After(kLeavePoll, [this] { FinishRequests(); });
       return;
     }
