A silent stream is given up only when another engine can begin

Change: the run stays open while room and prefill are had elsewhere; if it speaks again the search ends.

--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -33,6 +33,9 @@
 // The balancer asks once a second and takes a daemon out after two misses: for
 // so long a leaving daemon still accepts, with a second to spare.
 constexpr Duration kBalancerNotice = std::chrono::milliseconds(3200);
+// A leaving daemon takes new streams until most callers go elsewhere; later
+// ones could outlast it.
+constexpr Duration kLastStream = std::chrono::milliseconds(2300);
 // What is left of the time before SIGKILL when a leaving daemon ends whatever
 // is still running.
 constexpr Duration kEndMargin = std::chrono::milliseconds(400);
@@ -298,7 +301,7 @@
     accept_until_ = now + kBalancerNotice;
     end_at_ =
         now + std::chrono::milliseconds(settings_.grace_ms()) - kEndMargin;
-    front_.BeginLeaving(end_at_);
+    front_.BeginLeaving(now + kLastStream);
     caller_server_->CloseAfterAnswers();
     members_.Leave();
     leave_timer_ = loop_->After(kBalancerNotice, [this] {
--- a/serving/entry_front.cc
+++ b/serving/entry_front.cc
@@ -21,21 +21,6 @@
 
 // A leaving daemon's callers go to another one at once.
 constexpr Duration kLeavingRetryAfter = std::chrono::milliseconds(50);
-// Runs may take longer than expected by this factor and still end in time.
-constexpr int kLeavingMargin = 2;
-// What a plain request takes, and a stream beside its tokens.
-constexpr Duration kPlainDuration = std::chrono::milliseconds(100);
-constexpr Duration kStreamOverhead = std::chrono::milliseconds(300);
-// For each token of the output; of the order that all engine types have.
-constexpr Duration kTokenTime = std::chrono::milliseconds(3);
-
-Duration LikelyDuration(const RelayRequest& request) {
-  const auto& work = request.caller.model;
-  if (!work) return kPlainDuration;
-  const Tokens output = work->likely_output.value_or(work->max_output);
-  return kStreamOverhead + kTokenTime * output.count();
-}
-
 // The lowest of the priorities that engines know.
 constexpr int kLowestPriority = 9;
 
@@ -111,9 +96,7 @@
     return false;
   }
   request->service = *service;
-  if (leave_by_ != kNever &&
-      request->arrived + kLeavingMargin * LikelyDuration(*request) >
-          leave_by_) {
+  if (service->engine && request->arrived > last_stream_) {
     *refusal = {kStatusUnavailable, kLeavingRetryAfter, "leaving"};
     return false;
   }
--- a/serving/entry_front.h
+++ b/serving/entry_front.h
@@ -38,8 +38,9 @@
 
   void OnRequest(std::shared_ptr<HttpExchange> exchange) override;
 
-  // From now on requests are refused that would probably not end by `end`.
-  void BeginLeaving(MonoTime end) { leave_by_ = end; }
+  // Streams that arrive after `last_stream` are refused from now on: they could
+  // be cut by the daemon's end.
+  void BeginLeaving(MonoTime last_stream) { last_stream_ = last_stream; }
 
   size_t running() const { return running_.size(); }
   const FrontCounters& counters() const { return counters_; }
@@ -67,7 +68,7 @@
   Allotments* const allotments_;
   const ConfigSource config_;
   FrontCounters counters_;
-  MonoTime leave_by_ = kNever;
+  MonoTime last_stream_ = kNever;
   uint64_t next_serial_ = 1;
   std::unordered_map<uint64_t, std::unique_ptr<Running>> running_;
 };
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -80,6 +80,7 @@
 
   void OnCallerGone() override {
     result_.caller_gone = true;
+    if (former_ != nullptr) former_->GiveUp(CallVerdict::kUnknown);
     GiveUpCall(CallVerdict::kUnknown);
     End(0, "caller_gone");
   }
@@ -87,6 +88,7 @@
   // BackEndCall::Owner:
   void OnAnswer(BackEndCall* call, int status,
                 const HttpHeaders& headers) override {
+    if (call == former_.get()) ReturnToFormer();
     answer_.status = status;
     answer_.headers = headers;
     answer_.body.clear();
@@ -99,7 +101,8 @@
     exchange_->StartStream(status, headers);
   }
 
-  void OnAnswerBody(BackEndCall* /*call*/, std::string_view data) override {
+  void OnAnswerBody(BackEndCall* call, std::string_view data) override {
+    if (call == former_.get()) ReturnToFormer();
     if (stage_ != Stage::kRun || !IsSuccess(answer_.status)) {
       answer_.body.append(data);
       return;
@@ -115,6 +118,7 @@
   }
 
   void OnAnswerEnd(BackEndCall* call) override {
+    if (call == former_.get()) ReturnToFormer();
     silence_timer_.Cancel();
     const BackEndEntry back_end = call->back_end();
     DropCall();
@@ -142,6 +146,11 @@
   }
 
   void OnLost(BackEndCall* call, CallLoss loss) override {
+    if (call == former_.get()) {
+      ended_.push_back(std::move(former_));
+      NoteRunLost();
+      return;  // the search for another engine goes on
+    }
     silence_timer_.Cancel();
     const BackEndEntry back_end = call->back_end();
     DropCall();
@@ -382,6 +391,7 @@
       return;
     }
     const BackEndEntry engine = *chosen;
+    GiveFormerUp();
     tried_decode_.insert(engine.id);
     ++arrivals_;
     EngineCall call = CallTo(engine);
@@ -423,11 +433,15 @@
     Begin();
   }
 
-  void OnRunLost() {
+  void NoteRunLost() {
     ++may_have_run_;
-    handle_.reset();
     events_.DropRest();
     if (events_.last_id()) last_id_ = events_.last_id();
+  }
+
+  void OnRunLost() {
+    NoteRunLost();
+    handle_.reset();
     const bool may_go_on = request_.route.repeat == RepeatRule::kResumeStream &&
                            may_have_run_ < request_.route.max_attempts &&
                            (!exchange_->started() || last_id_);
@@ -451,15 +465,38 @@
     silence_timer_ = deps_.loop->After(wait, [this] { OnSilence(); });
   }
 
-  // Nothing is lost by asking another engine, where that is allowed.
+  // Looks for another engine. The silent run is given up only when the other
+  // one can begin: it may only have been preempted.
   void OnSilence() {
     silence_timer_.Cancel();
-    if (call_ == nullptr || stage_ != Stage::kRun) return;
+    if (call_ == nullptr || stage_ != Stage::kRun || former_ != nullptr) return;
     if (may_have_run_ + 1 >= request_.route.max_attempts) return;
     if (exchange_->started() && !events_.last_id()) return;
-    const BackEndEntry engine = call_->back_end();
-    GiveUpCall(CallVerdict::kFailed);
-    OnRunLost();
+    deps_.choice->Report(call_->back_end(), CallVerdict::kFailed,
+                         deps_.loop->Now());
+    former_answer_ = answer_;
+    former_ = std::move(call_);
+    Begin();
+  }
+
+  // The silent run goes on after all, or nothing better was found.
+  void ReturnToFormer() {
+    GiveUpCall(CallVerdict::kUnknown);
+    room_timer_.Cancel();
+    GiveRoomBack();
+    if (handle_) deps_.freer->Free(*handle_);
+    handle_.reset();
+    answer_ = former_answer_;
+    call_ = std::move(former_);
+    stage_ = Stage::kRun;
+  }
+
+  void GiveFormerUp() {
+    if (former_ == nullptr) return;
+    former_->GiveUp(CallVerdict::kFailed);
+    ended_.push_back(std::move(former_));
+    NoteRunLost();
+    ++deps_.counters->resumed;
   }
 
   // Reads the engine no faster than the caller reads.
@@ -474,6 +511,7 @@
 
   void OnDeadline() {
     const bool asked = call_ != nullptr && stage_ == Stage::kRun;
+    GiveFormerUp();
     GiveUpCall(asked && !call_->answered() ? CallVerdict::kFailed
                                            : CallVerdict::kUnknown);
     if (exchange_->started()) {
@@ -487,7 +525,9 @@
 
   // No call is under way and none will be.
   void Conclude() {
-    if (exchange_->started()) {
+    if (former_ != nullptr) {
+      ReturnToFormer();
+    } else if (exchange_->started()) {
       Break("stream_lost");
     } else if (may_have_run_ > 0) {
       Deliver(FailureAnswer(kStatusBadGateway), "lost");
@@ -570,6 +610,9 @@
   std::set<BackEndId> refused_now_;  // that had no room since the last pause
   TimerHandle room_timer_;
   std::unique_ptr<BackEndCall> call_;  // nullptr: none is under way
+  // A run that fell silent, while another engine is looked for.
+  std::unique_ptr<BackEndCall> former_;
+  HttpResponse former_answer_;  // as far as it came
   std::vector<std::unique_ptr<BackEndCall>> ended_;
   HttpResponse answer_;  // of call_, as far as it came
   std::set<BackEndId> tried_prefill_;
