Allotments: new buckets start full, silent members are taken to go on

Now: half a bucket may be unreported, between reports the others' usage is charged as before, silent members count until their record goes. Tests of all new decisions stand beside them.

--- a/decide/allotments.cc
+++ b/decide/allotments.cc
@@ -15,28 +15,23 @@
     known.insert(customer.id);
     const auto [it, is_new] = buckets_.try_emplace(customer.id);
     Bucket& bucket = it->second;
-    if (is_new) {
-      bucket.level = customer.burst;
-      bucket.at = now;
-    }
-    Refill(&bucket, now);
+    if (!is_new) Refill(&bucket, now);
     bucket.rate = customer.rate_per_second;
     bucket.burst = customer.burst;
-    bucket.level = std::min(bucket.level, bucket.burst);
+    bucket.level =
+        is_new ? customer.burst : std::min(bucket.level, customer.burst);
+    bucket.at = now;
   }
   for (auto it = buckets_.begin(); it != buckets_.end();)
     it = known.count(it->first) == 0 ? buckets_.erase(it) : std::next(it);
 }
 
 void Allotments::Refill(Bucket* bucket, MonoTime now) {
-  // From this moment on reports are missing.
-  const MonoTime missing_from =
-      std::max(bucket->at, reported_at_ + options_.report_patience);
   const double seconds = ToSeconds(now - bucket->at);
   bucket->level += bucket->rate * seconds;
-  if (now > missing_from && members_ > 1) {
-    const double assumed = std::min(bucket->others_rate, bucket->rate) *
-                           ToSeconds(now - missing_from);
+  if (members_ > 1) {
+    const double assumed =
+        std::min(bucket->others_rate, bucket->rate) * seconds;
     bucket->level -= assumed;
     bucket->assumed += assumed;
   }
@@ -58,8 +53,7 @@
   }
   Bucket& bucket = it->second;
   Refill(&bucket, now);
-  const bool reported = now - reported_at_ < options_.report_patience;
-  const bool within = members_ == 1 || !reported || bucket.unreported == 0 ||
+  const bool within = members_ == 1 || bucket.unreported == 0 ||
                       bucket.unreported + cost <= UnreportedLimit(bucket);
   // A level above zero admits one request of any size: what it overdraws is
   // paid back before the next.
--- a/decide/allotments.h
+++ b/decide/allotments.h
@@ -2,11 +2,11 @@
 //
 // Model: every daemon keeps a replica of each customer's bucket. It charges it
 // with what it admits itself at once, and with what the other daemons have
-// admitted when it is told. While it is told nothing, it charges what the
-// others were admitting before, so that daemons that lost each other share a
-// rate as they did. Between two reports a daemon admits at most a part of the
-// bucket on its own, so that all of them together can't spend it many times
-// over.
+// admitted when it is told. Between reports it charges what the others were
+// admitting before, and corrects that by the next one, so that daemons that
+// lost each other share a rate as they did. Between two reports a daemon admits
+// at most a part of the bucket on its own, so that all of them together can't
+// spend it many times over.
 //
 // Load pattern answered: one customer sending several times its rate through
 // all daemons at once, with daemons cut off from each other, killed and added.
@@ -25,11 +25,10 @@
 class Allotments {
  public:
   struct Options {
-    // Reports that are later than this count as missing.
-    Duration report_patience = std::chrono::milliseconds(1200);
-    // How much of the bucket a daemon may admit between two reports, beyond its
-    // even share.
-    double unreported_share = 0.25;
+    // How much of the bucket a daemon may admit between two reports, if that is
+    // more than its even share. Bounds what the whole fleet can overdraw before
+    // it knows of it.
+    double unreported_share = 0.5;
     // Half-life of the estimate of what the other daemons admit.
     Duration rate_half_life = std::chrono::milliseconds(1500);
   };
--- /dev/null
+++ b/decide/allotments_test.cc
@@ -0,0 +1,224 @@
+// Customers' rates without a home: a fleet of replicas in virtual time, with
+// reports that come, come late and stay out.
+#include "decide/allotments.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "decide/usage_totals.h"
+
+namespace mimosa {
+namespace {
+
+using std::chrono::milliseconds;
+
+MonoTime At(int64_t ms) { return MonoTime(milliseconds(ms)); }
+
+const CustomerId kCustomer("c");
+
+std::vector<SiteCustomer> Customers(double rate, double burst) {
+  SiteCustomer customer;
+  customer.id = kCustomer;
+  customer.rate_per_second = rate;
+  customer.burst = burst;
+  return {customer};
+}
+
+// A fleet whose first daemon collects every `report_ms`. Daemons in `cut` send
+// and hear nothing.
+class Fleet {
+ public:
+  Fleet(int daemons, double rate, double burst) {
+    for (int i = 0; i < daemons; ++i) {
+      auto daemon = std::make_unique<Daemon>();
+      daemon->allotments.SetCustomers(Customers(rate, burst), At(0));
+      daemon->allotments.SetMembers(daemons);
+      daemons_.push_back(std::move(daemon));
+    }
+  }
+
+  void Exchange(int64_t ms) {
+    ++serial_;
+    for (size_t i = 0; i < daemons_.size(); ++i) {
+      if (daemons_[i]->cut) continue;
+      totals_.Take(std::to_string(i), 1, serial_,
+                   daemons_[i]->allotments.admitted(), At(ms));
+    }
+    for (size_t i = 0; i < daemons_.size(); ++i) {
+      Daemon& daemon = *daemons_[i];
+      AdmittedByCustomer difference;
+      if (daemon.cut) continue;
+      if (daemon.difference.Next("0", 1, serial_,
+                                 totals_.AllBut(std::to_string(i), At(ms)),
+                                 &difference))
+        daemon.allotments.OthersAdmitted(difference, At(ms));
+    }
+  }
+
+  bool Take(size_t daemon, double cost, int64_t ms) {
+    Duration wait{};
+    return daemons_[daemon]->allotments.Take(kCustomer, cost, At(ms), &wait);
+  }
+  void Cut(size_t daemon, bool cut) { daemons_[daemon]->cut = cut; }
+  size_t size() const { return daemons_.size(); }
+
+ private:
+  struct Daemon {
+    Allotments allotments{Allotments::Options{}};
+    UsageDifference difference;
+    bool cut = false;
+  };
+  std::vector<std::unique_ptr<Daemon>> daemons_;
+  UsageTotals totals_;
+  uint64_t serial_ = 0;
+};
+
+struct Outcome {
+  int asked = 0;
+  int refused = 0;
+  double most_in_window = 0;  // admitted in any 8 s
+};
+
+// `load`: cost asked for a second, over all daemons, as a share of the rate.
+Outcome Play(Fleet* fleet, double rate, double cost, double load, int ms_end,
+             uint64_t seed, const std::function<void(int)>& at_ms = {}) {
+  SeededRandom random(seed);
+  Outcome outcome;
+  std::vector<std::pair<int, double>> admitted;
+  for (int ms = 0; ms < ms_end; ++ms) {
+    if (at_ms) at_ms(ms);
+    if (ms % 200 == 0) fleet->Exchange(ms);
+    if (random.Unit() >= rate * load / cost / 1000) continue;
+    // Callers are spread unevenly.
+    const size_t daemon = random.Below(random.Below(fleet->size()) + 1);
+    ++outcome.asked;
+    if (fleet->Take(daemon, cost, ms)) {
+      admitted.emplace_back(ms, cost);
+    } else {
+      ++outcome.refused;
+    }
+  }
+  for (size_t i = 0; i < admitted.size(); ++i) {
+    double sum = 0;
+    for (size_t j = i;
+         j < admitted.size() && admitted[j].first < admitted[i].first + 8000;
+         ++j)
+      sum += admitted[j].second;
+    outcome.most_in_window = std::max(outcome.most_in_window, sum);
+  }
+  return outcome;
+}
+
+constexpr double kRate = 50000;
+constexpr double kCost = 4000;
+// The sites' tolerance: a tenth of the allotment and a fixed slack.
+constexpr double kBound = (8 * kRate + kRate) * 1.1 + 140000;
+
+TEST_CASE("inside the rate next to nothing is refused") {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    Fleet fleet(8, kRate, kRate);
+    const Outcome outcome = Play(&fleet, kRate, kCost, 0.5, 40000, seed);
+    INFO("seed " << seed << " refused " << outcome.refused << " of "
+                 << outcome.asked);
+    CHECK(outcome.refused * 100 <= outcome.asked);
+  }
+}
+
+TEST_CASE("inside the rate with one of eight cut off: under a hundredth") {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    Fleet fleet(8, kRate, kRate);
+    const Outcome outcome =
+        Play(&fleet, kRate, kCost, 0.5, 40000, seed, [&](int ms) {
+          if (ms == 10000) fleet.Cut(7, true);
+        });
+    INFO("seed " << seed << " refused " << outcome.refused << " of "
+                 << outcome.asked);
+    CHECK(outcome.refused * 100 <= outcome.asked);
+  }
+}
+
+TEST_CASE("several times the rate through all daemons stays in the bound") {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    Fleet fleet(8, kRate, kRate);
+    const Outcome outcome = Play(&fleet, kRate, kCost, 7.5, 30000, seed);
+    INFO("seed " << seed);
+    CHECK(outcome.most_in_window <= kBound);
+    // And the customer gets what it is owed.
+    CHECK((outcome.asked - outcome.refused) * kCost >= 0.9 * 30 * kRate);
+  }
+}
+
+TEST_CASE("several times the rate while daemons are cut off from each other") {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    Fleet fleet(8, kRate, kRate);
+    const Outcome outcome =
+        Play(&fleet, kRate, kCost, 4, 40000, seed, [&](int ms) {
+          if (ms == 8000)
+            for (size_t i = 4; i < 8; ++i) fleet.Cut(i, true);
+          if (ms == 20000)
+            for (size_t i = 4; i < 8; ++i) fleet.Cut(i, false);
+        });
+    INFO("seed " << seed);
+    CHECK(outcome.most_in_window <= kBound);
+  }
+}
+
+TEST_CASE("customers without a rate are never refused") {
+  Allotments allotments{Allotments::Options{}};
+  allotments.SetCustomers(Customers(0, 0), At(0));
+  Duration wait{};
+  for (int i = 0; i < 1000; ++i)
+    CHECK(allotments.Take(kCustomer, 1e6, At(i), &wait));
+}
+
+TEST_CASE("a refusal says when there is room again") {
+  Allotments allotments{Allotments::Options{}};
+  allotments.SetCustomers(Customers(1000, 1000), At(0));
+  Duration wait{};
+  REQUIRE(allotments.Take(kCustomer, 3000, At(0), &wait));
+  REQUIRE_FALSE(allotments.Take(kCustomer, 100, At(1), &wait));
+  CHECK(wait >= milliseconds(1900));
+  CHECK(wait <= milliseconds(2300));
+  CHECK(allotments.Take(kCustomer, 100, At(1) + wait, &wait));
+}
+
+TEST_CASE("a daemon's new start counts on top of its former one") {
+  UsageTotals totals;
+  totals.Take("a", 1, 1, {{kCustomer, 100}}, At(0));
+  totals.Take("a", 2, 1, {{kCustomer, 30}}, At(1));
+  totals.Take("a", 2, 1, {{kCustomer, 500}}, At(2));  // a repeated serial
+  totals.Take("b", 1, 1, {{kCustomer, 7}}, At(3));
+  CHECK(totals.AllBut("b", At(4))[kCustomer] == 130);
+  CHECK(totals.AllBut("a", At(4))[kCustomer] == 107);
+}
+
+TEST_CASE("a silent member is taken to go on, one that is gone isn't") {
+  UsageTotals totals;
+  for (int i = 0; i <= 50; ++i)  // 1,000 a second
+    totals.Take("a", 1, i + 1, {{kCustomer, 200.0 * i}}, At(200 * i));
+  CHECK(totals.AllBut("b", At(11000))[kCustomer] == 10000);
+  CHECK(totals.AllBut("b", At(13000))[kCustomer] == Approx(13000).margin(100));
+  totals.Forget("a");
+  CHECK(totals.AllBut("b", At(13000))[kCustomer] == 10000);
+}
+
+TEST_CASE("a new collector's first sum is a base, not usage") {
+  UsageDifference difference;
+  AdmittedByCustomer grown;
+  CHECK_FALSE(difference.Next("a", 1, 1, {{kCustomer, 100}}, &grown));
+  REQUIRE(difference.Next("a", 1, 2, {{kCustomer, 130}}, &grown));
+  CHECK(grown[kCustomer] == 30);
+  CHECK_FALSE(difference.Next("a", 1, 2, {{kCustomer, 170}}, &grown));
+  CHECK_FALSE(difference.Next("b", 1, 1, {{kCustomer, 5000}}, &grown));
+  REQUIRE(difference.Next("b", 1, 2, {{kCustomer, 5001}}, &grown));
+  CHECK(grown[kCustomer] == 1);
+}
+
+}  // namespace
+}  // namespace mimosa
--- /dev/null
+++ b/decide/site_test.cc
@@ -0,0 +1,147 @@
+// Look-ups of a configuration, and the list of backend servers over outages.
+#include "decide/site.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "decide/back_end_list.h"
+
+namespace mimosa {
+namespace {
+
+SiteRoute Route(const std::string& host, const std::string& prefix) {
+  SiteRoute route;
+  route.id = RouteId(host + prefix);
+  route.host = host;
+  route.prefix = prefix;
+  return route;
+}
+
+// The slow reference: tries every route.
+const SiteRoute* SlowFind(const std::vector<SiteRoute>& routes,
+                          const std::string& host, const std::string& path) {
+  const SiteRoute* best = nullptr;
+  for (const SiteRoute& route : routes) {
+    if (route.host != host ||
+        path.compare(0, route.prefix.size(), route.prefix) != 0)
+      continue;
+    if (best == nullptr || route.prefix.size() > best->prefix.size())
+      best = &route;
+  }
+  return best;
+}
+
+// Paths over a small alphabet, so that prefixes often match.
+std::string RandomPath(SeededRandom* random, bool end_with_slash) {
+  std::string path = "/";
+  for (uint64_t i = random->Below(5); i > 0; --i)
+    path += "ab/"[random->Below(3)];
+  if (end_with_slash && path.back() != '/') path += '/';
+  return path;
+}
+
+TEST_CASE("the longest prefix of the host decides, as in the slow reference") {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    SeededRandom random(seed);
+    std::vector<SiteRoute> routes;
+    for (int i = 0; i < 6; ++i) {
+      const SiteRoute route =
+          Route(random.Below(2) == 0 ? "x" : "y", RandomPath(&random, true));
+      const bool known =
+          std::any_of(routes.begin(), routes.end(),
+                      [&](const SiteRoute& r) { return r.id == route.id; });
+      if (!known) routes.push_back(route);
+    }
+    const SiteConfig config(1, routes, {}, {}, {});
+    for (int i = 0; i < 40; ++i) {
+      const std::string host = random.Below(2) == 0 ? "x" : "y";
+      const std::string path = RandomPath(&random, false);
+      const SiteRoute* expected = SlowFind(routes, host, path);
+      const SiteRoute* found = config.FindRoute(host, path + "?q=/a/");
+      INFO("seed " << seed << " host " << host << " path " << path);
+      REQUIRE((found == nullptr) == (expected == nullptr));
+      if (found != nullptr) CHECK(found->id == expected->id);
+    }
+  }
+}
+
+TEST_CASE("a host's case and port don't count") {
+  const SiteConfig config(1, {Route("Desk.example", "/a/")}, {}, {}, {});
+  CHECK(config.FindRoute("desk.EXAMPLE:8080", "/a/b") != nullptr);
+  CHECK(config.FindRoute("other.example", "/a/b") == nullptr);
+  CHECK(config.FindRoute("desk.example", "/a") == nullptr);
+}
+
+TEST_CASE("keys find their customer") {
+  SiteCustomer customer;
+  customer.id = CustomerId("c");
+  customer.keys = {"k1", "k2"};
+  const SiteConfig config(1, {}, {}, {customer}, {});
+  REQUIRE(config.FindKey("k2") != nullptr);
+  CHECK(config.FindKey("k2")->id == CustomerId("c"));
+  CHECK(config.FindKey("k3") == nullptr);
+  CHECK(config.FindKey("") == nullptr);
+}
+
+// --- Backend servers --------------------------------------------------------
+
+BackEndEntry Entry(const std::string& id) {
+  BackEndEntry entry;
+  entry.id = BackEndId(id);
+  return entry;
+}
+
+MonoTime At(int ms) { return MonoTime(std::chrono::milliseconds(ms)); }
+
+TEST_CASE("without an outage a removal counts at once") {
+  BackEndList list;
+  list.Put(Entry("a"), At(0));
+  list.Remove(BackEndId("a"), At(1));
+  CHECK(list.all().empty());
+  list.Put(Entry("b"), At(2));
+  list.ReplaceAll({Entry("c")}, At(3));
+  REQUIRE(list.all().size() == 1);
+  CHECK(list.all().begin()->first == BackEndId("c"));
+}
+
+TEST_CASE("entries lapsed in an outage stand until the grace is over") {
+  BackEndList list;
+  for (const char* id : {"a", "b"}) list.Put(Entry(id), At(0));
+  list.StoreLost();
+  CHECK(list.all().size() == 2);
+  list.StoreRegained(At(5000));
+  list.ReplaceAll({}, At(5010));
+  CHECK(list.all().size() == 2);
+  CHECK(list.all().at(BackEndId("a")).held);
+  REQUIRE(list.NextExpiry());
+  CHECK(*list.NextExpiry() == At(7000));
+  list.Put(Entry("a"), At(6500));  // it lived
+  list.Expire(At(6999));
+  CHECK(list.all().size() == 2);
+  list.Expire(At(7000));
+  REQUIRE(list.all().size() == 1);
+  CHECK(list.all().begin()->first == BackEndId("a"));
+  CHECK_FALSE(list.NextExpiry());
+}
+
+TEST_CASE("a second outage within the grace starts it anew") {
+  BackEndList list;
+  list.Put(Entry("a"), At(0));
+  list.StoreLost();
+  list.StoreRegained(At(1000));
+  list.Remove(BackEndId("a"), At(1100));
+  list.StoreLost();
+  list.Expire(At(3500));
+  CHECK(list.all().size() == 1);
+  list.StoreRegained(At(4000));
+  list.Expire(At(5999));
+  CHECK(list.all().size() == 1);
+  list.Expire(At(6000));
+  CHECK(list.all().empty());
+}
+
+}  // namespace
+}  // namespace mimosa
--- a/decide/usage_totals.cc
+++ b/decide/usage_totals.cc
@@ -2,29 +2,59 @@
 #include "decide/usage_totals.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mimosa {
+namespace {
+
+// What a daemon admits a second is averaged over about this time.
+constexpr Duration kRateHalfLife = std::chrono::milliseconds(1500);
+// A daemon reports at least this often, lost reports aside.
+constexpr Duration kSilence = std::chrono::milliseconds(2000);
+
+}  // namespace
 
 void UsageTotals::Take(const std::string& daemon, uint64_t boot,
-                       uint64_t serial, const AdmittedByCustomer& admitted) {
+                       uint64_t serial, const AdmittedByCustomer& admitted,
+                       MonoTime now) {
   Report& report = reports_[daemon];
   if (report.boot != boot) {
     report = Report{};
     report.boot = boot;
+    report.at = now;
   } else if (serial <= report.serial) {
     return;
   }
   report.serial = serial;
+  report.member = true;
+  const double seconds = ToSeconds(now - report.at);
+  report.at = now;
+  const double keep = std::exp2(-seconds / ToSeconds(kRateHalfLife));
   for (const auto& [customer, total] : admitted) {
     double& known = report.admitted[customer];
-    if (total <= known) continue;
-    sum_[customer] += total - known;
-    known = total;
+    const double grown = std::max(0.0, total - known);
+    sum_[customer] += grown;
+    known += grown;
+    if (seconds <= 0) continue;
+    double& rate = report.per_second[customer];
+    rate = keep * rate + (1 - keep) * grown / seconds;
   }
 }
 
-AdmittedByCustomer UsageTotals::AllBut(const std::string& daemon) const {
+void UsageTotals::Forget(const std::string& daemon) {
+  const auto report = reports_.find(daemon);
+  if (report != reports_.end()) report->second.member = false;
+}
+
+AdmittedByCustomer UsageTotals::AllBut(const std::string& daemon,
+                                       MonoTime now) const {
   AdmittedByCustomer others = sum_;
+  for (const auto& [name, report] : reports_) {
+    const Duration silent = now - report.at;
+    if (name == daemon || !report.member || silent < kSilence) continue;
+    for (const auto& [customer, rate] : report.per_second)
+      others[customer] += rate * ToSeconds(silent);
+  }
   const auto report = reports_.find(daemon);
   if (report == reports_.end()) return others;
   for (const auto& [customer, total] : report->second.admitted)
--- a/decide/usage_totals.h
+++ b/decide/usage_totals.h
@@ -2,8 +2,9 @@
 //
 // Model: reports carry totals since a daemon's start, so that a lost one costs
 // nothing but time. A daemon that starts again counts from zero: what its
-// former start had reported stays in the sum. Sums only grow, so that a reader
-// can work with differences.
+// former start had reported stays in the sum. A daemon that falls silent is
+// taken to go on as before while the fleet counts it as a member: it may only
+// be cut off from here. Readers work with differences of the sums.
 #ifndef DECIDE_USAGE_TOTALS_H_
 #define DECIDE_USAGE_TOTALS_H_
 
@@ -11,6 +12,7 @@
 #include <map>
 #include <string>
 
+#include "base/clock.h"
 #include "base/ids.h"
 
 namespace mimosa {
@@ -21,16 +23,21 @@
  public:
   // Reports older than one already taken are passed over.
   void Take(const std::string& daemon, uint64_t boot, uint64_t serial,
-            const AdmittedByCustomer& admitted);
+            const AdmittedByCustomer& admitted, MonoTime now);
+  // The daemon is no member any more: nothing is assumed of it.
+  void Forget(const std::string& daemon);
 
   // Summed over all starts of all daemons but the present one of `daemon`.
-  AdmittedByCustomer AllBut(const std::string& daemon) const;
+  AdmittedByCustomer AllBut(const std::string& daemon, MonoTime now) const;
 
  private:
   struct Report {
     uint64_t boot = 0;
     uint64_t serial = 0;
+    MonoTime at{};
     AdmittedByCustomer admitted;
+    AdmittedByCustomer per_second;  // lately
+    bool member = true;
   };
 
   std::map<std::string, Report> reports_;
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -155,6 +155,7 @@
     sync_.ObserveMembers(
         [this](const std::string& name, const std::string* value) {
           members_.OnRecord(name, value);
+          if (value == nullptr) usage_.OnMemberGone(name);
           budget_.SetMembers(members_.size());
         });
     sync_.Start();
--- a/serving/usage_exchange.cc
+++ b/serving/usage_exchange.cc
@@ -98,9 +98,9 @@
   const wire::UsageReport report = OwnReport();
   if (collector_ == members_->self().name()) {
     totals_.Take(report.name(), report.boot(), report.serial(),
-                 allotments_->admitted());
+                 allotments_->admitted(), loop_->Now());
     TakeOthers(collector_, report.boot(), report.serial(),
-               totals_.AllBut(report.name()));
+               totals_.AllBut(report.name(), loop_->Now()));
     return;
   }
   const auto member = members_->others().find(collector_);
@@ -123,20 +123,26 @@
   if (datagram.has_summary()) TakeSummary(datagram.summary());
 }
 
+void UsageExchange::OnMemberGone(const std::string& name) {
+  totals_.Forget(name);
+}
+
 void UsageExchange::TakeReport(const wire::UsageReport& report,
                                const Endpoint& from) {
   totals_.Take(report.name(), report.boot(), report.serial(),
-               ToMap(report.admitted()));
+               ToMap(report.admitted()), loop_->Now());
   // What this daemon admitted belongs to the sum, whether or not it is its own
   // collector.
   const wire::UsageReport own = OwnReport();
-  totals_.Take(own.name(), own.boot(), own.serial(), allotments_->admitted());
+  totals_.Take(own.name(), own.boot(), own.serial(), allotments_->admitted(),
+               loop_->Now());
   wire::UsageDatagram datagram;
   wire::UsageSummary* const summary = datagram.mutable_summary();
   summary->set_collector(own.name());
   summary->set_collector_boot(own.boot());
   summary->set_serial(report.serial());
-  FromMap(totals_.AllBut(report.name()), summary->mutable_admitted_by_others());
+  FromMap(totals_.AllBut(report.name(), loop_->Now()),
+          summary->mutable_admitted_by_others());
   socket_->Send(from, datagram.SerializeAsString());
 }
 
--- a/serving/usage_exchange.h
+++ b/serving/usage_exchange.h
@@ -42,6 +42,7 @@
 
   // `socket` must outlive the exchange.
   void Start(DatagramSocket* socket);
+  void OnMemberGone(const std::string& name);
   void OnDatagram(const Endpoint& from, std::string_view data);
 
   const std::string& collector() const { return collector_; }
