--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -43,6 +43,9 @@
 // their way.
 constexpr Duration kIdleNotice = std::chrono::milliseconds(1100);
 constexpr Duration kLeavePoll = std::chrono::milliseconds(50);
+// What is left of the time to settle when a watch ends: for its answer, and for
+// a listing.
+constexpr Duration kSettleMargin = std::chrono::milliseconds(500);
 // Lines wait at most so long for their writing.
 constexpr Duration kLogFlushPause = std::chrono::milliseconds(250);
 
@@ -190,6 +193,8 @@
   SiteSync::Options SyncOptions() const {
     SiteSync::Options options;
     options.member_prefix = MemberPrefix();
+    options.watch_wait =
+        std::chrono::milliseconds(settings_.settle_ms()) - kSettleMargin;
     return options;
   }
 
--- a/serving/site_sync.cc
+++ b/serving/site_sync.cc
@@ -102,7 +102,12 @@
   for (const KvRecord& record : result.records) TakeRecord(record);
   for (const std::string& key : result.deleted) TakeRemoval(key);
   revision_ = std::max(revision_, result.revision);
-  Watch();
+  const bool changed = !result.records.empty() || !result.deleted.empty();
+  if (!changed) {
+    Watch();
+    return;
+  }
+  batch_timer_ = loop_->After(options_.batch_pause, [this] { Watch(); });
 }
 
 void SiteSync::Lost(KvStatus status) {
--- a/serving/site_sync.h
+++ b/serving/site_sync.h
@@ -27,9 +27,12 @@
   struct Options {
     // Records under this prefix go to the member observer.
     std::string member_prefix;
-    // One watch waits so long. With the call's timeout it is shorter than the
-    // time within which a change has to be in force.
+    // One watch waits so long. A store may leave a watch waiting that has missed
+    // changes: it ends within the time in which the daemon has to settle.
     Duration watch_wait = std::chrono::milliseconds(2500);
+    // Pause behind a watch that brought changes: those that come together cost
+    // one call. Well below the time in which a change has to be in force.
+    Duration batch_pause = std::chrono::milliseconds(350);
     // Pause after a failed call, before jitter: a store that is back is noticed
     // well within the time in which entries return.
     Duration retry_pause = std::chrono::milliseconds(250);
@@ -95,6 +98,7 @@
   KvStore::CallPtr call_;
   KvStore::CallPtr former_call_;  // may be on the stack
   TimerHandle retry_timer_;
+  TimerHandle batch_timer_;
   TimerHandle expiry_timer_;
 };
 
