--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -280,6 +280,7 @@
   }
 
   void WaitForRoom() {
+    waited_for_room_ = true;
     const auto pause = deps_.room_wait->NextPause(Waiting());
     if (!pause) {
       Conclude();
@@ -534,7 +535,8 @@
     } else if (budget_spent_) {
       Refuse("retry_budget");
     } else {
-      Refuse(rejections_ > 0 ? "engines_full" : "no_decode_engine");
+      Refuse(rejections_ > 0 || waited_for_room_ ? "engines_full"
+                                                 : "no_decode_engine");
     }
   }
 
@@ -627,6 +629,7 @@
   int rejections_ = 0;    // of runs
   int may_have_run_ = 0;  // runs that have ended and may have run
   bool budget_spent_ = false;
+  bool waited_for_room_ = false;
   TimerHandle deadline_timer_;
   TimerHandle silence_timer_;
 };
--- /dev/null
+++ b/tests/platform_codec_test.cc
@@ -0,0 +1,292 @@
+// The adapter against the messages of the platform's pages, and against what
+// foreign writers and callers may send.
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+
+#include "platform/request_codec.h"
+#include "platform/site_codec.h"
+
+namespace mimosa {
+namespace {
+
+using std::chrono::milliseconds;
+
+const char kConfig[] = R"({"version":7,"routes":[
+ {"name":"r1","host":"ficu95.example","prefix":"/lohu930/","kind":"streaming",
+  "timeout_ms":14000,"target_latency_ms":900,"priority":1,
+  "traffic_split":[{"service":"llm","weight":90},{"service":"desk","weight":10}],
+  "max_attempts":1,"public":false,"sticky":true,"resumable":false,
+  "target_gap_ms":300,"a_new_field":{}},
+ {"name":"r2","host":"ficu95.example","prefix":"/pufi791/","kind":"streaming",
+  "timeout_ms":14000,"target_latency_ms":900,"priority":1,"service":"llm",
+  "max_attempts":2,"public":true,"resumable":true,"target_gap_ms":300},
+ {"name":"r3","host":"ficu95.example","prefix":"/desk/",
+  "kind":"non_idempotent","timeout_ms":800,"service":"desk","max_attempts":1},
+ {"name":"r4","host":"ficu95.example","prefix":"/look/","kind":"idempotent",
+  "timeout_ms":800,"service":"desk","max_attempts":2}],
+ "services":[
+ {"name":"llm","health_path":"/health","max_connections":300,
+  "engine":{"slots":48,"kv_tokens":35962,"kv_token_bytes":131072,
+   "link_mbps":1100000.0,"backups":true,"stride":18,"kv_hold_s":0.5,
+   "role_switch_s":6.0,"hold_ms":2000.0}},
+ {"name":"desk","health_path":"/health","max_connections":110}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+  "header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"hule930","api_keys":["k1","k2"],"priority":1,
+  "unit":"tokens","plain_tokens":200,"rate_per_s":87500,"burst":50000}]})";
+
+template <typename Result>
+std::optional<SiteFormatError> ErrorOf(Result result) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<SiteFormatError>> {
+        BOOST_LEAF_CHECK(result());
+        return std::optional<SiteFormatError>();
+      },
+      [](const SiteFormatError& error) {
+        return std::optional<SiteFormatError>(error);
+      },
+      [] { return std::optional<SiteFormatError>(); });
+}
+
+TEST_CASE("a configuration is read whole") {
+  const PlatformSiteFormat format;
+  const auto read = format.ReadConfig(kConfig);
+  REQUIRE(read);
+  const SiteConfig& config = **read;
+  CHECK(config.version() == 7);
+  const SiteRoute* split = config.FindRoute("ficu95.example", "/lohu930/2f");
+  REQUIRE(split != nullptr);
+  CHECK(split->repeat == RepeatRule::kStream);
+  CHECK(split->timeout == milliseconds(14000));
+  CHECK(split->target_latency == milliseconds(900));
+  CHECK(split->target_gap == milliseconds(300));
+  REQUIRE(split->split.size() == 2);
+  CHECK(split->split[1].service == ServiceId("desk"));
+  CHECK(split->split[1].weight == 10);
+  const SiteRoute* resumed = config.FindRoute("ficu95.example", "/pufi791/x");
+  REQUIRE(resumed != nullptr);
+  CHECK(resumed->repeat == RepeatRule::kResumeStream);
+  CHECK(resumed->open);
+  CHECK(resumed->max_attempts == 2);
+  CHECK(config.FindRoute("ficu95.example", "/desk/1")->repeat ==
+        RepeatRule::kOnce);
+  CHECK(config.FindRoute("ficu95.example", "/look/1")->repeat ==
+        RepeatRule::kIdempotent);
+  const SiteService* llm = config.FindService(ServiceId("llm"));
+  REQUIRE(llm != nullptr);
+  REQUIRE(llm->engine);
+  CHECK(llm->engine->kv_memory == Tokens(35962));
+  CHECK(llm->engine->handle_life == milliseconds(500));
+  CHECK(llm->engine->hold_life == milliseconds(2000));
+  CHECK(llm->engine->role_switch == milliseconds(6000));
+  CHECK(llm->engine->tokens_per_event == 18);
+  CHECK(llm->engine->copies_runs);
+  CHECK_FALSE(config.FindService(ServiceId("desk"))->engine);
+  const SiteCustomer* customer = config.FindKey("k2");
+  REQUIRE(customer != nullptr);
+  CHECK(customer->id == CustomerId("hule930"));
+  CHECK(customer->counts_tokens);
+  CHECK(customer->plain_tokens == 200);
+  CHECK(customer->rate_per_second == 87500);
+  CHECK(customer->burst == 50000);
+  CHECK(config.limits().idle_timeout == milliseconds(15000));
+}
+
+TEST_CASE("a configuration that can't be read says why") {
+  const PlatformSiteFormat format;
+  const auto error = [&](const char* text) {
+    return ErrorOf([&] { return format.ReadConfig(text); });
+  };
+  REQUIRE(error("\xff\x00garbage"));
+  CHECK(error("[]")->kind == SiteFormatError::Kind::kNotJson);
+  CHECK(error("{}")->field == "version");
+  CHECK(error(R"({"version":"7"})")->kind ==
+        SiteFormatError::Kind::kMissingField);
+  CHECK(error(R"({"version":7,"routes":[7]})")->field == "routes");
+  CHECK(error(R"({"version":7,"routes":[{"host":"h","prefix":"/",
+              "kind":"telepathic","service":"s"}]})")
+            ->kind == SiteFormatError::Kind::kUnknownValue);
+  CHECK(error(R"({"version":7,"routes":[{"host":"h","prefix":"/",
+              "kind":"idempotent"}]})")
+            ->field == "service");
+}
+
+TEST_CASE("entries of backend servers") {
+  const PlatformSiteFormat format;
+  const auto read = format.ReadBackEnd(
+      BackEndId("i-1"),
+      R"({"service":"llm","address":"10.128.0.9:8080","zone":"kochi",
+          "version":"v1","slots":48,"state":"draining","cold_remaining_ms":250,
+          "stage":"decode","models":[],"sequence":4,"born":1773042786049})");
+  REQUIRE(read);
+  CHECK(read->id == BackEndId("i-1"));
+  CHECK(read->ip == "10.128.0.9");
+  CHECK(read->port == 8080);
+  CHECK(read->zone == FailureDomain("kochi"));
+  CHECK(read->draining);
+  CHECK(read->cold_for == milliseconds(250));
+  CHECK(read->role == EngineRole::kDecode);
+  CHECK(read->incarnation == 1773042786049);
+}
+
+TEST_CASE("entries of foreign writers name no backend server") {
+  const PlatformSiteFormat format;
+  for (const char* text :
+       {"", "\x01\x02", "7", "{}",
+        R"({"service":7,"address":"1.2.3.4:5","zone":"z","slots":1,)"
+        R"("state":"ready"})",
+        R"({"service":"s","address":"host:5","zone":"z","slots":1,)"
+        R"("state":"ready"})",
+        R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":"1",)"
+        R"("state":"ready"})",
+        R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":1,)"
+        R"("state":"dancing"})",
+        R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":1,)"
+        R"("state":"ready","stage":"encore"})"}) {
+    INFO(text);
+    CHECK(ErrorOf([&] { return format.ReadBackEnd(BackEndId("i"), text); }));
+  }
+}
+
+HttpRequest ModelRequest() {
+  HttpRequest http;
+  http.method = "POST";
+  http.target = "/lohu930/2f";
+  http.headers.Add("Host", "ficu95.example");
+  http.headers.Add("Mimosarouter-Request-Id", "9c41d07be2a35f68");
+  http.headers.Add("Mimosarouter-Model", "m");
+  http.headers.Add("Mimosarouter-Token-Counts", "1460,80");
+  http.headers.Add("Mimosarouter-Prompt-Prefix", "5c1e07a2:800,91bd3f06:660");
+  http.headers.Add("Mimosarouter-Length-Hint", "40");
+  http.headers.Add("Mimosarouter-Deadline-Ms", "14000");
+  http.headers.Add("X-Api-Key", "secret-key");
+  http.headers.Add("Last-Event-Id", "12");
+  http.body = "letter";
+  return http;
+}
+
+TEST_CASE("a caller's request is read") {
+  const PlatformRequestFormat format;
+  const auto read = format.ReadRequest(ModelRequest());
+  REQUIRE(read);
+  CHECK(read->id == RequestId("9c41d07be2a35f68"));
+  CHECK(read->host == "ficu95.example");
+  CHECK(read->key == "secret-key");
+  CHECK(read->patience == milliseconds(14000));
+  REQUIRE(read->model);
+  CHECK(read->model->prompt == Tokens(1460));
+  CHECK(read->model->max_output == Tokens(80));
+  CHECK(read->model->likely_output == Tokens(40));
+  CHECK(read->resume_after == 12);
+}
+
+TEST_CASE("neither keys nor smuggled fields reach an engine") {
+  const PlatformRequestFormat format;
+  HttpRequest http = ModelRequest();
+  for (const char* name :
+       {"Mimosarouter-Tenant", "Mimosarouter-Serving-Stage",
+        "Mimosarouter-Kv-Hold", "Mimosarouter-Pin-Ms", "Mimosarouter-Kv-Backup",
+        "Mimosarouter-Kv-Source", "Mimosarouter-Expect-Instance",
+        "Mimosarouter-Request-Priority", "Mimosarouter-Expect-Version",
+        "mimosarouter-kv-source", "Kv-Fetch"})
+    http.headers.Add(name, "smuggled");
+  const auto read = format.ReadRequest(http);
+  REQUIRE(read);
+  EngineCall call;
+  call.expect = BackEndId("i-7");
+  call.time_left = milliseconds(9000);
+  const HttpRequest written = format.WriteCall(*read, call);
+  for (const auto& [name, value] : written.headers.fields()) {
+    INFO(name);
+    CHECK(value.find("smuggled") == std::string::npos);
+    CHECK(value.find("secret-key") == std::string::npos);
+  }
+  CHECK(written.body == "letter");
+  CHECK(written.target == "/lohu930/2f");
+  CHECK(*written.headers.Find("Mimosarouter-Token-Counts") == "1460,80");
+  CHECK(*written.headers.Find("Mimosarouter-Request-Id") == "9c41d07be2a35f68");
+}
+
+TEST_CASE("what a call adds") {
+  const PlatformRequestFormat format;
+  const auto read = format.ReadRequest(ModelRequest());
+  REQUIRE(read);
+  EngineCall call;
+  call.expect = BackEndId("i-7");
+  call.time_left = milliseconds(9000);
+  call.customer = CustomerId("hule930");
+  call.priority = 2;
+  call.take = KvHandle{{"10.1.64.9", 8080}, "3fa09c41b7d5"};
+  call.resume_after = 33;
+  call.room = "h1";
+  const HttpHeaders headers = format.WriteCall(*read, call).headers;
+  CHECK(*headers.Find("Mimosarouter-Deadline-Ms") == "9000");
+  CHECK(*headers.Find("Mimosarouter-Expect-Instance") == "i-7");
+  CHECK(*headers.Find("Mimosarouter-Tenant") == "hule930");
+  CHECK(*headers.Find("Mimosarouter-Request-Priority") == "2");
+  CHECK(*headers.Find("Mimosarouter-Kv-Source") ==
+        "10.1.64.9:8080/3fa09c41b7d5");
+  CHECK(*headers.Find("Last-Event-Id") == "33");
+  CHECK(headers.Count("Last-Event-Id") == 1);
+  CHECK(*headers.Find("Mimosarouter-Kv-Hold") == "h1");
+  CHECK(headers.Find("Mimosarouter-Serving-Stage") == nullptr);
+  call.prefill_only = true;
+  CHECK(*format.WriteCall(*read, call)
+             .headers.Find("Mimosarouter-Serving-Stage") == "prefill");
+}
+
+TEST_CASE("malformed requests get their own fault") {
+  const PlatformRequestFormat format;
+  const auto fault = [&](const char* name, const char* value) {
+    HttpRequest http = ModelRequest();
+    http.headers.Set(name, value);
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<RequestFault>> {
+          BOOST_LEAF_CHECK(format.ReadRequest(http));
+          return std::optional<RequestFault>();
+        },
+        [](RequestFault f) { return std::optional<RequestFault>(f); },
+        [] { return std::optional<RequestFault>(); });
+  };
+  CHECK(fault("Mimosarouter-Request-Id", "") == RequestFault::kNoId);
+  CHECK(fault("Mimosarouter-Deadline-Ms", "soon") ==
+        RequestFault::kBadPatience);
+  CHECK(fault("Mimosarouter-Deadline-Ms", "-1") == RequestFault::kBadPatience);
+  CHECK(fault("Mimosarouter-Token-Counts", "7") ==
+        RequestFault::kBadTokenCounts);
+  CHECK(fault("Mimosarouter-Token-Counts", "7,x") ==
+        RequestFault::kBadTokenCounts);
+  CHECK_FALSE(fault("Mimosarouter-Length-Hint", "many"));
+}
+
+TEST_CASE("answers of engines") {
+  const PlatformRequestFormat format;
+  HttpHeaders headers;
+  headers.Add("mimosarouter-request-id", "r");
+  headers.Add("Mimosarouter-Response-Seal", "3e1b");
+  AnswerMarks marks = format.ReadMarks(headers);
+  CHECK(marks.id == RequestId("r"));
+  CHECK(marks.sealed);
+  CHECK_FALSE(marks.not_executed);
+  headers.Add("Mimosarouter-Not-Executed", "1");
+  headers.Add("Content-Encoding", "gzip");
+  marks = format.ReadMarks(headers);
+  CHECK(marks.not_executed);
+  CHECK(marks.encoded);
+  const Endpoint engine{"10.0.0.1", 80};
+  const auto handle = format.ReadPrefillAnswer(
+      engine, R"({"handle":"3fa0","tokens":1460,"version":1})");
+  REQUIRE(handle);
+  CHECK(handle->id == "3fa0");
+  CHECK_FALSE(format.ReadPrefillAnswer(engine, R"({"handle":7})"));
+  CHECK(format.WriteFree(*handle).target == "/mimosarouter/kv-handle/3fa0");
+  const HttpRequest aside =
+      format.WriteSetAside(BackEndId("i-7"), Tokens(4300), milliseconds(2000));
+  CHECK(aside.body == R"({"tokens":4300,"ttl_ms":2000})");
+  CHECK(format.ReadSetAside(R"({"hold":"h1"})") == "h1");
+  CHECK_FALSE(format.ReadSetAside("no"));
+}
+
+}  // namespace
+}  // namespace mimosa
