--- a/decide/usage_totals.cc
+++ b/decide/usage_totals.cc
@@ -8,9 +8,9 @@
 namespace {
 
 // What a daemon admits a second is averaged over about this time.
-constexpr Duration kRateHalfLife = std::chrono::milliseconds(1500);
+constexpr Duration kRateHalfLife = std::chrono::seconds(6);
 // A daemon reports at least this often, lost reports aside.
-constexpr Duration kSilence = std::chrono::milliseconds(2000);
+constexpr Duration kSilence = std::chrono::milliseconds(1200);
 
 }  // namespace
 
@@ -30,6 +30,7 @@
   const double seconds = ToSeconds(now - report.at);
   report.at = now;
   const double keep = std::exp2(-seconds / ToSeconds(kRateHalfLife));
+  report.weight = keep * report.weight + (1 - keep);
   for (const auto& [customer, total] : admitted) {
     double& known = report.admitted[customer];
     const double grown = std::max(0.0, total - known);
@@ -53,7 +54,7 @@
     const Duration silent = now - report.at;
     if (name == daemon || !report.member || silent < kSilence) continue;
     for (const auto& [customer, rate] : report.per_second)
-      others[customer] += rate * ToSeconds(silent);
+      others[customer] += rate / report.weight * ToSeconds(silent);
   }
   const auto report = reports_.find(daemon);
   if (report == reports_.end()) return others;
--- a/decide/usage_totals.h
+++ b/decide/usage_totals.h
@@ -36,7 +36,8 @@
     uint64_t serial = 0;
     MonoTime at{};
     AdmittedByCustomer admitted;
-    AdmittedByCustomer per_second;  // lately
+    AdmittedByCustomer per_second;  // lately, times weight
+    double weight = 0;              // 1 once it has reported for long
     bool member = true;
   };
 
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -66,6 +66,13 @@
   return options;
 }
 
+Allotments::Options AllotmentOptionsOf(const wire::EntrySettings& settings) {
+  Allotments::Options options;
+  options.window = Duration(static_cast<Duration::rep>(
+      std::max(1.0, settings.allotment_window_s()) * 1e6));
+  return options;
+}
+
 LineLog::Options LogOptionsOf(const wire::EntrySettings& settings) {
   LineLog::Options options;
   options.process = settings.name();
@@ -105,7 +112,7 @@
         choice_(&back_ends_, &random_, BackEndChoice::Options{}),
         budget_(BudgetOptionsOf(settings)),
         room_wait_(RoomWait::Options{}, &random_),
-        allotments_(Allotments::Options{}),
+        allotments_(AllotmentOptionsOf(settings)),
         freer_(loop_.get(), client_.get(), platform.requests),
         members_(loop_.get(), store_.get(), &random_, &log_, Self(settings),
                  MemberOptions()),
