--- a/decide/back_end_choice.cc
+++ b/decide/back_end_choice.cc
@@ -13,9 +13,9 @@
 constexpr double kMemoryFullMs = 600;
 // What one more run on a decode engine slows the others down by.
 constexpr double kRunMs = 1.5;
-// Share of the KV memory that is filled before an engine counts as full: runs
-// grow and blocks are rounded up.
-constexpr double kMemoryShare = 0.9;
+// Share of the KV memory that the runs known of may take in the end. Above one,
+// since they don't all reach their full length at the same time.
+constexpr double kCommitShare = 1.0;
 // A plain server's answer takes about so long, times the queue at its slots.
 constexpr double kPlainCallMs = 15;
 // An engine that has just started is slow.
@@ -65,6 +65,7 @@
     if (!Takes(entry, query.service, query.role)) continue;
     if (query.exclude != nullptr && query.exclude->count(id) != 0) continue;
     const Seen& seen = SeenOf(entry);
+    if (query.needs_memory && Outgrown(id, seen, query)) continue;
     if (PassedOver(seen, now)) {
       if (seen.passed_over_until < soonest_at) {
         soonest = &entry;
@@ -79,16 +80,39 @@
       best_ms = ms;
     }
   }
+  // Room is asked for again anyway: not at an engine that just failed.
+  if (query.needs_memory) return best;
   return best != nullptr ? best : soonest;
 }
 
+BackEndChoice::PeerLoad BackEndChoice::PeerLoadOf(const BackEndId& id) const {
+  const auto told = peer_load_.find(id);
+  return told == peer_load_.end() ? PeerLoad{} : told->second;
+}
+
+std::map<BackEndId, BackEndChoice::PeerLoad> BackEndChoice::OwnLoad() const {
+  std::map<BackEndId, PeerLoad> load;
+  for (const auto& [id, seen] : seen_) {
+    if (seen.open_calls > 0 && seen.open_total > Tokens(0))
+      load[id] = {seen.open_calls, seen.open_total};
+  }
+  return load;
+}
+
+bool BackEndChoice::Outgrown(const BackEndId& id, const Seen& seen,
+                             const ChoiceQuery& query) const {
+  const Tokens taken =
+      seen.open_total + PeerLoadOf(id).tokens + query.work.total;
+  return query.kv_memory > Tokens(0) &&
+         static_cast<double>(taken.count()) >
+             kCommitShare * static_cast<double>(query.kv_memory.count());
+}
+
 double BackEndChoice::ExpectedMillis(const BackEndList::Listed& listed,
                                      const Seen& seen, const ChoiceQuery& query,
                                      MonoTime now) const {
   const BackEndEntry& entry = listed.entry;
-  PeerLoad peers;
-  const auto told = peer_load_.find(entry.id);
-  if (told != peer_load_.end()) peers = told->second;
+  const PeerLoad peers = PeerLoadOf(entry.id);
   double ms = FailuresNow(seen, now) * options_.failure_ms;
   if (entry.zone != query.near) ms += options_.other_zone_ms;
   if (listed.held) ms += kHeldMs;
@@ -102,12 +126,8 @@
       break;
     }
     case EngineRole::kDecode: {
-      const Tokens taken = seen.open_total + peers.tokens + query.work.total;
       ms += calls * kRunMs;
-      if (query.kv_memory > Tokens(0) &&
-          static_cast<double>(taken.count()) >
-              kMemoryShare * static_cast<double>(query.kv_memory.count()))
-        ms += kMemoryFullMs;
+      if (Outgrown(entry.id, seen, query)) ms += kMemoryFullMs;
       if (calls >= entry.slots) ms += kMemoryFullMs;
       break;
     }
--- a/decide/back_end_choice.h
+++ b/decide/back_end_choice.h
@@ -53,6 +53,8 @@
   // KV memory of an engine; zero: not a model engine.
   Tokens kv_memory;
   const std::set<BackEndId>* exclude = nullptr;
+  // Passes over decode engines whose memory the known runs will fill.
+  bool needs_memory = false;
 };
 
 class BackEndChoice {
@@ -104,6 +106,8 @@
   void SetPeerLoad(std::map<BackEndId, PeerLoad> load) {
     peer_load_ = std::move(load);
   }
+  // What this daemon has open, for its peers; only where there is something.
+  std::map<BackEndId, PeerLoad> OwnLoad() const;
 
   // For status pages: what is believed of a back end.
   struct Belief {
@@ -131,6 +135,10 @@
              EngineRole role) const;
   bool PassedOver(const Seen& seen, MonoTime now) const;
   double FailuresNow(const Seen& seen, MonoTime now) const;
+  PeerLoad PeerLoadOf(const BackEndId& id) const;
+  // Whether the runs at an engine, this one with them, outgrow its memory.
+  bool Outgrown(const BackEndId& id, const Seen& seen,
+                const ChoiceQuery& query) const;
   double ExpectedMillis(const BackEndList::Listed& listed, const Seen& seen,
                         const ChoiceQuery& query, MonoTime now) const;
   void Judge(Seen* seen, CallVerdict verdict, MonoTime now);
--- a/decide/room_wait.cc
+++ b/decide/room_wait.cc
@@ -24,6 +24,10 @@
   if (request.left < request.to_first_event + request.run) return std::nullopt;
   if (request.waited > Scaled(given, options_.longest_share))
     return std::nullopt;
+  if (request.patience > Duration::zero() &&
+      request.waited + request.to_first_event >
+          Scaled(request.patience, options_.patience_share))
+    return std::nullopt;
   const bool in_time =
       request.waited + request.to_first_event < request.target_latency;
   const Duration pause = in_time ? options_.eager_pause : options_.late_pause;
--- a/decide/room_wait.h
+++ b/decide/room_wait.h
@@ -5,9 +5,9 @@
 // request asks again after a pause. One whose first event can still come in
 // time asks often; one that is late already asks seldom, so that in a burst the
 // fresh requests get what becomes free and the late ones what is left of it. A
-// request that could not be finished in the time its caller still waits is
-// turned away, and so is one that has waited for long: its caller is better
-// served by an answer, with the time when to come back.
+// request is turned away before its caller leaves for want of a first event, or
+// if the whole answer could not come in its time: an answer that says when to
+// come back serves it better.
 //
 // Load pattern answered: bursts of about twice what the engines' memory holds,
 // for a few seconds.
@@ -25,6 +25,7 @@
   Duration waited{};          // since its arrival
   Duration left{};            // until its caller gives up
   Duration target_latency{};  // to the first event
+  Duration patience{};        // for it; zero: as long as `left`
   Duration to_first_event{};  // once it has room: prefill and transfer
   Duration run{};             // expected, from the first event to the last
 };
@@ -37,6 +38,8 @@
     Duration eager_pause = std::chrono::milliseconds(30);
     // Of one that is late: about the time in which an engine ends a run.
     Duration late_pause = std::chrono::milliseconds(250);
+    // Of the caller's patience for the first event: what is used of it at most.
+    double patience_share = 0.9;
     // The longest wait, as a share of the time that the caller gave.
     double longest_share = 0.4;
   };
--- a/decide/serving_decisions_test.cc
+++ b/decide/serving_decisions_test.cc
@@ -180,6 +180,22 @@
   CHECK(choice.BeliefOf(BackEndId("a"), At(2)).open_calls == 0);
 }
 
+TEST_CASE_METHOD(ChoiceFixture,
+                 "room is asked for only where the known runs leave it") {
+  Add(Engine("a", EngineRole::kDecode));
+  Add(Engine("b", EngineRole::kDecode));
+  ChoiceQuery query = Query(EngineRole::kDecode);
+  query.needs_memory = true;
+  choice.SetPeerLoad({{BackEndId("a"), {7, Tokens(34000)}}});
+  for (int i = 0; i < 10; ++i)
+    CHECK(choice.Choose(query, At(0))->id == BackEndId("b"));
+  // The other one has failed: nobody is asked, least of all the failed one.
+  const BackEndEntry b = list.all().at(BackEndId("b")).entry;
+  choice.CallBegan(b, {});
+  choice.CallEnded(b, {}, CallVerdict::kUnreachable, At(0));
+  CHECK(choice.Choose(query, At(10)) == nullptr);
+}
+
 // --- Repeats ----------------------------------------------------------------
 
 // Repeats and requests in every window against the bound, whatever the order.
@@ -255,6 +271,17 @@
   CHECK_FALSE(wait.NextPause(Waiting(5700, 8300)));
 }
 
+TEST_CASE("a caller is told before it leaves for want of a first event") {
+  SeededRandom random(1);
+  const RoomWait wait(RoomWait::Options{}, &random);
+  WaitingRequest waiting = Waiting(3000, 11000);
+  waiting.patience = milliseconds(3600);
+  CHECK(wait.NextPause(waiting));
+  waiting = Waiting(3100, 10900);  // 200 ms to the first event, 10 % to spare
+  waiting.patience = milliseconds(3600);
+  CHECK_FALSE(wait.NextPause(waiting));
+}
+
 TEST_CASE("those turned away together don't return together") {
   SeededRandom random(1);
   const RoomWait wait(RoomWait::Options{}, &random);
@@ -318,8 +345,8 @@
 }
 
 // The burst brings 100 more than can be served in it: of 388 at most 288 can be
-// in time. After it 7.5 a second find room beside the fresh ones: 42 in the 5.6 s
-// that a request waits at most.
+// in time. After it 7.5 a second find room beside the fresh ones: 42 in the 5.6
+// s that a request waits at most.
 TEST_CASE(
     "in a burst the fresh are in time, and the late are served after it") {
   for (uint64_t seed = 1; seed <= 10; ++seed) {
--- a/decide/site.h
+++ b/decide/site.h
@@ -45,9 +45,12 @@
   Duration timeout{};         // a request is answered by then; zero: no limit
   Duration target_latency{};  // to the answer, of streams to the first event
   Duration target_gap{};      // between events; zero: not a stream
-  int priority = 0;           // 0 is served first
-  int max_attempts = 1;       // backend servers that may run one request
-  bool open = false;          // needs no key
+  // How long callers wait for the first event of a stream; zero: as long as for
+  // the whole answer.
+  Duration first_event_patience{};
+  int priority = 0;               // 0 is served first
+  int max_attempts = 1;           // backend servers that may run one request
+  bool open = false;              // needs no key
   std::vector<SplitShare> split;  // never empty
 };
 
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -116,7 +116,7 @@
         freer_(loop_.get(), client_.get(), platform.requests),
         members_(loop_.get(), store_.get(), &random_, &log_, Self(settings),
                  MemberOptions()),
-        usage_(loop_.get(), &members_, &allotments_, &log_,
+        usage_(loop_.get(), &members_, &allotments_, &choice_, &log_,
                UsageExchange::Options{}),
         sync_(loop_.get(), store_.get(), platform.site, &random_, &log_,
               &back_ends_, SyncOptions()),
--- a/serving/site_sync.h
+++ b/serving/site_sync.h
@@ -27,8 +27,9 @@
   struct Options {
     // Records under this prefix go to the member observer.
     std::string member_prefix;
-    // One watch waits so long. A store may leave a watch waiting that has missed
-    // changes: it ends within the time in which the daemon has to settle.
+    // One watch waits so long. A store may leave a watch waiting that has
+    // missed changes: it ends within the time in which the daemon has to
+    // settle.
     Duration watch_wait = std::chrono::milliseconds(2500);
     // Pause behind a watch that brought changes: those that come together cost
     // one call. Well below the time in which a change has to be in force.
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -218,12 +218,13 @@
     stage_ = Stage::kRoom;
     std::set<BackEndId> passed = tried_decode_;
     passed.insert(refused_now_.begin(), refused_now_.end());
+    ChoiceQuery query = Query(EngineRole::kDecode, deps_.zone, &passed);
+    query.needs_memory = true;
     const BackEndEntry* chosen =
         refused_now_.size() < kRoomQuestions &&
                 deps_.choice->HasHealthy(request_.service.id,
                                          EngineRole::kDecode, now)
-            ? deps_.choice->Choose(
-                  Query(EngineRole::kDecode, deps_.zone, &passed), now)
+            ? deps_.choice->Choose(query, now)
             : nullptr;
     if (chosen == nullptr) {
       WaitForRoom();
@@ -269,6 +270,7 @@
     waiting.waited = now - request_.arrived;
     waiting.left = request_.deadline - now;
     waiting.target_latency = request_.route.target_latency;
+    waiting.patience = request_.route.first_event_patience;
     waiting.to_first_event = kFirstEventOverhead + ReadingTime();
     waiting.run = kTokenTime * output_.count();
     return waiting;
--- a/serving/usage_exchange.cc
+++ b/serving/usage_exchange.cc
@@ -12,6 +12,30 @@
 
 constexpr char kCollectorThing[] = "usage";
 
+// Engines named in one datagram, so that it stays within its limit.
+constexpr size_t kMaxOpenEntries = 250;
+
+using OpenList = google::protobuf::RepeatedPtrField<wire::OpenWork>;
+
+std::map<BackEndId, BackEndChoice::PeerLoad> ToLoad(const OpenList& list) {
+  std::map<BackEndId, BackEndChoice::PeerLoad> load;
+  for (const wire::OpenWork& work : list)
+    load[BackEndId(work.back_end())] = {static_cast<int>(work.calls()),
+                                        Tokens(work.tokens())};
+  return load;
+}
+
+void FromLoad(const std::map<BackEndId, BackEndChoice::PeerLoad>& load,
+              OpenList* list) {
+  for (const auto& [id, work] : load) {
+    if (static_cast<size_t>(list->size()) >= kMaxOpenEntries) return;
+    wire::OpenWork* const item = list->Add();
+    item->set_back_end(id.value());
+    item->set_calls(work.calls);
+    item->set_tokens(work.tokens.count());
+  }
+}
+
 AdmittedByCustomer ToMap(
     const google::protobuf::RepeatedPtrField<wire::AdmittedCost>& list) {
   AdmittedByCustomer map;
@@ -32,11 +56,12 @@
 }  // namespace
 
 UsageExchange::UsageExchange(EventLoop* loop, const MemberList* members,
-                             Allotments* allotments, LineLog* log,
-                             const Options& options)
+                             Allotments* allotments, BackEndChoice* choice,
+                             LineLog* log, const Options& options)
     : loop_(loop),
       members_(members),
       allotments_(allotments),
+      choice_(choice),
       log_(log),
       options_(options) {}
 
@@ -91,6 +116,7 @@
   report.set_boot(members_->self().boot());
   report.set_serial(++serial_);
   FromMap(allotments_->admitted(), report.mutable_admitted());
+  FromLoad(choice_->OwnLoad(), report.mutable_open());
   return report;
 }
 
@@ -99,6 +125,7 @@
   if (collector_ == members_->self().name()) {
     totals_.Take(report.name(), report.boot(), report.serial(),
                  allotments_->admitted(), loop_->Now());
+    choice_->SetPeerLoad(OpenOfOthers(report.name(), loop_->Now()));
     TakeOthers(collector_, report.boot(), report.serial(),
                totals_.AllBut(report.name(), loop_->Now()));
     return;
@@ -123,14 +150,32 @@
   if (datagram.has_summary()) TakeSummary(datagram.summary());
 }
 
+UsageExchange::Load UsageExchange::OpenOfOthers(const std::string& name,
+                                                MonoTime now) const {
+  Load sum;
+  const auto add = [&sum](const Load& load) {
+    for (const auto& [id, work] : load) {
+      sum[id].calls += work.calls;
+      sum[id].tokens += work.tokens;
+    }
+  };
+  for (const auto& [member, report] : open_reports_)
+    if (member != name && now - report.at < options_.open_life)
+      add(report.load);
+  if (name != members_->self().name()) add(choice_->OwnLoad());
+  return sum;
+}
+
 void UsageExchange::OnMemberGone(const std::string& name) {
   totals_.Forget(name);
+  open_reports_.erase(name);
 }
 
 void UsageExchange::TakeReport(const wire::UsageReport& report,
                                const Endpoint& from) {
   totals_.Take(report.name(), report.boot(), report.serial(),
                ToMap(report.admitted()), loop_->Now());
+  open_reports_[report.name()] = {ToLoad(report.open()), loop_->Now()};
   // What this daemon admitted belongs to the sum, whether or not it is its own
   // collector.
   const wire::UsageReport own = OwnReport();
@@ -143,12 +188,15 @@
   summary->set_serial(report.serial());
   FromMap(totals_.AllBut(report.name(), loop_->Now()),
           summary->mutable_admitted_by_others());
+  FromLoad(OpenOfOthers(report.name(), loop_->Now()),
+           summary->mutable_open_of_others());
   socket_->Send(from, datagram.SerializeAsString());
 }
 
 void UsageExchange::TakeSummary(const wire::UsageSummary& summary) {
   if (summary.collector() != collector_) return;
   collector_heard_ = loop_->Now();
+  choice_->SetPeerLoad(ToLoad(summary.open_of_others()));
   TakeOthers(summary.collector(), summary.collector_boot(), summary.serial(),
              ToMap(summary.admitted_by_others()));
 }
--- a/serving/usage_exchange.h
+++ b/serving/usage_exchange.h
@@ -16,6 +16,7 @@
 
 #include "base/line_log.h"
 #include "decide/allotments.h"
+#include "decide/back_end_choice.h"
 #include "decide/usage_totals.h"
 #include "net/datagram.h"
 #include "net/event_loop.h"
@@ -29,6 +30,8 @@
     // Between two reports while there is something new. A customer can
     // overdraw by what all daemons admit in it.
     Duration busy_pause = std::chrono::milliseconds(200);
+    // Open work that was reported longer ago counts as ended.
+    Duration open_life = std::chrono::milliseconds(1600);
     // Between two reports of an idle daemon.
     Duration idle_pause = std::chrono::milliseconds(800);
     // A collector that has not answered for so long is passed over ...
@@ -38,7 +41,8 @@
   };
 
   UsageExchange(EventLoop* loop, const MemberList* members,
-                Allotments* allotments, LineLog* log, const Options& options);
+                Allotments* allotments, BackEndChoice* choice, LineLog* log,
+                const Options& options);
 
   // `socket` must outlive the exchange.
   void Start(DatagramSocket* socket);
@@ -48,7 +52,10 @@
   const std::string& collector() const { return collector_; }
 
  private:
+  using Load = std::map<BackEndId, BackEndChoice::PeerLoad>;
+
   void Tick();
+  Load OpenOfOthers(const std::string& name, MonoTime now) const;
   void ChooseCollector(MonoTime now);
   void SendReport();
   void TakeReport(const wire::UsageReport& report, const Endpoint& from);
@@ -60,6 +67,7 @@
   EventLoop* const loop_;
   const MemberList* const members_;
   Allotments* const allotments_;
+  BackEndChoice* const choice_;
   LineLog* const log_;
   const Options options_;
   DatagramSocket* socket_ = nullptr;
@@ -71,6 +79,12 @@
   MonoTime reported_at_{};
   UsageTotals totals_;  // while this daemon is somebody's collector
   UsageDifference difference_;
+  // The newest reports of open work, while this daemon is a collector.
+  struct OpenReport {
+    Load load;
+    MonoTime at{};
+  };
+  std::map<std::string, OpenReport> open_reports_;
   TimerHandle timer_;
 };
 
