--- /dev/null
+++ b/standins/site_server.h
@@ -0,0 +1,94 @@
+// A stand-in backend server of the users' platform: registers itself in the
+// stand-in store and serves as prefill engine, decode engine or plain service.
+//
+// It journals what runs by request id before it answers. Handles of prefills
+// and rooms lapse, memory is counted by tokens, and what doesn't fit is refused
+// with the mark that it has not run.
+//
+//   POST /debug/behave   any of {"gap_ms", "events", "delay_ms",
+//                        "abort_runs", "draining": bool, "silent": bool}
+//   GET  /debug/journal  {"runs": {id: count}, "foreign": n, "used": tokens,
+//                        "handles": n, "rooms": n}
+#ifndef STANDINS_SITE_SERVER_H_
+#define STANDINS_SITE_SERVER_H_
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "net/event_loop.h"
+#include "net/http.h"
+#include "standins/delays.h"
+#include "standins/http_json.h"
+
+namespace mimosa::standins {
+
+struct SiteServerOptions {
+  std::string id;
+  std::string service;
+  std::string zone = "z";
+  std::string stage;  // "prefill", "decode"; empty: a plain service
+  Endpoint listen;
+  Endpoint store;
+  int64_t memory_tokens = 36000;
+};
+
+class SiteServer : public HttpHandler {
+ public:
+  SiteServer(LwsLoop* loop, SiteServerOptions options);
+
+  void OnRequest(std::shared_ptr<HttpExchange> exchange) override;
+
+ private:
+  using ExchangePtr = std::shared_ptr<HttpExchange>;
+  struct Run {
+    ExchangePtr exchange;
+    int64_t tokens = 0;
+    int64_t next_event = 1;
+    TimerHandle timer;
+  };
+
+  void Register();
+  std::string Entry() const;
+  void Debug(const ExchangePtr& exchange, const std::string& path);
+  void Behave(const ExchangePtr& exchange);
+  Json::Value Journal() const;
+  void SetAside(const ExchangePtr& exchange);
+  void Prefill(const ExchangePtr& exchange);
+  // Takes the prefill's result from its engine, then runs.
+  void Take(const ExchangePtr& exchange, const std::string& source);
+  void Admit(const ExchangePtr& exchange);
+  void Plain(const ExchangePtr& exchange);
+  void StepRun(uint64_t serial);
+  void EndRun(uint64_t serial);
+  static void Refuse(const ExchangePtr& exchange, int status);
+
+  LwsLoop* const loop_;
+  const SiteServerOptions options_;
+  const std::unique_ptr<HttpClient> client_;
+  const int64_t born_;
+  bool draining_ = false;
+  bool silent_ = false;  // answers nothing
+  int64_t events_ = 5;
+  int64_t abort_runs_ = 0;  // next runs that break off after an event
+  Duration gap_ = std::chrono::milliseconds(10);
+  Duration delay_{};
+  std::map<std::string, int64_t> runs_;
+  int64_t foreign_ = 0;  // requests that carried a caller's key
+  int64_t used_ = 0;     // tokens of runs and rooms
+  uint64_t serial_ = 0;
+  std::map<uint64_t, Run> running_;
+  std::map<std::string, TimerHandle> handles_;
+  std::map<std::string, std::pair<int64_t, TimerHandle>> rooms_;
+  std::list<std::unique_ptr<HttpCall>> calls_;
+  Delays delays_;
+  TimerHandle register_timer_;
+};
+
+}  // namespace mimosa::standins
+
+#endif  // STANDINS_SITE_SERVER_H_
--- /dev/null
+++ b/standins/site_server_main.cc
@@ -0,0 +1,33 @@
+// standin-site-server: a backend server that registers itself, for tests.
+#include <tclap/CmdLine.h>
+
+#include <string>
+
+#include "standins/serve.h"
+#include "standins/site_server.h"
+
+int main(int argc, char** argv) {
+  TCLAP::CmdLine cmd("Stand-in for a registering backend server", '=', "1");
+  TCLAP::ValueArg<std::string> listen("", "listen", "where to listen", true, "",
+                                      "ip:port", cmd);
+  TCLAP::ValueArg<std::string> store("", "store", "the stand-in platform", true,
+                                     "", "ip:port", cmd);
+  TCLAP::ValueArg<std::string> id("", "id", "id of the entry", true, "", "id",
+                                  cmd);
+  TCLAP::ValueArg<std::string> service("", "service", "its service", true, "",
+                                       "name", cmd);
+  TCLAP::ValueArg<std::string> stage("", "stage", "prefill or decode", false,
+                                     "", "stage", cmd);
+  cmd.parse(argc, argv);
+
+  mimosa::standins::SiteServerOptions options;
+  options.id = id.getValue();
+  options.service = service.getValue();
+  options.stage = stage.getValue();
+  if (!mimosa::Endpoint::Parse(listen.getValue(), &options.listen) ||
+      !mimosa::Endpoint::Parse(store.getValue(), &options.store))
+    return 1;
+  const auto loop = mimosa::LwsLoop::Create();
+  mimosa::standins::SiteServer server(loop.get(), options);
+  return mimosa::standins::Serve(loop.get(), listen.getValue(), &server);
+}
--- a/tests/processes.cc
+++ b/tests/processes.cc
@@ -132,6 +132,10 @@
   if (child_) ::kill(child_->child.id(), SIGTERM);
 }
 
+void Process::Signal(int number) {
+  if (child_) ::kill(child_->child.id(), number);
+}
+
 bool Process::running() const {
   std::error_code ec;
   return child_ && child_->child.running(ec);
--- a/tests/processes.h
+++ b/tests/processes.h
@@ -52,6 +52,7 @@
   void Freeze();     // STOP
   void Thaw();       // CONT
   void Terminate();  // TERM, doesn't wait
+  void Signal(int number);
   void Restart() {
     Kill();
     Start();
