--- a/base/settings.h
+++ b/base/settings.h
@@ -100,7 +100,7 @@
 std::string HelpText(const ProgramInfo& program,
                      const google::protobuf::Message& settings);
 
-// A Markdown table of the settings, for docs/OPERATORS.md.
+// A Markdown table of the settings, for docs/OPERATIONS.md.
 std::string SettingsTable(const google::protobuf::Message& settings);
 
 }  // namespace mimosa
--- a/decide/allotments_test.cc
+++ b/decide/allotments_test.cc
@@ -215,7 +215,7 @@
         sum += ms >= from && ms < from + 8000 ? cost : 0;
       INFO("seed " << seed << " from " << from);
       // Overdrawn by one request, and by the part that the window ends in.
-      CHECK(sum <= 8 * 1000 + 2000 + 100 + 8 * 1000 / 32);
+      CHECK(sum <= 8 * 1000 + 2000 + 100 + 8 * 1000 / 32.0);
     }
   }
 }
@@ -260,7 +260,7 @@
 TEST_CASE("a silent member is taken to go on, one that is gone isn't") {
   UsageTotals totals;
   for (int i = 0; i <= 50; ++i)  // 1,000 a second
-    totals.Take("a", 1, i + 1, {{kCustomer, 200.0 * i}}, At(200 * i));
+    totals.Take("a", 1, i + 1, {{kCustomer, 200.0 * i}}, At(int64_t{200} * i));
   CHECK(totals.AllBut("b", At(11000))[kCustomer] == 10000);
   CHECK(totals.AllBut("b", At(13000))[kCustomer] == Approx(13000).margin(100));
   totals.Forget("a");
--- a/tools/settings_table.cc
+++ b/tools/settings_table.cc
@@ -1,5 +1,5 @@
 // Prints the settings of all programs as Markdown: the table that stands in
-// docs/OPERATORS.md. scripts/settings-table puts it there.
+// docs/OPERATIONS.md. scripts/settings-table puts it there.
 #include <google/protobuf/message.h>
 
 #include <iostream>
@@ -14,6 +14,7 @@
               << mimosa::SettingsTable(settings);
   };
   print("mimosa-router", mimosa::wire::RouterSettings());
+  print("mimosa-entry", mimosa::wire::EntrySettings());
   print("mimosactl", mimosa::wire::CtlSettings());
   print("mimosa-load", mimosa::wire::LoadSettings());
   return 0;
