--- a/serving/entry_front.cc
+++ b/serving/entry_front.cc
@@ -72,7 +72,7 @@
     Refuse(exchange.get(), request, refusal);
     return;
   }
-  Begin(std::move(request), std::move(exchange));
+  Begin(std::move(request), exchange);
 }
 
 bool EntryFront::Admit(const SiteConfig& config, RelayRequest* request,
@@ -180,7 +180,7 @@
 }
 
 void EntryFront::Begin(RelayRequest request,
-                       std::shared_ptr<HttpExchange> exchange) {
+                       const std::shared_ptr<HttpExchange>& exchange) {
   const uint64_t serial = next_serial_++;
   auto running = std::make_unique<Running>();
   running->request = request;
--- a/serving/entry_front.h
+++ b/serving/entry_front.h
@@ -61,7 +61,8 @@
                                  const SiteRoute& route) const;
   void Refuse(HttpExchange* exchange, const RelayRequest& request,
               const Refusal& refusal);
-  void Begin(RelayRequest request, std::shared_ptr<HttpExchange> exchange);
+  void Begin(RelayRequest request,
+             const std::shared_ptr<HttpExchange>& exchange);
   void OnDone(uint64_t serial, const RelayResult& result);
 
   const RelayDeps* const deps_;
--- a/serving/site_sync.cc
+++ b/serving/site_sync.cc
@@ -45,11 +45,11 @@
 
 void SiteSync::List() {
   former_call_ = std::move(call_);
-  call_ = store_->List(
-      "", [this](KvListResult result) { OnList(std::move(result)); });
+  call_ =
+      store_->List("", [this](const KvListResult& result) { OnList(result); });
 }
 
-void SiteSync::OnList(KvListResult result) {
+void SiteSync::OnList(const KvListResult& result) {
   if (result.status != KvStatus::kOk) {
     Lost(result.status);
     Retry([this] { List(); });
@@ -82,10 +82,10 @@
   // be noticed at once.
   call_ = store_->Watch(
       "", revision_, lost_ ? options_.probe_wait : options_.watch_wait,
-      [this](KvListResult result) { OnWatch(std::move(result)); });
+      [this](const KvListResult& result) { OnWatch(result); });
 }
 
-void SiteSync::OnWatch(KvListResult result) {
+void SiteSync::OnWatch(const KvListResult& result) {
   if (result.status == KvStatus::kCompacted) {
     Regained();
     log_->WriteAlways(
--- a/serving/site_sync.h
+++ b/serving/site_sync.h
@@ -66,9 +66,9 @@
 
  private:
   void List();
-  void OnList(KvListResult result);
+  void OnList(const KvListResult& result);
   void Watch();
-  void OnWatch(KvListResult result);
+  void OnWatch(const KvListResult& result);
   void Lost(KvStatus status);
   void Regained();
   void Retry(std::function<void()> action);
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -206,11 +206,8 @@
 
   // With room, or without where engines don't set any aside.
   void GoOn() {
-    if (handle_ && !HandleOver(deps_.loop->Now())) {
-      Run();
-    } else if (prefills_ >= kMaxPrefills || !TryPrefill()) {
-      Run();
-    }
+    const bool has_prefill = handle_ && !HandleOver(deps_.loop->Now());
+    if (has_prefill || prefills_ >= kMaxPrefills || !TryPrefill()) Run();
   }
 
   void TryRoom() {
--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -74,8 +74,8 @@
   request.target = "/debug/record?key=servers/" + options_.id;
   request.body = Entry();
   calls_.clear();
-  calls_.push_back(
-      Fetch(client_.get(), options, std::move(request), [](HttpResult) {}));
+  calls_.push_back(Fetch(client_.get(), options, std::move(request),
+                         [](const HttpResult&) {}));
 }
 
 void SiteServer::Refuse(const ExchangePtr& exchange, int status) {
