--- a/tests/entry_process_test.cc
+++ b/tests/entry_process_test.cc
@@ -4,6 +4,7 @@
 #include <signal.h>
 
 #include <catch2/catch.hpp>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <memory>
@@ -22,11 +23,13 @@
 const char kReadyPath[] = "/mimosarouter/ready";
 
 struct Entry {
+  ~Entry() { std::filesystem::remove(settings); }
+
   uint16_t port = FreePort();
   uint16_t ready = FreePort();
   uint16_t control = FreePort();
   uint16_t peer = FreePort();
-  std::string settings;  // path of its settings file
+  std::filesystem::path settings;  // its settings file
   std::unique_ptr<Process> process;
 };
 
@@ -65,7 +68,8 @@
 
   void AddEntry(const std::string& name) {
     auto entry = std::make_unique<Entry>();
-    entry->settings = "entry-settings-" + std::to_string(entry->port);
+    entry->settings = std::filesystem::temp_directory_path() /
+                      ("mimosa-entry-settings-" + std::to_string(entry->port));
     WriteSettings(*entry, name, 8000);
     entry->process = std::make_unique<Process>(
         "tools/mimosa-entry",
