Engines move between prefill and decode where a site's share of them is wrong

Cause looked for: decode memory is what requests wait for on both first sites, and prefill engines were thought 29 % busy.

How: requests' costs at both stages are measured by each daemon and added up by the collector; it announces moves in one record of the store, whose revision is the fence of the orders; all daemons send nothing new to an engine that moves.

Ruled out on the way: counting open calls in reports (a report is sent when there is news, so that short calls are counted four times over), a mean over the first seconds (short runs end first).

--- a/decide/back_end_choice.cc
+++ b/decide/back_end_choice.cc
@@ -30,7 +30,10 @@
 
 bool BackEndChoice::Takes(const BackEndEntry& entry, const ServiceId& service,
                           EngineRole role) const {
-  return entry.service == service && entry.role == role && !entry.draining;
+  if (entry.service != service || entry.role != role || entry.draining)
+    return false;
+  const auto move = moving_.find(entry.id);
+  return move == moving_.end() || move->second == role;
 }
 
 bool BackEndChoice::PassedOver(const Seen& seen, MonoTime now) const {
@@ -99,6 +102,12 @@
   return load;
 }
 
+bool BackEndChoice::IsIdle(const BackEndId& id) const {
+  const auto seen = seen_.find(id);
+  return PeerLoadOf(id).calls == 0 &&
+         (seen == seen_.end() || seen->second.open_calls == 0);
+}
+
 bool BackEndChoice::Outgrown(const BackEndId& id, const Seen& seen,
                              const ChoiceQuery& query) const {
   const Tokens taken =
--- a/decide/back_end_choice.h
+++ b/decide/back_end_choice.h
@@ -98,6 +98,12 @@
   // A verdict apart from a call's end, such as silence where an answer was due.
   void Report(const BackEndEntry& back_end, CallVerdict verdict, MonoTime now);
 
+  // Engines that are changing their role take nothing until they are listed
+  // under the new one.
+  void SetMoving(std::map<BackEndId, EngineRole> moving) {
+    moving_ = std::move(moving);
+  }
+
   // What the other daemons have open at a back end.
   struct PeerLoad {
     int calls = 0;
@@ -109,6 +115,9 @@
   // What this daemon has open, for its peers; only where there is something.
   std::map<BackEndId, PeerLoad> OwnLoad() const;
 
+  // Whether nobody is known to have anything open there.
+  bool IsIdle(const BackEndId& id) const;
+
   // For status pages: what is believed of a back end.
   struct Belief {
     int open_calls = 0;
@@ -148,6 +157,7 @@
   const Options options_;
   std::map<BackEndId, Seen> seen_;
   std::map<BackEndId, PeerLoad> peer_load_;
+  std::map<BackEndId, EngineRole> moving_;  // to these roles
 };
 
 }  // namespace mimosa
--- /dev/null
+++ b/decide/role_balance_test.cc
@@ -0,0 +1,216 @@
+// Moves of engines between the stages, in virtual time: the proportion that
+// requests need is reached, kept, and not chased through short shifts.
+#include "decide/role_balance.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <string>
+#include <vector>
+
+namespace mimosa {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kStep = milliseconds(500);
+const Tokens kMemory(36000);
+
+// Of one step in which the work keeps so many engines of each stage busy.
+StageSums Sums(double prefill, double decode) {
+  const double seconds = ToSeconds(kStep);
+  const double requests = 18 * seconds;
+  return {requests, prefill * seconds, requests,
+          decode * seconds * static_cast<double>(kMemory.count())};
+}
+
+// A service whose requests keep `prefill` and `decode` engines busy in all; a
+// moved engine is away for some seconds and then has its new role.
+class Fleet {
+ public:
+  Fleet(int prefills, int decodes) {
+    for (int i = 0; i < prefills + decodes; ++i) {
+      RoleBalance::Engine engine;
+      engine.id = BackEndId("e" + std::to_string(i));
+      engine.zone = FailureDomain("z" + std::to_string(i % 4));
+      engine.role = i < prefills ? EngineRole::kPrefill : EngineRole::kDecode;
+      engines_.push_back(engine);
+    }
+  }
+
+  // Runs for `length` with work that keeps so many engines of each stage busy.
+  void Run(double prefill, double decode, Duration length) {
+    for (const MonoTime end = now_ + length; now_ < end; now_ += kStep) {
+      Settle();
+      balance_.Observe(Sums(prefill, decode), kMemory, now_);
+      const auto moves = balance_.Propose(engines_, now_);
+      moves_ += static_cast<int>(moves.size());
+      for (const RoleMove& move : moves) Begin(move);
+    }
+  }
+
+  int Count(EngineRole role) const {
+    return static_cast<int>(std::count_if(
+        engines_.begin(), engines_.end(),
+        [&](const auto& e) { return e.role == role && e.usable; }));
+  }
+  void Kill(const std::string& id) {
+    engines_.erase(
+        std::remove_if(engines_.begin(), engines_.end(),
+                       [&](const auto& e) { return e.id.value() == id; }),
+        engines_.end());
+  }
+  int PrefillsIn(const std::string& zone) const {
+    return static_cast<int>(
+        std::count_if(engines_.begin(), engines_.end(), [&](const auto& e) {
+          return e.role == EngineRole::kPrefill && e.zone.value() == zone;
+        }));
+  }
+  int moves() const { return moves_; }
+
+ private:
+  struct Moving {
+    RoleMove move;
+    MonoTime done{};
+  };
+
+  void Begin(const RoleMove& move) {
+    for (RoleBalance::Engine& engine : engines_)
+      if (engine.id == move.engine) engine.usable = false;
+    moving_.push_back({move, now_ + seconds(8)});
+  }
+  void Settle() {
+    for (const Moving& moving : moving_) {
+      if (moving.done != now_) continue;
+      for (RoleBalance::Engine& engine : engines_) {
+        if (engine.id != moving.move.engine) continue;
+        engine.role = moving.move.role;
+        engine.usable = true;
+      }
+    }
+  }
+
+  RoleBalance balance_{RoleBalance::Options{}};
+  std::vector<RoleBalance::Engine> engines_;
+  std::vector<Moving> moving_;
+  MonoTime now_ = MonoTime(seconds(1000));
+  int moves_ = 0;
+};
+
+TEST_CASE("idle prefill engines go where memory is short") {
+  // Requests of the trust's kind before engines of which two thirds read
+  // prompts: decode memory is full while prefill keeps two of twelve busy.
+  Fleet fleet(12, 6);
+  fleet.Run(1.9, 7.5, seconds(18));
+  CHECK(fleet.Count(EngineRole::kDecode) >= 9);
+  fleet.Run(1.9, 7.5, seconds(60));
+  CHECK(fleet.Count(EngineRole::kDecode) >= 11);
+  CHECK(fleet.Count(EngineRole::kPrefill) >= 4);
+  const int moves = fleet.moves();
+  fleet.Run(1.9, 7.5, seconds(120));
+  CHECK(fleet.moves() == moves);
+}
+
+TEST_CASE("a share that is nearly right stays") {
+  // The trust's own engines: one or two fewer for prefill would do.
+  Fleet fleet(7, 11);
+  fleet.Run(3.2, 9.5, seconds(60));
+  CHECK(fleet.moves() == 0);
+}
+
+TEST_CASE("nothing moves at little work or in its first seconds") {
+  Fleet idle(7, 11);
+  idle.Run(0.5, 3, seconds(60));
+  CHECK(idle.moves() == 0);
+  Fleet early(7, 11);
+  early.Run(1.8, 9.5, seconds(2));
+  CHECK(early.moves() == 0);
+}
+
+TEST_CASE("a short shift to long prompts moves nothing back") {
+  Fleet fleet(4, 14);
+  fleet.Run(1.8, 9.5, seconds(30));
+  CHECK(fleet.moves() == 0);
+  fleet.Run(3.2, 9.5, seconds(2));
+  fleet.Run(1.8, 9.5, seconds(30));
+  CHECK(fleet.moves() == 0);
+}
+
+TEST_CASE("a lasting shift to long prompts is followed") {
+  Fleet fleet(3, 15);
+  fleet.Run(1, 9, seconds(30));
+  const int before = fleet.Count(EngineRole::kPrefill);
+  fleet.Run(8, 5, seconds(90));
+  CHECK(fleet.Count(EngineRole::kPrefill) >= before + 6);
+}
+
+TEST_CASE("lost engines of one stage are replaced from the other") {
+  Fleet fleet(6, 6);
+  fleet.Run(3.5, 4.6, seconds(30));
+  CHECK(fleet.Count(EngineRole::kPrefill) == 6);
+  for (const char* id : {"e0", "e1", "e2", "e3"}) fleet.Kill(id);
+  fleet.Run(3.5, 4.6, seconds(60));
+  CHECK(fleet.Count(EngineRole::kPrefill) == 4);
+}
+
+TEST_CASE("engines leave the failure domain that keeps most") {
+  Fleet fleet(8, 8);  // two of each stage in each of four domains
+  fleet.Run(1, 8, seconds(30));
+  CHECK(fleet.Count(EngineRole::kPrefill) < 8);
+  for (const char* zone : {"z0", "z1", "z2", "z3"})
+    CHECK(fleet.PrefillsIn(zone) >= 1);
+}
+
+// Every proportion ends where the rule says, whatever the first share, with
+// engines kept back at both ends.
+TEST_CASE("all small fleets come to rest at the wanted share") {
+  for (int total = 2; total <= 12; ++total) {
+    for (int prefills = 1; prefills < total; ++prefills) {
+      for (int tenths = 1; tenths <= 9; ++tenths) {
+        const double prefill = total * 0.05 * tenths;
+        const double decode = total * 0.05 * (10 - tenths);
+        Fleet fleet(prefills, total - prefills);
+        fleet.Run(prefill, decode, seconds(240));
+        const int moves = fleet.moves();
+        fleet.Run(prefill, decode, seconds(60));
+        INFO(total << " engines, " << prefills << " prefill at first, "
+                   << tenths << " tenths of the work");
+        CHECK(fleet.moves() == moves);
+        CHECK(fleet.Count(EngineRole::kPrefill) >= 1);
+        CHECK(fleet.Count(EngineRole::kDecode) >= 1);
+      }
+    }
+  }
+}
+
+TEST_CASE("the idlest engines move, never all of a stage") {
+  RoleBalance balance{RoleBalance::Options{}};
+  std::vector<RoleBalance::Engine> engines(6);
+  for (size_t i = 0; i < engines.size(); ++i) {
+    engines[i].id = BackEndId(std::to_string(i));
+    engines[i].role = i < 4 ? EngineRole::kPrefill : EngineRole::kDecode;
+    engines[i].calls = i == 2 ? 0 : 3;
+  }
+  const MonoTime start = MonoTime(seconds(5));
+  MonoTime now = start;
+  for (; now < start + seconds(8); now += kStep) {
+    CHECK(balance.Propose(engines, now).empty());
+    balance.Observe(Sums(0.4, 2), kMemory, now);
+  }
+  const auto moves = balance.Propose(engines, now);
+  REQUIRE(moves.size() == 1);
+  CHECK(moves[0].engine == BackEndId("2"));
+  CHECK(moves[0].role == EngineRole::kDecode);
+  CHECK(balance.Propose(engines, now + seconds(1)).empty());
+}
+
+TEST_CASE("a long queue at prefill leaves decode its engines") {
+  Fleet fleet(2, 10);
+  fleet.Run(100, 8, seconds(8));
+  fleet.Run(100, 8, seconds(200));
+  CHECK(fleet.Count(EngineRole::kDecode) >= 2);
+}
+
+}  // namespace
+}  // namespace mimosa
--- /dev/null
+++ b/decide/stage_meter.cc
@@ -0,0 +1,64 @@
+// Sums by service and the speed of idle prefill engines.
+#include "decide/stage_meter.h"
+
+#include <algorithm>
+
+namespace mimosa {
+namespace {
+
+// Until an idle engine was measured: of the order that all engine types in use
+// have.
+constexpr double kSecondsPerToken = 1.0 / 30000;
+// The mean speed follows a change of the engines over about so many prefills.
+constexpr int kSpeedSamples = 20;
+
+}  // namespace
+
+StageSums& StageSums::operator+=(const StageSums& other) {
+  prefills += other.prefills;
+  prefill_s += other.prefill_s;
+  runs += other.runs;
+  run_token_s += other.run_token_s;
+  return *this;
+}
+
+StageSums operator-(StageSums a, const StageSums& b) {
+  a.prefills -= b.prefills;
+  a.prefill_s -= b.prefill_s;
+  a.runs -= b.runs;
+  a.run_token_s -= b.run_token_s;
+  return a;
+}
+
+StageSums& StageSums::operator*=(double factor) {
+  prefills *= factor;
+  prefill_s *= factor;
+  runs *= factor;
+  run_token_s *= factor;
+  return *this;
+}
+
+void StageMeter::PrefillDone(const ServiceId& service, Tokens prompt,
+                             Duration took, bool alone) {
+  if (prompt <= Tokens(0)) return;
+  const auto tokens = static_cast<double>(prompt.count());
+  Speed& speed = speeds_[service];
+  if (alone) {
+    speed.samples = std::min(speed.samples + 1, kSpeedSamples);
+    speed.seconds_per_token +=
+        (ToSeconds(took) / tokens - speed.seconds_per_token) / speed.samples;
+  }
+  StageSums& sums = sums_[service];
+  ++sums.prefills;
+  sums.prefill_s +=
+      tokens * (speed.samples > 0 ? speed.seconds_per_token : kSecondsPerToken);
+}
+
+void StageMeter::RunDone(const ServiceId& service, Tokens memory,
+                         Duration took) {
+  StageSums& sums = sums_[service];
+  ++sums.runs;
+  sums.run_token_s += static_cast<double>(memory.count()) * ToSeconds(took);
+}
+
+}  // namespace mimosa
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -22,6 +22,7 @@
 #include "serving/entry_front.h"
 #include "serving/handle_freer.h"
 #include "serving/member_list.h"
+#include "serving/role_keeper.h"
 #include "serving/site_sync.h"
 #include "serving/usage_exchange.h"
 
@@ -49,6 +50,10 @@
 // Lines wait at most so long for their writing.
 constexpr Duration kLogFlushPause = std::chrono::milliseconds(250);
 
+// The fleet's own records, under the deployment's name.
+const std::string kMemberRecords = "members/";
+const std::string kRoleRecord = "roles";
+
 Endpoint ParsedEndpoint(const std::string& text) {
   Endpoint endpoint;
   Endpoint::Parse(text, &endpoint);  // checked with the settings
@@ -116,21 +121,20 @@
         freer_(loop_.get(), client_.get(), platform.requests),
         members_(loop_.get(), store_.get(), &random_, &log_, Self(settings),
                  MemberOptions()),
-        usage_(loop_.get(), &members_, &allotments_, &choice_, &log_,
+        usage_(loop_.get(), &members_, &allotments_, &choice_, &meter_, &log_,
                UsageExchange::Options{}),
+        roles_(
+            loop_.get(), client_.get(), store_.get(), platform.requests,
+            &back_ends_, &choice_, &log_, [this] { return WorkToBalance(); },
+            settings.name(), members_.self().boot(), RoleOptions()),
         sync_(loop_.get(), store_.get(), platform.site, &random_, &log_,
               &back_ends_, SyncOptions()),
-        deps_{loop_.get(),
-              client_.get(),
-              platform.requests,
-              &choice_,
-              &budget_,
-              &room_wait_,
-              &random_,
-              &log_,
-              &freer_,
-              &counters_,
-              FailureDomain(settings.failure_domain())},
+        deps_{loop_.get(),       client_.get(),
+              platform.requests, &choice_,
+              &budget_,          &room_wait_,
+              &random_,          &log_,
+              &freer_,           &counters_,
+              &meter_,           FailureDomain(settings.failure_domain())},
         front_(&deps_, &allotments_, [this] { return sync_.config(); }),
         ready_port_([this](const std::string& path) { return Ready(path); }),
         control_port_(
@@ -162,15 +166,14 @@
     loop_->OnSignal([this] { BeginLeaving(); });
     loop_->OnHangup([this] { ReloadSettings(); });
     sync_.ObserveConfig([this](const SiteConfig& config) { OnConfig(config); });
-    sync_.ObserveMembers(
-        [this](const std::string& name, const std::string* value) {
-          members_.OnRecord(name, value);
-          if (value == nullptr) usage_.OnMemberGone(name);
-          budget_.SetMembers(members_.size());
+    sync_.ObserveRecords(
+        [this](const std::string& name, const KvRecord* record) {
+          OnRecord(name, record);
         });
     sync_.Start();
     members_.Start();
     usage_.Start(datagrams_.get());
+    roles_.Start();
     FlushLog();
     loop_->Run();
     log_.WriteAlways(LogLine("stopped").Add("running", front_.running()));
@@ -187,19 +190,17 @@
     return self;
   }
 
-  std::string MemberPrefix() const {
-    return settings_.deployment() + "/members/";
-  }
+  std::string RecordPrefix() const { return settings_.deployment() + "/"; }
 
   MemberList::Options MemberOptions() const {
     MemberList::Options options;
-    options.prefix = MemberPrefix();
+    options.prefix = RecordPrefix() + kMemberRecords;
     return options;
   }
 
   SiteSync::Options SyncOptions() const {
     SiteSync::Options options;
-    options.member_prefix = MemberPrefix();
+    options.record_prefix = RecordPrefix();
     options.watch_wait =
         std::chrono::milliseconds(settings_.settle_ms()) - kSettleMargin;
     return options;
@@ -224,10 +225,35 @@
               .Add("tokens", customer.counts_tokens));
     }
     allotments_.SetCustomers(config.customers(), loop_->Now());
+    roles_.SetServices(config.services());
     if (config.limits().idle_timeout > Duration::zero())
       caller_server_->SetIdleTimeout(config.limits().idle_timeout);
   }
 
+  void OnRecord(const std::string& name, const KvRecord* record) {
+    if (name == kRoleRecord) {
+      roles_.OnRecord(record);
+    } else if (name.compare(0, kMemberRecords.size(), kMemberRecords) == 0) {
+      const std::string member = name.substr(kMemberRecords.size());
+      members_.OnRecord(member, record == nullptr ? nullptr : &record->value);
+      if (record == nullptr) usage_.OnMemberGone(member);
+      budget_.SetMembers(members_.size());
+    }
+  }
+
+  // Orders are only given while the store answers: a daemon without it knows
+  // neither the engines nor who else gives orders.
+  std::optional<RoleKeeper::Work> WorkToBalance() const {
+    if (!IsReady() || sync_.store_lost()) return std::nullopt;
+    return usage_.fleet_work();
+  }
+
+  RoleKeeper::Options RoleOptions() const {
+    RoleKeeper::Options options;
+    options.key = RecordPrefix() + kRoleRecord;
+    return options;
+  }
+
   bool IsReady() const {
     return !leaving_ && sync_.config() != nullptr && sync_.listed();
   }
@@ -317,6 +343,7 @@
     front_.BeginLeaving(now + kLastStream);
     caller_server_->CloseAfterAnswers();
     members_.Leave();
+    roles_.Stop();
     leave_timer_ = loop_->After(kBalancerNotice, [this] {
       caller_server_->StopAccepting();
       FinishRequests();
@@ -350,8 +377,10 @@
   Allotments allotments_;
   HandleFreer freer_;
   RelayCounters counters_;
+  StageMeter meter_;
   MemberList members_;
   UsageExchange usage_;
+  RoleKeeper roles_;
   SiteSync sync_;
   const RelayDeps deps_;
   EntryFront front_;
@@ -395,6 +424,8 @@
       [this] { return double(counters_.rooms); });
   add("mimosa_rooms_refused", "Rooms that a decode engine had not",
       [this] { return double(counters_.rooms_refused); });
+  add("mimosa_role_orders", "Orders to engines to change their role",
+      [this] { return double(roles_.orders_sent()); });
   add("mimosa_repeats", "Requests sent to a backend server once more",
       [this] { return double(counters_.repeats); });
   add("mimosa_repeats_refused", "Repeats given up for want of budget",
--- a/serving/entry_front.cc
+++ b/serving/entry_front.cc
@@ -228,6 +228,8 @@
       .Add("max_output",
            request.caller.model ? request.caller.model->max_output.count() : 0)
       .Add("events", result.events)
+      .AddMillis("room_ms", result.room)
+      .AddMillis("prefill_ms", result.prefill)
       .AddMillis("first_ms", result.first_event)
       .AddMillis("total_ms", total)
       .AddMillis("left_ms", request.deadline - deps_->loop->Now());
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -12,6 +12,7 @@
 #include "decide/retry_budget.h"
 #include "decide/room_wait.h"
 #include "decide/site.h"
+#include "decide/stage_meter.h"
 #include "net/event_loop.h"
 #include "net/http.h"
 #include "serving/handle_freer.h"
@@ -44,6 +45,7 @@
   LineLog* log;
   HandleFreer* freer;
   RelayCounters* counters;
+  StageMeter* meter;
   FailureDomain zone;  // of this daemon
 };
 
@@ -60,12 +62,15 @@
 
 // What the caller got in the end.
 struct RelayResult {
-  int status = 0;          // 0: the connection was closed without an answer
-  const char* why = "";    // the decision behind an answer of the daemon's own
-  BackEndId back_end;      // that answered, or was asked last
-  int calls = 0;           // made to back ends, prefills included
-  int64_t events = 0;      // of a stream, passed on to the caller
-  Duration first_event{};  // from the request's arrival; zero: none came
+  int status = 0;        // 0: the connection was closed without an answer
+  const char* why = "";  // the decision behind an answer of the daemon's own
+  BackEndId back_end;    // that answered, or was asked last
+  int calls = 0;         // made to back ends, prefills included
+  int64_t events = 0;    // of a stream, passed on to the caller
+  // Of a stream, from the request's arrival; zero: it didn't come so far.
+  Duration room{};     // a decode engine had room
+  Duration prefill{};  // the last prefill was done
+  Duration first_event{};
   bool caller_gone = false;
 };
 
--- a/serving/request_format.h
+++ b/serving/request_format.h
@@ -63,6 +63,25 @@
   bool encoded = false;       // a body under another encoding than its own
 };
 
+// What an engine says of itself when it is asked.
+struct EngineReport {
+  EngineRole role = EngineRole::kNone;
+  bool changing = false;     // an order is under way
+  int64_t orders_taken = 0;  // since its start
+};
+
+// Makes an engine change its role.
+struct RoleOrder {
+  BackEndId expect;
+  EngineRole role = EngineRole::kNone;
+  std::string holder;  // the daemon that orders
+  // Engines refuse orders under a lower fence than one that they have seen.
+  Revision fence;
+  // The engine's orders_taken as last reported: it refuses the order if it has
+  // taken another one since.
+  int64_t orders_taken = 0;
+};
+
 enum class RequestFault {
   kNoId,           // the request has no id
   kBadPatience,    // the time that the caller waits is no number
@@ -106,6 +125,12 @@
   virtual std::optional<std::string> ReadSetAside(
       const std::string& body) const = 0;
   virtual HttpRequest WriteGiveBack(const std::string& room) const = 0;
+
+  virtual HttpRequest WriteReportCall(const BackEndId& expect) const = 0;
+  // Nothing if the body is no report of an engine with a role.
+  virtual std::optional<EngineReport> ReadReport(
+      const std::string& body) const = 0;
+  virtual HttpRequest WriteOrder(const RoleOrder& order) const = 0;
 };
 
 }  // namespace mimosa
--- a/serving/site_sync.cc
+++ b/serving/site_sync.cc
@@ -143,8 +143,8 @@
     TakeConfig(record);
   } else if (StartsWith(record.key, format_->back_end_prefix())) {
     TakeBackEnd(record);
-  } else if (StartsWith(record.key, options_.member_prefix) && on_member_) {
-    on_member_(record.key.substr(options_.member_prefix.size()), &record.value);
+  } else if (StartsWith(record.key, options_.record_prefix) && on_record_) {
+    on_record_(record.key.substr(options_.record_prefix.size()), &record);
   }
 }
 
@@ -157,8 +157,8 @@
                     .Add("back_end", id.value())
                     .Add("held", back_ends_->all().count(id) != 0)
                     .Add("revision", revision_.count()));
-  } else if (StartsWith(key, options_.member_prefix) && on_member_) {
-    on_member_(key.substr(options_.member_prefix.size()), nullptr);
+  } else if (StartsWith(key, options_.record_prefix) && on_record_) {
+    on_record_(key.substr(options_.record_prefix.size()), nullptr);
   }
 }
 
--- a/serving/site_sync.h
+++ b/serving/site_sync.h
@@ -1,5 +1,5 @@
 // Keeps this daemon's view of the site in step with the platform's store: the
-// configuration, the backend servers and the fleet's members.
+// configuration, the backend servers and the fleet's own records.
 //
 // One watch over all keys carries every change; it is renewed before a silent
 // connection could hide one for longer than a change may take to be in force.
@@ -25,8 +25,8 @@
 class SiteSync {
  public:
   struct Options {
-    // Records under this prefix go to the member observer.
-    std::string member_prefix;
+    // Records under this prefix go to the record observer.
+    std::string record_prefix;
     // One watch waits so long. A store may leave a watch waiting that has
     // missed changes: it ends within the time in which the daemon has to
     // settle.
@@ -41,9 +41,9 @@
     Duration probe_wait = std::chrono::milliseconds(50);
   };
   using ConfigObserver = std::function<void(const SiteConfig&)>;
-  // A member's record; nullptr: it is gone.
-  using MemberObserver =
-      std::function<void(const std::string& name, const std::string* value)>;
+  // A record of the fleet's own, named without the prefix; nullptr: it is gone.
+  using RecordObserver =
+      std::function<void(const std::string& name, const KvRecord* record)>;
 
   SiteSync(EventLoop* loop, KvStore* store, const SiteFormat* format,
            RandomSource* random, LineLog* log, BackEndList* back_ends,
@@ -53,8 +53,8 @@
   void ObserveConfig(ConfigObserver observer) {
     on_config_ = std::move(observer);
   }
-  void ObserveMembers(MemberObserver observer) {
-    on_member_ = std::move(observer);
+  void ObserveRecords(RecordObserver observer) {
+    on_record_ = std::move(observer);
   }
   void Start();
 
@@ -89,7 +89,7 @@
   BackEndList* const back_ends_;
   const Options options_;
   ConfigObserver on_config_;
-  MemberObserver on_member_;
+  RecordObserver on_record_;
 
   std::shared_ptr<const SiteConfig> config_;
   bool listed_ = false;
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -131,6 +131,8 @@
       return;
     }
     if (IsSuccess(answer_.status)) {
+      deps_.meter->RunDone(request_.service.id, size_.total,
+                           deps_.loop->Now() - stage_since_);
       exchange_->Write(events_.rest());
       exchange_->Finish();
       End(answer_.status, "answered");
@@ -250,6 +252,7 @@
       return;
     }
     ++deps_.counters->rooms;
+    result_.room = deps_.loop->Now() - request_.arrived;
     room_ = Room{engine, *id};
     deps_.choice->CallBegan(engine, size_);
     GoOn();
@@ -350,6 +353,8 @@
     options.patience = std::min(
         call.time_left, kPrefillPatience + kPrefillSlowness * ReadingTime());
     options.gap = options.patience;
+    prefill_alone_ = deps_.choice->IsIdle(engine.id);
+    stage_since_ = now;
     StartCall(engine, call, options);
     return true;
   }
@@ -366,6 +371,9 @@
     }
     prefill_engine_ = engine;
     handle_since_ = deps_.loop->Now();
+    result_.prefill = handle_since_ - request_.arrived;
+    deps_.meter->PrefillDone(request_.service.id, size_.prompt,
+                             handle_since_ - stage_since_, prefill_alone_);
     Run();
   }
 
@@ -402,6 +410,7 @@
     options.max_idle = kMaxIdleOnce;
     options.patience = call.time_left;
     options.gap = call.time_left;
+    stage_since_ = now;
     StartCall(engine, call, options);
     // The run is counted at the engine by its call now.
     ForgetRoom();
@@ -621,6 +630,8 @@
   std::optional<KvHandle> handle_;              // ours to take or to free
   std::optional<BackEndEntry> prefill_engine_;  // that made handle_
   MonoTime handle_since_{};
+  MonoTime stage_since_{};      // when the prefill or run was sent
+  bool prefill_alone_ = false;  // its engine had nothing else to do
   EventCutter events_;
   std::optional<int64_t> last_id_;  // of the last event that the caller has
   int prefills_ = 0;
--- a/serving/usage_exchange.cc
+++ b/serving/usage_exchange.cc
@@ -57,11 +57,13 @@
 
 UsageExchange::UsageExchange(EventLoop* loop, const MemberList* members,
                              Allotments* allotments, BackEndChoice* choice,
-                             LineLog* log, const Options& options)
+                             const StageMeter* meter, LineLog* log,
+                             const Options& options)
     : loop_(loop),
       members_(members),
       allotments_(allotments),
       choice_(choice),
+      meter_(meter),
       log_(log),
       options_(options) {}
 
@@ -117,6 +119,14 @@
   report.set_serial(++serial_);
   FromMap(allotments_->admitted(), report.mutable_admitted());
   FromLoad(choice_->OwnLoad(), report.mutable_open());
+  for (const auto& [service, sums] : meter_->sums()) {
+    wire::StageWork* const work = report.add_stages();
+    work->set_service(service.value());
+    work->set_prefills(sums.prefills);
+    work->set_prefill_seconds(sums.prefill_s);
+    work->set_runs(sums.runs);
+    work->set_run_token_seconds(sums.run_token_s);
+  }
   return report;
 }
 
@@ -166,9 +176,40 @@
   return sum;
 }
 
+std::optional<UsageExchange::FleetWork> UsageExchange::fleet_work() const {
+  const std::string& self = members_->self().name();
+  if (collector_ != self) return std::nullopt;
+  FleetWork work{OpenOfOthers(self, loop_->Now()), others_stages_};
+  for (const auto& [id, own] : choice_->OwnLoad()) {
+    work.open[id].calls += own.calls;
+    work.open[id].tokens += own.tokens;
+  }
+  for (const auto& [service, sums] : meter_->sums())
+    work.stages[service] += sums;
+  return work;
+}
+
+void UsageExchange::TakeStages(const wire::UsageReport& report) {
+  StageReport& last = stage_reports_[report.name()];
+  const bool follows =
+      last.boot == report.boot() && last.serial < report.serial();
+  if (!follows && last.boot == report.boot()) return;  // overtaken
+  StageReport next{report.boot(), report.serial(), {}};
+  for (const wire::StageWork& work : report.stages()) {
+    const ServiceId service(work.service());
+    const StageSums sums{work.prefills(), work.prefill_seconds(), work.runs(),
+                         work.run_token_seconds()};
+    next.sums[service] = sums;
+    // The first report is only the next one's base.
+    if (follows) others_stages_[service] += sums - last.sums[service];
+  }
+  last = std::move(next);
+}
+
 void UsageExchange::OnMemberGone(const std::string& name) {
   totals_.Forget(name);
   open_reports_.erase(name);
+  stage_reports_.erase(name);
 }
 
 void UsageExchange::TakeReport(const wire::UsageReport& report,
@@ -176,6 +217,7 @@
   totals_.Take(report.name(), report.boot(), report.serial(),
                ToMap(report.admitted()), loop_->Now());
   open_reports_[report.name()] = {ToLoad(report.open()), loop_->Now()};
+  TakeStages(report);
   // What this daemon admitted belongs to the sum, whether or not it is its own
   // collector.
   const wire::UsageReport own = OwnReport();
--- a/serving/usage_exchange.h
+++ b/serving/usage_exchange.h
@@ -11,12 +11,14 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "base/line_log.h"
 #include "decide/allotments.h"
 #include "decide/back_end_choice.h"
+#include "decide/stage_meter.h"
 #include "decide/usage_totals.h"
 #include "net/datagram.h"
 #include "net/event_loop.h"
@@ -40,9 +42,11 @@
     Duration penalty = std::chrono::seconds(5);
   };
 
+  using Load = std::map<BackEndId, BackEndChoice::PeerLoad>;
+
   UsageExchange(EventLoop* loop, const MemberList* members,
-                Allotments* allotments, BackEndChoice* choice, LineLog* log,
-                const Options& options);
+                Allotments* allotments, BackEndChoice* choice,
+                const StageMeter* meter, LineLog* log, const Options& options);
 
   // `socket` must outlive the exchange.
   void Start(DatagramSocket* socket);
@@ -50,12 +54,19 @@
   void OnDatagram(const Endpoint& from, std::string_view data);
 
   const std::string& collector() const { return collector_; }
+  // What the fleet has open at the engines, and what requests cost at the
+  // services' stages since this daemon began to collect.
+  struct FleetWork {
+    Load open;
+    StageSumsByService stages;
+  };
+  // Nothing where another daemon adds it up.
+  std::optional<FleetWork> fleet_work() const;
 
  private:
-  using Load = std::map<BackEndId, BackEndChoice::PeerLoad>;
-
   void Tick();
   Load OpenOfOthers(const std::string& name, MonoTime now) const;
+  void TakeStages(const wire::UsageReport& report);
   void ChooseCollector(MonoTime now);
   void SendReport();
   void TakeReport(const wire::UsageReport& report, const Endpoint& from);
@@ -68,6 +79,7 @@
   const MemberList* const members_;
   Allotments* const allotments_;
   BackEndChoice* const choice_;
+  const StageMeter* const meter_;
   LineLog* const log_;
   const Options options_;
   DatagramSocket* socket_ = nullptr;
@@ -85,6 +97,13 @@
     MonoTime at{};
   };
   std::map<std::string, OpenReport> open_reports_;
+  StageSumsByService others_stages_;  // since this daemon began to collect
+  struct StageReport {
+    uint64_t boot = 0;
+    uint64_t serial = 0;
+    StageSumsByService sums;
+  };
+  std::map<std::string, StageReport> stage_reports_;  // the newest of each
   TimerHandle timer_;
 };
 
--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -13,6 +13,8 @@
 
 constexpr Duration kHeartbeat = std::chrono::milliseconds(300);
 constexpr Duration kHandleLife = std::chrono::milliseconds(500);
+// An ordered change of the stage takes so long.
+constexpr Duration kStageChange = std::chrono::milliseconds(500);
 
 std::string Field(const HttpRequest& request, const char* name) {
   const std::string* value = request.headers.Find(name);
@@ -41,6 +43,7 @@
     : loop_(loop),
       options_(std::move(options)),
       client_(MakeHttpClient(loop)),
+      stage_(options_.stage),
       born_(static_cast<int64_t>(time(nullptr)) * 1000 +
             loop->Now().time_since_epoch().count() % 1000),
       delays_(loop) {
@@ -56,7 +59,7 @@
   entry["slots"] = 48;
   entry["state"] = draining_ ? "draining" : "ready";
   entry["cold_remaining_ms"] = 0;
-  if (!options_.stage.empty()) entry["stage"] = options_.stage;
+  if (!stage_.empty()) entry["stage"] = stage_;
   entry["born"] = Json::Int64(born_);
   return WriteJson(entry);
 }
@@ -100,7 +103,13 @@
   }
   if (!Field(request, "X-Api-Key").empty()) ++foreign_;
   const std::string source = Field(request, "Mimosarouter-Kv-Source");
-  if (path == "/mimosarouter/hold-take") {
+  if (path == "/mimosarouter/report") {
+    Report(exchange);
+  } else if (path == "/mimosarouter/order") {
+    Order(exchange);
+  } else if (changing_) {
+    Refuse(exchange, 503);
+  } else if (path == "/mimosarouter/hold-take") {
     SetAside(exchange);
   } else if (request.method == "DELETE") {
     const std::string id = path.substr(path.rfind('/') + 1);
@@ -113,9 +122,9 @@
     exchange->Respond({200, {}, ""});
   } else if (!Field(request, "Mimosarouter-Serving-Stage").empty()) {
     Prefill(exchange);
-  } else if (options_.stage.empty()) {
+  } else if (stage_.empty()) {
     Plain(exchange);
-  } else if (options_.stage != "decode") {
+  } else if (stage_ != "decode") {
     Refuse(exchange, 421);
   } else if (!source.empty()) {
     Take(exchange, source);
@@ -124,6 +133,40 @@
   }
 }
 
+void SiteServer::Report(const ExchangePtr& exchange) {
+  Json::Value answer;
+  answer["stage"] = stage_;
+  answer["busy"] = changing_;
+  answer["sequence"] = Json::Int64(orders_taken_);
+  RespondJson(exchange.get(), 200, answer);
+}
+
+void SiteServer::Order(const ExchangePtr& exchange) {
+  const auto body = ParseObject(exchange->request().body);
+  const int64_t fence = body ? IntOf(*body, "fencing_token") : 0;
+  const std::string stage = body ? StringOf(*body, "stage") : "";
+  if (fence <= 0 || stage.empty()) {
+    exchange->Respond({400, {}, ""});
+  } else if (fence < fence_) {
+    exchange->Respond({412, {}, ""});
+  } else if (changing_ ||
+             IntOf(*body, "expected", orders_taken_) != orders_taken_) {
+    exchange->Respond({409, {}, ""});
+  } else if (stage == stage_) {
+    fence_ = fence;
+    exchange->Respond({200, {}, ""});
+  } else {
+    fence_ = fence;
+    ++orders_taken_;
+    changing_ = true;
+    change_timer_ = loop_->After(kStageChange, [this, stage] {
+      stage_ = stage;
+      changing_ = false;
+    });
+    exchange->Respond({202, {}, ""});
+  }
+}
+
 void SiteServer::SetAside(const ExchangePtr& exchange) {
   const auto body = ParseObject(exchange->request().body);
   const int64_t tokens = body ? IntOf(*body, "tokens") : 0;
@@ -283,6 +326,8 @@
   for (const auto& [id, count] : runs_)
     journal["runs"][id] = Json::Int64(count);
   journal["foreign"] = Json::Int64(foreign_);
+  journal["stage"] = stage_;
+  journal["orders"] = Json::Int64(orders_taken_);
   journal["used"] = Json::Int64(used_);
   journal["handles"] = Json::UInt64(handles_.size());
   journal["rooms"] = Json::UInt64(rooms_.size());
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -8,7 +8,7 @@
 //   POST /debug/behave   any of {"gap_ms", "events", "delay_ms",
 //                        "abort_runs", "draining": bool, "silent": bool}
 //   GET  /debug/journal  {"runs": {id: count}, "foreign": n, "used": tokens,
-//                        "handles": n, "rooms": n}
+//                        "handles": n, "rooms": n, "stage", "orders": n}
 #ifndef STANDINS_SITE_SERVER_H_
 #define STANDINS_SITE_SERVER_H_
 
@@ -57,6 +57,9 @@
   void Debug(const ExchangePtr& exchange, const std::string& path);
   void Behave(const ExchangePtr& exchange);
   Json::Value Journal() const;
+  void Report(const ExchangePtr& exchange);
+  // Changes the stage, unless the fence is too low or the order too late.
+  void Order(const ExchangePtr& exchange);
   void SetAside(const ExchangePtr& exchange);
   void Prefill(const ExchangePtr& exchange);
   // Takes the prefill's result from its engine, then runs.
@@ -70,6 +73,11 @@
   LwsLoop* const loop_;
   const SiteServerOptions options_;
   const std::unique_ptr<HttpClient> client_;
+  std::string stage_;
+  bool changing_ = false;  // to another stage
+  int64_t orders_taken_ = 0;
+  int64_t fence_ = 0;  // the highest one seen
+  TimerHandle change_timer_;
   const int64_t born_;
   bool draining_ = false;
   bool silent_ = false;  // answers nothing
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "base/json.h"
 #include "platform/request_codec.h"
 #include "platform/site_codec.h"
 
@@ -288,5 +289,34 @@
   CHECK_FALSE(format.ReadSetAside("no"));
 }
 
+TEST_CASE("reports and orders of engines") {
+  const PlatformRequestFormat format;
+  const auto report = format.ReadReport(
+      R"({"stage":"decode","models":[],"busy":true,"sequence":2,"queued":1})");
+  REQUIRE(report);
+  CHECK(report->role == EngineRole::kDecode);
+  CHECK(report->changing);
+  CHECK(report->orders_taken == 2);
+  for (const char* text :
+       {"", "[]", "{}", R"({"stage":"decode"})", R"({"stage":7,"sequence":1})",
+        R"({"stage":"both","sequence":1})",
+        R"({"stage":"decode","sequence":"1"})"})
+    CHECK_FALSE(format.ReadReport(text));
+  const HttpRequest ask = format.WriteReportCall(BackEndId("i-1"));
+  CHECK(ask.method == "GET");
+  CHECK(*ask.headers.Find("Mimosarouter-Expect-Instance") == "i-1");
+  const HttpRequest order = format.WriteOrder(
+      {BackEndId("i-1"), EngineRole::kPrefill, "entry-1", Revision(41), 2});
+  CHECK(order.target == "/mimosarouter/order");
+  CHECK(*order.headers.Find("Mimosarouter-Expect-Instance") == "i-1");
+  const auto body = ParseJson(order.body);
+  REQUIRE(body);
+  CHECK((*body)["op"] == "stage");
+  CHECK((*body)["stage"] == "prefill");
+  CHECK((*body)["fencing_token"] == 41);
+  CHECK((*body)["expected"] == 2);
+  CHECK((*body)["holder"] == "entry-1");
+}
+
 }  // namespace
 }  // namespace mimosa
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -242,9 +242,10 @@
   PlatformRequestFormat format;
   HandleFreer freer{loop.get(), client.get(), &format};
   RelayCounters counters;
-  RelayDeps deps{loop.get(), client.get(), &format,           &choice,
-                 &budget,    &room_wait,   &random,           &log,
-                 &freer,     &counters,    FailureDomain("z")};
+  StageMeter meter;
+  RelayDeps deps{loop.get(), client.get(), &format, &choice,
+                 &budget,    &room_wait,   &random, &log,
+                 &freer,     &counters,    &meter,  FailureDomain("z")};
   std::shared_ptr<const SiteConfig> config;
   std::unique_ptr<EntryFront> front;
   std::unique_ptr<HttpServer> server;
