The time to a first event is measured, not taken from a constant; requests' guesses and times of room and prefill in the log

Cause: requests were taken to be in time with 33 microseconds a token of prefill; measured on idle engines it is 65 with the first token's share, so that late ones asked for room as often as those that could still be in time.

--- a/decide/stage_meter.cc
+++ b/decide/stage_meter.cc
@@ -50,8 +50,18 @@
   }
   StageSums& sums = sums_[service];
   ++sums.prefills;
-  sums.prefill_s +=
-      tokens * (speed.samples > 0 ? speed.seconds_per_token : kSecondsPerToken);
+  sums.prefill_s += ToSeconds(PrefillTime(service, prompt));
+}
+
+Duration StageMeter::PrefillTime(const ServiceId& service,
+                                 Tokens prompt) const {
+  const auto speed = speeds_.find(service);
+  const double seconds_per_token =
+      speed != speeds_.end() && speed->second.samples > 0
+          ? speed->second.seconds_per_token
+          : kSecondsPerToken;
+  return Duration(static_cast<Duration::rep>(
+      1e6 * seconds_per_token * static_cast<double>(prompt.count())));
 }
 
 void StageMeter::RunDone(const ServiceId& service, Tokens memory,
--- a/decide/stage_meter.h
+++ b/decide/stage_meter.h
@@ -40,6 +40,8 @@
   void RunDone(const ServiceId& service, Tokens memory, Duration took);
 
   const StageSumsByService& sums() const { return sums_; }
+  // What a prefill takes an engine that has nothing else to do.
+  Duration PrefillTime(const ServiceId& service, Tokens prompt) const;
 
  private:
   // Of an engine that has nothing else to do.
--- a/serving/entry_front.cc
+++ b/serving/entry_front.cc
@@ -214,6 +214,7 @@
     counters_.latency.Observe(ToSeconds(total));
   }
   const bool good = result.status / 100 == 2;
+  const ModelWork work = request.caller.model.value_or(ModelWork{});
   LogLine line(good ? "request_answered" : "request_failed");
   line.Add("request", request.caller.id.value())
       .Add("route", request.route.id.value())
@@ -223,10 +224,9 @@
       .Add("status", result.status)
       .Add("why", result.why)
       .Add("calls", result.calls)
-      .Add("prompt",
-           request.caller.model ? request.caller.model->prompt.count() : 0)
-      .Add("max_output",
-           request.caller.model ? request.caller.model->max_output.count() : 0)
+      .Add("prompt", work.prompt.count())
+      .Add("max_output", work.max_output.count())
+      .Add("likely_output", work.likely_output.value_or(Tokens(0)).count())
       .Add("events", result.events)
       .AddMillis("room_ms", result.room)
       .AddMillis("prefill_ms", result.prefill)
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -18,7 +18,6 @@
 // A prefill that takes longer than this is repeated elsewhere: a fixed part for
 // the queue ahead of it, and a multiple of the time that its own prompt takes.
 constexpr Duration kPrefillPatience = std::chrono::milliseconds(250);
-constexpr double kPrefillMicrosPerToken = 1000.0 / 30;
 constexpr int kPrefillSlowness = 4;
 // A stream that may go on elsewhere does so after this silence, in multiples of
 // the longest gap that still counts as on time.
@@ -277,8 +276,7 @@
   }
 
   Duration ReadingTime() const {
-    return Duration(static_cast<Duration::rep>(
-        kPrefillMicrosPerToken * static_cast<double>(size_.prompt.count())));
+    return deps_.meter->PrefillTime(request_.service.id, size_.prompt);
   }
 
   void WaitForRoom() {
