Requests that are late already leave a third of decode memory to others

Cause: in a burst of twice the rate a fifth of all streams was served late: late requests ask eight times less often than those in time, but there are many more of them, so that they took every third room that came free and made the next ones late too.

Change: a request whose first event can't come in time any more takes room only where a third of the engine's memory stays free for others; streams that go on elsewhere take what there is. Callers turned away come back over 1 to 4.5 s instead of 0.3 to 2.5, as bursts last about five.

--- a/decide/back_end_choice.cc
+++ b/decide/back_end_choice.cc
@@ -13,9 +13,6 @@
 constexpr double kMemoryFullMs = 600;
 // What one more run on a decode engine slows the others down by.
 constexpr double kRunMs = 1.5;
-// Share of the KV memory that the runs known of may take in the end. Above one,
-// since they don't all reach their full length at the same time.
-constexpr double kCommitShare = 1.0;
 // A plain server's answer takes about so long, times the queue at its slots.
 constexpr double kPlainCallMs = 15;
 // An engine that has just started is slow.
@@ -114,7 +111,7 @@
       seen.open_total + PeerLoadOf(id).tokens + query.work.total;
   return query.kv_memory > Tokens(0) &&
          static_cast<double>(taken.count()) >
-             kCommitShare * static_cast<double>(query.kv_memory.count());
+             query.memory_share * static_cast<double>(query.kv_memory.count());
 }
 
 double BackEndChoice::ExpectedMillis(const BackEndList::Listed& listed,
--- a/decide/back_end_choice.h
+++ b/decide/back_end_choice.h
@@ -55,6 +55,8 @@
   const std::set<BackEndId>* exclude = nullptr;
   // Passes over decode engines whose memory the known runs will fill.
   bool needs_memory = false;
+  // Of it, how much may be taken with this request.
+  double memory_share = 1;
 };
 
 class BackEndChoice {
--- a/decide/room_wait.cc
+++ b/decide/room_wait.cc
@@ -8,8 +8,8 @@
 
 // Callers follow a Retry-After up to a third of the time that they have left.
 constexpr double kFollowedShare = 0.33;
-constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(300);
-constexpr Duration kLongestRetryAfter = std::chrono::milliseconds(2500);
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(1000);
+constexpr Duration kLongestRetryAfter = std::chrono::milliseconds(4500);
 
 Duration Scaled(Duration duration, double factor) {
   return Duration(static_cast<Duration::rep>(
@@ -28,9 +28,8 @@
       request.waited + request.to_first_event >
           Scaled(request.patience, options_.patience_share))
     return std::nullopt;
-  const bool in_time =
-      request.waited + request.to_first_event < request.target_latency;
-  const Duration pause = in_time ? options_.eager_pause : options_.late_pause;
+  const Duration pause =
+      InTime(request) ? options_.eager_pause : options_.late_pause;
   // Within half of it either way: waiting requests don't ask in step.
   return Scaled(pause, 0.5 + random_->Unit());
 }
--- a/decide/room_wait.h
+++ b/decide/room_wait.h
@@ -50,6 +50,11 @@
   // The pause until the request should ask again; nothing: turn it away.
   std::optional<Duration> NextPause(const WaitingRequest& request) const;
 
+  // Whether its first event can still come in time.
+  static bool InTime(const WaitingRequest& request) {
+    return request.waited + request.to_first_event < request.target_latency;
+  }
+
   // When a caller that is turned away should come back: after a share of what
   // it still has, spread so that callers turned away together don't return
   // together.
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -38,6 +38,8 @@
 constexpr Duration kRoomPatience = std::chrono::milliseconds(150);
 // Callers' guesses of the output are right at the median: the mean is above.
 constexpr double kGuessMargin = 1.2;
+// A request that is late already takes no room that others will need in time.
+constexpr double kLateMemoryShare = 0.65;
 // Time to the first event beside the prefill: transfer and first step.
 constexpr Duration kFirstEventOverhead = std::chrono::milliseconds(80);
 // A decode engine's step for one token of each run; of the order that all
@@ -218,6 +220,8 @@
     passed.insert(refused_now_.begin(), refused_now_.end());
     ChoiceQuery query = Query(EngineRole::kDecode, deps_.zone, &passed);
     query.needs_memory = true;
+    if (!exchange_->started() && !RoomWait::InTime(Waiting()))
+      query.memory_share = kLateMemoryShare;
     const BackEndEntry* chosen =
         refused_now_.size() < kRoomQuestions &&
                 deps_.choice->HasHealthy(request_.service.id,
