A new collector's sum no longer jumps by what daemons told the former one

Seen in the log as levels of -1,147,746 from the first second of the restart on.

Change: the first report of a daemon that has run for more than some seconds is a base only. What was assumed of a silent daemon and didn't come is given back. Both have a test that failed before.

Ruled out: the pace's bucket (use of three seconds was 0.1 to 0.6 of it), too few members known.

--- a/decide/allotments.cc
+++ b/decide/allotments.cc
@@ -151,8 +151,10 @@
       rate->sum = keep * rate->sum + (1 - keep) * cost / seconds;
       rate->weight = keep * rate->weight + (1 - keep);
     };
-    blend(&bucket.others_rate, admitted, options_.rate_half_life);
-    blend(&bucket.others_slow_rate, admitted, options_.slow_rate_half_life);
+    // Below zero if a report corrects an assumption: no rate.
+    const double used = std::max(0.0, admitted);
+    blend(&bucket.others_rate, used, options_.rate_half_life);
+    blend(&bucket.others_slow_rate, used, options_.slow_rate_half_life);
     blend(&bucket.own_slow_rate, bucket.unreported,
           options_.slow_rate_half_life);
     bucket.unreported = 0;
--- a/decide/allotments_test.cc
+++ b/decide/allotments_test.cc
@@ -257,6 +257,41 @@
   CHECK(totals.AllBut("a", At(4))[kCustomer] == 107);
 }
 
+TEST_CASE("a new collector doesn't take what was told to another for new") {
+  UsageTotals totals;
+  totals.Take("a", 1, 900, {{kCustomer, 1e6}}, At(0));
+  CHECK(totals.AllBut("b", At(0))[kCustomer] == 0);
+  // The next daemon's first report comes after others have read the sum.
+  totals.Take("c", 1, 800, {{kCustomer, 2e6}}, At(100));
+  CHECK(totals.AllBut("b", At(100))[kCustomer] == 0);
+  totals.Take("a", 1, 901, {{kCustomer, 1e6 + 40}}, At(200));
+  CHECK(totals.AllBut("b", At(200))[kCustomer] == 40);
+  CHECK(totals.AllBut("a", At(200))[kCustomer] == 0);
+  CHECK(totals.AllBut("c", At(200))[kCustomer] == 40);
+}
+
+TEST_CASE("what was assumed of a silent daemon is given back") {
+  UsageTotals totals;
+  UsageDifference difference;
+  AdmittedByCustomer grown;
+  double charged = 0;
+  const auto read = [&](int64_t ms, uint64_t serial) {
+    if (difference.Next("c", 1, serial, totals.AllBut("b", At(ms)), &grown))
+      charged += grown[kCustomer];
+  };
+  uint64_t serial = 0;
+  for (int i = 0; i <= 20; ++i) {  // 1,000 a second
+    totals.Take("a", 1, i + 1, {{kCustomer, 200.0 * i}}, At(int64_t{200} * i));
+    read(int64_t{200} * i, ++serial);
+  }
+  for (int ms = 4200; ms <= 9000; ms += 200) read(ms, ++serial);
+  CHECK(charged > 8000);
+  // It was killed, and its next start reports.
+  totals.Take("a", 2, 1, {{kCustomer, 0}}, At(9200));
+  read(9200, ++serial);
+  CHECK(charged == Approx(4000));
+}
+
 TEST_CASE("a silent member is taken to go on, one that is gone isn't") {
   UsageTotals totals;
   for (int i = 0; i <= 50; ++i)  // 1,000 a second
--- a/decide/usage_totals.cc
+++ b/decide/usage_totals.cc
@@ -12,12 +12,17 @@
 // A daemon reports at least this often, lost reports aside.
 constexpr Duration kSilence = std::chrono::milliseconds(1200);
 
+// A daemon that has sent no more reports than these has been running for some
+// seconds at most: all that it admitted is recent.
+constexpr uint64_t kFreshReports = 10;
+
 }  // namespace
 
 void UsageTotals::Take(const std::string& daemon, uint64_t boot,
                        uint64_t serial, const AdmittedByCustomer& admitted,
                        MonoTime now) {
   Report& report = reports_[daemon];
+  const bool base_only = report.boot != boot && serial > kFreshReports;
   if (report.boot != boot) {
     report = Report{};
     report.boot = boot;
@@ -34,8 +39,10 @@
   for (const auto& [customer, total] : admitted) {
     double& known = report.admitted[customer];
     const double grown = std::max(0.0, total - known);
-    sum_[customer] += grown;
     known += grown;
+    if (base_only) continue;
+    sum_[customer] += grown;
+    report.counted[customer] += grown;
     if (seconds <= 0) continue;
     double& rate = report.per_second[customer];
     rate = keep * rate + (1 - keep) * grown / seconds;
@@ -58,7 +65,7 @@
   }
   const auto report = reports_.find(daemon);
   if (report == reports_.end()) return others;
-  for (const auto& [customer, total] : report->second.admitted)
+  for (const auto& [customer, total] : report->second.counted)
     others[customer] = std::max(0.0, others[customer] - total);
   return others;
 }
@@ -78,7 +85,7 @@
   difference->clear();
   for (const auto& [customer, total] : sum) {
     const double grown = total - last_[customer];
-    if (grown > 0) (*difference)[customer] = grown;
+    if (grown != 0) (*difference)[customer] = grown;
   }
   last_ = sum;
   return true;
--- a/decide/usage_totals.h
+++ b/decide/usage_totals.h
@@ -2,9 +2,11 @@
 //
 // Model: reports carry totals since a daemon's start, so that a lost one costs
 // nothing but time. A daemon that starts again counts from zero: what its
-// former start had reported stays in the sum. A daemon that falls silent is
-// taken to go on as before while the fleet counts it as a member: it may only
-// be cut off from here. Readers work with differences of the sums.
+// former start had reported stays in the sum. The first report of a daemon that
+// has been running for long is a base only: it told another collector before,
+// and its total would look like usage of this moment. A daemon that falls
+// silent is taken to go on as before while the fleet counts it as a member: it
+// may only be cut off from here. Readers work with differences of the sums.
 #ifndef DECIDE_USAGE_TOTALS_H_
 #define DECIDE_USAGE_TOTALS_H_
 
@@ -35,7 +37,8 @@
     uint64_t boot = 0;
     uint64_t serial = 0;
     MonoTime at{};
-    AdmittedByCustomer admitted;
+    AdmittedByCustomer admitted;    // as reported last
+    AdmittedByCustomer counted;     // of it, what is in the sum
     AdmittedByCustomer per_second;  // lately, times weight
     double weight = 0;              // 1 once it has reported for long
     bool member = true;
@@ -45,8 +48,9 @@
   AdmittedByCustomer sum_;  // over all starts, the present ones included
 };
 
-// Differences between consecutive sums of one collector. A new collector's
-// first sum says nothing: it is the next one's base.
+// Differences between consecutive sums of one collector; below zero where what
+// was assumed of a silent daemon has not come. A new collector's first sum says
+// nothing: it is the next one's base.
 class UsageDifference {
  public:
   // False if there is nothing to compare with.
