Changes that come together cost one store call within a quarter of the time to apply them

Change: the pause is a quarter of the smaller of the two times (settings config_apply_ms and drain_ms): 500 ms on the first sites, 750 on the grown ones.

--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -47,6 +47,10 @@
 // What is left of the time to settle when a watch ends: for its answer, and for
 // a listing.
 constexpr Duration kSettleMargin = std::chrono::milliseconds(500);
+// Of the time in which a change has to be in force, what changes that come
+// together are waited for: most of it stays for the watch's answer and for a
+// daemon that is slow.
+constexpr double kBatchShare = 0.25;
 // Lines wait at most so long for their writing.
 constexpr Duration kLogFlushPause = std::chrono::milliseconds(250);
 
@@ -203,6 +207,9 @@
     options.record_prefix = RecordPrefix();
     options.watch_wait =
         std::chrono::milliseconds(settings_.settle_ms()) - kSettleMargin;
+    options.batch_pause = std::chrono::milliseconds(static_cast<int64_t>(
+        kBatchShare * static_cast<double>(std::min(settings_.config_apply_ms(),
+                                                   settings_.drain_ms()))));
     return options;
   }
 
--- a/serving/site_sync.h
+++ b/serving/site_sync.h
@@ -33,7 +33,7 @@
     Duration watch_wait = std::chrono::milliseconds(2500);
     // Pause behind a watch that brought changes: those that come together cost
     // one call. Well below the time in which a change has to be in force.
-    Duration batch_pause = std::chrono::milliseconds(350);
+    Duration batch_pause = std::chrono::milliseconds(500);
     // Pause after a failed call, before jitter: a store that is back is noticed
     // well within the time in which entries return.
     Duration retry_pause = std::chrono::milliseconds(250);
