--- a/serving/usage_exchange.cc
+++ b/serving/usage_exchange.cc
@@ -74,7 +74,7 @@
 
 void UsageExchange::Tick() {
   const MonoTime now = loop_->Now();
-  timer_ = loop_->After(options_.busy_pause, [this] { Tick(); });
+  timer_ = loop_->After(Pause(), [this] { Tick(); });
   allotments_->SetMembers(members_->size());
   const bool news = allotments_->admitted() != reported_;
   if (!news && now - reported_at_ < options_.idle_pause) return;
@@ -84,10 +84,15 @@
   reported_at_ = now;
 }
 
+Duration UsageExchange::Pause() const {
+  return std::max(options_.busy_pause,
+                  options_.report_spacing * members_->size());
+}
+
 void UsageExchange::ChooseCollector(MonoTime now) {
   const std::string& self = members_->self().name();
   if (collector_ != self && !collector_.empty() &&
-      now - collector_heard_ > options_.silence) {
+      now - collector_heard_ > std::max(options_.silence, 3 * Pause())) {
     passed_over_until_[collector_] = now + options_.penalty;
     log_->Write(LogLine("collector_silent")
                     .Add("collector", collector_)
@@ -170,7 +175,8 @@
     }
   };
   for (const auto& [member, report] : open_reports_)
-    if (member != name && now - report.at < options_.open_life)
+    if (member != name &&
+        now - report.at < std::max(options_.open_life, 3 * Pause()))
       add(report.load);
   if (name != members_->self().name()) add(choice_->OwnLoad());
   return sum;
--- a/serving/usage_exchange.h
+++ b/serving/usage_exchange.h
@@ -32,6 +32,10 @@
     // Between two reports while there is something new. A customer can
     // overdraw by what all daemons admit in it.
     Duration busy_pause = std::chrono::milliseconds(200);
+    // The collector takes a report in so much time at most, on the mean: in a
+    // large fleet each daemon reports less often, and admits less of the whole
+    // between two reports.
+    Duration report_spacing = std::chrono::milliseconds(2);
     // Open work that was reported longer ago counts as ended.
     Duration open_life = std::chrono::milliseconds(1600);
     // Between two reports of an idle daemon.
@@ -65,6 +69,8 @@
 
  private:
   void Tick();
+  // Between two reports of this daemon, in a fleet of this size.
+  Duration Pause() const;
   Load OpenOfOthers(const std::string& name, MonoTime now) const;
   void TakeStages(const wire::UsageReport& report);
   void ChooseCollector(MonoTime now);
--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -53,7 +53,8 @@
 std::string SiteServer::Entry() const {
   Json::Value entry;
   entry["service"] = options_.service;
-  entry["address"] = options_.listen.ToString();
+  entry["address"] =
+      options_.address.empty() ? options_.listen.ToString() : options_.address;
   entry["zone"] = options_.zone;
   entry["version"] = "v1";
   entry["slots"] = 48;
@@ -245,6 +246,11 @@
 
 void SiteServer::StepRun(uint64_t serial) {
   Run& run = running_[serial];
+  if (run.next_event > events_) {  // resumed behind its last event
+    run.exchange->Finish();
+    EndRun(serial);
+    return;
+  }
   const std::string id = std::to_string(run.next_event);
   run.exchange->Write("id: " + id + "\ndata: event " + id + "\n\n");
   if (abort_runs_ > 0) {
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -33,6 +33,7 @@
   std::string zone = "z";
   std::string stage;  // "prefill", "decode"; empty: a plain service
   Endpoint listen;
+  std::string address;  // as registered; empty: listen
   Endpoint store;
   int64_t memory_tokens = 36000;
 };
--- a/standins/site_server_main.cc
+++ b/standins/site_server_main.cc
@@ -18,12 +18,15 @@
                                        "name", cmd);
   TCLAP::ValueArg<std::string> stage("", "stage", "prefill or decode", false,
                                      "", "stage", cmd);
+  TCLAP::ValueArg<std::string> address(
+      "", "address", "registered instead of listen", false, "", "ip:port", cmd);
   cmd.parse(argc, argv);
 
   mimosa::standins::SiteServerOptions options;
   options.id = id.getValue();
   options.service = service.getValue();
   options.stage = stage.getValue();
+  options.address = address.getValue();
   if (!mimosa::Endpoint::Parse(listen.getValue(), &options.listen) ||
       !mimosa::Endpoint::Parse(store.getValue(), &options.store))
     return 1;
--- a/tests/processes.cc
+++ b/tests/processes.cc
@@ -58,6 +58,12 @@
     boost::system::error_code ec;
     acceptor.open(Tcp::v4());
     acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, ec);
+    if (ec) continue;
+    // Daemons of other tests may have it for their datagrams.
+    using Udp = boost::asio::ip::udp;
+    Udp::socket datagrams(io);
+    datagrams.open(Udp::v4());
+    datagrams.bind({boost::asio::ip::address_v4::loopback(), port}, ec);
     if (!ec) return port;
   }
 }
