--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -210,7 +210,7 @@
         "mode cut",         "mode blackhole",          "set delay_ms 150",
         "set drop_nth 2",   "set cut_after_down 120",  "set cut_after_up 300",
         "set jitter_ms 90", "set half_close_down 200", "set drop_percent 30"};
-    const std::string fault = faults[random_.Below(faults.size())];
+    const std::string& fault = faults[random_.Below(faults.size())];
     AddSpan(
         std::string(to_store ? "way to the store: " : "way to a server: ") +
             fault,
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -50,7 +50,8 @@
     return "another request's answer";
   if (IsStream(outcome.kind)) {
     const std::string all = Events(kEvents);
-    if (reply.whole) return reply.body == all ? "" : "not the whole stream:\n" + reply.body;
+    if (reply.whole)
+      return reply.body == all ? "" : "not the whole stream:\n" + reply.body;
     // A broken stream is a beginning of it.
     return all.compare(0, reply.body.size(), reply.body) == 0
                ? ""
--- a/tests/role_keeper_test.cc
+++ b/tests/role_keeper_test.cc
@@ -167,7 +167,8 @@
     const int until = looks + count;
     REQUIRE(RunUntil(loop.get(), [&] { return looks >= until; }));
   }
-  const BackEndEntry* Choose(EngineRole role, std::set<BackEndId> exclude) {
+  const BackEndEntry* Choose(EngineRole role,
+                             const std::set<BackEndId>& exclude) {
     ChoiceQuery query;
     query.service = ServiceId("llm");
     query.role = role;
