One copy of what both relays and both daemons had twice

IsSuccess, the idle limit of a kept connection and the number of rejections, the seed and the checked endpoint each stand in one place; a request for room asks the choice once, since a query that needs memory never falls back to an engine that is passed over.

--- a/base/digest.cc
+++ b/base/digest.cc
@@ -43,4 +43,6 @@
   return Hex(buffer.data(), buffer.size());
 }
 
+uint64_t RandomSeed() { return std::stoull(RandomHex(8), nullptr, 16); }
+
 }  // namespace mimosa
--- a/base/digest.h
+++ b/base/digest.h
@@ -2,6 +2,7 @@
 #ifndef BASE_DIGEST_H_
 #define BASE_DIGEST_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,8 @@
 
 // `bytes` random bytes from the system's secure source, in lower-case hex.
 std::string RandomHex(int bytes);
+// A seed for a SeededRandom, from the same source.
+uint64_t RandomSeed();
 
 }  // namespace mimosa
 
--- a/net/http.cc
+++ b/net/http.cc
@@ -52,6 +52,12 @@
   return true;
 }
 
+Endpoint EndpointOf(std::string_view text) {
+  Endpoint endpoint;
+  (void)Endpoint::Parse(text, &endpoint);
+  return endpoint;
+}
+
 std::string Endpoint::ToString() const {
   const bool v6 = ip.find(':') != std::string::npos;
   return (v6 ? "[" + ip + "]" : ip) + ":" + std::to_string(port);
--- a/net/http.h
+++ b/net/http.h
@@ -52,6 +52,9 @@
   }
 };
 
+// Of a text that is known to parse, such as a checked setting.
+Endpoint EndpointOf(std::string_view text);
+
 // Header fields in order. Names compare without case.
 class HttpHeaders {
  public:
--- a/router/daemon.cc
+++ b/router/daemon.cc
@@ -39,12 +39,6 @@
 // How often a leaving daemon looks whether its last request has ended.
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
 
-Endpoint ParsedEndpoint(const std::string& text) {
-  Endpoint endpoint;
-  Endpoint::Parse(text, &endpoint);  // checked with the settings
-  return endpoint;
-}
-
 // The mechanisms that tests may turn off (docs/DEVELOPING.md).
 constexpr std::array<std::string_view, 15> kMechanisms = {"term",
                                                           "witness",
@@ -75,14 +69,12 @@
   return names;
 }
 
-uint64_t RandomSeed() { return std::stoull(RandomHex(8), nullptr, 16); }
-
 FleetOptions FleetOptionsOf(const wire::RouterSettings& settings) {
   FleetOptions options;
   options.name = settings.name();
-  options.peer_address = ParsedEndpoint(settings.peer_advertise().empty()
-                                            ? settings.peer_listen()
-                                            : settings.peer_advertise());
+  options.peer_address =
+      EndpointOf(settings.peer_advertise().empty() ? settings.peer_listen()
+                                                   : settings.peer_advertise());
   options.failure_domain = FailureDomain(settings.failure_domain());
   options.region = settings.region();
   options.deployment = settings.deployment();
@@ -122,7 +114,7 @@
 
 StoreClientOptions StoreOptionsOf(const wire::RouterSettings& settings) {
   StoreClientOptions options;
-  options.store = ParsedEndpoint(settings.platform());
+  options.store = EndpointOf(settings.platform());
   return options;
 }
 
@@ -180,7 +172,7 @@
     }
     bus_ = MakePeerBus(
         loop_.get(), client_.get(),
-        {ParsedEndpoint(settings_.peer_listen()), settings_.peer_secret()});
+        {EndpointOf(settings_.peer_listen()), settings_.peer_secret()});
     if (!bus_) return leaf::new_error(StartFault::kPeerPort);
     MakeFleetParts();
     MakeRequestParts();
@@ -260,12 +252,12 @@
     operator_port_ = std::make_unique<OperatorPort>(
         settings_.operator_secret(), &metrics_, [this] { return Status(); });
     HttpServerOptions operators;
-    operators.listen = ParsedEndpoint(settings_.operator_listen());
+    operators.listen = EndpointOf(settings_.operator_listen());
     operator_server_ =
         MakeHttpServer(loop_.get(), operators, operator_port_.get());
     if (!operator_server_) return leaf::new_error(StartFault::kOperatorPort);
     HttpServerOptions callers;
-    callers.listen = ParsedEndpoint(settings_.listen());
+    callers.listen = EndpointOf(settings_.listen());
     callers.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes());
     caller_server_ = MakeHttpServer(loop_.get(), callers, front_.get());
     if (!caller_server_) return leaf::new_error(StartFault::kCallerPort);
--- a/serving/answers.h
+++ b/serving/answers.h
@@ -16,6 +16,8 @@
 inline constexpr int kStatusUnavailable = 503;
 inline constexpr int kStatusGatewayTimeout = 504;
 
+constexpr bool IsSuccess(int status) { return status / 100 == 2; }
+
 // `retry_after` is written in seconds with three decimals.
 HttpResponse RefusalAnswer(int status, Duration retry_after);
 HttpResponse FailureAnswer(int status);
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -3,14 +3,14 @@
 
 #include <utility>
 
+#include "serving/answers.h"
+
 namespace mimosa {
 namespace {
 
 constexpr int kMisdirected = 421;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 
-bool IsSuccess(int status) { return status / 100 == 2; }
-
 // Statuses that would promise the caller that its request has not run. Without
 // the back end's word for it they can't be passed on.
 bool PromisesNotRun(int status) {
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -30,6 +30,12 @@
   return loss == CallLoss::kNotSent || loss == CallLoss::kNotExecuted;
 }
 
+// A kept connection that was idle for longer isn't used for what may not be
+// repeated: its back end may be closing it, or be gone.
+inline constexpr Duration kMaxIdleOnce = std::chrono::seconds(2);
+// How many back ends may say "not executed" before a request is refused.
+inline constexpr int kMaxRejections = 3;
+
 class BackEndCall : public HttpCallHandler {
  public:
   // Each may destroy the call.
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -58,14 +58,6 @@
 const std::string kMemberRecords = "members/";
 const std::string kRoleRecord = "roles";
 
-Endpoint ParsedEndpoint(const std::string& text) {
-  Endpoint endpoint;
-  Endpoint::Parse(text, &endpoint);  // checked with the settings
-  return endpoint;
-}
-
-uint64_t RandomSeed() { return std::stoull(RandomHex(8), nullptr, 16); }
-
 RetryBudget::Options BudgetOptionsOf(const wire::EntrySettings& settings) {
   RetryBudget::Options options;
   options.ratio = settings.retry_budget_ratio();
@@ -116,8 +108,8 @@
         random_(RandomSeed()),
         log_(STDOUT_FILENO, loop_.get(), LogOptionsOf(settings)),
         client_(MakeHttpClient(loop_.get())),
-        store_(platform.open_store(
-            client_.get(), ParsedEndpoint(settings.store()), &metrics_)),
+        store_(platform.open_store(client_.get(), EndpointOf(settings.store()),
+                                   &metrics_)),
         choice_(&back_ends_, &random_, BackEndChoice::Options{}),
         budget_(BudgetOptionsOf(settings)),
         room_wait_(RoomWait::Options{}, &random_),
@@ -154,7 +146,7 @@
     control_server_ = Server(settings_.control_listen(), &control_port_);
     if (!control_server_) return leaf::new_error(EntryFault::kControlPort);
     datagrams_ = DatagramSocket::Open(
-        loop_.get(), ParsedEndpoint(settings_.peer_listen()),
+        loop_.get(), EndpointOf(settings_.peer_listen()),
         [this](const Endpoint& from, std::string_view data) {
           usage_.OnDatagram(from, data);
         });
@@ -216,7 +208,7 @@
   std::unique_ptr<HttpServer> Server(const std::string& address,
                                      HttpHandler* handler) {
     HttpServerOptions options;
-    options.listen = ParsedEndpoint(address);
+    options.listen = EndpointOf(address);
     options.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes());
     return MakeHttpServer(loop_.get(), options, handler);
   }
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -22,14 +22,9 @@
 constexpr int kSilenceFactor = 3;
 // Answers beyond this are passed on as they come.
 constexpr size_t kMaxHeldBytes = 1U << 20;
-// A kept connection that was idle for longer isn't used for a request that may
-// not be repeated: its server may be closing it, or be gone.
-constexpr Duration kMaxIdleOnce = std::chrono::seconds(2);
 // Retry-After of a refusal: a plain server's queue drains in less.
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(80);
 constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(170);
-// How many servers may say "not executed" before the request is refused.
-constexpr int kMaxRejections = 3;
 
 bool IsServerError(int status) { return status / 100 == 5; }
 
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -24,11 +24,6 @@
 constexpr int kSilentGaps = 2;
 // Before its first event, in multiples of the wanted latency.
 constexpr double kFirstEventShare = 0.8;
-// A kept connection that was idle for longer isn't used for a run that may not
-// be repeated: its engine may be closing it, or be gone.
-constexpr Duration kMaxIdleOnce = std::chrono::seconds(2);
-// How many decode engines may say "not executed" before the request is refused.
-constexpr int kMaxRejections = 3;
 // Unsent bytes of a caller beyond which its engine isn't read.
 constexpr size_t kMaxUnsentBytes = 256U << 10;
 // How many engines are asked for room before a pause.
@@ -46,8 +41,6 @@
 // engine types in use have.
 constexpr Duration kTokenTime = std::chrono::microseconds(3000);
 
-bool IsSuccess(int status) { return status / 100 == 2; }
-
 class StreamRelay : public Relay, public BackEndCall::Owner {
  public:
   StreamRelay(const RelayDeps& deps, RelayRequest request,
@@ -222,12 +215,9 @@
     query.needs_memory = true;
     if (!exchange_->started() && !RoomWait::InTime(Waiting()))
       query.memory_share = kLateMemoryShare;
-    const BackEndEntry* chosen =
-        refused_now_.size() < kRoomQuestions &&
-                deps_.choice->HasHealthy(request_.service.id,
-                                         EngineRole::kDecode, now)
-            ? deps_.choice->Choose(query, now)
-            : nullptr;
+    const BackEndEntry* chosen = refused_now_.size() < kRoomQuestions
+                                     ? deps_.choice->Choose(query, now)
+                                     : nullptr;
     if (chosen == nullptr) {
       WaitForRoom();
       return;
