--- a/decide/back_end_choice.cc
+++ b/decide/back_end_choice.cc
@@ -105,13 +105,13 @@
   return best != nullptr ? best : soonest;
 }
 
-BackEndChoice::PeerLoad BackEndChoice::PeerLoadOf(const BackEndId& id) const {
+OpenWork BackEndChoice::PeerLoadOf(const BackEndId& id) const {
   const auto told = peer_load_.find(id);
-  return told == peer_load_.end() ? PeerLoad{} : told->second;
+  return told == peer_load_.end() ? OpenWork{} : told->second;
 }
 
-std::map<BackEndId, BackEndChoice::PeerLoad> BackEndChoice::OwnLoad() const {
-  std::map<BackEndId, PeerLoad> load;
+OpenWorkByBackEnd BackEndChoice::OwnLoad() const {
+  OpenWorkByBackEnd load;
   for (const auto& [id, seen] : seen_) {
     if (seen.open_calls > 0 && seen.open_total > Tokens(0))
       load[id] = {seen.open_calls, seen.open_total};
@@ -138,7 +138,7 @@
                                      const Seen& seen, const ChoiceQuery& query,
                                      MonoTime now) const {
   const BackEndEntry& entry = listed.entry;
-  const PeerLoad peers = PeerLoadOf(entry.id);
+  const OpenWork peers = PeerLoadOf(entry.id);
   double ms = FailuresNow(seen, now) * options_.failure_ms;
   if (entry.zone != query.near) ms += options_.other_zone_ms;
   if (listed.held) ms += kHeldMs;
--- a/decide/back_end_choice.h
+++ b/decide/back_end_choice.h
@@ -25,6 +25,7 @@
 #include "base/ids.h"
 #include "base/random.h"
 #include "decide/back_end_list.h"
+#include "decide/open_work.h"
 #include "decide/site.h"
 
 namespace mimosa {
@@ -108,17 +109,10 @@
     moving_ = std::move(moving);
   }
 
-  // What the other daemons have open at a back end.
-  struct PeerLoad {
-    int calls = 0;
-    Tokens tokens;
-  };
-  void SetPeerLoad(std::map<BackEndId, PeerLoad> load) {
-    peer_load_ = std::move(load);
-  }
+  // What the other daemons have open.
+  void SetPeerLoad(OpenWorkByBackEnd load) { peer_load_ = std::move(load); }
   // What this daemon has open, for its peers; only where there is something.
-  std::map<BackEndId, PeerLoad> OwnLoad() const;
-
+  OpenWorkByBackEnd OwnLoad() const;
   // Whether nobody is known to have anything open there.
   bool IsIdle(const BackEndId& id) const;
 
@@ -152,7 +146,7 @@
              EngineRole role) const;
   bool PassedOver(const Seen& seen, MonoTime now) const;
   double FailuresNow(const Seen& seen, MonoTime now) const;
-  PeerLoad PeerLoadOf(const BackEndId& id) const;
+  OpenWork PeerLoadOf(const BackEndId& id) const;
   // Whether the runs at an engine, this one with them, outgrow its memory.
   bool Outgrown(const BackEndId& id, const Seen& seen,
                 const ChoiceQuery& query) const;
@@ -164,7 +158,7 @@
   RandomSource* const random_;
   const Options options_;
   std::map<BackEndId, Seen> seen_;
-  std::map<BackEndId, PeerLoad> peer_load_;
+  OpenWorkByBackEnd peer_load_;
   std::map<BackEndId, EngineRole> moving_;  // to these roles
 };
 
--- /dev/null
+++ b/decide/open_work_test.cc
@@ -0,0 +1,88 @@
+// The kept sum against adding up all reports anew.
+#include "decide/open_work.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "base/random.h"
+
+namespace mimosa {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct Reference {
+  struct Report {
+    OpenWorkByBackEnd work;
+    MonoTime at{};
+  };
+  OpenWorkByBackEnd AllBut(const std::string& daemon) const {
+    OpenWorkByBackEnd sum;
+    for (const auto& [name, report] : reports) {
+      if (name == daemon) continue;
+      for (const auto& [id, work] : report.work) {
+        if (work.calls == 0) continue;
+        sum[id].calls += work.calls;
+        sum[id].tokens += work.tokens;
+      }
+    }
+    return sum;
+  }
+  std::map<std::string, Report> reports;
+};
+
+bool Same(const OpenWorkByBackEnd& a, const OpenWorkByBackEnd& b) {
+  if (a.size() != b.size()) return false;
+  for (const auto& [id, work] : a) {
+    const auto it = b.find(id);
+    if (it == b.end() || it->second.calls != work.calls ||
+        it->second.tokens != work.tokens)
+      return false;
+  }
+  return true;
+}
+
+TEST_CASE("the sum is that of the newest reports") {
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    INFO("seed " << seed);
+    SeededRandom random(seed);
+    OpenWorkSums sums;
+    Reference reference;
+    MonoTime now{};
+    for (int step = 0; step < 300; ++step) {
+      now += milliseconds(random.Below(100));
+      const std::string daemon = "d" + std::to_string(random.Below(6));
+      const uint64_t what = random.Below(10);
+      if (what == 0) {
+        sums.Forget(daemon);
+        reference.reports.erase(daemon);
+      } else if (what == 1) {
+        const MonoTime then = now - milliseconds(800);
+        sums.ForgetBefore(then);
+        for (auto it = reference.reports.begin();
+             it != reference.reports.end();)
+          it = it->second.at < then ? reference.reports.erase(it)
+                                    : std::next(it);
+      } else {
+        OpenWorkByBackEnd work;
+        for (uint64_t i = random.Below(4); i > 0; --i)
+          work[BackEndId("e" + std::to_string(random.Below(5)))] = {
+              static_cast<int>(random.Below(3)),
+              Tokens(static_cast<int64_t>(random.Below(5000)))};
+        for (auto& [id, open] : work)
+          if (open.calls == 0) open.tokens = Tokens(0);
+        sums.Take(daemon, work, now);
+        reference.reports[daemon] = {std::move(work), now};
+      }
+      for (int i = 0; i < 7; ++i) {
+        const std::string reader = "d" + std::to_string(i);
+        REQUIRE(Same(sums.AllBut(reader), reference.AllBut(reader)));
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace mimosa
--- a/serving/usage_exchange.cc
+++ b/serving/usage_exchange.cc
@@ -17,16 +17,15 @@
 
 using OpenList = google::protobuf::RepeatedPtrField<wire::OpenWork>;
 
-std::map<BackEndId, BackEndChoice::PeerLoad> ToLoad(const OpenList& list) {
-  std::map<BackEndId, BackEndChoice::PeerLoad> load;
+OpenWorkByBackEnd ToLoad(const OpenList& list) {
+  OpenWorkByBackEnd load;
   for (const wire::OpenWork& work : list)
     load[BackEndId(work.back_end())] = {static_cast<int>(work.calls()),
                                         Tokens(work.tokens())};
   return load;
 }
 
-void FromLoad(const std::map<BackEndId, BackEndChoice::PeerLoad>& load,
-              OpenList* list) {
+void FromLoad(const OpenWorkByBackEnd& load, OpenList* list) {
   for (const auto& [id, work] : load) {
     if (static_cast<size_t>(list->size()) >= kMaxOpenEntries) return;
     wire::OpenWork* const item = list->Add();
@@ -136,13 +135,12 @@
 }
 
 void UsageExchange::SendReport() {
-  const wire::UsageReport report = OwnReport();
-  if (collector_ == members_->self().name()) {
-    totals_.Take(report.name(), report.boot(), report.serial(),
-                 allotments_->admitted(), loop_->Now());
-    choice_->SetPeerLoad(OpenOfOthers(report.name(), loop_->Now()));
-    TakeOthers(collector_, report.boot(), report.serial(),
-               totals_.AllBut(report.name(), loop_->Now()));
+  const wire::EntryMember& self = members_->self();
+  if (collector_ == self.name()) {
+    TakeOwn();
+    choice_->SetPeerLoad(open_.AllBut(self.name()));
+    TakeOthers(collector_, self.boot(), serial_,
+               totals_.AllBut(self.name(), loop_->Now()));
     return;
   }
   const auto member = members_->others().find(collector_);
@@ -151,7 +149,7 @@
       !Endpoint::Parse(member->second.peer_address(), &to))
     return;
   wire::UsageDatagram datagram;
-  *datagram.mutable_report() = report;
+  *datagram.mutable_report() = OwnReport();
   socket_->Send(to, datagram.SerializeAsString());
 }
 
@@ -165,31 +163,19 @@
   if (datagram.has_summary()) TakeSummary(datagram.summary());
 }
 
-UsageExchange::Load UsageExchange::OpenOfOthers(const std::string& name,
-                                                MonoTime now) const {
-  Load sum;
-  const auto add = [&sum](const Load& load) {
-    for (const auto& [id, work] : load) {
-      sum[id].calls += work.calls;
-      sum[id].tokens += work.tokens;
-    }
-  };
-  for (const auto& [member, report] : open_reports_)
-    if (member != name &&
-        now - report.at < std::max(options_.open_life, 3 * Pause()))
-      add(report.load);
-  if (name != members_->self().name()) add(choice_->OwnLoad());
-  return sum;
+void UsageExchange::TakeOwn() {
+  const MonoTime now = loop_->Now();
+  const wire::EntryMember& self = members_->self();
+  totals_.Take(self.name(), self.boot(), ++serial_, allotments_->admitted(),
+               now);
+  open_.ForgetBefore(now - std::max(options_.open_life, 3 * Pause()));
+  open_.Take(self.name(), choice_->OwnLoad(), now);
 }
 
 std::optional<UsageExchange::FleetWork> UsageExchange::fleet_work() const {
   const std::string& self = members_->self().name();
   if (collector_ != self) return std::nullopt;
-  FleetWork work{OpenOfOthers(self, loop_->Now()), others_stages_};
-  for (const auto& [id, own] : choice_->OwnLoad()) {
-    work.open[id].calls += own.calls;
-    work.open[id].tokens += own.tokens;
-  }
+  FleetWork work{open_.AllBut(""), others_stages_};
   for (const auto& [service, sums] : meter_->sums())
     work.stages[service] += sums;
   return work;
@@ -214,30 +200,28 @@
 
 void UsageExchange::OnMemberGone(const std::string& name) {
   totals_.Forget(name);
-  open_reports_.erase(name);
+  open_.Forget(name);
   stage_reports_.erase(name);
 }
 
 void UsageExchange::TakeReport(const wire::UsageReport& report,
                                const Endpoint& from) {
+  const MonoTime now = loop_->Now();
   totals_.Take(report.name(), report.boot(), report.serial(),
-               ToMap(report.admitted()), loop_->Now());
-  open_reports_[report.name()] = {ToLoad(report.open()), loop_->Now()};
+               ToMap(report.admitted()), now);
+  open_.Take(report.name(), ToLoad(report.open()), now);
   TakeStages(report);
-  // What this daemon admitted belongs to the sum, whether or not it is its own
-  // collector.
-  const wire::UsageReport own = OwnReport();
-  totals_.Take(own.name(), own.boot(), own.serial(), allotments_->admitted(),
-               loop_->Now());
+  // Also where this daemon isn't its own collector.
+  TakeOwn();
+  const wire::EntryMember& self = members_->self();
   wire::UsageDatagram datagram;
   wire::UsageSummary* const summary = datagram.mutable_summary();
-  summary->set_collector(own.name());
-  summary->set_collector_boot(own.boot());
+  summary->set_collector(self.name());
+  summary->set_collector_boot(self.boot());
   summary->set_serial(report.serial());
-  FromMap(totals_.AllBut(report.name(), loop_->Now()),
+  FromMap(totals_.AllBut(report.name(), now),
           summary->mutable_admitted_by_others());
-  FromLoad(OpenOfOthers(report.name(), loop_->Now()),
-           summary->mutable_open_of_others());
+  FromLoad(open_.AllBut(report.name()), summary->mutable_open_of_others());
   socket_->Send(from, datagram.SerializeAsString());
 }
 
--- a/serving/usage_exchange.h
+++ b/serving/usage_exchange.h
@@ -46,8 +46,6 @@
     Duration penalty = std::chrono::seconds(5);
   };
 
-  using Load = std::map<BackEndId, BackEndChoice::PeerLoad>;
-
   UsageExchange(EventLoop* loop, const MemberList* members,
                 Allotments* allotments, BackEndChoice* choice,
                 const StageMeter* meter, LineLog* log, const Options& options);
@@ -61,7 +59,7 @@
   // What the fleet has open at the engines, and what requests cost at the
   // services' stages since this daemon began to collect.
   struct FleetWork {
-    Load open;
+    OpenWorkByBackEnd open;
     StageSumsByService stages;
   };
   // Nothing where another daemon adds it up.
@@ -71,7 +69,8 @@
   void Tick();
   // Between two reports of this daemon, in a fleet of this size.
   Duration Pause() const;
-  Load OpenOfOthers(const std::string& name, MonoTime now) const;
+  // What this daemon admitted and has open belongs to the sums, too.
+  void TakeOwn();
   void TakeStages(const wire::UsageReport& report);
   void ChooseCollector(MonoTime now);
   void SendReport();
@@ -97,12 +96,7 @@
   MonoTime reported_at_{};
   UsageTotals totals_;  // while this daemon is somebody's collector
   UsageDifference difference_;
-  // The newest reports of open work, while this daemon is a collector.
-  struct OpenReport {
-    Load load;
-    MonoTime at{};
-  };
-  std::map<std::string, OpenReport> open_reports_;
+  OpenWorkSums open_;  // while this daemon is somebody's collector
   StageSumsByService others_stages_;  // since this daemon began to collect
   struct StageReport {
     uint64_t boot = 0;
