--- a/serving/site_sync.cc
+++ b/serving/site_sync.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -44,18 +43,19 @@
     return;
   }
   Regained();
+  const auto is_back_end = [this](const KvRecord& record) {
+    return StartsWith(record.key, format_->back_end_prefix());
+  };
   std::vector<BackEndEntry> entries;
-  std::set<std::string> members;
   for (const KvRecord& record : result.records) {
-    if (StartsWith(record.key, format_->back_end_prefix())) {
-      if (auto entry = ReadBackEnd(record))
-        entries.push_back(*std::move(entry));
-    } else {
-      TakeRecord(record);
-    }
+    if (!is_back_end(record)) continue;
+    if (auto entry = ReadBackEnd(record)) entries.push_back(*std::move(entry));
   }
   back_ends_->ReplaceAll(std::move(entries), loop_->Now());
   ArmExpiry();
+  // After the servers: some of these records speak of them.
+  for (const KvRecord& record : result.records)
+    if (!is_back_end(record)) TakeRecord(record);
   listed_ = true;
   revision_ = result.revision;
   log_->WriteAlways(LogLine("site_listed")
--- /dev/null
+++ b/tests/site_sync_test.cc
@@ -0,0 +1,152 @@
+// What a listing of the store brings, and in which order, over a scripted
+// store.
+#include "serving/site_sync.h"
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/test_peer.h"
+#include "platform/site_codec.h"
+
+namespace mimosa {
+namespace {
+
+// Answers lists and watches with what a test gives, and then no more.
+class ScriptedStore : public KvStore {
+ public:
+  explicit ScriptedStore(EventLoop* loop) : loop_(loop) {}
+
+  CallPtr List(const std::string&, ListDone done) override {
+    ++lists;
+    return Answer(&list_answers, std::move(done));
+  }
+  CallPtr Watch(const std::string&, Revision after, Duration,
+                ListDone done) override {
+    watched_after.push_back(after);
+    return Answer(&watch_answers, std::move(done));
+  }
+  CallPtr Put(const std::string&, std::string, Revision, const std::string&,
+              Done) override {
+    return nullptr;
+  }
+  CallPtr Get(const std::string&, Done) override { return nullptr; }
+  CallPtr Delete(const std::string&, Revision, Done) override {
+    return nullptr;
+  }
+  CallPtr CreateLease(Duration, Done) override { return nullptr; }
+  CallPtr RenewLease(const std::string&, Done) override { return nullptr; }
+  CallPtr EndLease(const std::string&, Done) override { return nullptr; }
+
+  std::deque<KvListResult> list_answers;
+  std::deque<KvListResult> watch_answers;
+  int lists = 0;
+  std::vector<Revision> watched_after;
+
+ private:
+  CallPtr Answer(std::deque<KvListResult>* answers, ListDone done) {
+    if (!answers->empty()) {
+      loop_->Post([done = std::move(done), answer = answers->front()] {
+        done(answer);
+      });
+      answers->pop_front();
+    }
+    return std::make_unique<KvCall>();
+  }
+
+  EventLoop* const loop_;
+};
+
+KvRecord Server(const std::string& id, int64_t revision) {
+  return {"servers/" + id,
+          R"({"service":"llm","address":"10.0.0.1:80","zone":"z","slots":1,)"
+          R"("state":"ready","stage":"decode"})",
+          Revision(revision)};
+}
+
+struct SyncFixture {
+  static SiteSync::Options Options() {
+    SiteSync::Options options;
+    options.record_prefix = "mimosa/";
+    options.batch_pause = std::chrono::milliseconds(5);
+    options.retry_pause = std::chrono::milliseconds(5);
+    return options;
+  }
+  static LineLog::Options QuietLog() {
+    LineLog::Options options;
+    options.lines_per_second = 0;
+    options.burst = 0;
+    return options;
+  }
+
+  std::unique_ptr<LwsLoop> loop = LwsLoop::Create();
+  ScriptedStore store{loop.get()};
+  PlatformSiteFormat format;
+  SeededRandom random{1};
+  LineLog log{STDERR_FILENO, loop.get(), QuietLog()};
+  BackEndList servers;
+  SiteSync sync{loop.get(), &store,   &format,  &random,
+                &log,       &servers, Options()};
+};
+
+TEST_CASE_METHOD(SyncFixture, "the fleet's records come after the servers") {
+  // In order of the keys, as the store lists them.
+  store.list_answers.push_back(
+      {KvStatus::kOk,
+       Revision(9),
+       {{"mimosa/roles", "{}", Revision(7)}, Server("i-1", 8)},
+       {}});
+  size_t known = 0;
+  std::string name;
+  sync.ObserveRecords([&](const std::string& record, const KvRecord* value) {
+    REQUIRE(value != nullptr);
+    name = record;
+    known = servers.all().size();
+  });
+  sync.Start();
+  REQUIRE(RunUntil(loop.get(), [&] { return !store.watched_after.empty(); }));
+  CHECK(name == "roles");
+  CHECK(known == 1);
+  CHECK(sync.listed());
+  CHECK(store.watched_after[0] == Revision(9));
+}
+
+TEST_CASE_METHOD(SyncFixture, "a removal is told, a lost history listed anew") {
+  store.list_answers.push_back(
+      {KvStatus::kOk, Revision(9), {Server("i-1", 8)}, {}});
+  store.watch_answers.push_back(
+      {KvStatus::kOk, Revision(12), {}, {"mimosa/roles", "servers/i-1"}});
+  store.watch_answers.push_back({KvStatus::kCompacted, Revision(0), {}, {}});
+  store.list_answers.push_back(
+      {KvStatus::kOk, Revision(30), {Server("i-2", 29)}, {}});
+  bool removed = false;
+  sync.ObserveRecords([&](const std::string& record, const KvRecord* value) {
+    removed = record == "roles" && value == nullptr;
+  });
+  sync.Start();
+  REQUIRE(
+      RunUntil(loop.get(), [&] { return store.watched_after.size() == 3; }));
+  CHECK(removed);
+  CHECK(store.lists == 2);
+  CHECK(store.watched_after[1] == Revision(12));
+  CHECK(store.watched_after[2] == Revision(30));
+  CHECK(servers.all().count(BackEndId("i-2")) == 1);
+  CHECK(servers.all().count(BackEndId("i-1")) == 0);
+}
+
+TEST_CASE_METHOD(SyncFixture, "a store that fails is asked again") {
+  store.list_answers.push_back({KvStatus::kNoReply, Revision(0), {}, {}});
+  store.list_answers.push_back({KvStatus::kOk, Revision(3), {}, {}});
+  sync.Start();
+  REQUIRE(RunUntil(loop.get(), [&] { return sync.store_lost(); }));
+  REQUIRE(RunUntil(loop.get(), [&] { return sync.listed(); }));
+  CHECK_FALSE(sync.store_lost());
+}
+
+}  // namespace
+}  // namespace mimosa
