--- a/base/clock.h
+++ b/base/clock.h
@@ -28,6 +28,14 @@
 constexpr double ToSeconds(Duration d) {
   return std::chrono::duration<double>(d).count();
 }
+// A part or multiple of a time, cut off to whole microseconds.
+constexpr Duration Scaled(Duration d, double factor) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(d.count()) * factor));
+}
+constexpr Duration FromSeconds(double seconds) {
+  return Scaled(std::chrono::seconds(1), seconds);
+}
 constexpr int64_t ToMillis(Duration d) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
 }
--- a/base/json.cc
+++ b/base/json.cc
@@ -77,6 +77,11 @@
   return leaf::new_error(JsonError{"JSON", faults});
 }
 
+std::string StringMember(const Json::Value& object, const char* name) {
+  const Json::Value& value = object[name];
+  return value.isString() ? value.asString() : std::string();
+}
+
 std::string WriteJson(const Json::Value& value) {
   static const Json::StreamWriterBuilder builder = [] {
     Json::StreamWriterBuilder b;
--- a/base/json.h
+++ b/base/json.h
@@ -33,6 +33,9 @@
 // Parses any JSON text; fails with JsonError. Nesting is bounded.
 leaf::result<Json::Value> ParseJson(std::string_view text);
 
+// Member of an object; empty if it is absent or no string.
+std::string StringMember(const Json::Value& object, const char* name);
+
 // One line of JSON.
 std::string WriteJson(const Json::Value& value);
 
--- a/bench/engine_models.cc
+++ b/bench/engine_models.cc
@@ -115,7 +115,7 @@
   }
   const double seconds = std::max(least, 0.0) * ToSeconds(StepTime());
   // A microsecond more than computed: rounding must not stop short of the end.
-  const Duration time(static_cast<int64_t>(seconds * 1e6) + 1);
+  const Duration time = FromSeconds(seconds) + Duration(1);
   loop_->After(time, [this, generation = generation_] { Finish(generation); });
 }
 
--- a/bench/limits_bench.cc
+++ b/bench/limits_bench.cc
@@ -115,11 +115,10 @@
     const bool busy = (ToMillis(world_.now().time_since_epoch()) / 4000) % 2;
     const double gap =
         -std::log(1 - random_.Unit()) / (per_second * (busy ? 1.5 : 0.5));
-    world_.At(world_.now() + Duration(static_cast<int64_t>(gap * 1e6)),
-              [this, customer] {
-                Charge(customer);
-                Schedule(customer);
-              });
+    world_.At(world_.now() + FromSeconds(gap), [this, customer] {
+      Charge(customer);
+      Schedule(customer);
+    });
   }
 
   void Charge(int customer) {
--- a/bench/rounds.cc
+++ b/bench/rounds.cc
@@ -323,7 +323,7 @@
   }
   const double gap = -std::log(1 - arrivals_.Unit()) / total;
   Admit(r);
-  loop_.After(Duration(static_cast<int64_t>(gap * 1e6)), [this] { Arrive(); });
+  loop_.After(FromSeconds(gap), [this] { Arrive(); });
 }
 
 Request* Run::NewRequest() {
@@ -547,7 +547,7 @@
   }
   const double time =
       static_cast<double>(r->prompt.count()) / workload_.link_tokens_per_second;
-  const MonoTime end = start + Duration(static_cast<int64_t>(time * 1e6));
+  const MonoTime end = start + FromSeconds(time);
   from.link_free = end;
   to.link_free = end;
   loop_.At(end, [this, r, attempt = r->attempt, evicted_at] {
--- a/decide/allotments.cc
+++ b/decide/allotments.cc
@@ -128,8 +128,7 @@
       std::max({0.0, -bucket.level, -left}) + cost / members_;
   const double own_rate = std::max(bucket.rate / members_,
                                    bucket.rate - bucket.others_rate.value());
-  *wait = Duration(
-      static_cast<Duration::rep>(missing / std::max(own_rate, 1e-9) * 1e6));
+  *wait = FromSeconds(missing / std::max(own_rate, 1e-9));
   return false;
 }
 
--- a/decide/open_work.cc
+++ b/decide/open_work.cc
@@ -1,6 +1,7 @@
 // The sum and its upkeep.
 #include "decide/open_work.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mimosa {
@@ -48,8 +49,18 @@
 }
 
 void OpenWorkSums::ForgetBefore(MonoTime then) {
-  for (auto it = reports_.begin(); it != reports_.end();)
-    it = it->second.at < then ? Drop(it) : std::next(it);
+  if (then <= oldest_) return;
+  oldest_ = kNever;
+  for (auto it = reports_.begin(); it != reports_.end();) {
+    if (it->second.at < then) {
+      it = Drop(it);
+    } else {
+      oldest_ = std::min(oldest_, it->second.at);
+      ++it;
+    }
+  }
+  // Later reports are at least as new as any bound so far.
+  if (reports_.empty()) oldest_ = then;
 }
 
 OpenWorkByBackEnd OpenWorkSums::AllBut(const std::string& daemon) const {
--- a/decide/open_work.h
+++ b/decide/open_work.h
@@ -25,7 +25,7 @@
 
 class OpenWorkSums {
  public:
-  // Replaces what the daemon reported before.
+  // Replaces what the daemon reported before. `now` never goes back.
   void Take(const std::string& daemon, OpenWorkByBackEnd work, MonoTime now);
   void Forget(const std::string& daemon);
   // Forgets reports from before `then`.
@@ -45,6 +45,7 @@
 
   Reports reports_;
   OpenWorkByBackEnd sum_;  // of all reports; no entry without calls
+  MonoTime oldest_{};      // no report is older
 };
 
 }  // namespace mimosa
--- a/decide/room_wait.cc
+++ b/decide/room_wait.cc
@@ -11,11 +11,6 @@
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(1000);
 constexpr Duration kLongestRetryAfter = std::chrono::milliseconds(4500);
 
-Duration Scaled(Duration duration, double factor) {
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 std::optional<Duration> RoomWait::NextPause(
--- a/decide/stage_meter.cc
+++ b/decide/stage_meter.cc
@@ -2,6 +2,7 @@
 #include "decide/stage_meter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mimosa {
 namespace {
@@ -38,6 +39,17 @@
   return *this;
 }
 
+void StageTotals::Take(const std::string& daemon, uint64_t boot,
+                       uint64_t serial, StageSumsByService sums) {
+  Report& last = reports_[daemon];
+  const bool same_start = last.boot == boot;
+  if (same_start && serial <= last.serial) return;
+  if (same_start)
+    for (const auto& [service, sum] : sums)
+      sums_[service] += sum - last.sums[service];
+  last = {boot, serial, std::move(sums)};
+}
+
 void StageMeter::PrefillDone(const ServiceId& service, Tokens prompt,
                              Duration took, bool alone) {
   if (prompt <= Tokens(0)) return;
@@ -60,8 +72,7 @@
       speed != speeds_.end() && speed->second.samples > 0
           ? speed->second.seconds_per_token
           : kSecondsPerToken;
-  return Duration(static_cast<Duration::rep>(
-      1e6 * seconds_per_token * static_cast<double>(prompt.count())));
+  return FromSeconds(seconds_per_token * static_cast<double>(prompt.count()));
 }
 
 void StageMeter::RunDone(const ServiceId& service, Tokens memory,
--- a/decide/stage_meter.h
+++ b/decide/stage_meter.h
@@ -9,7 +9,9 @@
 #ifndef DECIDE_STAGE_METER_H_
 #define DECIDE_STAGE_METER_H_
 
+#include <cstdint>
 #include <map>
+#include <string>
 
 #include "base/clock.h"
 #include "base/ids.h"
@@ -31,6 +33,28 @@
 
 using StageSumsByService = std::map<ServiceId, StageSums>;
 
+// Adds up what other daemons report. A daemon's first report since its start,
+// or since it was forgotten, is only the next one's base; one older than the
+// last is passed over.
+class StageTotals {
+ public:
+  void Take(const std::string& daemon, uint64_t boot, uint64_t serial,
+            StageSumsByService sums);
+  void Forget(const std::string& daemon) { reports_.erase(daemon); }
+
+  const StageSumsByService& sums() const { return sums_; }
+
+ private:
+  struct Report {
+    uint64_t boot = 0;
+    uint64_t serial = 0;
+    StageSumsByService sums;
+  };
+
+  std::map<std::string, Report> reports_;  // the newest of each
+  StageSumsByService sums_;
+};
+
 class StageMeter {
  public:
   // `alone`: the engine had nothing else to do, as far as is known.
--- a/net/http.cc
+++ b/net/http.cc
@@ -58,6 +58,15 @@
   return endpoint;
 }
 
+HttpCallOptions CallWithin(const Endpoint& to, Duration timeout) {
+  HttpCallOptions options;
+  options.to = to;
+  options.connect_timeout = timeout;
+  options.head_timeout = timeout;
+  options.idle_timeout = timeout;
+  return options;
+}
+
 std::string Endpoint::ToString() const {
   const bool v6 = ip.find(':') != std::string::npos;
   return (v6 ? "[" + ip + "]" : ip) + ":" + std::to_string(port);
--- a/net/http.h
+++ b/net/http.h
@@ -242,6 +242,10 @@
 
 std::unique_ptr<HttpClient> MakeHttpClient(LwsLoop* loop);
 
+// Options for a call whose connection, head and parts of the body may each take
+// `timeout`.
+HttpCallOptions CallWithin(const Endpoint& to, Duration timeout);
+
 // The answer to a short call in one piece: OnDone with `response` or OnFailed.
 struct HttpResult {
   bool ok = false;
--- a/router/engine_sweeper.cc
+++ b/router/engine_sweeper.cc
@@ -112,18 +112,13 @@
   Json::Value body;
   body["prefix"] = key.second.value() + "/";
   body["fence"] = Json::UInt64(FenceOf(key.first));
-  HttpCallOptions options;
-  options.to = address;
-  options.connect_timeout = kCallTimeout;
-  options.head_timeout = kCallTimeout;
-  options.idle_timeout = kCallTimeout;
   HttpRequest request;
   request.method = "POST";
   request.target = "/v1/cancel";
   request.headers.Set("Content-Type", "application/json");
   request.body = WriteJson(body);
   order.call =
-      Fetch(client_, options, std::move(request),
+      Fetch(client_, CallWithin(address, kCallTimeout), std::move(request),
             [this, key](const HttpResult& result) { OnAnswer(key, result); });
 }
 
--- a/router/peer_bus.cc
+++ b/router/peer_bus.cc
@@ -235,11 +235,7 @@
     bytes_->sent +=
         kRequestFraming + HeadBytes(request.headers) + request.body.size();
 
-    HttpCallOptions options;
-    options.to = to;
-    options.connect_timeout = timeout;
-    options.head_timeout = timeout;
-    options.idle_timeout = timeout;
+    HttpCallOptions options = CallWithin(to, timeout);
     options.max_response_bytes = kMaxMessageBytes;
     options.reuse_connection = true;
     auto call = std::make_unique<CallImpl>(result, std::move(done), bytes_);
--- a/serving/answers.h
+++ b/serving/answers.h
@@ -8,6 +8,7 @@
 
 namespace mimosa {
 
+inline constexpr int kStatusOk = 200;
 inline constexpr int kStatusBadRequest = 400;
 inline constexpr int kStatusUnauthorized = 401;
 inline constexpr int kStatusNotFound = 404;
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -35,6 +35,12 @@
   return "?";
 }
 
+bool TakeRepeat(const RelayDeps& deps, const ServiceId& service) {
+  const bool taken = deps.budget->TakeRepeat(service, deps.loop->Now());
+  ++(taken ? deps.counters->repeats : deps.counters->repeats_refused);
+  return taken;
+}
+
 BackEndCall::BackEndCall(const RelayDeps& deps, const BackEndEntry& back_end,
                          const WorkSize& size, const RequestId& id,
                          Owner* owner)
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -25,10 +25,6 @@
   kUnreadable,   // what came is no answer
 };
 const char* CallLossName(CallLoss loss);
-// Whether the request certainly has not run there.
-constexpr bool CertainlyNotRun(CallLoss loss) {
-  return loss == CallLoss::kNotSent || loss == CallLoss::kNotExecuted;
-}
 
 // A kept connection that was idle for longer isn't used for what may not be
 // repeated: its back end may be closing it, or be gone.
@@ -36,6 +32,10 @@
 // How many back ends may say "not executed" before a request is refused.
 inline constexpr int kMaxRejections = 3;
 
+// Takes one more call for a request from the fleet's budget; false if it is
+// spent. Counted either way.
+bool TakeRepeat(const RelayDeps& deps, const ServiceId& service);
+
 class BackEndCall : public HttpCallHandler {
  public:
   // Each may destroy the call.
@@ -77,7 +77,6 @@
   const BackEndEntry& back_end() const { return back_end_; }
   Endpoint address() const { return {back_end_.ip, back_end_.port}; }
   bool answered() const { return answered_; }
-  bool sent() const { return call_ != nullptr && call_->sent(); }
   MonoTime started() const { return started_; }
   void Pause(bool pause) {
     if (call_ != nullptr) call_->Pause(pause);
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "base/digest.h"
@@ -13,6 +14,7 @@
 #include "base/line_log.h"
 #include "base/metrics.h"
 #include "base/random.h"
+#include "base/text.h"
 #include "decide/allotments.h"
 #include "decide/back_end_choice.h"
 #include "decide/back_end_list.h"
@@ -29,8 +31,6 @@
 namespace mimosa {
 namespace {
 
-constexpr int kStatusOk = 200;
-
 // The balancer asks once a second and takes a daemon out after two misses: for
 // so long a leaving daemon still accepts, with a second to spare.
 constexpr Duration kBalancerNotice = std::chrono::milliseconds(3200);
@@ -55,22 +55,20 @@
 constexpr Duration kLogFlushPause = std::chrono::milliseconds(250);
 
 // The fleet's own records, under the deployment's name.
-const std::string kMemberRecords = "members/";
-const std::string kRoleRecord = "roles";
+constexpr std::string_view kMemberRecords = "members/";
+constexpr std::string_view kRoleRecord = "roles";
 
 RetryBudget::Options BudgetOptionsOf(const wire::EntrySettings& settings) {
   RetryBudget::Options options;
   options.ratio = settings.retry_budget_ratio();
   options.slack = settings.retry_budget_slack();
-  options.window = Duration(static_cast<Duration::rep>(
-      std::max(1.0, settings.retry_budget_window_s()) * 1e6));
+  options.window = FromSeconds(std::max(1.0, settings.retry_budget_window_s()));
   return options;
 }
 
 Allotments::Options AllotmentOptionsOf(const wire::EntrySettings& settings) {
   Allotments::Options options;
-  options.window = Duration(static_cast<Duration::rep>(
-      std::max(1.0, settings.allotment_window_s()) * 1e6));
+  options.window = FromSeconds(std::max(1.0, settings.allotment_window_s()));
   return options;
 }
 
@@ -190,7 +188,7 @@
 
   MemberList::Options MemberOptions() const {
     MemberList::Options options;
-    options.prefix = RecordPrefix() + kMemberRecords;
+    options.prefix = RecordPrefix().append(kMemberRecords);
     return options;
   }
 
@@ -199,9 +197,10 @@
     options.record_prefix = RecordPrefix();
     options.watch_wait =
         std::chrono::milliseconds(settings_.settle_ms()) - kSettleMargin;
-    options.batch_pause = std::chrono::milliseconds(static_cast<int64_t>(
-        kBatchShare * static_cast<double>(std::min(settings_.config_apply_ms(),
-                                                   settings_.drain_ms()))));
+    options.batch_pause =
+        Scaled(std::chrono::milliseconds(
+                   std::min(settings_.config_apply_ms(), settings_.drain_ms())),
+               kBatchShare);
     return options;
   }
 
@@ -232,7 +231,7 @@
   void OnRecord(const std::string& name, const KvRecord* record) {
     if (name == kRoleRecord) {
       roles_.OnRecord(record);
-    } else if (name.compare(0, kMemberRecords.size(), kMemberRecords) == 0) {
+    } else if (StartsWith(name, kMemberRecords)) {
       const std::string member = name.substr(kMemberRecords.size());
       members_.OnRecord(member, record == nullptr ? nullptr : &record->value);
       if (record == nullptr) usage_.OnMemberGone(member);
@@ -249,7 +248,7 @@
 
   RoleKeeper::Options RoleOptions() const {
     RoleKeeper::Options options;
-    options.key = RecordPrefix() + kRoleRecord;
+    options.key = RecordPrefix().append(kRoleRecord);
     return options;
   }
 
--- a/serving/entry_front.cc
+++ b/serving/entry_front.cc
@@ -162,11 +162,7 @@
                         const Refusal& refusal) {
   const bool comes_back = refusal.retry_after > Duration::zero();
   Duration wait = refusal.retry_after;
-  if (comes_back) {
-    wait += Duration(static_cast<Duration::rep>(
-        deps_->random->Unit() *
-        static_cast<double>(kRetryAfterSpread.count())));
-  }
+  if (comes_back) wait += Scaled(kRetryAfterSpread, deps_->random->Unit());
   exchange->Respond(comes_back ? RefusalAnswer(refusal.status, wait)
                                : FailureAnswer(refusal.status));
   ++counters_.by_status[static_cast<size_t>(refusal.status)];
@@ -213,7 +209,7 @@
     ++counters_.by_status[static_cast<size_t>(result.status)];
     counters_.latency.Observe(ToSeconds(total));
   }
-  const bool good = result.status / 100 == 2;
+  const bool good = IsSuccess(result.status);
   const ModelWork work = request.caller.model.value_or(ModelWork{});
   LogLine line(good ? "request_answered" : "request_failed");
   line.Add("request", request.caller.id.value())
--- a/serving/handle_freer.cc
+++ b/serving/handle_freer.cc
@@ -20,11 +20,7 @@
 }
 
 void HandleFreer::Send(const Endpoint& engine, HttpRequest request) {
-  HttpCallOptions options;
-  options.to = engine;
-  options.connect_timeout = kFreeTimeout;
-  options.head_timeout = kFreeTimeout;
-  options.idle_timeout = kFreeTimeout;
+  HttpCallOptions options = CallWithin(engine, kFreeTimeout);
   options.reuse_connection = true;
   calls_.emplace_back();
   const auto at = std::prev(calls_.end());
--- a/serving/member_list.cc
+++ b/serving/member_list.cc
@@ -86,10 +86,8 @@
 }
 
 void MemberList::Retry() {
-  const auto jitter = static_cast<Duration::rep>(
-      random_->Unit() * static_cast<double>(options_.retry_pause.count()));
-  timer_ = loop_->After(options_.retry_pause + Duration(jitter),
-                        [this] { Register(); });
+  const Duration jitter = Scaled(options_.retry_pause, random_->Unit());
+  timer_ = loop_->After(options_.retry_pause + jitter, [this] { Register(); });
 }
 
 void MemberList::OnRecord(const std::string& name, const std::string* value) {
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -139,7 +139,10 @@
     query.exclude = &tried_;
     const BackEndEntry* chosen = deps_.choice->Choose(query, now);
     if (chosen == nullptr) return false;
-    if (arrivals_ > 0 && !TakeRepeat(now)) return false;
+    if (arrivals_ > 0 && !TakeRepeat(deps_, request_.service.id)) {
+      budget_spent_ = true;
+      return false;
+    }
     const BackEndEntry back_end = *chosen;
     tried_.insert(back_end.id);
     ++arrivals_;
@@ -163,16 +166,6 @@
     return true;
   }
 
-  bool TakeRepeat(MonoTime now) {
-    if (deps_.budget->TakeRepeat(request_.service.id, now)) {
-      ++deps_.counters->repeats;
-      return true;
-    }
-    ++deps_.counters->repeats_refused;
-    budget_spent_ = true;
-    return false;
-  }
-
   void ArmSilenceTimer() {
     const Duration wanted = request_.route.target_latency;
     if (wanted <= Duration::zero()) return;
@@ -227,11 +220,8 @@
   }
 
   void Refuse(const char* why) {
-    const auto spread = static_cast<Duration::rep>(
-        deps_.random->Unit() * static_cast<double>(kRetryAfterSpread.count()));
-    Deliver(
-        RefusalAnswer(kStatusUnavailable, kLeastRetryAfter + Duration(spread)),
-        why);
+    const Duration spread = Scaled(kRetryAfterSpread, deps_.random->Unit());
+    Deliver(RefusalAnswer(kStatusUnavailable, kLeastRetryAfter + spread), why);
   }
 
   void PassOn(Try* one) {
--- a/serving/role_keeper.cc
+++ b/serving/role_keeper.cc
@@ -5,12 +5,12 @@
 #include <utility>
 
 #include "base/json.h"
+#include "serving/answers.h"
 
 namespace mimosa {
 namespace {
 
 // How engines answer an order.
-constexpr int kOrderHolds = 200;
 constexpr int kOrderTaken = 202;
 constexpr int kFenceTooLow = 412;
 
@@ -112,27 +112,28 @@
   if (!work) {
     balances_.clear();
     wanted_.clear();
-    last_work_.reset();
+    last_stages_.reset();
     return;
   }
   if (now >= wanted_until_) wanted_.clear();
   for (const SiteService& service : services_) {
-    Observe(service, *work);
+    Observe(service, work->stages);
     if (moves_.empty() && wanted_.empty() && MayWrite(now))
       Want(service, *work);
   }
-  last_work_ = std::move(work);
+  last_stages_ = std::move(work->stages);
   if (!wanted_.empty() && !announcing_ && MayWrite(now)) Announce();
 }
 
-void RoleKeeper::Observe(const SiteService& service, const Work& work) {
-  if (!last_work_) return;
-  const auto sums_of = [&service](const Work& of) {
-    const auto found = of.stages.find(service.id);
-    return found == of.stages.end() ? StageSums{} : found->second;
+void RoleKeeper::Observe(const SiteService& service,
+                         const StageSumsByService& stages) {
+  if (!last_stages_) return;
+  const auto sums_of = [&service](const StageSumsByService& of) {
+    const auto found = of.find(service.id);
+    return found == of.end() ? StageSums{} : found->second;
   };
   balances_.try_emplace(service.id, options_.balance)
-      .first->second.Observe(sums_of(work) - sums_of(*last_work_),
+      .first->second.Observe(sums_of(stages) - sums_of(*last_stages_),
                              service.engine->kv_memory, loop_->Now());
 }
 
@@ -230,11 +231,8 @@
 // -------------------------------------------------------------------
 
 HttpCallOptions RoleKeeper::CallTo(const BackEndEntry& engine) const {
-  HttpCallOptions options;
-  options.to = {engine.ip, engine.port};
-  options.connect_timeout = options_.call_timeout;
-  options.head_timeout = options_.call_timeout;
-  options.idle_timeout = options_.call_timeout;
+  HttpCallOptions options =
+      CallWithin({engine.ip, engine.port}, options_.call_timeout);
   options.resend_on_fresh = false;
   return options;
 }
@@ -262,7 +260,7 @@
 void RoleKeeper::OnReport(const BackEndId& id, const HttpResult& result) {
   const auto it = orders_.find(id);
   if (it == orders_.end()) return;
-  const auto report = result.ok && result.response.status == kOrderHolds
+  const auto report = result.ok && result.response.status == kStatusOk
                           ? format_->ReadReport(result.response.body)
                           : std::nullopt;
   if (!report) {
@@ -294,7 +292,7 @@
     return;
   }
   switch (result.response.status) {
-    case kOrderHolds:
+    case kStatusOk:  // it holds already
     case kOrderTaken:
       EndOrder(id, "taken");
       return;
--- a/serving/role_keeper.h
+++ b/serving/role_keeper.h
@@ -89,7 +89,7 @@
   void Look();
   // Forgets moves that are done, void or too old.
   void Prune();
-  void Observe(const SiteService& service, const Work& work);
+  void Observe(const SiteService& service, const StageSumsByService& stages);
   void Want(const SiteService& service, const Work& work);
   std::vector<RoleBalance::Engine> EnginesOf(const SiteService& service,
                                              const Work& work) const;
@@ -119,7 +119,7 @@
   bool stopped_ = false;
   std::vector<SiteService> services_;  // with engines
   std::map<ServiceId, RoleBalance> balances_;
-  std::optional<Work> last_work_;    // at the last look
+  std::optional<StageSumsByService> last_stages_;  // at the last look
   std::map<BackEndId, Move> moves_;  // as the record says, while they last
 
   // The record as last seen.
--- a/serving/site_sync.cc
+++ b/serving/site_sync.cc
@@ -6,14 +6,9 @@
 #include <utility>
 #include <vector>
 
-namespace mimosa {
-namespace {
-
-bool StartsWith(const std::string& text, const std::string& prefix) {
-  return text.compare(0, prefix.size(), prefix) == 0;
-}
+#include "base/text.h"
 
-}  // namespace
+namespace mimosa {
 
 SiteSync::SiteSync(EventLoop* loop, KvStore* store, const SiteFormat* format,
                    RandomSource* random, LineLog* log, BackEndList* back_ends,
@@ -120,10 +115,8 @@
 }
 
 void SiteSync::Retry(std::function<void()> action) {
-  const auto jitter = static_cast<Duration::rep>(
-      random_->Unit() * static_cast<double>(options_.retry_pause.count()));
-  retry_timer_ =
-      loop_->After(options_.retry_pause + Duration(jitter), std::move(action));
+  const Duration jitter = Scaled(options_.retry_pause, random_->Unit());
+  retry_timer_ = loop_->After(options_.retry_pause + jitter, std::move(action));
 }
 
 void SiteSync::TakeRecord(const KvRecord& record) {
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -312,12 +312,7 @@
 
   // Whether another call to an engine may be made: the first one is free.
   bool TakeArrival(bool repeat) {
-    if (!repeat) return true;
-    if (deps_.budget->TakeRepeat(request_.service.id, deps_.loop->Now())) {
-      ++deps_.counters->repeats;
-      return true;
-    }
-    ++deps_.counters->repeats_refused;
+    if (!repeat || TakeRepeat(deps_, request_.service.id)) return true;
     budget_spent_ = true;
     return false;
   }
--- a/serving/usage_exchange.cc
+++ b/serving/usage_exchange.cc
@@ -52,6 +52,28 @@
   }
 }
 
+StageSumsByService ToStages(
+    const google::protobuf::RepeatedPtrField<wire::StageWork>& list) {
+  StageSumsByService stages;
+  for (const wire::StageWork& work : list)
+    stages[ServiceId(work.service())] = {work.prefills(),
+                                         work.prefill_seconds(), work.runs(),
+                                         work.run_token_seconds()};
+  return stages;
+}
+
+void FromStages(const StageSumsByService& stages,
+                google::protobuf::RepeatedPtrField<wire::StageWork>* list) {
+  for (const auto& [service, sums] : stages) {
+    wire::StageWork* const work = list->Add();
+    work->set_service(service.value());
+    work->set_prefills(sums.prefills);
+    work->set_prefill_seconds(sums.prefill_s);
+    work->set_runs(sums.runs);
+    work->set_run_token_seconds(sums.run_token_s);
+  }
+}
+
 }  // namespace
 
 UsageExchange::UsageExchange(EventLoop* loop, const MemberList* members,
@@ -123,14 +145,7 @@
   report.set_serial(++serial_);
   FromMap(allotments_->admitted(), report.mutable_admitted());
   FromLoad(choice_->OwnLoad(), report.mutable_open());
-  for (const auto& [service, sums] : meter_->sums()) {
-    wire::StageWork* const work = report.add_stages();
-    work->set_service(service.value());
-    work->set_prefills(sums.prefills);
-    work->set_prefill_seconds(sums.prefill_s);
-    work->set_runs(sums.runs);
-    work->set_run_token_seconds(sums.run_token_s);
-  }
+  FromStages(meter_->sums(), report.mutable_stages());
   return report;
 }
 
@@ -175,33 +190,16 @@
 std::optional<UsageExchange::FleetWork> UsageExchange::fleet_work() const {
   const std::string& self = members_->self().name();
   if (collector_ != self) return std::nullopt;
-  FleetWork work{open_.AllBut(""), others_stages_};
+  FleetWork work{open_.AllBut(""), others_stages_.sums()};
   for (const auto& [service, sums] : meter_->sums())
     work.stages[service] += sums;
   return work;
 }
 
-void UsageExchange::TakeStages(const wire::UsageReport& report) {
-  StageReport& last = stage_reports_[report.name()];
-  const bool follows =
-      last.boot == report.boot() && last.serial < report.serial();
-  if (!follows && last.boot == report.boot()) return;  // overtaken
-  StageReport next{report.boot(), report.serial(), {}};
-  for (const wire::StageWork& work : report.stages()) {
-    const ServiceId service(work.service());
-    const StageSums sums{work.prefills(), work.prefill_seconds(), work.runs(),
-                         work.run_token_seconds()};
-    next.sums[service] = sums;
-    // The first report is only the next one's base.
-    if (follows) others_stages_[service] += sums - last.sums[service];
-  }
-  last = std::move(next);
-}
-
 void UsageExchange::OnMemberGone(const std::string& name) {
   totals_.Forget(name);
   open_.Forget(name);
-  stage_reports_.erase(name);
+  others_stages_.Forget(name);
 }
 
 void UsageExchange::TakeReport(const wire::UsageReport& report,
@@ -210,7 +208,8 @@
   totals_.Take(report.name(), report.boot(), report.serial(),
                ToMap(report.admitted()), now);
   open_.Take(report.name(), ToLoad(report.open()), now);
-  TakeStages(report);
+  others_stages_.Take(report.name(), report.boot(), report.serial(),
+                      ToStages(report.stages()));
   // Also where this daemon isn't its own collector.
   TakeOwn();
   const wire::EntryMember& self = members_->self();
--- a/serving/usage_exchange.h
+++ b/serving/usage_exchange.h
@@ -71,7 +71,6 @@
   Duration Pause() const;
   // What this daemon admitted and has open belongs to the sums, too.
   void TakeOwn();
-  void TakeStages(const wire::UsageReport& report);
   void ChooseCollector(MonoTime now);
   void SendReport();
   void TakeReport(const wire::UsageReport& report, const Endpoint& from);
@@ -96,14 +95,8 @@
   MonoTime reported_at_{};
   UsageTotals totals_;  // while this daemon is somebody's collector
   UsageDifference difference_;
-  OpenWorkSums open_;  // while this daemon is somebody's collector
-  StageSumsByService others_stages_;  // since this daemon began to collect
-  struct StageReport {
-    uint64_t boot = 0;
-    uint64_t serial = 0;
-    StageSumsByService sums;
-  };
-  std::map<std::string, StageReport> stage_reports_;  // the newest of each
+  OpenWorkSums open_;          // the same
+  StageTotals others_stages_;  // the same
   TimerHandle timer_;
 };
 
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/random.h"
+#include "base/text.h"
 #include "soak/soak_fleet.h"
 
 namespace mimosa::soak {
@@ -21,16 +22,6 @@
   return kind == "letter" || kind == "note";
 }
 
-std::string Events(int count) {
-  std::string text;
-  for (int id = 1; id <= count; ++id) {
-    const std::string name = std::to_string(id);
-    text.append("id: ").append(name).append("\ndata: event ");
-    text.append(name).append("\n\n");
-  }
-  return text;
-}
-
 // Why the answer can't be right; empty: it can.
 std::string Fault(const Outcome& outcome, const testing::Reply& reply,
                   const std::string& body) {
@@ -49,13 +40,12 @@
   if (reply.Header("Mimosarouter-Request-Id") != outcome.id)
     return "another request's answer";
   if (IsStream(outcome.kind)) {
-    const std::string all = Events(kEvents);
+    const std::string all = testing::StreamEvents(1, kEvents);
     if (reply.whole)
       return reply.body == all ? "" : "not the whole stream:\n" + reply.body;
     // A broken stream is a beginning of it.
-    return all.compare(0, reply.body.size(), reply.body) == 0
-               ? ""
-               : "a broken stream with wrong events";
+    return StartsWith(all, reply.body) ? ""
+                                       : "a broken stream with wrong events";
   }
   if (!reply.whole) return "";
   const std::string right =
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -2,7 +2,6 @@
 #include "soak/soak_fleet.h"
 
 #include <catch2/catch.hpp>
-#include <fstream>
 #include <utility>
 
 #include "base/json.h"
@@ -13,36 +12,20 @@
 using testing::Call;
 using testing::FreePort;
 using testing::Get;
-using testing::Loopback;
 using testing::Request;
 
+// Behind its proxy, whose address it registers.
 std::vector<std::string> ServerArgs(const std::string& id,
                                     const std::string& service,
                                     const std::string& stage, uint16_t port,
                                     const std::string& address,
                                     uint16_t store) {
-  std::vector<std::string> args = {
-      "--listen=" + Loopback(port), "--address=" + address,
-      "--store=" + Loopback(store), "--id=" + id, "--service=" + service};
-  if (!stage.empty()) args.push_back("--stage=" + stage);
+  std::vector<std::string> args =
+      testing::SiteServerArgs(id, service, stage, port, store);
+  args.push_back("--address=" + address);
   return args;
 }
 
-Json::Value Route(const char* prefix, const char* kind, const char* service,
-                  int attempts) {
-  Json::Value route;
-  route["name"] = prefix;
-  route["host"] = kHost;
-  route["prefix"] = prefix;
-  route["kind"] = kind;
-  route["service"] = service;
-  route["timeout_ms"] = 6000;
-  route["target_latency_ms"] = 600;
-  route["target_gap_ms"] = 200;
-  route["max_attempts"] = attempts;
-  return route;
-}
-
 }  // namespace
 
 // --- Server -------------------------------------------------------------
@@ -85,30 +68,15 @@
 // --- Entry ----------------------------------------------------------------
 
 Entry::Entry(const std::string& name, uint16_t store)
-    : port_(FreePort()),
-      ready_(FreePort()),
-      store_path_(store),
-      settings_(std::filesystem::temp_directory_path() /
-                ("mimosa-soak-settings-" + std::to_string(port_))),
-      process_("tools/mimosa-entry", {"--settings-file", WriteSettings(name)}) {
-}
+    : store_path_(store), process_("tools/mimosa-entry", WriteSettings(name)) {}
 
-Entry::~Entry() { std::filesystem::remove(settings_); }
-
-std::string Entry::WriteSettings(const std::string& name) {
-  std::ofstream(settings_) << "MIMOSA_NAME=" << name
-                           << "\nMIMOSA_FAILURE_DOMAIN=z\nMIMOSA_LISTEN="
-                           << Loopback(port_)
-                           << "\nMIMOSA_READY_LISTEN=" << Loopback(ready_)
-                           << "\nMIMOSA_CONTROL_LISTEN=" << Loopback(FreePort())
-                           << "\nMIMOSA_PEER_LISTEN=" << Loopback(FreePort())
-                           << "\nMIMOSA_STORE=" << store_path_.address()
-                           << "\nMIMOSA_GRACE_MS=8000\n";
-  return settings_;
+std::vector<std::string> Entry::WriteSettings(const std::string& name) const {
+  settings_.Write(name, store_path_.address());
+  return settings_.args();
 }
 
 bool Entry::Ready() const {
-  return Get(ready_, "/mimosarouter/ready").status == 200;
+  return Get(settings_.ready(), testing::kReadyPath).status == 200;
 }
 
 // --- Fleet ------------------------------------------------------------------
@@ -133,27 +101,10 @@
 }
 
 void Fleet::WriteConfig() {
-  Json::Value config;
-  config["version"] = ++version_;
-  config["routes"].append(Route("/book/", "non_idempotent", "desk", 1));
-  config["routes"].append(Route("/look/", "idempotent", "desk", 2));
-  config["routes"].append(Route("/letter/", "streaming", "llm", 1));
-  config["routes"].append(Route("/note/", "streaming", "llm", 2));
-  config["routes"][3]["resumable"] = true;
-  config["services"][0]["name"] = "llm";
-  Json::Value& engine = config["services"][0]["engine"];
-  engine["slots"] = 48;
-  engine["kv_tokens"] = 36000;
-  engine["kv_hold_s"] = 0.5;
-  engine["hold_ms"] = 2000;
-  config["services"][1]["name"] = "desk";
-  config["tenants"][0]["name"] = "guild";
-  config["tenants"][0]["api_keys"].append(kKey);
-  Request request;
-  request.method = "PUT";
-  request.target = "/debug/record?key=op/config";
-  request.body = WriteJson(config);
-  REQUIRE(Call(store_.port(), request).status == 200);
+  const Json::Value config =
+      testing::SiteConfig(++version_, kKey, {6000, 600, 200});
+  REQUIRE(testing::PutRecord(store_.port(), "op/config", WriteJson(config))
+              .status == 200);
 }
 
 void Fleet::RemoveRecord(const Server& server) {
@@ -201,16 +152,7 @@
 
 Request MakeRequest(const std::string& kind, const std::string& id,
                     const std::string& body) {
-  Request request;
-  request.method = "POST";
-  request.target = "/" + kind + "/" + id;
-  request.body = body;
-  request.headers = {{"Mimosarouter-Request-Id", id},
-                     {"Mimosarouter-Deadline-Ms", "4000"},
-                     {"X-Api-Key", kKey}};
-  if (kind == "letter" || kind == "note")
-    request.headers.emplace_back("Mimosarouter-Token-Counts", "800,200");
-  return request;
+  return testing::SiteRequest("/" + kind + "/" + id, id, kKey, body, 4000);
 }
 
 }  // namespace mimosa::soak
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -5,18 +5,17 @@
 #define SOAK_SOAK_FLEET_H_
 
 #include <cstdint>
-#include <filesystem>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "tests/entry_site.h"
 #include "tests/harness.h"
 
 namespace mimosa::soak {
 
 inline constexpr char kKey[] = "key-one";
-inline constexpr char kHost[] = "test";  // what the tests' client writes
 
 // A backend server; its journal outlives its kills.
 class Server {
@@ -52,20 +51,18 @@
 class Entry {
  public:
   Entry(const std::string& name, uint16_t store);
-  ~Entry();
 
-  uint16_t port() const { return port_; }
+  uint16_t port() const { return settings_.listen(); }
   bool Ready() const;
   testing::Process& process() { return process_; }
   testing::Proxy& store_path() { return store_path_; }
 
  private:
-  std::string WriteSettings(const std::string& name);
+  // Arguments of the daemon.
+  std::vector<std::string> WriteSettings(const std::string& name) const;
 
-  const uint16_t port_;
-  const uint16_t ready_;
+  const testing::EntrySettings settings_;
   testing::Proxy store_path_;
-  const std::filesystem::path settings_;
   testing::Process process_;
 };
 
--- a/standins/decode_role.cc
+++ b/standins/decode_role.cc
@@ -39,12 +39,12 @@
 }
 
 void DecodeRole::Start(const ExchangePtr& exchange, const Json::Value& body) {
-  const std::string prompt = StringOf(body, "prompt");
+  const std::string prompt = StringMember(body, "prompt");
   const int64_t prompt_tokens =
       IntOf(body, "prompt_tokens", PromptTokens(prompt));
   const int64_t max_output = IntOf(body, "max_output_tokens", 1);
   Endpoint from;
-  if (!Endpoint::Parse(StringOf(body, "from"), &from)) {
+  if (!Endpoint::Parse(StringMember(body, "from"), &from)) {
     RespondError(exchange.get(), 400, "from");
     return;
   }
@@ -60,14 +60,14 @@
   }
   const uint64_t serial = next_serial_++;
   auto stream = std::make_unique<Stream>(prompt, max_output);
-  stream->request = StringOf(body, "request");
+  stream->request = StringMember(body, "request");
   stream->attempt = body["attempt"];
   stream->prompt_tokens = prompt_tokens;
   stream->pieces = pieces;
   stream->produced = std::min(IntOf(body, "offset"), stream->answer.tokens());
   streams_[serial] = std::move(stream);
   Attach(serial, exchange);
-  Import(serial, from, StringOf(body, "kv"));
+  Import(serial, from, StringMember(body, "kv"));
 }
 
 void DecodeRole::Attach(uint64_t serial, const ExchangePtr& exchange) {
@@ -130,7 +130,7 @@
 }
 
 void DecodeRole::Resume(const ExchangePtr& exchange, const Json::Value& body) {
-  const std::string request = StringOf(body, "request");
+  const std::string request = StringMember(body, "request");
   for (auto& [serial, stream] : streams_) {
     if (stream->request != request || stream->phase == Phase::kImporting)
       continue;
--- a/standins/engine_server.cc
+++ b/standins/engine_server.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/json.h"
+
 namespace mimosa::standins {
 namespace {
 
@@ -105,8 +107,8 @@
 
 void EngineServer::Cancel(const ExchangePtr& exchange,
                           const Json::Value& body) {
-  const RequestMatcher matcher(StringOf(body, "request"),
-                               StringOf(body, "prefix"),
+  const RequestMatcher matcher(StringMember(body, "request"),
+                               StringMember(body, "prefix"),
                                IntOf(body, "attempt", -1));
   CancelResult result = prefill_.Cancel(matcher);
   const CancelResult decoded = decode_.Cancel(matcher);
@@ -121,7 +123,7 @@
 void EngineServer::Order(const ExchangePtr& exchange, const Json::Value& body) {
   orders_.append(body);
   const std::string role =
-      body["order"].isObject() ? StringOf(body["order"], "role") : "";
+      body["order"].isObject() ? StringMember(body["order"], "role") : "";
   if (role == "prefill" || role == "decode") is_prefill_ = role == "prefill";
   RespondJson(exchange.get(), 200, Json::Value(Json::objectValue));
 }
--- a/standins/http_json.cc
+++ b/standins/http_json.cc
@@ -85,11 +85,6 @@
   return value.isBool() ? value.asBool() : fallback;
 }
 
-std::string StringOf(const Json::Value& object, const char* name) {
-  const Json::Value& value = object[name];
-  return value.isString() ? value.asString() : std::string();
-}
-
 Duration MillisOf(const Json::Value& object, const char* name,
                   Duration fallback) {
   return std::chrono::milliseconds(IntOf(object, name, ToMillis(fallback)));
--- a/standins/http_json.h
+++ b/standins/http_json.h
@@ -36,7 +36,6 @@
 int64_t IntOf(const Json::Value& object, const char* name,
               int64_t fallback = 0);
 bool BoolOf(const Json::Value& object, const char* name, bool fallback);
-std::string StringOf(const Json::Value& object, const char* name);
 Duration MillisOf(const Json::Value& object, const char* name,
                   Duration fallback);
 
--- a/standins/platform_server.cc
+++ b/standins/platform_server.cc
@@ -9,6 +9,7 @@
 #include "base/base64.h"
 #include "base/json.h"
 #include "base/kv_store.h"
+#include "base/text.h"
 
 namespace mimosa::standins {
 namespace {
@@ -24,10 +25,6 @@
 constexpr unsigned kMaxRows = 32;
 constexpr size_t kPageRecords = 500;
 
-bool StartsWith(std::string_view text, std::string_view prefix) {
-  return text.substr(0, prefix.size()) == prefix;
-}
-
 Json::Value ItemJson(const std::string& key,
                      const PlatformStore::Record& record) {
   Json::Value value;
@@ -58,15 +55,15 @@
   PlatformStore::Transaction transaction;
   for (const Json::Value& row : (*object)["expected"]) {
     if (!row.isObject()) return std::nullopt;
-    transaction.expected.emplace_back(StringOf(row, "key"),
+    transaction.expected.emplace_back(StringMember(row, "key"),
                                       IntOf(row, "revision", -1));
   }
   for (const Json::Value& row : (*object)["writes"]) {
     PlatformStore::Transaction::Write write;
     if (!row.isObject()) return std::nullopt;
-    write.key = StringOf(row, "key");
+    write.key = StringMember(row, "key");
     write.lease = IntOf(row, "lease");
-    if (!DecodeBase64(StringOf(row, "value"), &write.value))
+    if (!DecodeBase64(StringMember(row, "value"), &write.value))
       return std::nullopt;
     transaction.writes.push_back(std::move(write));
   }
@@ -371,7 +368,7 @@
   faults_.vms_lag = MillisOf(*body, "vms_lag_ms", faults_.vms_lag);
   faults_.lose_replies = IntOf(*body, "lose_replies", faults_.lose_replies);
   if (body->isMember("lose_replies_prefix"))
-    faults_.lose_replies_prefix = StringOf(*body, "lose_replies_prefix");
+    faults_.lose_replies_prefix = StringMember(*body, "lose_replies_prefix");
   faults_.late_writes = IntOf(*body, "late_writes", faults_.late_writes);
   faults_.lateness = MillisOf(*body, "late_ms", faults_.lateness);
   faults_.pause_leases = BoolOf(*body, "pause_leases", faults_.pause_leases);
@@ -422,7 +419,7 @@
   vms_.clear();
   transaction = {};
   for (const Json::Value& vm : vms) {
-    const std::string ip = StringOf(vm, "address");
+    const std::string ip = StringMember(vm, "address");
     vms_.insert(ip);
     transaction.writes.push_back({"vms/" + ip, WriteJson(vm), 0});
   }
--- a/standins/platform_store.cc
+++ b/standins/platform_store.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/text.h"
+
 namespace mimosa::standins {
 
 const PlatformStore::Record* PlatformStore::Find(const std::string& key) const {
@@ -68,7 +70,7 @@
   auto it = after.empty() ? records_.lower_bound(prefix)
                           : records_.upper_bound(after);
   for (; it != records_.end() && out.size() < limit &&
-         it->first.compare(0, prefix.size(), prefix) == 0;
+         StartsWith(it->first, prefix);
        ++it)
     out.emplace_back(it->first, &it->second);
   return out;
@@ -82,8 +84,7 @@
     return out;
   }
   for (const Change& change : history_) {
-    if (change.revision > after &&
-        change.key.compare(0, prefix.size(), prefix) == 0)
+    if (change.revision > after && StartsWith(change.key, prefix))
       out.list.push_back(change);
   }
   return out;
--- a/standins/prefill_role.cc
+++ b/standins/prefill_role.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/json.h"
 #include "standins/answer.h"
 #include "standins/http_json.h"
 
@@ -45,9 +46,9 @@
     return;
   }
   auto job = std::make_unique<Job>();
-  job->request = StringOf(body, "request");
+  job->request = StringMember(body, "request");
   job->attempt = body["attempt"];
-  job->prompt = StringOf(body, "prompt");
+  job->prompt = StringMember(body, "prompt");
   job->prompt_tokens = IntOf(body, "prompt_tokens", PromptTokens(job->prompt));
   job->priority = IntOf(body, "priority");
   job->exchange = exchange;
@@ -147,7 +148,7 @@
   const double seconds = options_->time_scale * bytes /
                          static_cast<double>(std::max<int64_t>(
                              1, options_->link_bytes_per_second));
-  const auto taken = Duration(static_cast<int64_t>(seconds * 1e6));
+  const Duration taken = FromSeconds(seconds);
   // One link: a transfer starts when those before it are through.
   const MonoTime now = loop_->Now();
   link_free_ = std::max(link_free_, now) + taken;
--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/json.h"
+#include "base/text.h"
 
 namespace mimosa::standins {
 namespace {
@@ -145,7 +146,7 @@
 void SiteServer::Order(const ExchangePtr& exchange) {
   const auto body = ParseObject(exchange->request().body);
   const int64_t fence = body ? IntOf(*body, "fencing_token") : 0;
-  const std::string stage = body ? StringOf(*body, "stage") : "";
+  const std::string stage = body ? StringMember(*body, "stage") : "";
   if (fence <= 0 || stage.empty()) {
     exchange->Respond({400, {}, ""});
   } else if (fence < fence_) {
@@ -302,7 +303,7 @@
     Behave(exchange);
   } else if (path == "/debug/journal") {
     RespondJson(exchange.get(), 200, Journal());
-  } else if (path.compare(0, kTake.size(), kTake) == 0) {
+  } else if (StartsWith(path, kTake)) {
     const bool there = handles_.erase(path.substr(kTake.size())) > 0;
     exchange->Respond({there ? 200 : 404, {}, ""});
   } else {
--- a/tests/entry_process_test.cc
+++ b/tests/entry_process_test.cc
@@ -4,7 +4,6 @@
 #include <signal.h>
 
 #include <catch2/catch.hpp>
-#include <filesystem>
 #include <fstream>
 #include <map>
 #include <memory>
@@ -13,23 +12,14 @@
 
 #include "base/json.h"
 #include "tests/client.h"
+#include "tests/entry_site.h"
 #include "tests/harness.h"
 
 namespace mimosa::testing {
 namespace {
 
-// What the test client writes as Host.
-const char kHost[] = "test";
-const char kReadyPath[] = "/mimosarouter/ready";
-
 struct Entry {
-  ~Entry() { std::filesystem::remove(settings); }
-
-  uint16_t port = FreePort();
-  uint16_t ready = FreePort();
-  uint16_t control = FreePort();
-  uint16_t peer = FreePort();
-  std::filesystem::path settings;  // its settings file
+  EntrySettings settings;
   std::unique_ptr<Process> process;
 };
 
@@ -57,104 +47,45 @@
   void AddServer(const std::string& id, const std::string& service,
                  const std::string& stage) {
     Server server;
-    std::vector<std::string> args = {"--listen=" + Loopback(server.port),
-                                     "--store=" + Loopback(store_.port()),
-                                     "--id=" + id, "--service=" + service};
-    if (!stage.empty()) args.push_back("--stage=" + stage);
-    server.process =
-        std::make_unique<Process>("standins/standin-site-server", args);
+    server.process = std::make_unique<Process>(
+        "standins/standin-site-server",
+        SiteServerArgs(id, service, stage, server.port, store_.port()));
     servers_[id] = std::move(server);
   }
 
   void AddEntry(const std::string& name) {
     auto entry = std::make_unique<Entry>();
-    entry->settings = std::filesystem::temp_directory_path() /
-                      ("mimosa-entry-settings-" + std::to_string(entry->port));
     WriteSettings(*entry, name, 8000);
-    entry->process = std::make_unique<Process>(
-        "tools/mimosa-entry",
-        std::vector<std::string>{"--settings-file", entry->settings});
+    entry->process =
+        std::make_unique<Process>("tools/mimosa-entry", entry->settings.args());
     entries_.push_back(std::move(entry));
   }
 
   void WriteSettings(const Entry& entry, const std::string& name,
                      int grace_ms) const {
-    std::ofstream file(entry.settings);
-    file << "# settings of a test\n"
-         << "MIMOSA_NAME=" << name << "\nMIMOSA_FAILURE_DOMAIN=z\n"
-         << "MIMOSA_LISTEN=" << Loopback(entry.port)
-         << "\nMIMOSA_READY_LISTEN=" << Loopback(entry.ready)
-         << "\nMIMOSA_CONTROL_LISTEN=" << Loopback(entry.control)
-         << "\nMIMOSA_PEER_LISTEN=" << Loopback(entry.peer)
-         << "\nMIMOSA_STORE=" << Loopback(store_.port())
-         << "\nMIMOSA_GRACE_MS=" << grace_ms << "\n";
+    entry.settings.Write(name, Loopback(store_.port()), grace_ms);
   }
 
   // The customer "guild" holds `key`; both desks' and letters' routes.
   void WriteConfig(int version, const std::string& key) {
-    Json::Value config;
-    config["version"] = version;
-    const auto route = [&](const char* prefix, const char* kind,
-                           const char* service, int attempts) {
-      Json::Value made;
-      made["name"] = prefix;
-      made["host"] = kHost;
-      made["prefix"] = prefix;
-      made["kind"] = kind;
-      made["service"] = service;
-      made["timeout_ms"] = 10000;
-      made["target_latency_ms"] = 900;
-      made["target_gap_ms"] = 300;
-      made["max_attempts"] = attempts;
-      return made;
-    };
-    config["routes"].append(route("/book/", "non_idempotent", "desk", 1));
-    config["routes"].append(route("/look/", "idempotent", "desk", 2));
-    config["routes"].append(route("/letter/", "streaming", "llm", 1));
-    Json::Value note = route("/note/", "streaming", "llm", 2);
-    note["resumable"] = true;
-    config["routes"].append(note);
-    Json::Value llm;
-    llm["name"] = "llm";
-    llm["engine"]["slots"] = 48;
-    llm["engine"]["kv_tokens"] = 36000;
-    llm["engine"]["kv_hold_s"] = 0.5;
-    llm["engine"]["hold_ms"] = 2000;
-    config["services"].append(llm);
-    config["services"].append(Json::Value(Json::objectValue));
-    config["services"][1]["name"] = "desk";
-    Json::Value customer;
-    customer["name"] = "guild";
-    customer["api_keys"].append(key);
-    config["tenants"].append(customer);
-    Request request;
-    request.method = "PUT";
-    request.target = "/debug/record?key=op/config";
-    request.body = WriteJson(config);
-    REQUIRE(Call(store_.port(), request).status == 200);
+    const Json::Value config = SiteConfig(version, key, {10000, 900, 300});
+    REQUIRE(PutRecord(store_.port(), "op/config", WriteJson(config)).status ==
+            200);
   }
 
   Request Make(const std::string& target, const std::string& key = "key-one") {
-    Request request;
-    request.method = "POST";
-    request.target = target;
-    request.body = "body";
-    request.headers = {
-        {"Mimosarouter-Request-Id", "request-" + std::to_string(++serial_)},
-        {"Mimosarouter-Deadline-Ms", "9000"},
-        {"X-Api-Key", key}};
-    if (target.rfind("/letter/", 0) == 0 || target.rfind("/note/", 0) == 0)
-      request.headers.emplace_back("Mimosarouter-Token-Counts", "800,200");
-    return request;
+    return SiteRequest(target, "request-" + std::to_string(++serial_), key,
+                       "body", 9000);
   }
   Reply Ask(size_t entry, const std::string& target,
             const std::string& key = "key-one") {
-    return Call(entries_[entry]->port, Make(target, key));
+    return Call(entries_[entry]->settings.listen(), Make(target, key));
   }
 
   void AwaitServing(size_t i) {
-    REQUIRE(Eventually(
-        [&] { return Get(entries_[i]->ready, kReadyPath).status == 200; }));
+    REQUIRE(Eventually([&] {
+      return Get(entries_[i]->settings.ready(), kReadyPath).status == 200;
+    }));
     int booking = 0;
     int letter = 0;
     const bool serving = Eventually(
@@ -203,16 +134,6 @@
   int serial_ = 0;
 };
 
-std::string Events(int from, int to) {
-  std::string text;
-  for (int id = from; id <= to; ++id) {
-    const std::string name = std::to_string(id);
-    text.append("id: ").append(name).append("\ndata: event ");
-    text.append(name).append("\n\n");
-  }
-  return text;
-}
-
 Json::Value Member(const char* name, const Json::Value& value) {
   Json::Value members;
   members[name] = value;
@@ -225,7 +146,7 @@
     const Reply letter = site.Ask(i, "/letter/1");
     CHECK(letter.whole);
     CHECK(letter.status == 200);
-    CHECK(letter.body == Events(1, 5));
+    CHECK(letter.body == StreamEvents(1, 5));
     const Reply booking = site.Ask(i, "/book/anvil");
     CHECK(booking.body == "/book/anvil body for guild");
     CHECK(booking.Header("Mimosarouter-Response-Seal").rfind("seal-of-k", 0) ==
@@ -248,14 +169,14 @@
   for (const char* id : {"d1", "d2"}) site.Behave(id, Member("abort_runs", 1));
   // Each engine breaks one run: after these all are whole.
   const Reply first = site.Ask(0, "/note/1");
-  CHECK((first.whole ? first.body == Events(1, 5) : true));
+  CHECK((first.whole ? first.body == StreamEvents(1, 5) : true));
   for (const char* id : {"d1", "d2"}) site.Behave(id, Member("abort_runs", 0));
   site.Behave("d1", Member("abort_runs", 1));
   site.Behave("d2", Member("abort_runs", 0));
   for (int i = 0; i < 4; ++i) {
     const Reply reply = site.Ask(0, "/note/1");
     CHECK(reply.whole);
-    CHECK(reply.body == Events(1, 5));
+    CHECK(reply.body == StreamEvents(1, 5));
   }
 }
 
@@ -276,18 +197,13 @@
 
 TEST_CASE("an unreadable configuration leaves the one in force") {
   Site site;
-  Request request;
-  request.method = "PUT";
-  request.target = "/debug/record?key=op/config";
-  request.body = "{\"version\":";
-  REQUIRE(Call(site.store().port(), request).status == 200);
-  request.target = "/debug/record?key=servers/foreign";
-  request.body = "\x01\x02";
-  REQUIRE(Call(site.store().port(), request).status == 200);
+  const uint16_t store = site.store().port();
+  REQUIRE(PutRecord(store, "op/config", "{\"version\":").status == 200);
+  REQUIRE(PutRecord(store, "servers/foreign", "\x01\x02").status == 200);
   site.WriteConfig(4, "key-four");  // behind both in the daemons' watches
   CHECK(Eventually(
       [&] { return site.Ask(0, "/book/x", "key-four").status == 200; }));
-  CHECK(site.Ask(0, "/letter/1", "key-four").body == Events(1, 5));
+  CHECK(site.Ask(0, "/letter/1", "key-four").body == StreamEvents(1, 5));
 }
 
 TEST_CASE("a draining server gets nothing new, and everything still works") {
@@ -307,7 +223,7 @@
   for (int i = 0; i < 10; ++i) {
     CHECK(site.Ask(i % 2, "/book/x").status == 200);
     CHECK(site.Ask(i % 2, "/letter/1").whole);
-    CHECK(Get(site.entry(i % 2).ready, kReadyPath).status == 200);
+    CHECK(Get(site.entry(i % 2).settings.ready(), kReadyPath).status == 200);
   }
   site.store().Behave(Member("outage", false), "/debug/control");
   site.WriteConfig(2, "key-two");
@@ -323,7 +239,7 @@
     CHECK(site.Ask(0, "/book/x").status == 200);
   }
   // A faulty file is refused as a whole.
-  std::ofstream(site.entry(0).settings) << "MIMOSA_GRACE_MS=soon\n";
+  std::ofstream(site.entry(0).settings.path()) << "MIMOSA_GRACE_MS=soon\n";
   site.entry(0).process->Signal(SIGHUP);
   CHECK(site.Ask(0, "/book/x").status == 200);
   CHECK(site.entry(0).process->running());
@@ -335,12 +251,13 @@
     site.Behave(id, Member("events", 40));
     site.Behave(id, Member("gap_ms", 40));
   }
-  Connection caller(site.entry(0).port);
+  Connection caller(site.entry(0).settings.listen());
   REQUIRE(caller.Send(site.Make("/letter/long")));
   REQUIRE(!caller.ReadSome(10).body.empty());
   site.entry(0).process->Terminate();
-  CHECK(Eventually(
-      [&] { return Get(site.entry(0).ready, kReadyPath).status == 503; }));
+  CHECK(Eventually([&] {
+    return Get(site.entry(0).settings.ready(), kReadyPath).status == 503;
+  }));
   CHECK(site.Ask(0, "/book/x").status == 200);  // not yet out of rotation
   const Reply reply = caller.Read();
   CHECK(reply.whole);
@@ -367,12 +284,13 @@
 
 TEST_CASE("status and metrics say what a daemon believes") {
   Site site;
-  const Json::Value status = GetJson(site.entry(0).control, "/status");
+  const Json::Value status =
+      GetJson(site.entry(0).settings.control(), "/status");
   CHECK(status["ready"].asBool());
   CHECK(status["configuration_version"].asInt() == 1);
   CHECK(status["back_ends"].size() == 5);
   CHECK(status["members"].asInt() >= 1);
-  const Reply metrics = Get(site.entry(0).control, "/metrics");
+  const Reply metrics = Get(site.entry(0).settings.control(), "/metrics");
   CHECK(metrics.body.find("mimosa_answers{status=\"200\"}") !=
         std::string::npos);
 }
--- /dev/null
+++ b/tests/entry_site.cc
@@ -0,0 +1,109 @@
+// Files, arguments and documents of a site.
+#include "tests/entry_site.h"
+
+#include <fstream>
+
+#include "base/json.h"
+#include "base/text.h"
+
+namespace mimosa::testing {
+namespace {
+
+Json::Value Route(const char* prefix, const char* kind, const char* service,
+                  int attempts, const SiteTimes& times) {
+  Json::Value route;
+  route["name"] = prefix;
+  route["host"] = "test";  // what the tests' client writes
+  route["prefix"] = prefix;
+  route["kind"] = kind;
+  route["service"] = service;
+  route["timeout_ms"] = times.timeout_ms;
+  route["target_latency_ms"] = times.target_latency_ms;
+  route["target_gap_ms"] = times.target_gap_ms;
+  route["max_attempts"] = attempts;
+  return route;
+}
+
+}  // namespace
+
+void EntrySettings::Write(const std::string& name, const std::string& store,
+                          int grace_ms) const {
+  std::ofstream(path_) << "# settings of a test\n"
+                       << "MIMOSA_NAME=" << name
+                       << "\nMIMOSA_FAILURE_DOMAIN=z\n"
+                       << "MIMOSA_LISTEN=" << Loopback(listen_)
+                       << "\nMIMOSA_READY_LISTEN=" << Loopback(ready_)
+                       << "\nMIMOSA_CONTROL_LISTEN=" << Loopback(control_)
+                       << "\nMIMOSA_PEER_LISTEN=" << Loopback(peer_)
+                       << "\nMIMOSA_STORE=" << store
+                       << "\nMIMOSA_GRACE_MS=" << grace_ms << "\n";
+}
+
+std::vector<std::string> SiteServerArgs(const std::string& id,
+                                        const std::string& service,
+                                        const std::string& stage, uint16_t port,
+                                        uint16_t store) {
+  std::vector<std::string> args = {"--listen=" + Loopback(port),
+                                   "--store=" + Loopback(store), "--id=" + id,
+                                   "--service=" + service};
+  if (!stage.empty()) args.push_back("--stage=" + stage);
+  return args;
+}
+
+Json::Value SiteConfig(int version, const std::string& key,
+                       const SiteTimes& times) {
+  Json::Value config;
+  config["version"] = version;
+  Json::Value& routes = config["routes"];
+  routes.append(Route("/book/", "non_idempotent", "desk", 1, times));
+  routes.append(Route("/look/", "idempotent", "desk", 2, times));
+  routes.append(Route("/letter/", "streaming", "llm", 1, times));
+  routes.append(Route("/note/", "streaming", "llm", 2, times));
+  routes[3]["resumable"] = true;
+  Json::Value& llm = config["services"][0];
+  llm["name"] = "llm";
+  llm["engine"]["slots"] = 48;
+  llm["engine"]["kv_tokens"] = 36000;
+  llm["engine"]["kv_hold_s"] = 0.5;
+  llm["engine"]["hold_ms"] = 2000;
+  config["services"][1]["name"] = "desk";
+  config["tenants"][0]["name"] = "guild";
+  config["tenants"][0]["api_keys"].append(key);
+  return config;
+}
+
+Reply PutRecord(uint16_t store, const std::string& key,
+                const std::string& value) {
+  Request request;
+  request.method = "PUT";
+  request.target = "/debug/record?key=" + key;
+  request.body = value;
+  return Call(store, request);
+}
+
+Request SiteRequest(const std::string& target, const std::string& id,
+                    const std::string& key, const std::string& body,
+                    int deadline_ms) {
+  Request request;
+  request.method = "POST";
+  request.target = target;
+  request.body = body;
+  request.headers = {{"Mimosarouter-Request-Id", id},
+                     {"Mimosarouter-Deadline-Ms", std::to_string(deadline_ms)},
+                     {"X-Api-Key", key}};
+  if (StartsWith(target, "/letter/") || StartsWith(target, "/note/"))
+    request.headers.emplace_back("Mimosarouter-Token-Counts", "800,200");
+  return request;
+}
+
+std::string StreamEvents(int from, int to) {
+  std::string text;
+  for (int id = from; id <= to; ++id) {
+    const std::string name = std::to_string(id);
+    text.append("id: ").append(name).append("\ndata: event ");
+    text.append(name).append("\n\n");
+  }
+  return text;
+}
+
+}  // namespace mimosa::testing
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -16,6 +16,7 @@
 #include "net/test_peer.h"
 #include "platform/request_codec.h"
 #include "serving/entry_front.h"
+#include "tests/serving_fakes.h"
 
 namespace mimosa {
 namespace {
@@ -233,7 +234,7 @@
   std::unique_ptr<LwsLoop> loop = LwsLoop::Create();
   std::unique_ptr<HttpClient> client = MakeHttpClient(loop.get());
   SeededRandom random{5};
-  LineLog log{STDERR_FILENO, loop.get(), QuietLog()};
+  LineLog log{STDERR_FILENO, loop.get(), testing::QuietLog()};
   BackEndList list;
   BackEndChoice choice{&list, &random, BackEndChoice::Options{}};
   RetryBudget budget{RetryBudget::Options{}};
@@ -251,13 +252,6 @@
   std::unique_ptr<HttpServer> server;
   double rate = 0;
   int serial = 0;
-
-  static LineLog::Options QuietLog() {
-    LineLog::Options options;
-    options.lines_per_second = 0;  // writes nothing
-    options.burst = 0;
-    return options;
-  }
 };
 
 // --- Admission
--- a/tests/role_keeper_test.cc
+++ b/tests/role_keeper_test.cc
@@ -15,6 +15,7 @@
 #include "base/json.h"
 #include "net/test_peer.h"
 #include "platform/request_codec.h"
+#include "tests/serving_fakes.h"
 
 namespace mimosa {
 namespace {
@@ -25,7 +26,7 @@
 const char kKey[] = "mimosa/roles";
 
 // Remembers writes; a test acknowledges them.
-class ScriptedStore : public KvStore {
+class ScriptedStore : public testing::SilentStore {
  public:
   struct Write {
     std::string key;
@@ -37,19 +38,8 @@
   CallPtr Put(const std::string& key, std::string value, Revision expect,
               const std::string&, Done done) override {
     writes.push_back({key, std::move(value), expect, std::move(done)});
-    return std::make_unique<KvCall>();
+    return Call();
   }
-  CallPtr Get(const std::string&, Done) override { return nullptr; }
-  CallPtr Delete(const std::string&, Revision, Done) override {
-    return nullptr;
-  }
-  CallPtr List(const std::string&, ListDone) override { return nullptr; }
-  CallPtr Watch(const std::string&, Revision, Duration, ListDone) override {
-    return nullptr;
-  }
-  CallPtr CreateLease(Duration, Done) override { return nullptr; }
-  CallPtr RenewLease(const std::string&, Done) override { return nullptr; }
-  CallPtr EndLease(const std::string&, Done) override { return nullptr; }
 
   std::deque<Write> writes;
 };
@@ -176,17 +166,10 @@
     return choice.Choose(query, loop->Now());
   }
 
-  static LineLog::Options QuietLog() {
-    LineLog::Options options;
-    options.lines_per_second = 0;
-    options.burst = 0;
-    return options;
-  }
-
   std::unique_ptr<LwsLoop> loop = LwsLoop::Create();
   std::unique_ptr<HttpClient> client = MakeHttpClient(loop.get());
   SeededRandom random{3};
-  LineLog log{STDERR_FILENO, loop.get(), QuietLog()};
+  LineLog log{STDERR_FILENO, loop.get(), testing::QuietLog()};
   BackEndList list;
   BackEndChoice choice{&list, &random, BackEndChoice::Options{}};
   PlatformRequestFormat format;
--- a/tests/site_sync_test.cc
+++ b/tests/site_sync_test.cc
@@ -13,12 +13,13 @@
 
 #include "net/test_peer.h"
 #include "platform/site_codec.h"
+#include "tests/serving_fakes.h"
 
 namespace mimosa {
 namespace {
 
 // Answers lists and watches with what a test gives, and then no more.
-class ScriptedStore : public KvStore {
+class ScriptedStore : public testing::SilentStore {
  public:
   explicit ScriptedStore(EventLoop* loop) : loop_(loop) {}
 
@@ -31,18 +32,6 @@
     watched_after.push_back(after);
     return Answer(&watch_answers, std::move(done));
   }
-  CallPtr Put(const std::string&, std::string, Revision, const std::string&,
-              Done) override {
-    return nullptr;
-  }
-  CallPtr Get(const std::string&, Done) override { return nullptr; }
-  CallPtr Delete(const std::string&, Revision, Done) override {
-    return nullptr;
-  }
-  CallPtr CreateLease(Duration, Done) override { return nullptr; }
-  CallPtr RenewLease(const std::string&, Done) override { return nullptr; }
-  CallPtr EndLease(const std::string&, Done) override { return nullptr; }
-
   std::deque<KvListResult> list_answers;
   std::deque<KvListResult> watch_answers;
   int lists = 0;
@@ -56,7 +45,7 @@
       });
       answers->pop_front();
     }
-    return std::make_unique<KvCall>();
+    return Call();
   }
 
   EventLoop* const loop_;
@@ -77,18 +66,12 @@
     options.retry_pause = std::chrono::milliseconds(5);
     return options;
   }
-  static LineLog::Options QuietLog() {
-    LineLog::Options options;
-    options.lines_per_second = 0;
-    options.burst = 0;
-    return options;
-  }
 
   std::unique_ptr<LwsLoop> loop = LwsLoop::Create();
   ScriptedStore store{loop.get()};
   PlatformSiteFormat format;
   SeededRandom random{1};
-  LineLog log{STDERR_FILENO, loop.get(), QuietLog()};
+  LineLog log{STDERR_FILENO, loop.get(), testing::QuietLog()};
   BackEndList servers;
   SiteSync sync{loop.get(), &store,   &format,  &random,
                 &log,       &servers, Options()};
--- a/tools/mimosactl_explain.cc
+++ b/tools/mimosactl_explain.cc
@@ -13,11 +13,6 @@
 namespace mimosa {
 namespace {
 
-std::string Text(const Json::Value& line, const char* name) {
-  const Json::Value& value = line[name];
-  return value.isString() ? value.asString() : "";
-}
-
 int64_t Number(const Json::Value& line, const char* name) {
   const Json::Value& value = line[name];
   return value.isNumeric() ? value.asInt64() : 0;
@@ -50,22 +45,23 @@
 }
 
 std::string Meaning(const Json::Value& line) {
-  const std::string event = Text(line, "event");
+  const std::string event = StringMember(line, "event");
   std::ostringstream text;
   if (event == "allotment_spent") {
-    text << "customer " << Text(line, "customer") << " is over its rate: level "
-         << Number(line, "level") << ", the others' usage "
-         << Number(line, "report_age_ms") << " ms old";
+    text << "customer " << StringMember(line, "customer")
+         << " is over its rate: level " << Number(line, "level")
+         << ", the others' usage " << Number(line, "report_age_ms")
+         << " ms old";
   } else if (event == "call_lost") {
-    text << "the call to " << Text(line, "back_end") << " was lost ("
-         << Text(line, "loss") << ")";
+    text << "the call to " << StringMember(line, "back_end") << " was lost ("
+         << StringMember(line, "loss") << ")";
   } else if (event == "request_refused" || event == "request_failed" ||
              event == "request_answered") {
     text << "ended with " << Number(line, "status") << ": "
-         << Reason(Text(line, "why"));
+         << Reason(StringMember(line, "why"));
     if (Number(line, "calls") > 0)
       text << "; " << Number(line, "calls") << " calls, last to "
-           << Text(line, "back_end") << ", room after "
+           << StringMember(line, "back_end") << ", room after "
            << Number(line, "room_ms") << " ms, prefill after "
            << Number(line, "prefill_ms") << ", first event after "
            << Number(line, "first_ms") << ", end after "
@@ -74,12 +70,13 @@
       text << "; told to come back in " << Number(line, "retry_after_ms")
            << " ms";
   } else if (event == "back_end_removed") {
-    text << Text(line, "back_end") << " left the list"
+    text << StringMember(line, "back_end") << " left the list"
          << (line["held"].isBool() && line["held"].asBool()
                  ? " (held: the store was away)"
                  : "");
   } else if (event == "back_end_changed") {
-    text << Text(line, "back_end") << " was listed as " << Text(line, "role")
+    text << StringMember(line, "back_end") << " was listed as "
+         << StringMember(line, "role")
          << (line["draining"].isBool() && line["draining"].asBool()
                  ? ", draining"
                  : "");
@@ -93,7 +90,7 @@
 
 std::string DescribeDaemon(const Json::Value& status) {
   std::ostringstream text;
-  text << Text(status, "name") << ": "
+  text << StringMember(status, "name") << ": "
        << (status["ready"].asBool() ? "ready" : "not ready")
        << (status["leaving"].asBool() ? ", leaving" : "") << ", "
        << Number(status, "running") << " requests, configuration "
@@ -101,20 +98,21 @@
        << (status["store_lost"].asBool() ? "lost, " : "")
        << Number(status, "store_age_ms") << " ms ago, "
        << Number(status, "members") << " daemons, usage added up by "
-       << Text(status, "collector") << "\n";
+       << StringMember(status, "collector") << "\n";
   for (const Json::Value& item : status["back_ends"]) {
-    text << "  " << Text(item, "id") << "  " << Text(item, "service") << "  "
-         << Text(item, "role") << "  " << Number(item, "open_calls") << "+"
+    text << "  " << StringMember(item, "id") << "  "
+         << StringMember(item, "service") << "  " << StringMember(item, "role")
+         << "  " << Number(item, "open_calls") << "+"
          << Number(item, "calls_of_others") << " calls";
     if (item["draining"].asBool()) text << ", draining";
     if (item["changes_role"].asBool()) text << ", changes its role";
     if (item["held"].asBool()) text << ", missing since a store outage";
     if (item["passed_over"].asBool())
-      text << ", passed over: " << Text(item, "last_failure");
+      text << ", passed over: " << StringMember(item, "last_failure");
     text << "\n";
   }
   for (const Json::Value& item : status["customers"])
-    text << "  customer " << Text(item, "id") << ": rate "
+    text << "  customer " << StringMember(item, "id") << ": rate "
          << Number(item, "rate") << ", level " << Number(item, "level") << "\n";
   return text.str();
 }
@@ -126,14 +124,14 @@
     if (brace == std::string::npos) continue;
     const auto line = ParseJson(text.substr(brace));
     if (!line || !line->isObject()) continue;
-    const std::string event = Text(*line, "event");
+    const std::string event = StringMember(*line, "event");
     const bool change =
         event == "back_end_removed" || event == "back_end_changed";
-    const bool own = !id_.empty() && Text(*line, "request") == id_;
+    const bool own = !id_.empty() && StringMember(*line, "request") == id_;
     if (!own && !change) continue;
     (own ? own_ : back_end_changes_)
-        .push_back(
-            {Number(*line, "ms"), Text(*line, "at"), Meaning(*line), *line});
+        .push_back({Number(*line, "ms"), StringMember(*line, "at"),
+                    Meaning(*line), *line});
   }
 }
 
@@ -141,14 +139,14 @@
   std::vector<LogStep> steps = own_;
   std::set<std::pair<std::string, std::string>> asked;  // daemon, back end
   for (const LogStep& step : own_)
-    asked.insert({step.daemon, Text(step.line, "back_end")});
+    asked.insert({step.daemon, StringMember(step.line, "back_end")});
   for (const LogStep& change : back_end_changes_) {
     const bool near =
         std::any_of(own_.begin(), own_.end(), [&change](const LogStep& step) {
           return std::abs(step.ms - change.ms) <= kNearbyMs;
         });
-    if (near &&
-        asked.count({change.daemon, Text(change.line, "back_end")}) != 0)
+    if (near && asked.count({change.daemon,
+                             StringMember(change.line, "back_end")}) != 0)
       steps.push_back(change);
   }
   std::stable_sort(
