What marked the end of a response is logged

Cause: neither log nor metrics could tell the hypotheses on truncated streams apart: the framing of a back end's response was known to the HTTP client only.

Change: HttpCallHandler::OnDone() says whether a length or last chunk, or the close of the connection marked the end; request_answered and request_failed have it as end, and the bytes of an event that the stream ended inside as partial_bytes. No change of behaviour.

--- a/net/client_test.cc
+++ b/net/client_test.cc
@@ -26,7 +26,7 @@
     body.append(data);
     if (on_body) on_body();
   }
-  void OnDone() override {
+  void OnDone(ResponseEnd /*end*/) override {
     ++ends;
     done = true;
     if (on_end) on_end();
--- a/net/fetch.cc
+++ b/net/fetch.cc
@@ -31,7 +31,7 @@
     result_.response.body.append(data);
   }
 
-  void OnDone() override {
+  void OnDone(ResponseEnd /*end*/) override {
     result_.ok = true;
     Finish();
   }
--- a/net/http.cc
+++ b/net/http.cc
@@ -1,4 +1,4 @@
-// Implements Endpoint, HttpHeaders, HttpFailureName() and
+// Implements Endpoint, HttpHeaders, the names of enumerators and
 // CallOptionsWithTimeout().
 #include "net/http.h"
 
@@ -123,4 +123,14 @@
   return "unknown";
 }
 
+const char* ResponseEndName(ResponseEnd end) {
+  switch (end) {
+    case ResponseEnd::kFraming:
+      return "framing";
+    case ResponseEnd::kClose:
+      return "close";
+  }
+  return "unknown";
+}
+
 }  // namespace mimosa
--- a/net/http.h
+++ b/net/http.h
@@ -232,6 +232,16 @@
   std::function<bool(const HttpHeaders&)> matches_request;
 };
 
+// What marked the end of a response.
+enum class ResponseEnd {
+  kFraming,  // Its length or its last chunk.
+  // An orderly close of the connection. The sender may have been terminated
+  // midway, so only the content can tell whether the response is complete.
+  kClose,
+};
+// Returns a short text for logs, such as "framing".
+const char* ResponseEndName(ResponseEnd end);
+
 // Receives the response or the failure of a call.
 class HttpCallHandler {
  public:
@@ -243,7 +253,7 @@
   virtual void OnBody(std::string_view data) = 0;
   // A call that is not cancelled ends with exactly one of OnDone() and
   // OnFailed(). `sent` is false only if no byte of the request was written.
-  virtual void OnDone() = 0;
+  virtual void OnDone(ResponseEnd end) = 0;
   virtual void OnFailed(HttpFailure failure, bool sent) = 0;
 };
 
--- a/net/http_bench.cc
+++ b/net/http_bench.cc
@@ -98,7 +98,7 @@
   void OnBody(std::string_view /*data*/) override {
     if (++started_ == expected_) loop_->Stop();
   }
-  void OnDone() override {}
+  void OnDone(ResponseEnd /*end*/) override {}
   void OnFailed(HttpFailure failure, bool /*sent*/) override {
     std::printf("stream failed: %s\n", HttpFailureName(failure));
   }
--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -270,7 +270,7 @@
     }
   }
 
-  void Complete(bool keep_connection) {
+  void Complete(ResponseEnd end, bool keep_connection) {
     timer_.Cancel();
     state_ = State::kFinished;
     sent_earlier_ = true;
@@ -280,7 +280,7 @@
                           reader_->keep_alive_timeout());
     }
     connection_.reset();
-    std::exchange(handler_, nullptr)->OnDone();
+    std::exchange(handler_, nullptr)->OnDone(end);
   }
 
   LwsLoop* const loop_;
@@ -342,8 +342,10 @@
   if (handler_ == nullptr) return false;
   switch (reader_->state()) {
     case ResponseReader::State::kComplete:
-      Complete(options_.reuse_connection && reader_->keep_alive() &&
-               input_.empty() && connection_->socket()->unsent_bytes() == 0);
+      Complete(ResponseEnd::kFraming,
+               options_.reuse_connection && reader_->keep_alive() &&
+                   input_.empty() &&
+                   connection_->socket()->unsent_bytes() == 0);
       return false;
     case ResponseReader::State::kTooLarge:
       Fail(HttpFailure::kTooLarge);
@@ -366,7 +368,7 @@
       state == State::kBody && options_.accept_close_delimited &&
       connection_->socket()->received_eof() && reader_->is_close_delimited();
   if (complete) {
-    Complete(/*keep_connection=*/false);
+    Complete(ResponseEnd::kClose, /*keep_connection=*/false);
     return;
   }
   CloseConnection();
--- a/router/fleet_reservation_client_test.cc
+++ b/router/fleet_reservation_client_test.cc
@@ -268,7 +268,7 @@
       handler->OnHead(200, {});
       handler->OnBody("{\"running\":0,\"waiting\":0,\"fence\":6,\"held\":[" +
                       held[port] + "]}");
-      handler->OnDone();
+      handler->OnDone(ResponseEnd::kFraming);
     });
     return call;
   }
--- a/router/model_call.cc
+++ b/router/model_call.cc
@@ -104,7 +104,7 @@
       call_->OnDecodeHead(status);
     }
     void OnBody(std::string_view data) override { call_->OnDecodeBody(data); }
-    void OnDone() override { call_->OnDecodeEnded(); }
+    void OnDone(ResponseEnd /*end*/) override { call_->OnDecodeEnded(); }
     void OnFailed(HttpFailure failure, bool sent) override {
       (void)failure;
       (void)sent;
--- a/router/service_call.cc
+++ b/router/service_call.cc
@@ -292,7 +292,7 @@
     if (flow_) flow_->PauseIfBacklogged();
   }
 
-  void OnDone() override {
+  void OnDone(ResponseEnd /*end*/) override {
     MarkCallEnded();
     if (!claim_) {
       writer_->Finish();
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -104,7 +104,8 @@
   if (!not_executed_) handler_->OnResponseBody(this, data);
 }
 
-void BackEndCall::OnDone() {
+void BackEndCall::OnDone(ResponseEnd end) {
+  response_end_ = end;
   if (not_executed_) {
     Fail(CallFailure::kNotExecuted, refusal_status_ == kMisdirected
                                         ? CallOutcome::kAddressReused
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -83,6 +83,8 @@
   const BackEndEntry& back_end() const { return back_end_; }
   Endpoint address() const { return {back_end_.ip, back_end_.port}; }
   bool response_started() const { return response_started_; }
+  // What marked the end of the response; valid in OnResponseComplete().
+  ResponseEnd response_end() const { return response_end_; }
   MonoTime started() const { return started_; }
   void Pause(bool pause) {
     if (call_ != nullptr) call_->Pause(pause);
@@ -91,7 +93,7 @@
   // HttpCallHandler:
   void OnHead(int status, const HttpHeaders& headers) override;
   void OnBody(std::string_view data) override;
-  void OnDone() override;
+  void OnDone(ResponseEnd end) override;
   void OnFailed(HttpFailure failure, bool sent) override;
 
  private:
@@ -111,6 +113,7 @@
   // The current response rejects the request as not executed.
   bool not_executed_ = false;
   int refusal_status_ = 0;
+  ResponseEnd response_end_ = ResponseEnd::kFraming;
   MonoTime started_{};
   std::unique_ptr<HttpCall> call_;
 };
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -237,6 +237,9 @@
       .Add("max_output", counts.max_output.count())
       .Add("likely_output", counts.expected_output.value_or(Tokens(0)).count())
       .Add("events", result.events)
+      .Add("end",
+           result.response_end ? ResponseEndName(*result.response_end) : "")
+      .Add("partial_bytes", result.partial_event_bytes)
       .AddMillis("room_ms", result.time_to_reservation)
       .AddMillis("prefill_ms", result.time_to_prefill)
       .AddMillis("first_ms", result.time_to_first_event)
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -74,6 +74,7 @@
 
   void OnResponseComplete(BackEndCall* call) override {
     Attempt* const attempt = FindAttempt(call);
+    result_.response_end = call->response_end();
     if (attempt == streaming_) {
       exchange_->Finish();
       Finish(attempt->response.status, "answered");
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/line_log.h"
@@ -67,6 +68,10 @@
   BackEndId back_end;       // The one that responded or was called last.
   int calls = 0;            // Calls to back ends, including prefills.
   int64_t events = 0;       // Stream events forwarded to the caller.
+  // What marked the end of the back end's response; absent if none ended.
+  std::optional<ResponseEnd> response_end;
+  // Bytes of an incomplete event at the end of a stream.
+  size_t partial_event_bytes = 0;
   // For streams, measured from the request's arrival. Zero if the request did
   // not get that far.
   Duration time_to_reservation{};  // A decode engine granted a reservation.
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -134,7 +134,9 @@
       OnPrefillResponse(back_end);
       return;
     }
+    result_.response_end = call->response_end();
     if (IsSuccess(response_.status)) {
+      result_.partial_event_bytes = event_splitter_.partial_event().size();
       deps_.stage_meter->RecordRun(request_.service.id, size_.total,
                                    deps_.loop->Now() - stage_started_at_);
       exchange_->Write(event_splitter_.partial_event());
--- a/tools/mimosa_load_run.cc
+++ b/tools/mimosa_load_run.cc
@@ -78,7 +78,7 @@
     }
   }
 
-  void OnDone() override { Finish(ClassifyResponse()); }
+  void OnDone(ResponseEnd /*end*/) override { Finish(ClassifyResponse()); }
   void OnFailed(HttpFailure /*failure*/, bool /*sent*/) override {
     Finish(RequestOutcome::kFailed);
   }
