The relay tests' fixture moves to a header

Cause: tests of single faults need the fixture too, in programs of their own.

Change: tests/relay_fixture.h takes the fake engines and the fixtures as they were.

Conclusion: only moved.

--- /dev/null
+++ b/tests/relay_fixture.h
@@ -0,0 +1,274 @@
+// A fixture for tests of the relays over real connections on loopback: one
+// event loop runs the frontend, its callers and scripted backend servers.
+#ifndef TESTS_RELAY_FIXTURE_H_
+#define TESTS_RELAY_FIXTURE_H_
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/test_peer.h"
+#include "platform/request_codec.h"
+#include "serving/entry_frontend.h"
+#include "tests/serving_fakes.h"
+
+namespace mimosa::testing {
+
+using std::chrono::milliseconds;
+
+// A backend server whose responses are scripted by the test.
+class FakeBackEnd : public HttpHandler {
+ public:
+  using Exchange = std::shared_ptr<HttpExchange>;
+  using Script = std::function<void(const Exchange&)>;
+
+  explicit FakeBackEnd(LwsLoop* loop) {
+    HttpServerOptions options;
+    options.listen = {"127.0.0.1", 0};
+    server_ = MakeHttpServer(loop, options, this);
+  }
+  void OnRequest(Exchange exchange) override {
+    requests.push_back(exchange->request());
+    exchanges.push_back(exchange);
+    exchange->OnClientDisconnected([this] { ++client_disconnects; });
+    script(exchange);
+  }
+  uint16_t port() const { return server_->port(); }
+  int CountRequestsWith(const std::string& header) const {
+    int count = 0;
+    for (const HttpRequest& request : requests)
+      count += request.headers.Find(header) != nullptr ? 1 : 0;
+    return count;
+  }
+
+  Script script = [](const Exchange&) {};  // never responds
+  std::vector<HttpRequest> requests;
+  std::vector<Exchange> exchanges;
+  int client_disconnects = 0;
+
+ private:
+  std::unique_ptr<HttpServer> server_;
+};
+
+inline const std::string* Header(const HttpRequest& request, const char* name) {
+  return request.headers.Find(name);
+}
+
+inline HttpHeaders MakeMarkers(const HttpRequest& request) {
+  HttpHeaders headers;
+  headers.Add("Mimosarouter-Request-Id",
+              *Header(request, "Mimosarouter-Request-Id"));
+  headers.Add("Mimosarouter-Response-Seal", "seal");
+  return headers;
+}
+
+inline void SendResponse(const FakeBackEnd::Exchange& exchange, int status,
+                         const std::string& body) {
+  HttpResponse response;
+  response.status = status;
+  response.headers = MakeMarkers(exchange->request());
+  response.body = body;
+  exchange->Respond(std::move(response));
+}
+
+inline void SendNotExecuted(const FakeBackEnd::Exchange& exchange) {
+  HttpResponse response;
+  response.status = 503;
+  response.headers.Add("Mimosarouter-Not-Executed", "1");
+  exchange->Respond(std::move(response));
+}
+
+inline std::string MakeEvent(int id) {
+  return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) +
+         "\n\n";
+}
+
+// An engine of the platform: it grants reservations, responds to prefills and
+// streams runs of three events.
+struct FakeEngine {
+  explicit FakeEngine(LwsLoop* loop) : back_end(loop) {
+    back_end.script = [this](const FakeBackEnd::Exchange& exchange) {
+      Serve(exchange);
+    };
+  }
+  void Serve(const FakeBackEnd::Exchange& exchange) {
+    const HttpRequest& request = exchange->request();
+    if (request.target == "/mimosarouter/hold-take") {
+      HttpResponse response;
+      response.status = has_capacity ? 200 : 503;
+      response.body = R"({"hold":"hold1"})";
+      exchange->Respond(std::move(response));
+    } else if (request.method == "DELETE") {
+      exchange->Respond({200, {}, ""});
+    } else if (Header(request, "Mimosarouter-Serving-Stage") != nullptr) {
+      ++prefills;
+      on_prefill(exchange);
+    } else {
+      ++runs;
+      on_run(exchange);
+    }
+  }
+  int CountDeletes(const std::string& path) const {
+    int count = 0;
+    for (const HttpRequest& request : back_end.requests)
+      count += request.method == "DELETE" && request.target == path ? 1 : 0;
+    return count;
+  }
+
+  FakeBackEnd back_end;
+  bool has_capacity = true;
+  int prefills = 0;
+  int runs = 0;
+  FakeBackEnd::Script on_prefill = [](const FakeBackEnd::Exchange& exchange) {
+    exchange->Respond({200, {}, R"({"handle":"kv1","tokens":10,"version":1})"});
+  };
+  FakeBackEnd::Script on_run = [](const FakeBackEnd::Exchange& exchange) {
+    exchange->StartStream(200, MakeMarkers(exchange->request()));
+    for (int id = 1; id <= 3; ++id) exchange->Write(MakeEvent(id));
+    exchange->Finish();
+  };
+};
+
+struct CallerResponse {
+  bool ok = false;
+  int status = 0;
+  std::string body;
+  HttpHeaders headers;
+};
+
+struct RelayFixture {
+  RelayFixture() {
+    HttpServerOptions options;
+    options.listen = {"127.0.0.1", 0};
+    frontend = std::make_unique<EntryFrontend>(&deps, &rate_limiter,
+                                               [this] { return config; });
+    server = MakeHttpServer(loop.get(), options, frontend.get());
+    SetConfig();
+  }
+
+  void SetConfig() {
+    const auto route = [](const char* prefix, RetryPolicy retry_policy,
+                          const char* service, int attempts) {
+      SiteRoute site_route;
+      site_route.id = RouteId(prefix);
+      site_route.host = "h";
+      site_route.prefix = prefix;
+      site_route.retry_policy = retry_policy;
+      site_route.timeout = milliseconds(1500);
+      site_route.target_latency = milliseconds(100);
+      site_route.target_event_gap = milliseconds(100);
+      site_route.max_attempts = attempts;
+      site_route.traffic_split = {{ServiceId(service), 1}};
+      return site_route;
+    };
+    SiteService desk;
+    desk.id = ServiceId("desk");
+    SiteService llm;
+    llm.id = ServiceId("llm");
+    llm.engine = EngineSpec{};
+    llm.engine->kv_memory = Tokens(36000);
+    llm.engine->kv_handle_lifetime = milliseconds(500);
+    llm.engine->reservation_lifetime = milliseconds(2000);
+    SiteCustomer customer;
+    customer.id = CustomerId("c");
+    customer.keys = {"k"};
+    customer.rate_per_second = rate;
+    customer.burst = rate;
+    config = std::make_shared<SiteConfig>(
+        1,
+        std::vector<SiteRoute>{
+            route("/book/", RetryPolicy::kAtMostOnce, "desk", 1),
+            route("/look/", RetryPolicy::kIdempotent, "desk", 2),
+            route("/letter/", RetryPolicy::kStream, "llm", 1),
+            route("/note/", RetryPolicy::kResumableStream, "llm", 2)},
+        std::vector<SiteService>{desk, llm},
+        std::vector<SiteCustomer>{customer}, CallerLimits{});
+    rate_limiter.SetCustomers(config->customers(), loop->Now());
+  }
+
+  void AddBackEnd(const std::string& id, const char* service, EngineRole role,
+                  uint16_t port) {
+    BackEndEntry entry;
+    entry.id = BackEndId(id);
+    entry.service = ServiceId(service);
+    entry.role = role;
+    entry.ip = "127.0.0.1";
+    entry.port = port;
+    entry.slots = 8;
+    back_ends.Put(entry, loop->Now());
+  }
+
+  HttpRequest MakeRequest(const std::string& target) {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = target;
+    request.headers.Add("Host", "h");
+    request.headers.Add("Mimosarouter-Request-Id",
+                        "r" + std::to_string(++serial));
+    request.headers.Add("Mimosarouter-Deadline-Ms", "1500");
+    request.headers.Add("X-Api-Key", "k");
+    if (target.rfind("/letter/", 0) == 0 || target.rfind("/note/", 0) == 0)
+      request.headers.Add("Mimosarouter-Token-Counts", "100,20");
+    request.body = "body";
+    return request;
+  }
+
+  CallerResponse CallFrontend(HttpRequest request) {
+    HttpCallOptions options;
+    options.to = {"127.0.0.1", server->port()};
+    std::optional<HttpResult> result;
+    const auto call = Fetch(client.get(), options, std::move(request),
+                            [&](HttpResult http) { result = std::move(http); });
+    REQUIRE(RunUntil(loop.get(), [&] { return result.has_value(); }));
+    return {result->ok, result->response.status, result->response.body,
+            result->response.headers};
+  }
+  CallerResponse CallFrontend(const std::string& target) {
+    return CallFrontend(MakeRequest(target));
+  }
+
+  std::unique_ptr<LwsLoop> loop = LwsLoop::Create();
+  std::unique_ptr<HttpClient> client = MakeHttpClient(loop.get());
+  SeededRandom random{5};
+  LineLog log{STDERR_FILENO, loop.get(), DisabledLogOptions()};
+  BackEndList back_ends;
+  BackEndSelector selector{&back_ends, &random, BackEndSelector::Options{}};
+  RetryBudget budget{RetryBudget::Options{}};
+  ReservationRetryPolicy reservation_retry{ReservationRetryPolicy::Options{},
+                                           &random};
+  ReplicatedRateLimiter rate_limiter{ReplicatedRateLimiter::Options{}, &random};
+  PlatformRequestFormat format;
+  EngineMemoryReleaser releaser{loop.get(), client.get(), &format};
+  RelayCounters counters;
+  StageMeter meter;
+  RelayDeps deps{loop.get(), client.get(),       &format, &selector,
+                 &budget,    &reservation_retry, &random, &log,
+                 &releaser,  &counters,          &meter,  FailureDomain("z")};
+  std::shared_ptr<const SiteConfig> config;
+  std::unique_ptr<EntryFrontend> frontend;
+  std::unique_ptr<HttpServer> server;
+  double rate = 0;
+  int serial = 0;
+};
+
+struct StreamFixture : RelayFixture {
+  StreamFixture() {
+    AddBackEnd("p", "llm", EngineRole::kPrefill, prefill.back_end.port());
+    AddBackEnd("e", "llm", EngineRole::kDecode, decode.back_end.port());
+  }
+  FakeEngine prefill{loop.get()};
+  FakeEngine decode{loop.get()};
+  const std::string complete_stream =
+      MakeEvent(1) + MakeEvent(2) + MakeEvent(3);
+};
+
+}  // namespace mimosa::testing
+
+#endif  // TESTS_RELAY_FIXTURE_H_
