--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -269,6 +269,71 @@
       MakeEvent(1) + MakeEvent(2) + MakeEvent(3);
 };
 
+// A backend server that sends raw bytes, for responses that HttpServer doesn't
+// send. Serves one request on each connection.
+class RawBackEnd {
+ public:
+  using Script = std::function<void(const std::string& request, RawPeer* peer)>;
+
+  explicit RawBackEnd(LwsLoop* loop) : loop_(loop) { Poll(); }
+  uint16_t port() const { return listener_.port(); }
+
+  Script script;
+
+ private:
+  struct Connection {
+    std::unique_ptr<RawPeer> peer;
+    bool served = false;
+  };
+
+  static bool IsComplete(const std::string& request) {
+    constexpr char kLength[] = "Content-Length: ";
+    const size_t head_end = request.find("\r\n\r\n");
+    if (head_end == std::string::npos) return false;
+    const size_t field = request.find(kLength);
+    const size_t length =
+        field == std::string::npos
+            ? 0
+            : std::stoul(request.substr(field + sizeof(kLength) - 1));
+    return request.size() >= head_end + 4 + length;
+  }
+
+  void Poll() {
+    while (auto peer = listener_.Accept())
+      connections_.push_back({std::move(peer)});
+    for (Connection& connection : connections_) {
+      if (connection.served || !IsComplete(connection.peer->received()))
+        continue;
+      connection.served = true;
+      script(connection.peer->received(), connection.peer.get());
+    }
+    timer_ = loop_->After(milliseconds(1), [this] { Poll(); });
+  }
+
+  LwsLoop* const loop_;
+  RawListener listener_;
+  std::vector<Connection> connections_;
+  TimerHandle timer_;
+};
+
+// Returns the value of a field of a raw request, or an empty string.
+inline std::string RawField(const std::string& request,
+                            const std::string& name) {
+  const size_t field = request.find("\r\n" + name + ": ");
+  if (field == std::string::npos) return "";
+  const size_t begin = field + name.size() + 4;
+  return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+// Returns the head of a successful response to a raw request, with `fields`,
+// each ending in CRLF, added.
+inline std::string RawResponseHead(const std::string& request,
+                                   const std::string& fields) {
+  return "HTTP/1.1 200 OK\r\nMimosarouter-Request-Id: " +
+         RawField(request, "Mimosarouter-Request-Id") +
+         "\r\nMimosarouter-Response-Seal: seal\r\n" + fields + "\r\n";
+}
+
 }  // namespace mimosa::testing
 
 #endif  // TESTS_RELAY_FIXTURE_H_
