A stream that ends inside an event is truncated, whatever its framing says

Cause: an end of input was read as an end of message. A response without length or chunks ends with its connection; the host of a crashed engine closes it in order, the HTTP client reports the response as done, and the stream relay forwarded the incomplete event and the last chunk.

Change: BackEndCall asks its relay whether the content is truncated before it counts the response as a success (loss cut_in_event, gauge mimosa_responses_incomplete). Both relays decide by IsTruncatedStream() in decide/event_stream: inside an event, or without any event if only the close marked the end. A resumable stream continues elsewhere, another one is aborted, a plain request is retried if it may be or gets 502. The engine's outcome counts as failed. Event boundaries know CR, LF and CRLF; comments aren't events. What isn't an event stream is passed on as it arrives instead of being held until its end.

Conclusion: the end of the bytes and the end of the message are judged apart. A stream without framing that is cut exactly between two events can't be recognized by anybody.

--- a/decide/serving_decisions_test.cc
+++ b/decide/serving_decisions_test.cc
@@ -408,6 +408,43 @@
   }
 }
 
+TEST_CASE("lines of a stream may end in LF, CRLF or CR") {
+  for (const std::string eol : {"\n", "\r\n", "\r"}) {
+    const std::string complete = "id: 1" + eol + "data: a" + eol + eol +
+                                 ": comment" + eol + eol + "id: 2" + eol +
+                                 "data: b" + eol + eol;
+    for (size_t cut = 0; cut <= complete.size(); ++cut) {
+      SseEventSplitter splitter;
+      std::string result = splitter.Feed(complete.substr(0, cut));
+      result += splitter.Feed(complete.substr(cut));
+      INFO("line ending of " << eol.size() << " bytes, cut at " << cut);
+      CHECK(result + splitter.partial_event() == complete);
+      CHECK(splitter.event_count() == 2);
+      CHECK(splitter.last_id() == 2);
+      CHECK_FALSE(splitter.inside_event());
+    }
+  }
+}
+
+TEST_CASE("a stream is truncated if it ends inside an event or has none") {
+  const auto is_truncated = [](const std::string& stream, bool by_close) {
+    SseEventSplitter splitter;
+    splitter.Feed(stream);
+    return IsTruncatedStream(splitter, by_close, splitter.event_count());
+  };
+  for (const bool by_close : {false, true}) {
+    CHECK_FALSE(is_truncated("data: a\n\n", by_close));
+    CHECK_FALSE(is_truncated("data: a\n\n: comm", by_close));
+    CHECK_FALSE(is_truncated("data: a\r\n\r\n\n", by_close));
+    CHECK(is_truncated("data: a\n\nd", by_close));
+    CHECK(is_truncated("data: a\n\ndata: b\n", by_close));
+    CHECK(is_truncated("data: a\n\n: c\nid: 2", by_close));
+  }
+  // The framing of an empty response proves that it is complete.
+  CHECK_FALSE(is_truncated("", /*by_close=*/false));
+  CHECK(is_truncated("", /*by_close=*/true));
+}
+
 TEST_CASE("an event above the size limit is reported") {
   SseEventSplitter splitter;
   splitter.Feed(std::string(SseEventSplitter::kMaxEventBytes, 'x'));
--- a/net/http.cc
+++ b/net/http.cc
@@ -1,5 +1,5 @@
-// Implements Endpoint, HttpHeaders, the names of enumerators and
-// CallOptionsWithTimeout().
+// Implements Endpoint, HttpHeaders, HasMediaType(), the names of enumerators
+// and CallOptionsWithTimeout().
 #include "net/http.h"
 
 #include <arpa/inet.h>
@@ -105,6 +105,16 @@
       }));
 }
 
+bool HasMediaType(const HttpHeaders& headers, std::string_view type) {
+  const std::string* field = headers.Find("Content-Type");
+  if (field == nullptr) return false;
+  std::string_view media_type(*field);
+  media_type = media_type.substr(0, media_type.find(';'));
+  while (!media_type.empty() && media_type.back() == ' ')
+    media_type.remove_suffix(1);
+  return EqualsIgnoreCase(media_type, type);
+}
+
 const char* HttpFailureName(HttpFailure failure) {
   switch (failure) {
     case HttpFailure::kConnect:
--- a/net/http.h
+++ b/net/http.h
@@ -76,6 +76,10 @@
   std::vector<Field> fields_;
 };
 
+// Returns whether the Content-Type field names the media type `type`, which is
+// given without parameters. False if there is no such field.
+bool HasMediaType(const HttpHeaders& headers, std::string_view type);
+
 // A complete request.
 struct HttpRequest {
   std::string method;
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -29,6 +29,8 @@
       return "no_answer";
     case CallFailure::kTruncated:
       return "cut";
+    case CallFailure::kIncompleteContent:
+      return "cut_in_event";
     case CallFailure::kInvalidResponse:
       return "unreadable";
   }
@@ -112,6 +114,11 @@
                                         : CallOutcome::kFull);
     return;
   }
+  if (handler_->IsResponseTruncated(*this)) {
+    ++deps_.counters->responses_incomplete;
+    Fail(CallFailure::kIncompleteContent, CallOutcome::kFailed);
+    return;
+  }
   ReportOutcome(CallOutcome::kSuccess);
   handler_->OnResponseComplete(this);
 }
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -481,6 +481,9 @@
             [this] { return double(counters_.streams_resumed); });
   add_gauge("mimosa_streams_broken", "Streams that ended midway",
             [this] { return double(counters_.streams_broken); });
+  add_gauge("mimosa_responses_incomplete",
+            "Responses of backend servers that ended inside their content",
+            [this] { return double(counters_.responses_incomplete); });
   add_gauge("mimosa_log_lines_left_out", "Lines over budget or without room",
             [this] { return double(log_.lines_left_out()); });
   for (const int status : {0, 200, 400, 401, 404, 429, 500, 502, 503, 504}) {
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -2,11 +2,13 @@
 #include "serving/plain_relay.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "decide/event_stream.h"
 #include "serving/back_end_call.h"
 #include "serving/local_responses.h"
 
@@ -58,10 +60,12 @@
     Attempt* const attempt = FindAttempt(call);
     attempt->response.status = status;
     attempt->response.headers = headers;
+    if (HasMediaType(headers, kEventStreamType)) attempt->events.emplace();
   }
 
   void OnResponseBody(BackEndCall* call, std::string_view data) override {
     Attempt* const attempt = FindAttempt(call);
+    if (attempt->events) attempt->events->Feed(data);
     if (attempt == streaming_) {
       exchange_->Write(data);
       return;
@@ -72,6 +76,14 @@
       StreamResponse(attempt);
   }
 
+  bool IsResponseTruncated(const BackEndCall& call) const override {
+    const Attempt* const attempt = FindAttempt(&call);
+    return attempt->events && IsSuccess(attempt->response.status) &&
+           IsTruncatedStream(*attempt->events,
+                             call.response_end() == ResponseEnd::kClose,
+                             attempt->events->event_count());
+  }
+
   void OnResponseComplete(BackEndCall* call) override {
     Attempt* const attempt = FindAttempt(call);
     result_.response_end = call->response_end();
@@ -118,6 +130,7 @@
   struct Attempt {
     std::unique_ptr<BackEndCall> call;
     HttpResponse response;
+    std::optional<SseEventSplitter> events;  // Set if it is an event stream.
   };
 
   bool IsIdempotent() const {
@@ -269,7 +282,7 @@
     done(result_);  // Destroys this.
   }
 
-  Attempt* FindAttempt(const BackEndCall* call) {
+  Attempt* FindAttempt(const BackEndCall* call) const {
     const auto it = std::find_if(
         attempts_.begin(), attempts_.end(),
         [call](const auto& attempt) { return attempt->call.get() == call; });
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -32,6 +32,9 @@
   uint64_t reservations = 0;          // Made at decode engines.
   uint64_t reservations_refused = 0;  // Refused by a decode engine.
   uint64_t streams_broken = 0;        // Streams that ended incomplete.
+  // Responses of back ends whose content was truncated although they ended as
+  // their framing says.
+  uint64_t responses_incomplete = 0;
 };
 
 // Dependencies shared by all relays. All of them outlive the relays.
@@ -70,7 +73,7 @@
   int64_t events = 0;       // Stream events forwarded to the caller.
   // What marked the end of the back end's response; absent if none ended.
   std::optional<ResponseEnd> response_end;
-  // Bytes of an incomplete event at the end of a stream.
+  // Bytes of the incomplete event in which the last truncated run ended.
   size_t partial_event_bytes = 0;
   // For streams, measured from the request's arrival. Zero if the request did
   // not get that far.
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -96,6 +96,10 @@
     response_.headers = headers;
     response_.body.clear();
     if (stage_ != Stage::kRun || !IsSuccess(status)) return;
+    is_event_stream_ = IsStream(request_.route.retry_policy) &&
+                       (headers.Find("Content-Type") == nullptr ||
+                        HasMediaType(headers, kEventStreamType));
+    events_before_run_ = event_splitter_.event_count();
     kv_handle_.reset();  // The engine has taken it.
     ClearReservation();  // The run uses it.
     StartSilenceTimer();
@@ -111,6 +115,11 @@
       response_.body.append(data);
       return;
     }
+    if (!is_event_stream_) {
+      exchange_->Write(data);
+      ApplyBackpressure();
+      return;
+    }
     const std::string events = event_splitter_.Feed(data);
     if (events.empty()) return;
     if (result_.events == 0)
@@ -121,6 +130,17 @@
     ApplyBackpressure();
   }
 
+  bool IsResponseTruncated(const BackEndCall& call) const override {
+    const bool is_silent_run = &call == silent_run_.get();
+    const int status =
+        is_silent_run ? silent_response_.status : response_.status;
+    const bool is_run = is_silent_run || stage_ == Stage::kRun;
+    if (!is_run || !IsSuccess(status) || !is_event_stream_) return false;
+    return IsTruncatedStream(
+        event_splitter_, call.response_end() == ResponseEnd::kClose,
+        event_splitter_.event_count() - events_before_run_);
+  }
+
   void OnResponseComplete(BackEndCall* call) override {
     if (call == silent_run_.get()) RestoreSilentRun();
     silence_timer_.Cancel();
@@ -136,9 +156,9 @@
     }
     result_.response_end = call->response_end();
     if (IsSuccess(response_.status)) {
-      result_.partial_event_bytes = event_splitter_.partial_event().size();
       deps_.stage_meter->RecordRun(request_.service.id, size_.total,
                                    deps_.loop->Now() - stage_started_at_);
+      // At most a comment: the stream doesn't end inside an event.
       exchange_->Write(event_splitter_.partial_event());
       exchange_->Finish();
       Finish(response_.status, "answered");
@@ -162,6 +182,8 @@
       return;
     }
     silence_timer_.Cancel();
+    if (failure == CallFailure::kIncompleteContent)
+      result_.response_end = call->response_end();
     const BackEndEntry back_end = call->back_end();
     RetireCall();
     if (stage_ == Stage::kReserve) {
@@ -470,6 +492,7 @@
 
   void RecordFailedRun() {
     ++may_have_run_;
+    result_.partial_event_bytes = event_splitter_.partial_event().size();
     event_splitter_.DropPartialEvent();
     if (event_splitter_.last_id()) last_event_id_ = event_splitter_.last_id();
   }
@@ -667,7 +690,12 @@
   MonoTime kv_handle_created_at_{};
   MonoTime stage_started_at_{};       // When the prefill or run was sent.
   bool prefill_engine_idle_ = false;  // The prefill engine had no other work.
+  // The response of the run is an event stream; otherwise it is passed on as it
+  // is.
+  bool is_event_stream_ = false;
   SseEventSplitter event_splitter_;
+  // event_splitter_'s count when the response of the current run began.
+  int64_t events_before_run_ = 0;
   // Id of the last event that the caller has received.
   std::optional<int64_t> last_event_id_;
   int prefills_ = 0;
