Stand-ins, soak and test client know responses without framing

Cause: no stand-in sent a response that ends with its connection, so no test could meet the truncated streams of the incident; the test client itself took the end of a connection for the end of a reply.

Change: HttpExchange can send a body that ends with its connection; standin-site-server plays it (unframed); the soak draws it, by a generator of its own, so that the seeds keep their other steps; the test client requires framing (stricter).

--- a/net/http.h
+++ b/net/http.h
@@ -129,12 +129,17 @@
   // Sends a complete response, with a Content-Length field.
   virtual void Respond(HttpResponse response) = 0;
 
+  // The value of StartStream()'s `content_length` for a body sent in chunks.
+  static constexpr int64_t kChunked = -1;
+  // The same for a body that ends with its connection. Its receiver can't tell
+  // Finish() from the end of a terminated process; stand-ins use it.
+  static constexpr int64_t kCloseDelimited = -2;
+
   // Starts a streamed response: the head, then any number of Write() calls,
-  // then Finish(). The body is sent in chunks, or with a Content-Length field
-  // if `content_length` >= 0; Finish() before that many bytes were written acts
-  // as Abort().
+  // then Finish(). With a `content_length` that is not negative, Finish()
+  // before that many bytes were written acts as Abort().
   virtual void StartStream(int status, HttpHeaders headers,
-                           int64_t content_length = -1) = 0;
+                           int64_t content_length = kChunked) = 0;
   virtual void Write(std::string_view data) = 0;
   virtual void Finish() = 0;
 
--- a/net/lws_server.cc
+++ b/net/lws_server.cc
@@ -224,7 +224,8 @@
                         const BodyFraming& framing, std::string_view body) {
   response_started_ = true;
   framing_ = framing;
-  keep_alive_ = connection_->MayKeepAlive();
+  keep_alive_ =
+      connection_->MayKeepAlive() && framing.kind != BodyFraming::Kind::kNone;
   discard_body_ = is_head_request_ || detail::IsBodyless(status);
   BodyFraming announced = framing;
   if (detail::IsBodyless(status)) announced.kind = BodyFraming::Kind::kNone;
@@ -252,6 +253,8 @@
   BodyFraming framing{BodyFraming::Kind::kChunked, 0};
   if (content_length >= 0) {
     framing = {BodyFraming::Kind::kLength, content_length};
+  } else if (content_length == kCloseDelimited) {
+    framing = {BodyFraming::Kind::kNone, 0};
   } else if (!http11_) {
     response_started_ = true;
     buffered_ = true;
@@ -276,7 +279,8 @@
     return;
   }
   written_ += static_cast<int64_t>(data.size());
-  if (written_ > framing_.length) {
+  if (framing_.kind == BodyFraming::Kind::kLength &&
+      written_ > framing_.length) {
     Abort();
     return;
   }
@@ -294,7 +298,8 @@
   if (!discard_body_) {
     if (framing_.kind == BodyFraming::Kind::kChunked) {
       connection_->Send(detail::EncodeLastChunk());
-    } else if (written_ != framing_.length) {
+    } else if (framing_.kind == BodyFraming::Kind::kLength &&
+               written_ != framing_.length) {
       Abort();
       return;
     }
--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -55,7 +55,10 @@
 class FaultPlan {
  public:
   FaultPlan(Fleet* fleet, uint64_t seed, int length_ms)
-      : fleet_(fleet), random_(seed), length_ms_(length_ms) {
+      : fleet_(fleet),
+        random_(seed),
+        ends_random_(~seed),
+        length_ms_(length_ms) {
     maintenance_only_ = seed % 4 == 0;
     const int faults = 4 + static_cast<int>(random_.UniformInt(6));
     for (int i = 0; i < faults; ++i) {
@@ -65,6 +68,7 @@
         DrawStep();
       }
     }
+    DrawResponseEnds();
     std::stable_sort(
         steps_.begin(), steps_.end(),
         [](const Step& a, const Step& b) { return a.at_ms < b.at_ms; });
@@ -210,6 +214,27 @@
     }
   }
 
+  // Servers whose streams have no framing for a while, and abort runs meanwhile
+  // unless there is only maintenance. Drawn by a generator of its own, so that
+  // seeds play the other steps as they did before this kind existed.
+  void DrawResponseEnds() {
+    for (uint64_t i = ends_random_.UniformInt(3); i > 0; --i) {
+      Server* const server =
+          fleet_->servers()[ends_random_.UniformInt(fleet_->servers().size())]
+              .get();
+      const auto at = static_cast<int>(ends_random_.UniformInt(length_ms_));
+      const auto duration =
+          500 + static_cast<int>(ends_random_.UniformInt(3000));
+      AddStep(at, server->id() + " sends streams without framing",
+              [server] { server->SetBehavior("unframed", true); });
+      AddStep(at + duration, "end of streams without framing",
+              [server] { server->SetBehavior("unframed", false); });
+      if (maintenance_only_) continue;
+      AddStep(at + duration / 2, server->id() + " aborts runs",
+              [server] { server->SetBehavior("abort_runs", 2); });
+    }
+  }
+
   void DrawLinkFault() {
     const bool to_store = random_.UniformInt(3) == 0;
     testing::Proxy* const proxy =
@@ -261,6 +286,7 @@
 
   Fleet* const fleet_;
   SeededRandom random_;
+  SeededRandom ends_random_;
   const int length_ms_;
   bool maintenance_only_ = false;
   std::vector<Step> steps_;
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -137,6 +137,7 @@
     server->SetBehavior("draining", false);
     server->SetBehavior("abort_runs", 0);
     server->SetBehavior("delay_ms", 0);
+    server->SetBehavior("unframed", false);
   }
 }
 
--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -245,7 +245,10 @@
   if (!last.empty()) run.next_event = std::atoll(last.c_str()) + 1;
   HttpHeaders headers = ResponseHeaders(request, options_.id);
   headers.Add("Content-Type", "text/event-stream");
-  exchange->StartStream(200, headers);
+  exchange->StartStream(
+      200, headers,
+      unframed_ ? HttpExchange::kCloseDelimited : HttpExchange::kChunked);
+  run.ends_with_close = unframed_;
   exchange->OnClientDisconnected([this, serial] { EndRun(serial); });
   SendNextEvent(serial);
 }
@@ -262,7 +265,11 @@
   if (runs_to_abort_ > 0) {
     --runs_to_abort_;
     run.exchange->Write("id: 99\nda");
-    AbortWhenDrained(run.exchange);
+    if (run.ends_with_close) {
+      run.exchange->Finish();
+    } else {
+      AbortWhenDrained(run.exchange);
+    }
     EndRun(serial);
     return;
   }
@@ -330,6 +337,7 @@
   runs_to_abort_ = IntMember(*body, "abort_runs", runs_to_abort_);
   unresponsive_ = BoolMember(*body, "silent", unresponsive_);
   draining_ = BoolMember(*body, "draining", draining_);
+  unframed_ = BoolMember(*body, "unframed", unframed_);
   RespondJson(exchange.get(), 200, Json::Value(Json::objectValue));
   Register();
 }
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -7,7 +7,10 @@
 // request that doesn't fit gets an error response marked as not executed.
 //
 //   POST /debug/behave   any of {"gap_ms", "events", "delay_ms",
-//                        "abort_runs", "draining": bool, "silent": bool}
+//                        "abort_runs", "draining": bool, "silent": bool,
+//                        "unframed": bool}
+//       "unframed": streams have neither a length nor chunks, and an aborted
+//       one ends with an orderly close
 //   GET  /debug/journal  {"runs": {id: count}, "foreign": requests that carried
 //                        a caller's key, "used": tokens, "handles": n,
 //                        "rooms": reservations, "stage", "orders": n}
@@ -53,6 +56,7 @@
     ExchangePtr exchange;
     int64_t tokens = 0;
     int64_t next_event = 1;
+    bool ends_with_close = false;  // the response has no framing
     TimerHandle timer;
   };
 
@@ -88,6 +92,7 @@
   bool draining_ = false;
   // Requests get no response, and registration stops.
   bool unresponsive_ = false;
+  bool unframed_ = false;  // streams end with their connection
   int64_t events_per_run_ = 5;
   int64_t runs_to_abort_ = 0;  // this many next runs are aborted after an event
   Duration event_interval_ = std::chrono::milliseconds(10);
--- a/tests/client.cc
+++ b/tests/client.cc
@@ -125,7 +125,9 @@
     ec = impl_->ReadPart(timeout);
   } while (!ec && !impl_->parser->is_done() &&
            impl_->parser->get().body().size() < bytes);
-  return impl_->BuildReply(!ec && impl_->parser->is_done());
+  // The end of the connection doesn't prove that a reply is complete.
+  return impl_->BuildReply(!ec && impl_->parser->is_done() &&
+                           !impl_->parser->need_eof());
 }
 
 void Connection::Close() { impl_->stream.close(); }
--- a/tests/entry_process_test.cc
+++ b/tests/entry_process_test.cc
@@ -188,6 +188,23 @@
   }
 }
 
+TEST_CASE("a stream without framing that is cut isn't framed as complete") {
+  Site site;
+  for (const char* id : {"d1", "d2"})
+    site.SetBehavior(id, MakeObject("unframed", true));
+  CHECK(site.SendRequest(0, "/letter/1").body == StreamEvents(1, 5));
+  for (const char* id : {"d1", "d2"})
+    site.SetBehavior(id, MakeObject("abort_runs", 1));
+  const Reply cut = site.SendRequest(0, "/letter/2");
+  CHECK(cut.status == 200);
+  CHECK_FALSE(cut.complete);
+  CHECK(cut.body == StreamEvents(1, 1));
+  // One engine aborts one more run, which continues on the other one.
+  const Reply resumed = site.SendRequest(0, "/note/1");
+  CHECK(resumed.complete);
+  CHECK(resumed.body == StreamEvents(1, 5));
+}
+
 TEST_CASE("a withdrawn key and a new one take effect on all daemons") {
   Site site;
   site.WriteConfig(2, "key-two");
