Software versions and resumptions are logged

Cause: the log had neither the engines' software versions nor whether a request takes a stream up again, so the hypotheses on mixed versions couldn't be told apart.

Change: the store's entries keep version as software_version, requests the id that they name in Resumes; back_end_changed, request_answered and request_failed log both. No change of behaviour.

--- a/decide/site.h
+++ b/decide/site.h
@@ -20,6 +20,8 @@
 namespace mimosa {
 
 using ServiceId = StrongId<struct ServiceIdTag>;
+// Version of a backend server's software, not of the weights that it serves.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 
 // Whether a request of a route may run more than once.
 enum class RetryPolicy {
@@ -162,7 +164,8 @@
   // The server stays slow for this long after the entry was written.
   Duration warm_up_time{};
   EngineRole role = EngineRole::kNone;
-  int64_t incarnation = 0;  // Differs between two starts under one id.
+  int64_t incarnation = 0;           // Differs between two starts under one id.
+  SoftwareVersion software_version;  // Empty if the server states none.
 };
 
 }  // namespace mimosa
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -236,6 +236,9 @@
       .Add("prompt", counts.prompt.count())
       .Add("max_output", counts.max_output.count())
       .Add("likely_output", counts.expected_output.value_or(Tokens(0)).count())
+      .Add("resumes", request.caller.resumed_request.value())
+      .Add("last_event", request.caller.last_event_id.value_or(-1))
+      .Add("software_version", result.software_version.value())
       .Add("events", result.events)
       .Add("end",
            result.response_end ? ResponseEndName(*result.response_end) : "")
--- a/serving/request_format.h
+++ b/serving/request_format.h
@@ -36,6 +36,9 @@
   std::optional<TokenCounts> token_counts;  // Absent for a plain request.
   // Id of the last event that the caller has received.
   std::optional<int64_t> last_event_id;
+  // The request whose response brought the caller the first event of the stream
+  // that this request resumes; empty if the caller names none.
+  RequestId resumed_request;
   HttpRequest http;
 };
 
--- a/serving/site_sync.cc
+++ b/serving/site_sync.cc
@@ -206,6 +206,7 @@
                   .Add("role", RoleName(entry->role))
                   .Add("draining", entry->draining)
                   .Add("incarnation", entry->incarnation)
+                  .Add("software_version", entry->software_version.value())
                   .Add("revision", record.revision.count()));
   back_ends_->Put(*std::move(entry), loop_->Now());
 }
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -125,6 +125,7 @@
     if (result_.events == 0)
       result_.time_to_first_event = deps_.loop->Now() - request_.arrived;
     result_.events = event_splitter_.event_count();
+    result_.software_version = call->back_end().software_version;
     exchange_->Write(events);
     StartSilenceTimer();
     ApplyBackpressure();
