--- a/decide/serving_decisions_test.cc
+++ b/decide/serving_decisions_test.cc
@@ -410,9 +410,10 @@
 
 TEST_CASE("lines of a stream may end in LF, CRLF or CR") {
   for (const std::string eol : {"\n", "\r\n", "\r"}) {
-    const std::string complete = "id: 1" + eol + "data: a" + eol + eol +
-                                 ": comment" + eol + eol + "id: 2" + eol +
-                                 "data: b" + eol + eol;
+    std::string complete;
+    for (const char* line :
+         {"id: 1", "data: a", "", ": comment", "", "id: 2", "data: b", ""})
+      complete.append(line).append(eol);
     for (size_t cut = 0; cut <= complete.size(); ++cut) {
       SseEventSplitter splitter;
       std::string result = splitter.Feed(complete.substr(0, cut));
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -194,7 +194,7 @@
   }
 
   void AddBackEnd(const std::string& id, const char* service, EngineRole role,
-                  uint16_t port) {
+                  uint16_t port, const std::string& version = "v1") {
     BackEndEntry entry;
     entry.id = BackEndId(id);
     entry.service = ServiceId(service);
@@ -202,6 +202,7 @@
     entry.ip = "127.0.0.1";
     entry.port = port;
     entry.slots = 8;
+    entry.software_version = SoftwareVersion(version);
     back_ends.Put(entry, loop->Now());
   }
 
--- /dev/null
+++ b/tests/software_version_test.cc
@@ -0,0 +1,185 @@
+// Engines of several software versions may serve one service, and what two
+// versions generate doesn't fit together. These tests check that a stream goes
+// on only at the version that began it: within one response, and when a caller
+// takes it up again.
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "tests/relay_fixture.h"
+
+namespace mimosa::testing {
+namespace {
+
+// Decode engines e1 and e2 of version "v1", and f1 and f2 of "v2".
+struct VersionFixture : RelayFixture {
+  VersionFixture() {
+    AddBackEnd("e1", "llm", EngineRole::kDecode, e1.back_end.port(), "v1");
+    AddBackEnd("f1", "llm", EngineRole::kDecode, f1.back_end.port(), "v2");
+    AddBackEnd("f2", "llm", EngineRole::kDecode, f2.back_end.port(), "v2");
+    for (FakeEngine* engine : {&e1, &e2, &f1, &f2})
+      engine->on_run = [this](const FakeBackEnd::Exchange& exchange) {
+        Run(exchange);
+      };
+  }
+  void AddSecondEngineOfV1() {
+    AddBackEnd("e2", "llm", EngineRole::kDecode, e2.back_end.port(), "v1");
+  }
+
+  // Streams three events in all, or aborts after the first one.
+  void Run(const FakeBackEnd::Exchange& exchange) {
+    exchange->StartStream(200, MakeMarkers(exchange->request()));
+    const std::string* last = Header(exchange->request(), "Last-Event-Id");
+    int id = last == nullptr ? 1 : std::stoi(*last) + 1;
+    if (runs_to_abort > 0) {
+      --runs_to_abort;
+      exchange->Write(MakeEvent(id) + "id: 9");
+      exchange->OnDrained([exchange] { exchange->Abort(); });
+      return;
+    }
+    for (; id <= 3; ++id) exchange->Write(MakeEvent(id));
+    exchange->Finish();
+  }
+
+  // Begins a stream at version "v1" and breaks it after the first event.
+  // Returns the id of the request.
+  std::string BeginAtV1() {
+    f1.has_capacity = f2.has_capacity = false;
+    runs_to_abort = 1;
+    HttpRequest request = MakeRequest("/note/1");
+    const std::string id = *Header(request, "Mimosarouter-Request-Id");
+    e2.has_capacity = false;
+    const auto run = e1.on_run;
+    e1.on_run = [this, run](const FakeBackEnd::Exchange& exchange) {
+      e1.has_capacity = false;
+      run(exchange);
+    };
+    request.headers.Set("Mimosarouter-Deadline-Ms", "400");
+    const CallerResponse response = CallFrontend(request);
+    CHECK_FALSE(response.ok);
+    e1.on_run = run;
+    for (FakeEngine* engine : {&e1, &e2, &f1, &f2}) engine->has_capacity = true;
+    return id;
+  }
+
+  HttpRequest MakeResumption(const std::string& resumed) {
+    HttpRequest request = MakeRequest("/note/1");
+    request.headers.Set("Last-Event-Id", "1");
+    if (!resumed.empty()) request.headers.Set("Resumes", resumed);
+    return request;
+  }
+
+  int RunsOfV2() const { return f1.runs + f2.runs; }
+
+  FakeEngine e1{loop.get()};
+  FakeEngine e2{loop.get()};
+  FakeEngine f1{loop.get()};
+  FakeEngine f2{loop.get()};
+  int runs_to_abort = 0;
+};
+
+TEST_CASE_METHOD(VersionFixture,
+                 "a broken stream doesn't resume at another software version") {
+  f1.has_capacity = f2.has_capacity = false;
+  runs_to_abort = 1;
+  const auto run = e1.on_run;
+  e1.on_run = [&](const FakeBackEnd::Exchange& exchange) {
+    f1.has_capacity = f2.has_capacity = true;
+    run(exchange);
+  };
+  CHECK_FALSE(CallFrontend("/note/1").ok);
+  CHECK(RunsOfV2() == 0);
+}
+
+TEST_CASE_METHOD(VersionFixture,
+                 "a broken stream resumes at an engine of its version") {
+  AddSecondEngineOfV1();
+  f1.has_capacity = f2.has_capacity = false;
+  for (FakeEngine* engine : {&e1, &e2}) {
+    const auto run = engine->on_run;
+    engine->on_run = [this, run](const FakeBackEnd::Exchange& exchange) {
+      f1.has_capacity = f2.has_capacity = true;
+      run(exchange);
+    };
+  }
+  runs_to_abort = 1;
+  const CallerResponse response = CallFrontend("/note/1");
+  CHECK(response.ok);
+  CHECK(response.body == MakeEvent(1) + MakeEvent(2) + MakeEvent(3));
+  CHECK(e1.runs == 1);
+  CHECK(e2.runs == 1);
+  CHECK(RunsOfV2() == 0);
+}
+
+TEST_CASE_METHOD(
+    VersionFixture,
+    "a stream that a caller takes up goes on at the version that began it") {
+  AddSecondEngineOfV1();
+  for (int i = 0; i < 5; ++i) {
+    const std::string id = BeginAtV1();
+    const CallerResponse response = CallFrontend(MakeResumption(id));
+    CHECK(response.ok);
+    CHECK(response.body == MakeEvent(2) + MakeEvent(3));
+    CHECK(RunsOfV2() == 0);
+  }
+}
+
+TEST_CASE_METHOD(
+    VersionFixture,
+    "a stream whose version is gone is refused at once if taken up") {
+  const std::string id = BeginAtV1();
+  back_ends.Remove(BackEndId("e1"), loop->Now());
+  const MonoTime start = loop->Now();
+  const CallerResponse response = CallFrontend(MakeResumption(id));
+  CHECK(response.status == 503);
+  CHECK(loop->Now() - start < milliseconds(500));
+  CHECK(RunsOfV2() == 0);
+}
+
+TEST_CASE_METHOD(
+    VersionFixture,
+    "with two versions, a stream of unknown origin is refused at once") {
+  for (const char* resumed : {"", "unknown"}) {
+    const MonoTime start = loop->Now();
+    const CallerResponse response = CallFrontend(MakeResumption(resumed));
+    CHECK(response.status == 503);
+    CHECK(response.headers.Find("Retry-After") != nullptr);
+    CHECK(loop->Now() - start < milliseconds(500));
+  }
+  CHECK(e1.runs + e2.runs + RunsOfV2() == 0);
+}
+
+TEST_CASE_METHOD(StreamFixture,
+                 "with one version, a stream of unknown origin goes on") {
+  decode.on_run = [](const FakeBackEnd::Exchange& exchange) {
+    CHECK(*Header(exchange->request(), "Last-Event-Id") == "1");
+    exchange->StartStream(200, MakeMarkers(exchange->request()));
+    exchange->Write(MakeEvent(2) + MakeEvent(3));
+    exchange->Finish();
+  };
+  for (const char* resumed : {"", "unknown"}) {
+    HttpRequest request = MakeRequest("/note/1");
+    request.headers.Set("Last-Event-Id", "1");
+    request.headers.Set("Resumes", resumed);
+    const CallerResponse response = CallFrontend(request);
+    CHECK(response.ok);
+    CHECK(response.body == MakeEvent(2) + MakeEvent(3));
+  }
+}
+
+TEST_CASE_METHOD(VersionFixture,
+                 "a prefill result isn't used by another software version") {
+  FakeEngine prefill(loop.get());
+  AddBackEnd("p", "llm", EngineRole::kPrefill, prefill.back_end.port(), "v2");
+  f1.has_capacity = f2.has_capacity = false;
+  CHECK(CallFrontend("/note/1").ok);
+  CHECK(e1.runs == 1);
+  CHECK(e1.back_end.CountRequestsWith("Mimosarouter-Kv-Source") == 0);
+  e1.has_capacity = false;
+  f1.has_capacity = true;
+  CHECK(CallFrontend("/note/1").ok);
+  CHECK(f1.runs == 1);
+  CHECK(f1.back_end.CountRequestsWith("Mimosarouter-Kv-Source") == 1);
+}
+
+}  // namespace
+}  // namespace mimosa::testing
