Within one response a stream stays at the software version that began it

Cause: the relay resumed a stream at the best engine; the selector didn't know versions. The result of a prefill went to engines of other versions, too.

Change: a selection may ask for one software version. The first event that is forwarded fixes a request's version; a prefill runs at the version of the reserved engine, and its result is released rather than used by another one. A request that no listed engine can still run ends at once instead of at its deadline.

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -56,6 +56,21 @@
   return role_change == role_changes_.end() || role_change->second == role;
 }
 
+bool BackEndSelector::Matches(const BackEndEntry& entry,
+                              const SelectionQuery& query) const {
+  return IsEligible(entry, query.service, query.role) &&
+         (query.exclude == nullptr || query.exclude->count(entry.id) == 0) &&
+         (!query.software_version ||
+          *query.software_version == entry.software_version);
+}
+
+bool BackEndSelector::HasCandidate(const SelectionQuery& query) const {
+  const auto& all = list_->entries();
+  return std::any_of(all.begin(), all.end(), [&](const auto& item) {
+    return Matches(item.second.entry, query);
+  });
+}
+
 bool BackEndSelector::IsInBackoff(const BackEndState& state,
                                   MonoTime now) const {
   return now < state.backoff_until ||
@@ -70,11 +85,11 @@
   });
 }
 
-bool BackEndSelector::HasHealthyBackEnd(const ServiceId& service,
-                                        EngineRole role, MonoTime now) const {
+bool BackEndSelector::HasHealthyCandidate(const SelectionQuery& query,
+                                          MonoTime now) const {
   const auto& all = list_->entries();
   return std::any_of(all.begin(), all.end(), [&](const auto& item) {
-    if (!IsEligible(item.second.entry, service, role)) return false;
+    if (!Matches(item.second.entry, query)) return false;
     const auto state = states_.find(item.first);
     return state == states_.end() || !IsInBackoff(state->second, now);
   });
@@ -88,8 +103,7 @@
   MonoTime first_available_at = kNever;
   for (const auto& [id, listed] : list_->entries()) {
     const BackEndEntry& entry = listed.entry;
-    if (!IsEligible(entry, query.service, query.role)) continue;
-    if (query.exclude != nullptr && query.exclude->count(id) != 0) continue;
+    if (!Matches(entry, query)) continue;
     const BackEndState& state = StateOf(entry);
     if (query.require_free_memory && ExceedsMemory(id, state, query)) continue;
     if (IsInBackoff(state, now)) {
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -71,6 +71,8 @@
   // Skips decode engines whose memory is exhausted by the known runs, and never
   // falls back to an engine in backoff.
   bool require_free_memory = false;
+  // Only back ends of this software version are selected; absent: any version.
+  std::optional<SoftwareVersion> software_version;
   // Largest share of kv_memory that may be in use once this request is added.
   double max_memory_share = 1;
 };
@@ -103,13 +105,14 @@
 
   // Returns nullptr if no back end of the service and role takes new work.
   const BackEndEntry* SelectBackEnd(const SelectionQuery& query, MonoTime now);
+  // Returns whether the query matches a back end at all, however loaded or
+  // unhealthy it is now.
+  bool HasCandidate(const SelectionQuery& query) const;
   // Returns whether the service has a back end of that role that takes new
   // work, regardless of its health.
   bool HasBackEnd(const ServiceId& service, EngineRole role) const;
-  // Returns whether a back end of that role takes new work and is not in
-  // backoff.
-  bool HasHealthyBackEnd(const ServiceId& service, EngineRole role,
-                         MonoTime now) const;
+  // Returns whether the query matches a back end that is not in backoff.
+  bool HasHealthyCandidate(const SelectionQuery& query, MonoTime now) const;
 
   // Count the open calls and their `size`, as given to SelectBackEnd(). Each
   // OnCallStarted() needs exactly one OnCallEnded().
@@ -166,6 +169,7 @@
   BackEndState& StateOf(const BackEndEntry& back_end);
   bool IsEligible(const BackEndEntry& entry, const ServiceId& service,
                   EngineRole role) const;
+  bool Matches(const BackEndEntry& entry, const SelectionQuery& query) const;
   bool IsInBackoff(const BackEndState& state, MonoTime now) const;
   double DecayedFailures(const BackEndState& state, MonoTime now) const;
   OpenWork PeerLoadOf(const BackEndId& id) const;
--- a/decide/serving_decisions_test.cc
+++ b/decide/serving_decisions_test.cc
@@ -172,10 +172,34 @@
   selector.OnCallStarted(a, {});
   selector.OnCallEnded(a, {}, CallOutcome::kFailed, At(0));
   CHECK(SelectId(EngineRole::kDecode, At(1)) == "a");
-  CHECK_FALSE(
-      selector.HasHealthyBackEnd(ServiceId("s"), EngineRole::kDecode, At(1)));
-  CHECK(selector.HasHealthyBackEnd(ServiceId("s"), EngineRole::kDecode,
-                                   At(1000)));
+  SelectionQuery query;
+  query.service = ServiceId("s");
+  query.role = EngineRole::kDecode;
+  CHECK(selector.HasCandidate(query));
+  CHECK_FALSE(selector.HasHealthyCandidate(query, At(1)));
+  CHECK(selector.HasHealthyCandidate(query, At(1000)));
+}
+
+TEST_CASE_METHOD(SelectorFixture,
+                 "only back ends of the wanted software version are selected") {
+  for (const char* id : {"a", "b", "c"}) {
+    BackEndEntry engine = Engine(id, EngineRole::kDecode);
+    engine.software_version =
+        SoftwareVersion(id == std::string("c") ? "2" : "1");
+    Add(engine);
+  }
+  SelectionQuery query;
+  query.service = ServiceId("s");
+  query.role = EngineRole::kDecode;
+  query.software_version = SoftwareVersion("2");
+  for (int i = 0; i < 20; ++i)
+    CHECK(selector.SelectBackEnd(query, At(0))->id == BackEndId("c"));
+  const std::set<BackEndId> tried = {BackEndId("c")};
+  query.exclude = &tried;
+  CHECK_FALSE(selector.HasCandidate(query));
+  CHECK(selector.SelectBackEnd(query, At(0)) == nullptr);
+  query.software_version = SoftwareVersion("1");
+  CHECK(selector.HasCandidate(query));
 }
 
 TEST_CASE_METHOD(SelectorFixture,
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -66,7 +66,7 @@
   }
 
   ~StreamRelay() override {
-    if (kv_handle_) deps_.releaser->ReleaseHandle(*kv_handle_);
+    ReleaseKvHandle();
     ReleaseReservation();
   }
 
@@ -125,7 +125,9 @@
     if (result_.events == 0)
       result_.time_to_first_event = deps_.loop->Now() - request_.arrived;
     result_.events = event_splitter_.event_count();
-    result_.software_version = call->back_end().software_version;
+    if (!software_version_)
+      software_version_ = call->back_end().software_version;
+    result_.software_version = *software_version_;
     exchange_->Write(events);
     StartSilenceTimer();
     ApplyBackpressure();
@@ -244,6 +246,10 @@
   // Continues once there is a reservation, or without one if the engines make
   // none.
   void StartPrefillOrRun() {
+    if (kv_handle_ && reservation_ &&
+        prefill_engine_->software_version !=
+            reservation_->engine.software_version)
+      ReleaseKvHandle();
     const bool has_prefill_result =
         kv_handle_ && !KvHandleExpired(deps_.loop->Now());
     if (has_prefill_result || prefills_ >= kMaxPrefills || !TryPrefill())
@@ -266,7 +272,12 @@
             ? deps_.selector->SelectBackEnd(query, now)
             : nullptr;
     if (selected == nullptr) {
-      ScheduleReserveRetry();
+      if (deps_.selector->HasCandidate(MakeQuery(
+              EngineRole::kDecode, deps_.zone, &tried_decode_engines_))) {
+        ScheduleReserveRetry();
+      } else {
+        FinishUnanswered();
+      }
       return;
     }
     const BackEndEntry engine = *selected;
@@ -332,6 +343,11 @@
     reservation_timer_ = deps_.loop->After(*delay, [this] { TryReserve(); });
   }
 
+  void ReleaseKvHandle() {
+    if (kv_handle_) deps_.releaser->ReleaseHandle(*kv_handle_);
+    kv_handle_.reset();
+  }
+
   void ClearReservation() {
     if (!reservation_) return;
     deps_.selector->OnCallEnded(reservation_->engine, size_,
@@ -354,6 +370,7 @@
     query.work = size_;
     query.preferred_zone = preferred_zone;
     query.exclude = exclude;
+    query.software_version = software_version_;
     if (request_.service.engine)
       query.kv_memory = request_.service.engine->kv_memory;
     return query;
@@ -367,19 +384,19 @@
     return false;
   }
 
-  // Returns false if no prefill engine is available or the retry budget is
-  // exhausted.
+  // Returns false if no healthy prefill engine is available or the retry budget
+  // is exhausted.
   bool TryPrefill() {
     const MonoTime now = deps_.loop->Now();
-    if (!deps_.selector->HasHealthyBackEnd(request_.service.id,
-                                           EngineRole::kPrefill, now))
-      return false;
     const FailureDomain preferred_zone =
         reservation_ ? reservation_->engine.zone : deps_.zone;
-    const BackEndEntry* selected = deps_.selector->SelectBackEnd(
-        MakeQuery(EngineRole::kPrefill, preferred_zone,
-                  &tried_prefill_engines_),
-        now);
+    SelectionQuery query = MakeQuery(EngineRole::kPrefill, preferred_zone,
+                                     &tried_prefill_engines_);
+    // The result can only be used at the software version that generates it.
+    if (reservation_)
+      query.software_version = reservation_->engine.software_version;
+    if (!deps_.selector->HasHealthyCandidate(query, now)) return false;
+    const BackEndEntry* selected = deps_.selector->SelectBackEnd(query, now);
     if (selected == nullptr || !TryAcquireCall(prefills_ > 0)) return false;
     const BackEndEntry engine = *selected;
     tried_prefill_engines_.insert(engine.id);
@@ -434,12 +451,18 @@
     if (kv_handle_ && KvHandleExpired(now)) kv_handle_.reset();
     const FailureDomain preferred_zone =
         kv_handle_ && prefill_engine_ ? prefill_engine_->zone : deps_.zone;
+    SelectionQuery query =
+        MakeQuery(EngineRole::kDecode, preferred_zone, &tried_decode_engines_);
+    if (kv_handle_) {
+      query.software_version = prefill_engine_->software_version;
+      if (!reservation_ && !deps_.selector->HasCandidate(query)) {
+        ReleaseKvHandle();
+        query.software_version = software_version_;
+      }
+    }
     const BackEndEntry* selected =
         reservation_ ? &reservation_->engine
-                     : deps_.selector->SelectBackEnd(
-                           MakeQuery(EngineRole::kDecode, preferred_zone,
-                                     &tried_decode_engines_),
-                           now);
+                     : deps_.selector->SelectBackEnd(query, now);
     if (selected == nullptr || !TryAcquireCall(sent_runs_ > 0)) {
       FinishUnanswered();
       return;
@@ -546,8 +569,7 @@
     CancelCall(CallOutcome::kUnknown);
     reservation_timer_.Cancel();
     ReleaseReservation();
-    if (kv_handle_) deps_.releaser->ReleaseHandle(*kv_handle_);
-    kv_handle_.reset();
+    ReleaseKvHandle();
     response_ = silent_response_;
     call_ = std::move(silent_run_);
     stage_ = Stage::kRun;
@@ -687,7 +709,11 @@
   std::set<BackEndId> tried_prefill_engines_;
   std::set<BackEndId> tried_decode_engines_;
   std::optional<KvHandle> kv_handle_;  // To be used by a run or released.
-  std::optional<BackEndEntry> prefill_engine_;  // Engine that holds kv_handle_.
+  // Engine that holds kv_handle_; always set if that is.
+  std::optional<BackEndEntry> prefill_engine_;
+  // The software version whose engines may run the request: the one that
+  // generated the events that the caller has. Absent before the first event.
+  std::optional<SoftwareVersion> software_version_;
   MonoTime kv_handle_created_at_{};
   MonoTime stage_started_at_{};       // When the prefill or run was sent.
   bool prefill_engine_idle_ = false;  // The prefill engine had no other work.
--- a/tests/software_version_test.cc
+++ b/tests/software_version_test.cc
@@ -114,8 +114,8 @@
     VersionFixture,
     "a stream that a caller takes up goes on at the version that began it") {
   AddSecondEngineOfV1();
+  const std::string id = BeginAtV1();
   for (int i = 0; i < 5; ++i) {
-    const std::string id = BeginAtV1();
     const CallerResponse response = CallFrontend(MakeResumption(id));
     CHECK(response.ok);
     CHECK(response.body == MakeEvent(2) + MakeEvent(3));
