A stream that a caller takes up goes on only at the version that began it

Cause: a state was used without what it is valid for: the place in a stream without the version that generated it.

Change: a daemon records the version of a stream at its first event (decide/stream_origins). While a service has several versions, it sends the record to three members chosen by rendezvous hash of the request's id, and the ones of running streams when a second version appears. Whoever gets a stream that is taken up asks the same three; if none knows it, it goes on only where one version has served for as long as a stream lasts (decide/software_version_history), in the view of this daemon and of all that answer. Else it is refused at once, and so is one whose version has no engine any more. Log line stream_origin, gauges mimosa_streams_taken_up and mimosa_stream_origins.

Weighed: a record in the store for each stream (priced, and each write wakes all watchers); a table at the collector (lost with one daemon, late by its report interval); asking all daemons (grows with the fleet); choosing the version by a hash of the id (changes while versions come and go).

--- /dev/null
+++ b/decide/software_version_history.h
@@ -0,0 +1,47 @@
+// Tracks which software versions the engines of each service have lately had.
+//
+// Model: as long as all engines of a service have had one version for longer
+// than a stream can last, that version began every stream, and no stream's
+// origin needs to be known. While versions change, and for that long after the
+// last engine of a version has left the list, it does.
+//
+// Load pattern covered: releases that replace the engines of a service one
+// after the other, some of which crash and start again at the old version.
+#ifndef DECIDE_SOFTWARE_VERSION_HISTORY_H_
+#define DECIDE_SOFTWARE_VERSION_HISTORY_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "base/clock.h"
+#include "decide/back_end_list.h"
+#include "decide/site.h"
+
+namespace mimosa {
+
+class SoftwareVersionHistory {
+ public:
+  // Takes over the current list. Called after each change of it.
+  void Update(const BackEndList& list, MonoTime now);
+
+  // Returns the version that all engines of `service` have had within `window`,
+  // as far as this daemon knows; nullopt if there were several or no engines.
+  std::optional<SoftwareVersion> OnlyVersion(const ServiceId& service,
+                                             MonoTime now,
+                                             Duration window) const;
+  // Returns the services whose engines have several versions now.
+  std::vector<ServiceId> MixedServices() const;
+
+ private:
+  struct Sighting {
+    bool listed = false;     // An engine of the version is in the list.
+    MonoTime last_listed{};  // Valid if not `listed`.
+  };
+
+  std::map<ServiceId, std::map<SoftwareVersion, Sighting>> sightings_;
+};
+
+}  // namespace mimosa
+
+#endif  // DECIDE_SOFTWARE_VERSION_HISTORY_H_
--- /dev/null
+++ b/decide/stream_origins_test.cc
@@ -0,0 +1,131 @@
+// Tests the records of streams' origins and the history of software versions.
+#include "decide/stream_origins.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "decide/software_version_history.h"
+
+namespace mimosa {
+namespace {
+
+using std::chrono::seconds;
+
+const ServiceId kService("llm");
+const SoftwareVersion kOld("1");
+const SoftwareVersion kNew("2");
+
+MonoTime At(int second) { return MonoTime{} + seconds(1000 + second); }
+
+StreamOrigins::Origin OriginAt(int second, const SoftwareVersion& version) {
+  return {kService, version, At(second), /*is_local=*/true};
+}
+
+TEST_CASE("an origin is kept as long as its stream can be taken up") {
+  StreamOrigins origins;
+  origins.SetLifetime(seconds(20));
+  origins.Record(RequestId("a"), OriginAt(0, kOld), At(0));
+  CHECK(origins.Find(RequestId("a"), kService, At(19)) == kOld);
+  CHECK_FALSE(origins.Find(RequestId("a"), ServiceId("other"), At(19)));
+  CHECK_FALSE(origins.Find(RequestId("b"), kService, At(19)));
+  CHECK_FALSE(origins.Find(RequestId("a"), kService, At(20)));
+  CHECK(origins.size() == 0);
+}
+
+TEST_CASE("the first record of a stream wins, and old ones are ignored") {
+  StreamOrigins origins;
+  origins.SetLifetime(seconds(20));
+  origins.Record(RequestId("a"), OriginAt(0, kOld), At(0));
+  origins.Record(RequestId("a"), OriginAt(1, kNew), At(1));
+  CHECK(origins.Find(RequestId("a"), kService, At(2)) == kOld);
+  origins.Record(RequestId("b"), OriginAt(-30, kOld), At(2));
+  origins.Record(RequestId(""), OriginAt(2, kOld), At(2));
+  CHECK(origins.size() == 1);
+}
+
+TEST_CASE("beyond the maximum the oldest origins are dropped") {
+  StreamOrigins origins;
+  origins.SetLifetime(seconds(3600));
+  for (size_t i = 0; i <= StreamOrigins::kMaxOrigins; ++i)
+    origins.Record(RequestId(std::to_string(i)),
+                   OriginAt(static_cast<int>(i / 100), kOld), At(300));
+  CHECK(origins.size() == StreamOrigins::kMaxOrigins);
+  CHECK_FALSE(origins.Find(RequestId("0"), kService, At(300)));
+  CHECK(origins.Find(RequestId("1"), kService, At(300)));
+}
+
+TEST_CASE("only streams that began here are local") {
+  StreamOrigins origins;
+  origins.Record(RequestId("a"), OriginAt(0, kOld), At(0));
+  StreamOrigins::Origin copy = OriginAt(0, kOld);
+  copy.is_local = false;
+  origins.Record(RequestId("b"), copy, At(0));
+  const auto local = origins.LocalOrigins(kService, At(1));
+  REQUIRE(local.size() == 1);
+  CHECK(local[0].first == RequestId("a"));
+  CHECK(origins.LocalOrigins(ServiceId("other"), At(1)).empty());
+}
+
+// A list of engines and the history of their versions.
+struct HistoryFixture {
+  void Put(const std::string& id, const SoftwareVersion& version, int second) {
+    BackEndEntry entry;
+    entry.id = BackEndId(id);
+    entry.service = kService;
+    entry.role = EngineRole::kDecode;
+    entry.software_version = version;
+    list.Put(entry, At(second));
+    history.Update(list, At(second));
+  }
+  void Remove(const std::string& id, int second) {
+    list.Remove(BackEndId(id), At(second));
+    history.Update(list, At(second));
+  }
+  std::optional<SoftwareVersion> OnlyVersion(int second) const {
+    return history.OnlyVersion(kService, At(second), seconds(20));
+  }
+
+  BackEndList list;
+  SoftwareVersionHistory history;
+};
+
+TEST_CASE_METHOD(HistoryFixture,
+                 "a release ends when no stream of the old version can last") {
+  CHECK_FALSE(OnlyVersion(0));
+  Put("a", kOld, 0);
+  Put("b", kOld, 0);
+  CHECK(OnlyVersion(1) == kOld);
+  CHECK(history.MixedServices().empty());
+  Put("c", kNew, 5);
+  CHECK_FALSE(OnlyVersion(5));
+  CHECK(history.MixedServices() == std::vector<ServiceId>{kService});
+  Remove("a", 6);
+  CHECK(history.MixedServices().size() == 1);
+  Remove("b", 7);
+  CHECK(history.MixedServices().empty());
+  CHECK_FALSE(OnlyVersion(26));
+  CHECK(OnlyVersion(27) == kNew);
+}
+
+TEST_CASE_METHOD(HistoryFixture,
+                 "an engine that starts again at the old version counts") {
+  Put("a", kOld, 0);
+  Put("b", kNew, 0);
+  Remove("a", 1);
+  CHECK(OnlyVersion(25) == kNew);
+  Put("b", kOld, 30);
+  CHECK_FALSE(OnlyVersion(30));
+  CHECK(OnlyVersion(50) == kOld);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "versions of long ago are forgotten") {
+  Put("a", kOld, 0);
+  Put("b", kNew, 0);
+  Remove("a", 1);
+  history.Update(list, At(4000));
+  CHECK(OnlyVersion(4000) == kNew);
+  CHECK_FALSE(history.OnlyVersion(ServiceId("x"), At(4000), seconds(20)));
+}
+
+}  // namespace
+}  // namespace mimosa
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -26,6 +26,7 @@
 #include "serving/member_list.h"
 #include "serving/role_controller.h"
 #include "serving/site_sync.h"
+#include "serving/stream_origin_exchange.h"
 #include "serving/usage_exchange.h"
 
 namespace mimosa {
@@ -52,6 +53,9 @@
 // batching changes. Most of that time remains for the watch's response and for
 // a slow daemon.
 constexpr double kBatchDelayShare = 0.25;
+// A caller may take a stream up for this much longer than a stream lasts, since
+// its time limit covers its waits between two requests, too.
+constexpr Duration kTakeupMargin = std::chrono::seconds(5);
 // Longest time that a log line stays buffered.
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(250);
 
@@ -59,6 +63,18 @@
 constexpr std::string_view kMemberRecordPrefix = "members/";
 constexpr std::string_view kRoleRecordName = "roles";
 
+// Returns the longest time that a stream of the configuration may last.
+Duration LongestStream(const SiteConfig& config) {
+  Duration longest{};
+  for (const SiteRoute& route : config.routes()) {
+    if (!IsStream(route.retry_policy)) continue;
+    longest =
+        std::max(longest, route.timeout > Duration::zero() ? route.timeout
+                                                           : kDefaultTimeout);
+  }
+  return longest;
+}
+
 RetryBudget::Options RetryBudgetOptions(const wire::EntrySettings& settings) {
   RetryBudget::Options options;
   options.ratio = settings.retry_budget_ratio();
@@ -127,6 +143,10 @@
             members_.self().boot(), RoleOptions()),
         site_sync_(loop_.get(), store_.get(), platform.site_format, &random_,
                    &log_, &back_ends_, SyncOptions()),
+        stream_origins_(
+            loop_.get(), &members_, &back_ends_, &log_,
+            [this] { return IsBackEndListCurrent(); },
+            StreamOriginExchange::Options{}),
         deps_{loop_.get(),
               client_.get(),
               platform.request_format,
@@ -138,6 +158,7 @@
               &releaser_,
               &counters_,
               &stage_meter_,
+              &stream_origins_,
               FailureDomain(settings.failure_domain())},
         frontend_(&deps_, &rate_limiter_,
                   [this] { return site_sync_.config(); }),
@@ -158,7 +179,7 @@
     peer_socket_ = DatagramSocket::Open(
         loop_.get(), ParseEndpointOrDefault(settings_.peer_listen()),
         [this](const Endpoint& from, std::string_view data) {
-          usage_exchange_.OnDatagram(from, data);
+          OnDatagram(from, data);
         });
     if (!peer_socket_) return leaf::new_error(EntryError::kPeerPort);
     return {};
@@ -177,9 +198,12 @@
         [this](const std::string& name, const KvRecord* record) {
           OnRecord(name, record);
         });
+    site_sync_.SetBackEndsObserver(
+        [this] { stream_origins_.OnBackEndsChanged(); });
     site_sync_.Start();
     members_.Start();
     usage_exchange_.Start(peer_socket_.get());
+    stream_origins_.Start(peer_socket_.get());
     role_controller_.Start();
     FlushLog();
     loop_->Run();
@@ -227,6 +251,24 @@
     return MakeHttpServer(loop_.get(), options, handler);
   }
 
+  void OnDatagram(const Endpoint& from, std::string_view data) {
+    wire::UsageDatagram datagram;
+    if (!datagram.ParseFromArray(data.data(), static_cast<int>(data.size()))) {
+      log_.Write(LogLine("datagram_unreadable").Add("from", from.ToString()));
+      return;
+    }
+    usage_exchange_.OnDatagram(from, datagram);
+    stream_origins_.OnDatagram(from, datagram);
+  }
+
+  // Changes may be missing from the list for as long as a silent watch goes
+  // unnoticed.
+  bool IsBackEndListCurrent() const {
+    return site_sync_.listed() && !site_sync_.store_lost() &&
+           loop_->Now() - site_sync_.last_contact() <=
+               std::chrono::milliseconds(settings_.settle_ms());
+  }
+
   void OnConfig(const SiteConfig& config) {
     for (const SiteCustomer& customer : config.customers()) {
       log_.Write(
@@ -238,6 +280,7 @@
               .Add("tokens", customer.rate_in_tokens));
     }
     rate_limiter_.SetCustomers(config.customers(), loop_->Now());
+    stream_origins_.SetStreamLifetime(LongestStream(config) + kTakeupMargin);
     role_controller_.SetServices(config.services());
     if (config.limits().idle_timeout > Duration::zero())
       caller_server_->SetIdleTimeout(config.limits().idle_timeout);
@@ -424,6 +467,7 @@
   UsageExchange usage_exchange_;
   RoleController role_controller_;
   SiteSync site_sync_;
+  StreamOriginExchange stream_origins_;
   const RelayDeps deps_;
   EntryFrontend frontend_;
   PathHandler ready_handler_;
@@ -481,6 +525,19 @@
             [this] { return double(counters_.streams_resumed); });
   add_gauge("mimosa_streams_broken", "Streams that ended midway",
             [this] { return double(counters_.streams_broken); });
+  add_gauge("mimosa_stream_origins", "Streams whose first version is kept",
+            [this] { return double(stream_origins_.size()); });
+  for (const auto& [result, count] :
+       {std::pair("recorded", &StreamOriginExchange::Counters::found),
+        std::pair("only_version", &StreamOriginExchange::Counters::implied),
+        std::pair("unknown", &StreamOriginExchange::Counters::unknown)}) {
+    metrics_.AddGauge("mimosa_streams_taken_up",
+                      "Streams taken up by callers, by how their version was "
+                      "found",
+                      {{"version", result}}, [this, count = count] {
+                        return double(stream_origins_.counters().*count);
+                      });
+  }
   add_gauge("mimosa_responses_incomplete",
             "Responses of backend servers that ended inside their content",
             [this] { return double(counters_.responses_incomplete); });
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -16,9 +16,6 @@
 constexpr Duration kNoConfigRetryAfter = std::chrono::milliseconds(700);
 constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(300);
 
-// Timeout of a request if neither the caller nor the route sets one.
-constexpr Duration kDefaultTimeout = std::chrono::seconds(60);
-
 // Retry-After while the daemon shuts down: the caller can reach another daemon
 // at once.
 constexpr Duration kShutdownRetryAfter = std::chrono::milliseconds(50);
--- a/serving/local_responses.h
+++ b/serving/local_responses.h
@@ -18,6 +18,9 @@
 inline constexpr int kStatusUnavailable = 503;
 inline constexpr int kStatusGatewayTimeout = 504;
 
+// Timeout of a request if neither the caller nor the route sets one.
+inline constexpr Duration kDefaultTimeout = std::chrono::seconds(60);
+
 constexpr bool IsSuccess(int status) { return status / 100 == 2; }
 
 // Has a Retry-After header: `retry_after` in seconds with three decimals. Only
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -18,6 +18,7 @@
 #include "net/http.h"
 #include "serving/engine_memory_releaser.h"
 #include "serving/request_format.h"
+#include "serving/stream_origin_directory.h"
 
 namespace mimosa {
 
@@ -50,6 +51,7 @@
   EngineMemoryReleaser* releaser;
   RelayCounters* counters;
   StageMeter* stage_meter;
+  StreamOriginDirectory* stream_origins;
   FailureDomain zone;  // Zone of this daemon.
 };
 
--- a/serving/site_sync.cc
+++ b/serving/site_sync.cc
@@ -47,6 +47,7 @@
     if (auto entry = ReadBackEnd(record)) entries.push_back(*std::move(entry));
   }
   back_ends_->ReplaceAll(std::move(entries), loop_->Now());
+  if (on_back_ends_) on_back_ends_();
   ScheduleExpiry();
   // Applied after the servers, since some of these records refer to them.
   for (const KvRecord& record : result.records)
@@ -91,6 +92,7 @@
     Watch();
     return;
   }
+  if (on_back_ends_) on_back_ends_();
   batch_timer_ = loop_->After(options_.batch_delay, [this] { Watch(); });
 }
 
@@ -217,6 +219,7 @@
   const Duration wait = std::max(Duration::zero(), *expiry - loop_->Now());
   expiry_timer_ = loop_->After(wait, [this] {
     back_ends_->RemoveExpired(loop_->Now());
+    if (on_back_ends_) on_back_ends_();
     ScheduleExpiry();
   });
 }
--- a/serving/site_sync.h
+++ b/serving/site_sync.h
@@ -56,6 +56,10 @@
   void SetConfigObserver(ConfigObserver observer) {
     on_config_ = std::move(observer);
   }
+  // Called after changes of the list of backend servers.
+  void SetBackEndsObserver(std::function<void()> observer) {
+    on_back_ends_ = std::move(observer);
+  }
   void SetRecordObserver(RecordObserver observer) {
     on_record_ = std::move(observer);
   }
@@ -94,6 +98,7 @@
   const Options options_;
   ConfigObserver on_config_;
   RecordObserver on_record_;
+  std::function<void()> on_back_ends_;
 
   std::shared_ptr<const SiteConfig> config_;
   bool listed_ = false;
--- /dev/null
+++ b/serving/stream_origin_exchange.cc
@@ -0,0 +1,292 @@
+// Reports, queries and the decision of lookups.
+#include "serving/stream_origin_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "decide/rendezvous.h"
+
+namespace mimosa {
+namespace {
+
+// Most origins in one datagram, so that it stays within the size limit.
+constexpr int kMaxOriginsPerReport = 60;
+
+}  // namespace
+
+// A lookup ends with the first member that knows the origin, when all members
+// that were asked have answered, or at its timeout.
+class StreamOriginExchange::Lookup : public StreamOriginLookup {
+ public:
+  Lookup(StreamOriginExchange* exchange, RequestId request, ServiceId service,
+         FindCallback callback)
+      : exchange_(exchange),
+        request_(std::move(request)),
+        service_(std::move(service)),
+        callback_(std::move(callback)),
+        serial_(++exchange->last_serial_) {
+    exchange_->lookups_[serial_] = this;
+  }
+  ~Lookup() override { exchange_->lookups_.erase(serial_); }
+
+  void Start() {
+    const MonoTime now = exchange_->loop_->Now();
+    const auto version = exchange_->origins_.Find(request_, service_, now);
+    if (version) {
+      timer_ = exchange_->loop_->After(
+          Duration::zero(),
+          [this, found = *version] { Finish(/*found=*/true, found); });
+      return;
+    }
+    only_version_ = exchange_->OnlyVersion(service_);
+    for (std::string& member : exchange_->KeepersOf(request_))
+      unanswered_.insert(std::move(member));
+    give_up_at_ = now + exchange_->options_.query_timeout;
+    Ask();
+  }
+
+  void OnAnswer(const std::string& member,
+                const wire::StreamOriginAnswer& answer) {
+    if (unanswered_.erase(member) == 0) return;
+    if (answer.known()) {
+      Finish(/*found=*/true, SoftwareVersion(answer.software_version()));
+      return;
+    }
+    has_answer_ = true;
+    if (!answer.has_only_version() || !only_version_ ||
+        answer.only_version() != only_version_->value())
+      only_version_.reset();
+    if (unanswered_.empty()) FinishUnrecorded();
+  }
+
+  uint64_t serial() const { return serial_; }
+  const RequestId& request() const { return request_; }
+  const ServiceId& service() const { return service_; }
+
+ private:
+  // Asks the members that haven't answered, until the timeout.
+  void Ask() {
+    if (unanswered_.empty() || exchange_->loop_->Now() >= give_up_at_) {
+      // Never from within Find().
+      timer_ = exchange_->loop_->After(Duration::zero(),
+                                       [this] { FinishUnrecorded(); });
+      return;
+    }
+    for (const std::string& member : unanswered_)
+      exchange_->SendQuery(member, *this);
+    timer_ = exchange_->loop_->After(exchange_->options_.query_interval,
+                                     [this] { Ask(); });
+  }
+
+  // No member that has answered knows the origin.
+  void FinishUnrecorded() {
+    if (!has_answer_ && !exchange_->is_list_current_()) only_version_.reset();
+    Finish(/*found=*/false, only_version_);
+  }
+
+  void Finish(bool found, std::optional<SoftwareVersion> version) {
+    timer_.Cancel();
+    unanswered_.clear();
+    exchange_->RecordResult(*this, found, version);
+    const FindCallback callback = std::move(callback_);
+    callback(std::move(version));  // May destroy this.
+  }
+
+  StreamOriginExchange* const exchange_;
+  const RequestId request_;
+  const ServiceId service_;
+  FindCallback callback_;
+  const uint64_t serial_;
+  std::set<std::string> unanswered_;  // Members that were asked.
+  bool has_answer_ = false;
+  // The only version that has served lately, as far as everybody knows who was
+  // heard.
+  std::optional<SoftwareVersion> only_version_;
+  MonoTime give_up_at_{};
+  TimerHandle timer_;
+};
+
+StreamOriginExchange::StreamOriginExchange(
+    EventLoop* loop, const MemberList* members, const BackEndList* back_ends,
+    LineLog* log, IsListCurrent is_list_current, const Options& options)
+    : loop_(loop),
+      members_(members),
+      back_ends_(back_ends),
+      log_(log),
+      is_list_current_(std::move(is_list_current)),
+      options_(options) {}
+
+StreamOriginExchange::~StreamOriginExchange() = default;
+
+void StreamOriginExchange::OnBackEndsChanged() {
+  const MonoTime now = loop_->Now();
+  history_.Update(*back_ends_, now);
+  std::set<ServiceId> mixed;
+  for (ServiceId& service : history_.MixedServices()) {
+    // Streams that began before are taken up, too.
+    if (mixed_services_.count(service) == 0)
+      for (const auto& [request, origin] : origins_.LocalOrigins(service, now))
+        QueueReport(request, origin);
+    mixed.insert(std::move(service));
+  }
+  mixed_services_ = std::move(mixed);
+}
+
+void StreamOriginExchange::Record(const RequestId& request,
+                                  const ServiceId& service,
+                                  const SoftwareVersion& version) {
+  const MonoTime now = loop_->Now();
+  const Origin origin{service, version, now, /*is_local=*/true};
+  origins_.Record(request, origin, now);
+  if (OnlyVersion(service) != version) QueueReport(request, origin);
+}
+
+std::unique_ptr<StreamOriginLookup> StreamOriginExchange::Find(
+    const RequestId& request, const ServiceId& service, FindCallback callback) {
+  ++counters_.lookups;
+  auto lookup =
+      std::make_unique<Lookup>(this, request, service, std::move(callback));
+  lookup->Start();
+  return lookup;
+}
+
+std::vector<std::string> StreamOriginExchange::KeepersOf(
+    const RequestId& request) const {
+  struct Member {
+    MemberId id;
+  };
+  std::vector<Member> others;
+  others.reserve(members_->others().size());
+  for (const auto& [name, member] : members_->others())
+    others.push_back({MemberId(name)});
+  std::vector<std::string> keepers;
+  for (const Member* member :
+       TopByRendezvousWeight(others, request.value(), kKeepers))
+    keepers.push_back(member->id.value());
+  return keepers;
+}
+
+std::optional<SoftwareVersion> StreamOriginExchange::OnlyVersion(
+    const ServiceId& service) const {
+  return history_.OnlyVersion(service, loop_->Now(), origins_.lifetime());
+}
+
+void StreamOriginExchange::QueueReport(const RequestId& request,
+                                       const Origin& origin) {
+  for (const std::string& keeper : KeepersOf(request)) {
+    wire::StreamOrigin* const item = reports_[keeper].add_origins();
+    item->set_request(request.value());
+    item->set_service(origin.service.value());
+    item->set_software_version(origin.software_version.value());
+    item->set_age_ms(static_cast<uint32_t>(
+        std::max<int64_t>(0, ToMillis(loop_->Now() - origin.began))));
+  }
+  if (report_timer_) return;
+  report_timer_ =
+      loop_->After(options_.report_delay, [this] { SendReports(); });
+}
+
+void StreamOriginExchange::SendReports() {
+  report_timer_.Cancel();
+  const auto reports = std::exchange(reports_, {});
+  for (const auto& [keeper, report] : reports) {
+    const auto member = members_->others().find(keeper);
+    Endpoint to;
+    if (member == members_->others().end() ||
+        !Endpoint::Parse(member->second.peer_address(), &to))
+      continue;
+    wire::UsageDatagram datagram;
+    for (const wire::StreamOrigin& origin : report.origins()) {
+      wire::StreamOriginReport* const part = datagram.mutable_origin_report();
+      *part->add_origins() = origin;
+      if (part->origins_size() < kMaxOriginsPerReport) continue;
+      Send(to, datagram);
+      datagram.Clear();
+    }
+    if (datagram.has_origin_report()) Send(to, datagram);
+  }
+}
+
+void StreamOriginExchange::SendQuery(const std::string& member,
+                                     const Lookup& lookup) {
+  const auto found = members_->others().find(member);
+  Endpoint to;
+  if (found == members_->others().end() ||
+      !Endpoint::Parse(found->second.peer_address(), &to))
+    return;
+  wire::UsageDatagram datagram;
+  wire::StreamOriginQuery* const query = datagram.mutable_origin_query();
+  query->set_serial(lookup.serial());
+  query->set_request(lookup.request().value());
+  query->set_service(lookup.service().value());
+  Send(to, datagram);
+}
+
+void StreamOriginExchange::OnDatagram(const Endpoint& from,
+                                      const wire::UsageDatagram& datagram) {
+  if (datagram.has_origin_report()) HandleReport(datagram.origin_report());
+  if (datagram.has_origin_query()) HandleQuery(datagram.origin_query(), from);
+  if (datagram.has_origin_answer())
+    HandleAnswer(datagram.origin_answer(), from);
+}
+
+void StreamOriginExchange::HandleReport(
+    const wire::StreamOriginReport& report) {
+  const MonoTime now = loop_->Now();
+  for (const wire::StreamOrigin& item : report.origins()) {
+    origins_.Record(
+        RequestId(item.request()),
+        {ServiceId(item.service()), SoftwareVersion(item.software_version()),
+         now - std::chrono::milliseconds(item.age_ms()),
+         /*is_local=*/false},
+        now);
+  }
+}
+
+void StreamOriginExchange::HandleQuery(const wire::StreamOriginQuery& query,
+                                       const Endpoint& from) {
+  const ServiceId service(query.service());
+  wire::UsageDatagram datagram;
+  wire::StreamOriginAnswer* const answer = datagram.mutable_origin_answer();
+  answer->set_serial(query.serial());
+  const auto version =
+      origins_.Find(RequestId(query.request()), service, loop_->Now());
+  answer->set_known(version.has_value());
+  if (version) {
+    answer->set_software_version(version->value());
+  } else if (const auto only = OnlyVersion(service)) {
+    answer->set_only_version(only->value());
+  }
+  Send(from, datagram);
+}
+
+void StreamOriginExchange::HandleAnswer(const wire::StreamOriginAnswer& answer,
+                                        const Endpoint& from) {
+  const auto lookup = lookups_.find(answer.serial());
+  if (lookup == lookups_.end()) return;  // Late or sent twice.
+  const std::string address = from.ToString();
+  for (const auto& [name, member] : members_->others()) {
+    if (member.peer_address() != address) continue;
+    lookup->second->OnAnswer(name, answer);
+    return;
+  }
+}
+
+void StreamOriginExchange::Send(const Endpoint& to,
+                                const wire::UsageDatagram& datagram) {
+  if (socket_ != nullptr) socket_->Send(to, datagram.SerializeAsString());
+}
+
+void StreamOriginExchange::RecordResult(
+    const Lookup& lookup, bool found,
+    const std::optional<SoftwareVersion>& version) {
+  ++(found ? counters_.found : version ? counters_.implied : counters_.unknown);
+  log_->Write(LogLine("stream_origin")
+                  .Add("resumes", lookup.request().value())
+                  .Add("service", lookup.service().value())
+                  .Add("recorded", found)
+                  .Add("software_version",
+                       version ? version->value() : std::string("unknown")));
+}
+
+}  // namespace mimosa
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -78,7 +78,16 @@
       Refuse("no_decode_engine");
       return;
     }
-    StartStages();
+    if (!last_event_id_ || !IsStream(request_.route.retry_policy)) {
+      StartStages();
+      return;
+    }
+    // What two software versions generate doesn't fit together.
+    origin_lookup_ = deps_.stream_origins->Find(
+        request_.caller.resumed_request, request_.service.id,
+        [this](const std::optional<SoftwareVersion>& version) {
+          OnOriginFound(version);
+        });
   }
 
   void OnCallerDisconnected() override {
@@ -122,8 +131,12 @@
     }
     const std::string events = event_splitter_.Feed(data);
     if (events.empty()) return;
-    if (result_.events == 0)
+    if (result_.events == 0) {
       result_.time_to_first_event = deps_.loop->Now() - request_.arrived;
+      if (request_.route.retry_policy == RetryPolicy::kResumableStream)
+        deps_.stream_origins->Record(request_.caller.id, request_.service.id,
+                                     call->back_end().software_version);
+    }
     result_.events = event_splitter_.event_count();
     if (!software_version_)
       software_version_ = call->back_end().software_version;
@@ -209,6 +222,20 @@
   }
 
  private:
+  void OnOriginFound(const std::optional<SoftwareVersion>& version) {
+    if (!version) {
+      Refuse("unknown_stream_origin");
+      return;
+    }
+    software_version_ = *version;
+    if (deps_.selector->HasCandidate(
+            MakeQuery(EngineRole::kDecode, deps_.zone, nullptr))) {
+      StartStages();
+    } else {
+      Refuse("no_engine_of_version");
+    }
+  }
+
   enum class Stage { kReserve, kPrefill, kRun };
 
   // A reservation at a decode engine. It counts as an open call there until the
@@ -650,6 +677,7 @@
     deadline_timer_.Cancel();
     silence_timer_.Cancel();
     reservation_timer_.Cancel();
+    origin_lookup_.reset();
     if (kv_handle_) ++deps_.counters->prefills_unused;
     result_.status = status;
     result_.reason = reason;
@@ -731,6 +759,8 @@
   int may_have_run_ = 0;  // Finished calls whose request may have run.
   bool budget_exhausted_ = false;
   bool waited_for_reservation_ = false;
+  // Pending until the version of a stream that the caller takes up is known.
+  std::unique_ptr<StreamOriginLookup> origin_lookup_;
   TimerHandle deadline_timer_;
   TimerHandle silence_timer_;
 };
--- a/serving/usage_exchange.cc
+++ b/serving/usage_exchange.cc
@@ -229,12 +229,8 @@
   socket_->Send(to, datagram.SerializeAsString());
 }
 
-void UsageExchange::OnDatagram(const Endpoint& from, std::string_view data) {
-  wire::UsageDatagram datagram;
-  if (!datagram.ParseFromArray(data.data(), static_cast<int>(data.size()))) {
-    log_->Write(LogLine("datagram_unreadable").Add("from", from.ToString()));
-    return;
-  }
+void UsageExchange::OnDatagram(const Endpoint& from,
+                               const wire::UsageDatagram& datagram) {
   if (datagram.has_report()) HandleReport(datagram.report(), from);
   if (datagram.has_summary()) HandleSummary(datagram.summary());
 }
--- a/serving/usage_exchange.h
+++ b/serving/usage_exchange.h
@@ -59,7 +59,7 @@
   // The member list has changed.
   void OnMembersChanged();
   void OnMemberGone(const std::string& name);
-  void OnDatagram(const Endpoint& from, std::string_view data);
+  void OnDatagram(const Endpoint& from, const wire::UsageDatagram& datagram);
 
   const std::string& collector() const { return choice_.collector(); }
   // The open work of the fleet at the engines, and the cost of requests at the
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -17,6 +17,8 @@
 #include "net/test_peer.h"
 #include "platform/request_codec.h"
 #include "serving/entry_frontend.h"
+#include "serving/member_list.h"
+#include "serving/stream_origin_exchange.h"
 #include "tests/serving_fakes.h"
 
 namespace mimosa::testing {
@@ -204,6 +206,7 @@
     entry.slots = 8;
     entry.software_version = SoftwareVersion(version);
     back_ends.Put(entry, loop->Now());
+    origins.OnBackEndsChanged();
   }
 
   HttpRequest MakeRequest(const std::string& target) {
@@ -249,9 +252,14 @@
   EngineMemoryReleaser releaser{loop.get(), client.get(), &format};
   RelayCounters counters;
   StageMeter meter;
-  RelayDeps deps{loop.get(), client.get(),       &format, &selector,
-                 &budget,    &reservation_retry, &random, &log,
-                 &releaser,  &counters,          &meter,  FailureDomain("z")};
+  UnresponsiveStore store;
+  MemberList members{loop.get(), &store, &random, &log, {}, {}};
+  StreamOriginExchange origins{loop.get(),          &members, &back_ends, &log,
+                               [] { return true; }, {}};
+  RelayDeps deps{loop.get(),        client.get(),       &format, &selector,
+                 &budget,           &reservation_retry, &random, &log,
+                 &releaser,         &counters,          &meter,  &origins,
+                 FailureDomain("z")};
   std::shared_ptr<const SiteConfig> config;
   std::unique_ptr<EntryFrontend> frontend;
   std::unique_ptr<HttpServer> server;
--- a/tests/usage_exchange_test.cc
+++ b/tests/usage_exchange_test.cc
@@ -80,7 +80,9 @@
       return;
     simulator_->ScheduleAt(simulator_->now() + milliseconds(1), [=] {
       UsageExchange* const exchange = receivers_[receiver];
-      if (exchange != nullptr) exchange->OnDatagram(AddressOf(from), data);
+      wire::UsageDatagram datagram;
+      if (exchange != nullptr && datagram.ParseFromString(data))
+        exchange->OnDatagram(AddressOf(from), datagram);
     });
   }
 
