A stream of unknown origin goes on only if an established view agrees

What callers would see: streams of the old version taken up at the new one, when a release ends while daemons are killed.

Cause, from the new test in virtual time: daemons that have just started list the new version only; where all three members that were asked had just started, their views agreed on it.

Change: a view counts as established once its daemon has known the engines for as long as a stream can last (decide/version_consensus). A lookup asks up to nine more members, three at a time, until it has heard an established view; if none is to be had, all have just started. A list that may lack changes counts only together with another view. The network of usage_exchange_test moves to tests/virtual_datagrams.h, for both tests.

Measured: tests/stream_origin_exchange_test, fleets of 6, 86, 195 and 389 daemons, a third killed, restarted, all restarted, cut off, during and after a release. Nothing is sent while a service has one version.

Conclusion: what remains unproved is a restart of all daemons within the length of a stream after the last engine of an old version has left.

--- a/decide/software_version_history.cc
+++ b/decide/software_version_history.cc
@@ -16,6 +16,7 @@
 }  // namespace
 
 void SoftwareVersionHistory::Update(const BackEndList& list, MonoTime now) {
+  if (!known_since_) known_since_ = now;
   std::set<std::pair<ServiceId, SoftwareVersion>> listed;
   for (const auto& [id, back_end] : list.entries()) {
     const BackEndEntry& entry = back_end.entry;
--- a/decide/software_version_history.h
+++ b/decide/software_version_history.h
@@ -30,6 +30,10 @@
   std::optional<SoftwareVersion> OnlyVersion(const ServiceId& service,
                                              MonoTime now,
                                              Duration window) const;
+  // Returns whether the list has been known for at least `window`.
+  bool IsEstablished(MonoTime now, Duration window) const {
+    return known_since_ && now - *known_since_ >= window;
+  }
   // Returns the services whose engines have several versions now.
   std::vector<ServiceId> MixedServices() const;
 
@@ -40,6 +44,7 @@
   };
 
   std::map<ServiceId, std::map<SoftwareVersion, Sighting>> sightings_;
+  std::optional<MonoTime> known_since_;  // Time of the first Update().
 };
 
 }  // namespace mimosa
--- a/serving/stream_origin_exchange.cc
+++ b/serving/stream_origin_exchange.cc
@@ -14,8 +14,8 @@
 
 }  // namespace
 
-// A lookup ends with the first member that knows the origin, when all members
-// that were asked have answered, or at its timeout.
+// A lookup ends with the first member that knows the origin. Otherwise it asks
+// the keepers, and more members while an established view is missing.
 class StreamOriginExchange::Lookup : public StreamOriginLookup {
  public:
   Lookup(StreamOriginExchange* exchange, RequestId request, ServiceId service,
@@ -24,39 +24,43 @@
         request_(std::move(request)),
         service_(std::move(service)),
         callback_(std::move(callback)),
-        serial_(++exchange->last_serial_) {
+        serial_(++exchange->last_serial_),
+        // Requests that name none are spread over the members by daemon.
+        members_(exchange->TopMembers(
+            request_.empty() ? RequestId(exchange->members_->self().name())
+                             : request_,
+            kMaxAsked)),
+        consensus_(exchange->OwnView(service_), exchange->is_list_current_()) {
     exchange_->lookups_[serial_] = this;
   }
   ~Lookup() override { exchange_->lookups_.erase(serial_); }
 
   void Start() {
-    const MonoTime now = exchange_->loop_->Now();
-    const auto version = exchange_->origins_.Find(request_, service_, now);
-    if (version) {
-      timer_ = exchange_->loop_->After(
-          Duration::zero(),
-          [this, found = *version] { Finish(/*found=*/true, found); });
-      return;
-    }
-    only_version_ = exchange_->OnlyVersion(service_);
-    for (std::string& member : exchange_->KeepersOf(request_))
-      unanswered_.insert(std::move(member));
-    give_up_at_ = now + exchange_->options_.query_timeout;
-    Ask();
+    const auto version =
+        exchange_->origins_.Find(request_, service_, exchange_->loop_->Now());
+    // The callback never runs from within Find().
+    timer_ = exchange_->loop_->After(Duration::zero(), [this, version] {
+      if (version) {
+        Finish(/*recorded=*/true, version);
+      } else {
+        AskNextMembers(exchange_->options_.query_timeout);
+      }
+    });
   }
 
   void OnAnswer(const std::string& member,
                 const wire::StreamOriginAnswer& answer) {
     if (unanswered_.erase(member) == 0) return;
     if (answer.known()) {
-      Finish(/*found=*/true, SoftwareVersion(answer.software_version()));
+      Finish(/*recorded=*/true, SoftwareVersion(answer.software_version()));
       return;
     }
-    has_answer_ = true;
-    if (!answer.has_only_version() || !only_version_ ||
-        answer.only_version() != only_version_->value())
-      only_version_.reset();
-    if (unanswered_.empty()) FinishUnrecorded();
+    VersionView view;
+    if (answer.has_only_version())
+      view.only_version = SoftwareVersion(answer.only_version());
+    view.is_established = answer.is_established();
+    consensus_.AddView(view);
+    if (unanswered_.empty()) OnMembersHeard();
   }
 
   uint64_t serial() const { return serial_; }
@@ -64,30 +68,39 @@
   const ServiceId& service() const { return service_; }
 
  private:
-  // Asks the members that haven't answered, until the timeout.
-  void Ask() {
+  void AskNextMembers(Duration timeout) {
+    const size_t end = std::min(members_.size(), asked_ + kKeepers);
+    unanswered_.clear();
+    for (; asked_ < end; ++asked_) unanswered_.insert(members_[asked_]);
+    give_up_at_ = exchange_->loop_->Now() + timeout;
+    SendQueries();
+  }
+
+  // Sends queries to the members that haven't answered, until the timeout.
+  void SendQueries() {
     if (unanswered_.empty() || exchange_->loop_->Now() >= give_up_at_) {
-      // Never from within Find().
-      timer_ = exchange_->loop_->After(Duration::zero(),
-                                       [this] { FinishUnrecorded(); });
+      OnMembersHeard();
       return;
     }
     for (const std::string& member : unanswered_)
       exchange_->SendQuery(member, *this);
     timer_ = exchange_->loop_->After(exchange_->options_.query_interval,
-                                     [this] { Ask(); });
+                                     [this] { SendQueries(); });
   }
 
-  // No member that has answered knows the origin.
-  void FinishUnrecorded() {
-    if (!has_answer_ && !exchange_->is_list_current_()) only_version_.reset();
-    Finish(/*found=*/false, only_version_);
+  // The members that were asked have answered, or their time is over.
+  void OnMembersHeard() {
+    if (consensus_.needs_established_view() && asked_ < members_.size()) {
+      AskNextMembers(exchange_->options_.view_timeout);
+    } else {
+      Finish(/*recorded=*/false, consensus_.version());
+    }
   }
 
-  void Finish(bool found, std::optional<SoftwareVersion> version) {
+  void Finish(bool recorded, std::optional<SoftwareVersion> version) {
     timer_.Cancel();
     unanswered_.clear();
-    exchange_->RecordResult(*this, found, version);
+    exchange_->RecordResult(*this, recorded, version);
     const FindCallback callback = std::move(callback_);
     callback(std::move(version));  // May destroy this.
   }
@@ -97,12 +110,12 @@
   const ServiceId service_;
   FindCallback callback_;
   const uint64_t serial_;
-  std::set<std::string> unanswered_;  // Members that were asked.
-  bool has_answer_ = false;
-  // The only version that has served lately, as far as everybody knows who was
-  // heard.
-  std::optional<SoftwareVersion> only_version_;
+  const std::vector<std::string> members_;  // In the order of asking.
+  size_t asked_ = 0;  // The first members that have been asked.
+  // Of the members asked last, those that haven't answered.
+  std::set<std::string> unanswered_;
   MonoTime give_up_at_{};
+  VersionConsensus consensus_;
   TimerHandle timer_;
 };
 
@@ -138,7 +151,7 @@
   const MonoTime now = loop_->Now();
   const Origin origin{service, version, now, /*is_local=*/true};
   origins_.Record(request, origin, now);
-  if (OnlyVersion(service) != version) QueueReport(request, origin);
+  if (OwnView(service).only_version != version) QueueReport(request, origin);
 }
 
 std::unique_ptr<StreamOriginLookup> StreamOriginExchange::Find(
@@ -150,8 +163,8 @@
   return lookup;
 }
 
-std::vector<std::string> StreamOriginExchange::KeepersOf(
-    const RequestId& request) const {
+std::vector<std::string> StreamOriginExchange::TopMembers(
+    const RequestId& request, size_t count) const {
   struct Member {
     MemberId id;
   };
@@ -159,21 +172,23 @@
   others.reserve(members_->others().size());
   for (const auto& [name, member] : members_->others())
     others.push_back({MemberId(name)});
-  std::vector<std::string> keepers;
+  std::vector<std::string> names;
   for (const Member* member :
-       TopByRendezvousWeight(others, request.value(), kKeepers))
-    keepers.push_back(member->id.value());
-  return keepers;
+       TopByRendezvousWeight(others, request.value(), count))
+    names.push_back(member->id.value());
+  return names;
 }
 
-std::optional<SoftwareVersion> StreamOriginExchange::OnlyVersion(
-    const ServiceId& service) const {
-  return history_.OnlyVersion(service, loop_->Now(), origins_.lifetime());
+VersionView StreamOriginExchange::OwnView(const ServiceId& service) const {
+  const MonoTime now = loop_->Now();
+  const Duration lifetime = origins_.lifetime();
+  return {history_.OnlyVersion(service, now, lifetime),
+          history_.IsEstablished(now, lifetime)};
 }
 
 void StreamOriginExchange::QueueReport(const RequestId& request,
                                        const Origin& origin) {
-  for (const std::string& keeper : KeepersOf(request)) {
+  for (const std::string& keeper : TopMembers(request, kKeepers)) {
     wire::StreamOrigin* const item = reports_[keeper].add_origins();
     item->set_request(request.value());
     item->set_service(origin.service.value());
@@ -254,8 +269,11 @@
   answer->set_known(version.has_value());
   if (version) {
     answer->set_software_version(version->value());
-  } else if (const auto only = OnlyVersion(service)) {
-    answer->set_only_version(only->value());
+  } else {
+    const VersionView view = OwnView(service);
+    if (view.only_version) answer->set_only_version(view.only_version->value());
+    // A list that lacks changes proves nothing.
+    answer->set_is_established(view.is_established && is_list_current_());
   }
   Send(from, datagram);
 }
@@ -278,13 +296,15 @@
 }
 
 void StreamOriginExchange::RecordResult(
-    const Lookup& lookup, bool found,
+    const Lookup& lookup, bool recorded,
     const std::optional<SoftwareVersion>& version) {
-  ++(found ? counters_.found : version ? counters_.implied : counters_.unknown);
+  ++(recorded  ? counters_.found
+     : version ? counters_.implied
+               : counters_.unknown);
   log_->Write(LogLine("stream_origin")
                   .Add("resumes", lookup.request().value())
                   .Add("service", lookup.service().value())
-                  .Add("recorded", found)
+                  .Add("recorded", recorded)
                   .Add("software_version",
                        version ? version->value() : std::string("unknown")));
 }
--- a/serving/stream_origin_exchange.h
+++ b/serving/stream_origin_exchange.h
@@ -5,10 +5,9 @@
 // daemon sends the origins of its streams to a few keepers, the members with
 // the highest rendezvous hashes for the stream's request. A daemon at which a
 // caller takes a stream up asks the same members. If none of them knows the
-// stream, it may go on only if all engines have had one version for as long as
-// a stream can last, in the view of this daemon and of all members that answer.
-// A daemon that neither the store nor another member has answered lately can't
-// know that: an unseen version may have begun the stream.
+// stream, it may go on only if decide/version_consensus.h finds from their
+// views that one version has begun every stream; more members are asked while
+// that takes more views.
 //
 // Cost: nothing while services have one version each, apart from a query for
 // each stream taken up; else kKeepers datagrams a stream, whatever the fleet's
@@ -27,6 +26,7 @@
 #include "base/line_log.h"
 #include "decide/software_version_history.h"
 #include "decide/stream_origins.h"
+#include "decide/version_consensus.h"
 #include "net/datagram.h"
 #include "net/event_loop.h"
 #include "serving/member_list.h"
@@ -40,10 +40,12 @@
     // Longest time for which an origin is held back, so that several go in one
     // datagram.
     Duration report_delay = std::chrono::milliseconds(20);
-    // Time after which an unanswered query is sent again, and after which the
-    // lookup ends with what was answered.
+    // Time after which an unanswered query is sent again, and after which its
+    // answer is no longer waited for.
     Duration query_interval = std::chrono::milliseconds(40);
     Duration query_timeout = std::chrono::milliseconds(120);
+    // Timeout of further queries, for views only.
+    Duration view_timeout = std::chrono::milliseconds(60);
   };
   struct Counters {
     uint64_t lookups = 0;
@@ -55,8 +57,11 @@
   // answered lately.
   using IsListCurrent = std::function<bool()>;
 
-  // Number of members that keep a copy of an origin.
+  // Number of members that keep a copy of an origin, and that are asked at
+  // once.
   static constexpr size_t kKeepers = 3;
+  // Largest number of members that are asked in one lookup.
+  static constexpr size_t kMaxAsked = 4 * kKeepers;
 
   StreamOriginExchange(EventLoop* loop, const MemberList* members,
                        const BackEndList* back_ends, LineLog* log,
@@ -85,9 +90,11 @@
   class Lookup;
   using Origin = StreamOrigins::Origin;
 
-  // Returns the names of the members that keep the origin of `request`.
-  std::vector<std::string> KeepersOf(const RequestId& request) const;
-  std::optional<SoftwareVersion> OnlyVersion(const ServiceId& service) const;
+  // Returns the names of the `count` members with the highest ranks for
+  // `request`, the highest first.
+  std::vector<std::string> TopMembers(const RequestId& request,
+                                      size_t count) const;
+  VersionView OwnView(const ServiceId& service) const;
   // Queues an origin of this daemon for its keepers.
   void QueueReport(const RequestId& request, const Origin& origin);
   void SendReports();
@@ -98,7 +105,7 @@
                     const Endpoint& from);
   void Send(const Endpoint& to, const wire::UsageDatagram& datagram);
   // Counts and logs the result of a lookup.
-  void RecordResult(const Lookup& lookup, bool found,
+  void RecordResult(const Lookup& lookup, bool recorded,
                     const std::optional<SoftwareVersion>& version);
 
   EventLoop* const loop_;
--- a/tests/usage_exchange_test.cc
+++ b/tests/usage_exchange_test.cc
@@ -19,6 +19,7 @@
 #include "base/random.h"
 #include "decide/back_end_list.h"
 #include "tests/serving_fakes.h"
+#include "tests/virtual_datagrams.h"
 #include "tests/virtual_fleet.h"
 
 namespace mimosa {
@@ -43,77 +44,6 @@
   return (kWindowSeconds + 1) * RateOf(daemons) * kTolerance + kSlack;
 }
 
-class FakeNetwork;
-
-class FakeSocket : public DatagramSocket {
- public:
-  FakeSocket(FakeNetwork* network, int from) : network_(network), from_(from) {}
-  bool Send(const Endpoint& to, std::string_view data) override;
-  uint16_t port() const override { return 0; }
-
- private:
-  FakeNetwork* const network_;
-  const int from_;
-};
-
-Endpoint AddressOf(int daemon) {
-  return {"10.0.0.1", static_cast<uint16_t>(1000 + daemon)};
-}
-
-std::string NameOf(int daemon) { return "front-" + std::to_string(daemon); }
-
-// Delivers datagrams after a millisecond. Loses one in five hundred, and those
-// that a cut stops.
-class FakeNetwork {
- public:
-  FakeNetwork(VirtualTimeSimulator* simulator, RandomSource* random)
-      : simulator_(simulator), random_(random) {}
-
-  // Delivers to `daemon` through `receive`; nullptr if it is down.
-  void Attach(int daemon, UsageExchange* exchange) {
-    receivers_[daemon] = exchange;
-  }
-  void Send(int from, const Endpoint& to, const std::string& data) {
-    const int receiver = to.port - 1000;
-    bytes_ += data.size();
-    if (random_->UniformInt(1000) < loss_per_mille || IsStopped(from, receiver))
-      return;
-    simulator_->ScheduleAt(simulator_->now() + milliseconds(1), [=] {
-      UsageExchange* const exchange = receivers_[receiver];
-      wire::UsageDatagram datagram;
-      if (exchange != nullptr && datagram.ParseFromString(data))
-        exchange->OnDatagram(AddressOf(from), datagram);
-    });
-  }
-
-  uint64_t loss_per_mille = 2;
-  // Daemons that neither send to nor receive from any other.
-  std::set<int> cut_off;
-  // Daemons that only send.
-  std::set<int> deaf;
-  // Daemons that reach only each other.
-  std::set<int> island;
-
-  uint64_t bytes() const { return bytes_; }
-
- private:
-  bool IsStopped(int from, int to) const {
-    return cut_off.count(from) > 0 || cut_off.count(to) > 0 ||
-           deaf.count(to) > 0 || island.count(from) != island.count(to);
-  }
-
-  VirtualTimeSimulator* const simulator_;
-  RandomSource* const random_;
-  std::map<int, UsageExchange*> receivers_;
-  uint64_t bytes_ = 0;
-};
-
-bool FakeSocket::Send(const Endpoint& to, std::string_view data) {
-  if (data.size() > kMaxBytes) return false;
-  network_->Send(from_, to, std::string(data));
-  return true;
-}
-
 std::vector<SiteCustomer> Customers(int daemons) {
   SiteCustomer customer;
   customer.id = kCustomer;
@@ -122,14 +52,6 @@
   return {customer};
 }
 
-wire::EntryMember MemberOf(int daemon, uint64_t boot) {
-  wire::EntryMember member;
-  member.set_name(NameOf(daemon));
-  member.set_peer_address(AddressOf(daemon).ToString());
-  member.set_boot(boot);
-  return member;
-}
-
 // One start of a daemon.
 struct Daemon {
   Daemon(VirtualTimeSimulator* simulator, FakeNetwork* network, int index,
@@ -150,7 +72,10 @@
       members.OnRecord(NameOf(other), &record);
       exchange.OnMembersChanged();
     }
-    network->Attach(index, &exchange);
+    network->Attach(
+        index, [this](const Endpoint& from, const wire::UsageDatagram& data) {
+          exchange.OnDatagram(from, data);
+        });
     exchange.Start(&socket);
   }
 
