Soak and process test take streams up across daemons and versions

Cause: no test of ours broke streams by the end of a daemon while engines of two versions served; reports of origins waited 20 ms for others, and a daemon that was killed within them took the origins with it (seen at first in the new process test: 12 of 12 streams refused).

Change: reports go out at the end of the loop's iteration. standin-site-server has a software version and names it in its events; a process test kills a daemon in the middle of 12 streams of two versions; the soak takes truncated streams up, and every third seed has engines of two versions.

Conclusion: both matters are in the soak now.

--- a/serving/stream_origin_exchange.cc
+++ b/serving/stream_origin_exchange.cc
@@ -196,9 +196,10 @@
     item->set_age_ms(static_cast<uint32_t>(
         std::max<int64_t>(0, ToMillis(loop_->Now() - origin.began))));
   }
-  if (report_timer_) return;
-  report_timer_ =
-      loop_->After(options_.report_delay, [this] { SendReports(); });
+  // Sent at the end of the loop's iteration, so that several go in one
+  // datagram.
+  if (!report_timer_)
+    report_timer_ = loop_->After(Duration::zero(), [this] { SendReports(); });
 }
 
 void StreamOriginExchange::SendReports() {
--- a/serving/stream_origin_exchange.h
+++ b/serving/stream_origin_exchange.h
@@ -37,9 +37,6 @@
 class StreamOriginExchange : public StreamOriginDirectory {
  public:
   struct Options {
-    // Longest time for which an origin is held back, so that several go in one
-    // datagram.
-    Duration report_delay = std::chrono::milliseconds(20);
     // Time after which an unanswered query is sent again, and after which its
     // answer is no longer waited for.
     Duration query_interval = std::chrono::milliseconds(40);
--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -4,6 +4,9 @@
 // daemons' guarantees:
 //   - each response belongs to its request, and a response that ends normally
 //     is complete;
+//   - all events of a stream, also of one that its caller takes up again, are
+//   of
+//     one software version (every third seed has engines of two);
 //   - a request that must not be retried runs at most once;
 //   - a request that was refused as not executed has not run;
 //   - no backend server receives a caller's API key;
@@ -327,7 +330,7 @@
   const int scale = IntFromEnvironment("MIMOSA_SOAK_SCALE", 1);
   std::cout << "soak seed " << seed << std::endl;
   INFO("soak seed " << seed);
-  Fleet fleet(scale);
+  Fleet fleet(scale, /*mixed_versions=*/seed % 3 == 0);
   FaultPlan plan(&fleet, seed,
                  IntFromEnvironment("MIMOSA_SOAK_SECONDS", 6) * 1000);
   std::vector<uint16_t> ports;
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -22,10 +22,40 @@
   return kind == "letter" || kind == "note";
 }
 
+// Returns the software version that the events of a stream name, or an empty
+// string if there is no complete event.
+std::string VersionOf(const std::string& events) {
+  const size_t end = events.find("\n\n");
+  if (end == std::string::npos) return "";
+  return events.substr(0, end).find(" by v2") == std::string::npos ? "v1"
+                                                                   : "v2";
+}
+
+// Returns why the stream violates the protocol, or an empty string if it
+// doesn't.
+std::string FindStreamViolation(const testing::Reply& reply, int first_event,
+                                const std::string& version) {
+  std::string actual_version = VersionOf(reply.body);
+  if (!version.empty() && !actual_version.empty() && actual_version != version)
+    return "a stream taken up at another software version:\n" + reply.body;
+  if (actual_version.empty()) actual_version = version.empty() ? "v1" : version;
+  const std::string expected =
+      testing::StreamEvents(first_event, kEventsPerStream, actual_version);
+  if (reply.complete)
+    return reply.body == expected
+               ? ""
+               : "the complete stream has wrong events:\n" + reply.body;
+  // A truncated stream must be a prefix of the complete one.
+  return StartsWith(expected, reply.body)
+             ? ""
+             : "a truncated stream with wrong events:\n" + reply.body;
+}
+
 // Returns why the response violates the protocol, or an empty string if it
 // doesn't.
 std::string FindViolation(const Outcome& outcome, const testing::Reply& reply,
-                          const std::string& body) {
+                          const std::string& body, int first_event,
+                          const std::string& version) {
   switch (outcome.status) {
     case 400:
     case 401:
@@ -41,18 +71,8 @@
     return "a success response without a backend server's seal";
   if (reply.Header("Mimosarouter-Request-Id") != outcome.id)
     return "the response to another request";
-  if (IsStream(outcome.kind)) {
-    const std::string complete_stream =
-        testing::StreamEvents(1, kEventsPerStream);
-    if (reply.complete)
-      return reply.body == complete_stream
-                 ? ""
-                 : "the complete stream has wrong events:\n" + reply.body;
-    // A truncated stream must be a prefix of the complete one.
-    return StartsWith(complete_stream, reply.body)
-               ? ""
-               : "a truncated stream with wrong events";
-  }
+  if (IsStream(outcome.kind))
+    return FindStreamViolation(reply, first_event, version);
   if (!reply.complete) return "";
   const std::string expected =
       "/" + outcome.kind + "/" + outcome.id + " " + body + " for guild";
@@ -99,19 +119,49 @@
       continue;
     }
     const testing::Reply reply = connection->ReadReply(kReplyTimeout);
-    RecordOutcome(outcome, reply, body);
+    RecordOutcome(outcome, reply, body, /*first_event=*/1, /*version=*/"");
+    if (outcome.kind == "note" && reply.status == 200 && !reply.complete)
+      TakeUp(outcome, reply, &random);
     if (!reply.complete || reply.Header("Connection") == "close")
       connection.reset();
   }
 }
 
+void Callers::TakeUp(const Outcome& begun, const testing::Reply& reply,
+                     RandomSource* random) {
+  constexpr int kMaxTakeups = 3;
+  const std::string version = VersionOf(reply.body);
+  std::string received = reply.body;
+  for (int i = 0; i < kMaxTakeups && !version.empty() && !stop_; ++i) {
+    int events = 0;
+    while (StartsWith(received, testing::StreamEvents(1, events + 1, version)))
+      ++events;
+    Outcome outcome;
+    outcome.kind = begun.kind;
+    outcome.id = begun.id + "-again" + std::to_string(i);
+    const std::string body = "body of " + outcome.id;
+    testing::Request request = MakeRequest(outcome.kind, outcome.id, body);
+    request.headers.emplace_back("Last-Event-Id", std::to_string(events));
+    request.headers.emplace_back("Resumes", begun.id);
+    const testing::Reply rest = testing::Call(
+        ports_[random->UniformInt(ports_.size())], request, kReplyTimeout);
+    RecordOutcome(outcome, rest, body, events + 1, version);
+    if (rest.status == 200) {
+      if (rest.complete) return;
+      received += rest.body;
+    }
+  }
+}
+
 void Callers::RecordOutcome(const Outcome& request, const testing::Reply& reply,
-                            const std::string& body) {
+                            const std::string& body, int first_event,
+                            const std::string& version) {
   Outcome outcome = request;
   outcome.status = reply.status;
   outcome.complete = reply.complete;
   outcome.has_seal = !reply.Header("Mimosarouter-Response-Seal").empty();
-  const std::string violation = FindViolation(outcome, reply, body);
+  const std::string violation =
+      FindViolation(outcome, reply, body, first_event, version);
   const std::lock_guard<std::mutex> lock(mutex_);
   if (!violation.empty())
     invalid_responses_.push_back(outcome.kind + " " + outcome.id + ": " +
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -11,6 +11,7 @@
 #include <thread>
 #include <vector>
 
+#include "base/random.h"
 #include "tests/client.h"
 
 namespace mimosa::soak {
@@ -41,8 +42,14 @@
 
  private:
   void RunCaller(uint64_t seed, int number);
+  // `first_event` is the one that the body of a stream must begin with, and
+  // `version` its software version; empty: any.
   void RecordOutcome(const Outcome& outcome, const testing::Reply& reply,
-                     const std::string& body);
+                     const std::string& body, int first_event,
+                     const std::string& version);
+  // Takes a truncated stream up again, up to a few times, at random daemons.
+  void TakeUp(const Outcome& begun, const testing::Reply& reply,
+              RandomSource* random);
 
   const std::vector<uint16_t> ports_;
   std::atomic<bool> stop_{false};
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -20,9 +20,10 @@
                                     const std::string& service,
                                     const std::string& stage, uint16_t port,
                                     const std::string& address,
-                                    uint16_t store_port) {
+                                    uint16_t store_port,
+                                    const std::string& version) {
   std::vector<std::string> args =
-      testing::SiteServerArgs(id, service, stage, port, store_port);
+      testing::SiteServerArgs(id, service, stage, port, store_port, version);
   args.push_back("--address=" + address);
   return args;
 }
@@ -32,14 +33,15 @@
 // --- Server -------------------------------------------------------------
 
 Server::Server(std::string id, const std::string& service,
-               const std::string& stage, uint16_t store_port)
+               const std::string& stage, uint16_t store_port,
+               const std::string& version)
     : id_(std::move(id)),
       is_engine_(!stage.empty()),
       port_(FreePort()),
       proxy_(port_),
       process_("standins/standin-site-server",
                ServerArgs(id_, service, stage, port_, proxy_.address(),
-                          store_port)) {}
+                          store_port, version)) {}
 
 void Server::Kill() {
   CollectRuns();
@@ -84,14 +86,15 @@
 
 // --- Fleet ------------------------------------------------------------------
 
-Fleet::Fleet(int scale) : store_("standin-platform", {}) {
+Fleet::Fleet(int scale, bool mixed_versions) : store_("standin-platform", {}) {
   REQUIRE(testing::Eventually(
       [&] { return Get(store_.port(), "/debug/stats").status == 200; }));
   const auto add = [&](const std::string& name, const char* service,
                        const char* stage, int count) {
     for (int i = 0; i < count * scale; ++i)
       servers_.push_back(std::make_unique<Server>(
-          name + std::to_string(i), service, stage, store_.port()));
+          name + std::to_string(i), service, stage, store_.port(),
+          mixed_versions && i % 2 == 1 ? "v2" : "v1"));
   };
   add("prefill", "llm", "prefill", 2);
   add("decode", "llm", "decode", 3);
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -22,7 +22,7 @@
 class Server {
  public:
   Server(std::string id, const std::string& service, const std::string& stage,
-         uint16_t store_port);
+         uint16_t store_port, const std::string& version);
 
   // Collects the journal, then kills the process.
   void Kill();
@@ -78,7 +78,8 @@
  public:
   // Starts 3 * `scale` daemons, 2 * `scale` prefill engines, 3 * `scale` decode
   // engines and 2 * `scale` plain servers, and waits until all serve requests.
-  explicit Fleet(int scale);
+  // With `mixed_versions`, every other server has the software version "v2".
+  Fleet(int scale, bool mixed_versions);
 
   std::vector<std::unique_ptr<EntryProcess>>& entry_processes() {
     return entry_processes_;
--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -57,7 +57,7 @@
   entry["address"] =
       options_.address.empty() ? options_.listen.ToString() : options_.address;
   entry["zone"] = options_.zone;
-  entry["version"] = "v1";
+  entry["version"] = options_.software_version;
   entry["slots"] = 48;
   entry["state"] = draining_ ? "draining" : "ready";
   entry["cold_remaining_ms"] = 0;
@@ -261,7 +261,10 @@
     return;
   }
   const std::string id = std::to_string(run.next_event);
-  run.exchange->Write("id: " + id + "\ndata: event " + id + "\n\n");
+  std::string text = "event " + id;
+  if (options_.software_version != "v1")
+    text += " by " + options_.software_version;
+  run.exchange->Write("id: " + id + "\ndata: " + text + "\n\n");
   if (runs_to_abort_ > 0) {
     --runs_to_abort_;
     run.exchange->Write("id: 99\nda");
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -42,6 +42,8 @@
   std::string address;  // address to register; `listen` if empty
   Endpoint store;
   int64_t memory_tokens = 36000;
+  std::string software_version =
+      "v1";  // another one than "v1" marks its events
 };
 
 class SiteServer : public HttpHandler {
--- a/standins/site_server_main.cc
+++ b/standins/site_server_main.cc
@@ -23,6 +23,9 @@
   TCLAP::ValueArg<std::string> address(
       "", "address", "address to register instead of --listen", false, "",
       "ip:port", cmd);
+  TCLAP::ValueArg<std::string> version("", "software-version",
+                                       "version of the software to register",
+                                       false, "v1", "version", cmd);
   cmd.parse(argc, argv);
 
   mimosa::standins::SiteServerOptions options;
@@ -30,6 +33,7 @@
   options.service = service.getValue();
   options.stage = stage.getValue();
   options.address = address.getValue();
+  options.software_version = version.getValue();
   if (!mimosa::Endpoint::Parse(listen.getValue(), &options.listen) ||
       !mimosa::Endpoint::Parse(store.getValue(), &options.store))
     return 1;
--- a/tests/entry_process_test.cc
+++ b/tests/entry_process_test.cc
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,11 +47,12 @@
   }
 
   void AddServer(const std::string& id, const std::string& service,
-                 const std::string& stage) {
+                 const std::string& stage, const std::string& version = "v1") {
     Server server;
     server.process = std::make_unique<Process>(
         "standins/standin-site-server",
-        SiteServerArgs(id, service, stage, server.port, store_.port()));
+        SiteServerArgs(id, service, stage, server.port, store_.port(),
+                       version));
     servers_[id] = std::move(server);
   }
 
@@ -205,6 +207,57 @@
   CHECK(resumed.body == StreamEvents(1, 5));
 }
 
+TEST_CASE("streams of a killed daemon go on at their software version") {
+  constexpr int kStreams = 12;
+  Site site;
+  for (const char* id : {"d3", "d4"}) site.AddServer(id, "llm", "decode", "v2");
+  site.AddEntry("entry-2");
+  site.AwaitServing(2);
+  for (size_t entry = 0; entry < 3; ++entry) {
+    CHECK(Eventually([&] {
+      return site.SendRequest(entry, "/note/x").body ==
+             StreamEvents(1, 5, "v2");
+    }));
+  }
+  for (const char* id : {"d1", "d2", "d3", "d4"})
+    site.SetBehavior(id, MakeObject("gap_ms", 100));
+  std::vector<std::unique_ptr<Connection>> connections;
+  for (int i = 0; i < kStreams; ++i) {
+    connections.push_back(
+        std::make_unique<Connection>(site.entry(0).settings.listen_port()));
+    REQUIRE(connections.back()->Send(site.MakeRequest("/note/y")));
+  }
+  // Two events: the daemon shares the origin right after the first one.
+  const size_t two_events = StreamEvents(1, 2).size();
+  for (const auto& connection : connections)
+    CHECK(connection->ReadAtLeast(two_events).status == 200);
+  site.entry(0).process->Kill();
+  int went_on = 0;
+  std::set<std::string> versions;
+  for (size_t i = 0; i < connections.size(); ++i) {
+    const Reply begun = connections[i]->ReadReply();
+    const bool is_v2 = begun.body.find(" by v2") != std::string::npos;
+    const std::string version = is_v2 ? "v2" : "v1";
+    versions.insert(version);
+    int events = 0;
+    while (StreamEvents(1, events + 1, version).size() <= begun.body.size())
+      ++events;
+    if (events == 5) continue;
+    Request request = site.MakeRequest("/note/z");
+    request.headers.emplace_back("Last-Event-Id", std::to_string(events));
+    request.headers.emplace_back("Resumes",
+                                 begun.Header("Mimosarouter-Request-Id"));
+    const Reply rest =
+        Call(site.entry(1 + i % 2).settings.listen_port(), request);
+    if (rest.status != 200) continue;
+    ++went_on;
+    CHECK(rest.complete);
+    CHECK(rest.body == StreamEvents(events + 1, 5, version));
+  }
+  CHECK(versions.size() == 2);
+  CHECK(went_on >= kStreams / 2);
+}
+
 TEST_CASE("a withdrawn key and a new one take effect on all daemons") {
   Site site;
   site.WriteConfig(2, "key-two");
--- a/tests/entry_site.cc
+++ b/tests/entry_site.cc
@@ -42,11 +42,13 @@
 std::vector<std::string> SiteServerArgs(const std::string& id,
                                         const std::string& service,
                                         const std::string& stage, uint16_t port,
-                                        uint16_t store) {
+                                        uint16_t store,
+                                        const std::string& version) {
   std::vector<std::string> args = {"--listen=" + Loopback(port),
                                    "--store=" + Loopback(store), "--id=" + id,
                                    "--service=" + service};
   if (!stage.empty()) args.push_back("--stage=" + stage);
+  if (version != "v1") args.push_back("--software-version=" + version);
   return args;
 }
 
@@ -96,12 +98,13 @@
   return request;
 }
 
-std::string StreamEvents(int from, int to) {
+std::string StreamEvents(int from, int to, const std::string& version) {
+  const std::string mark = version == "v1" ? "" : " by " + version;
   std::string text;
   for (int id = from; id <= to; ++id) {
     const std::string name = std::to_string(id);
     text.append("id: ").append(name).append("\ndata: event ");
-    text.append(name).append("\n\n");
+    text.append(name).append(mark).append("\n\n");
   }
   return text;
 }
--- a/tests/entry_site.h
+++ b/tests/entry_site.h
@@ -59,7 +59,8 @@
 std::vector<std::string> SiteServerArgs(const std::string& id,
                                         const std::string& service,
                                         const std::string& stage, uint16_t port,
-                                        uint16_t store);
+                                        uint16_t store,
+                                        const std::string& version = "v1");
 
 // The timeout and the latency targets of all routes.
 struct RouteTimeouts {
@@ -80,8 +81,9 @@
                         const std::string& key, const std::string& body,
                         int deadline_ms);
 
-// Returns the events `from` to `to` of a stand-in's stream, as text.
-std::string StreamEvents(int from, int to);
+// Returns the events `from` to `to` of the stream of a stand-in of the software
+// version `version`, as text.
+std::string StreamEvents(int from, int to, const std::string& version = "v1");
 
 }  // namespace mimosa::testing
 
