A stream that a caller takes up stays at the service that began it

What callers would see: on a route that is split between services, events of two services in one stream.

Cause, of the same class as the mixed versions: the service was drawn anew for each request, though a place in a stream is valid for the service that generated it only.

Change: the service is drawn by a hash of the id of the request that began the stream. An origin that names another service ends a lookup as unknown. Ids beyond 256 bytes aren't recorded.

Conclusion: the shares of a split follow the ids instead of a generator; ids are random.

--- a/decide/stream_origins.cc
+++ b/decide/stream_origins.cc
@@ -6,21 +6,21 @@
 void StreamOrigins::Record(const RequestId& request, Origin origin,
                            MonoTime now) {
   RemoveExpired(now);
-  if (request.empty() || now - origin.began >= lifetime_) return;
+  if (request.empty() || request.value().size() > kMaxIdBytes ||
+      now - origin.began >= lifetime_)
+    return;
   const MonoTime began = origin.began;
   if (!origins_.emplace(request, std::move(origin)).second) return;
   by_age_.emplace(began, request);
   if (origins_.size() > kMaxOrigins) RemoveOldest();
 }
 
-std::optional<SoftwareVersion> StreamOrigins::Find(const RequestId& request,
-                                                   const ServiceId& service,
-                                                   MonoTime now) {
+std::optional<StreamOrigins::Origin> StreamOrigins::Find(
+    const RequestId& request, MonoTime now) {
   RemoveExpired(now);
   const auto it = origins_.find(request);
-  if (it == origins_.end() || it->second.service != service)
-    return std::nullopt;
-  return it->second.software_version;
+  if (it == origins_.end()) return std::nullopt;
+  return it->second;
 }
 
 std::vector<std::pair<RequestId, StreamOrigins::Origin>>
--- a/decide/stream_origins.h
+++ b/decide/stream_origins.h
@@ -27,6 +27,8 @@
 
 class StreamOrigins {
  public:
+  // Streams of requests with a longer id are not recorded.
+  static constexpr size_t kMaxIdBytes = 256;
   // Beyond this number the oldest origins are dropped.
   static constexpr size_t kMaxOrigins = 20000;
 
@@ -44,10 +46,9 @@
 
   // Records the origin of the stream that `request` began, unless one is known.
   void Record(const RequestId& request, Origin origin, MonoTime now);
-  // Returns the software version that began the stream of `request`, or nullopt
-  // if it is unknown.
-  std::optional<SoftwareVersion> Find(const RequestId& request,
-                                      const ServiceId& service, MonoTime now);
+  // Returns the origin of the stream that `request` began, or nullopt if it is
+  // unknown.
+  std::optional<Origin> Find(const RequestId& request, MonoTime now);
   // Returns the streams of `service` that began at this daemon.
   std::vector<std::pair<RequestId, Origin>> LocalOrigins(
       const ServiceId& service, MonoTime now);
--- a/decide/stream_origins_test.cc
+++ b/decide/stream_origins_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "decide/software_version_history.h"
+#include "decide/version_consensus.h"
 
 namespace mimosa {
 namespace {
@@ -25,10 +26,11 @@
   StreamOrigins origins;
   origins.SetLifetime(seconds(20));
   origins.Record(RequestId("a"), OriginAt(0, kOld), At(0));
-  CHECK(origins.Find(RequestId("a"), kService, At(19)) == kOld);
-  CHECK_FALSE(origins.Find(RequestId("a"), ServiceId("other"), At(19)));
-  CHECK_FALSE(origins.Find(RequestId("b"), kService, At(19)));
-  CHECK_FALSE(origins.Find(RequestId("a"), kService, At(20)));
+  REQUIRE(origins.Find(RequestId("a"), At(19)));
+  CHECK(origins.Find(RequestId("a"), At(19))->software_version == kOld);
+  CHECK(origins.Find(RequestId("a"), At(19))->service == kService);
+  CHECK_FALSE(origins.Find(RequestId("b"), At(19)));
+  CHECK_FALSE(origins.Find(RequestId("a"), At(20)));
   CHECK(origins.size() == 0);
 }
 
@@ -37,9 +39,11 @@
   origins.SetLifetime(seconds(20));
   origins.Record(RequestId("a"), OriginAt(0, kOld), At(0));
   origins.Record(RequestId("a"), OriginAt(1, kNew), At(1));
-  CHECK(origins.Find(RequestId("a"), kService, At(2)) == kOld);
+  CHECK(origins.Find(RequestId("a"), At(2))->software_version == kOld);
   origins.Record(RequestId("b"), OriginAt(-30, kOld), At(2));
   origins.Record(RequestId(""), OriginAt(2, kOld), At(2));
+  origins.Record(RequestId(std::string(StreamOrigins::kMaxIdBytes + 1, 'x')),
+                 OriginAt(2, kOld), At(2));
   CHECK(origins.size() == 1);
 }
 
@@ -50,8 +54,8 @@
     origins.Record(RequestId(std::to_string(i)),
                    OriginAt(static_cast<int>(i / 100), kOld), At(300));
   CHECK(origins.size() == StreamOrigins::kMaxOrigins);
-  CHECK_FALSE(origins.Find(RequestId("0"), kService, At(300)));
-  CHECK(origins.Find(RequestId("1"), kService, At(300)));
+  CHECK_FALSE(origins.Find(RequestId("0"), At(300)));
+  CHECK(origins.Find(RequestId("1"), At(300)));
 }
 
 TEST_CASE("only streams that began here are local") {
@@ -127,5 +131,39 @@
   CHECK_FALSE(history.OnlyVersion(ServiceId("x"), At(4000), seconds(20)));
 }
 
+TEST_CASE("views of versions must agree, and one must be established") {
+  const VersionView started{kNew, /*is_established=*/false};
+  const VersionView established{kNew, /*is_established=*/true};
+  const VersionView several{std::nullopt, /*is_established=*/true};
+  const VersionView old{kOld, /*is_established=*/false};
+
+  VersionConsensus own(established, /*is_current=*/true);
+  CHECK_FALSE(own.needs_established_view());
+  CHECK(own.version() == kNew);
+  own.AddView(started);
+  CHECK(own.version() == kNew);
+  own.AddView(several);
+  CHECK_FALSE(own.version());
+  own.AddView(established);
+  CHECK_FALSE(own.version());
+
+  // Without an established view, the answer is only the best there is.
+  VersionConsensus all_started(started, /*is_current=*/true);
+  CHECK(all_started.needs_established_view());
+  CHECK(all_started.version() == kNew);
+  all_started.AddView(established);
+  CHECK_FALSE(all_started.needs_established_view());
+  all_started.AddView(old);
+  CHECK_FALSE(all_started.version());
+  CHECK_FALSE(all_started.needs_established_view());
+
+  // A list that may lack changes proves nothing by itself.
+  VersionConsensus cut_off(established, /*is_current=*/false);
+  CHECK_FALSE(cut_off.version());
+  CHECK(cut_off.needs_established_view());
+  cut_off.AddView(established);
+  CHECK(cut_off.version() == kNew);
+}
+
 }  // namespace
 }  // namespace mimosa
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -2,8 +2,10 @@
 #include "serving/entry_frontend.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
+#include "decide/rendezvous.h"
 #include "serving/local_responses.h"
 #include "serving/plain_relay.h"
 #include "serving/stream_relay.h"
@@ -22,6 +24,15 @@
 // Engines define priorities from 0 to this, the lowest.
 constexpr int kLowestPriority = 9;
 
+// Returns a number in [0, 1) that depends on the id only and is uniformly
+// distributed over ids.
+double UniformFrom(const RequestId& id) {
+  constexpr int kBits = 53;  // That a double represents exactly.
+  return std::ldexp(
+      static_cast<double>(RendezvousWeight(id.value(), "") >> (64 - kBits)),
+      -kBits);
+}
+
 std::optional<int> PriorityOf(const SiteRoute& route,
                               const SiteCustomer* customer) {
   const int priority = customer != nullptr && customer->priority
@@ -90,7 +101,7 @@
     *refusal = {kStatusUnauthorized, Duration::zero(), "unknown_key"};
     return false;
   }
-  const SiteService* service = PickService(config, *route);
+  const SiteService* service = PickService(config, *request);
   if (service == nullptr) {
     *refusal = {kStatusUnavailable, kNoConfigRetryAfter, "no_service"};
     return false;
@@ -139,14 +150,12 @@
   return false;
 }
 
-// Picks a service at random by weight. Picks one without any back end only if
-// there is no other.
-const SiteService* EntryFrontend::PickService(const SiteConfig& config,
-                                              const SiteRoute& route) const {
+const SiteService* EntryFrontend::PickService(
+    const SiteConfig& config, const RelayRequest& request) const {
   const SiteService* fallback = nullptr;
   std::vector<std::pair<double, const SiteService*>> candidates;
   double total_weight = 0;
-  for (const TrafficShare& share : route.traffic_split) {
+  for (const TrafficShare& share : request.route.traffic_split) {
     const SiteService* service = config.FindService(share.service);
     if (service == nullptr || share.weight <= 0) continue;
     fallback = service;
@@ -156,7 +165,10 @@
     candidates.emplace_back(share.weight, service);
     total_weight += share.weight;
   }
-  double remaining = deps_->random->UniformDouble() * total_weight;
+  const CallerRequest& caller = request.caller;
+  double remaining = total_weight * UniformFrom(caller.resumed_request.empty()
+                                                    ? caller.id
+                                                    : caller.resumed_request);
   for (const auto& [weight, service] : candidates) {
     if (remaining < weight) return service;
     remaining -= weight;
--- a/serving/entry_frontend.h
+++ b/serving/entry_frontend.h
@@ -60,8 +60,11 @@
   bool Admit(const SiteConfig& config, RelayRequest* request, Refusal* refusal);
   bool ChargeRateLimit(const SiteCustomer& customer, RelayRequest* request,
                        Refusal* refusal);
+  // Picks a service of the route by weight, the same one for a stream and for
+  // the requests that take it up again. Picks one without any back end only if
+  // there is no other.
   const SiteService* PickService(const SiteConfig& config,
-                                 const SiteRoute& route) const;
+                                 const RelayRequest& request) const;
   void Refuse(HttpExchange* exchange, const RelayRequest& request,
               const Refusal& refusal);
   void StartRelay(RelayRequest request,
--- a/serving/stream_origin_exchange.cc
+++ b/serving/stream_origin_exchange.cc
@@ -36,12 +36,12 @@
   ~Lookup() override { exchange_->lookups_.erase(serial_); }
 
   void Start() {
-    const auto version =
-        exchange_->origins_.Find(request_, service_, exchange_->loop_->Now());
+    const auto origin =
+        exchange_->origins_.Find(request_, exchange_->loop_->Now());
     // The callback never runs from within Find().
-    timer_ = exchange_->loop_->After(Duration::zero(), [this, version] {
-      if (version) {
-        Finish(/*recorded=*/true, version);
+    timer_ = exchange_->loop_->After(Duration::zero(), [this, origin] {
+      if (origin) {
+        FinishRecorded(origin->service, origin->software_version);
       } else {
         AskNextMembers(exchange_->options_.query_timeout);
       }
@@ -52,7 +52,8 @@
                 const wire::StreamOriginAnswer& answer) {
     if (unanswered_.erase(member) == 0) return;
     if (answer.known()) {
-      Finish(/*recorded=*/true, SoftwareVersion(answer.software_version()));
+      FinishRecorded(ServiceId(answer.service()),
+                     SoftwareVersion(answer.software_version()));
       return;
     }
     VersionView view;
@@ -97,6 +98,13 @@
     }
   }
 
+  // A stream doesn't go on at another service than the one that began it.
+  void FinishRecorded(const ServiceId& service,
+                      const SoftwareVersion& version) {
+    Finish(/*recorded=*/true,
+           service == service_ ? std::optional(version) : std::nullopt);
+  }
+
   void Finish(bool recorded, std::optional<SoftwareVersion> version) {
     timer_.Cancel();
     unanswered_.clear();
@@ -265,11 +273,11 @@
   wire::UsageDatagram datagram;
   wire::StreamOriginAnswer* const answer = datagram.mutable_origin_answer();
   answer->set_serial(query.serial());
-  const auto version =
-      origins_.Find(RequestId(query.request()), service, loop_->Now());
-  answer->set_known(version.has_value());
-  if (version) {
-    answer->set_software_version(version->value());
+  const auto origin = origins_.Find(RequestId(query.request()), loop_->Now());
+  answer->set_known(origin.has_value());
+  if (origin) {
+    answer->set_software_version(origin->software_version.value());
+    answer->set_service(origin->service.value());
   } else {
     const VersionView view = OwnView(service);
     if (view.only_version) answer->set_only_version(view.only_version->value());
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -156,8 +156,8 @@
   }
 
   void SetConfig() {
-    const auto route = [](const char* prefix, RetryPolicy retry_policy,
-                          const char* service, int attempts) {
+    const auto route = [this](const char* prefix, RetryPolicy retry_policy,
+                              const char* service, int attempts) {
       SiteRoute site_route;
       site_route.id = RouteId(prefix);
       site_route.host = "h";
@@ -168,6 +168,8 @@
       site_route.target_event_gap = milliseconds(100);
       site_route.max_attempts = attempts;
       site_route.traffic_split = {{ServiceId(service), 1}};
+      if (splits_notes && site_route.prefix == "/note/")
+        site_route.traffic_split.push_back({ServiceId("llm2"), 1});
       return site_route;
     };
     SiteService desk;
@@ -178,6 +180,8 @@
     llm.engine->kv_memory = Tokens(36000);
     llm.engine->kv_handle_lifetime = milliseconds(500);
     llm.engine->reservation_lifetime = milliseconds(2000);
+    SiteService llm2 = llm;
+    llm2.id = ServiceId("llm2");
     SiteCustomer customer;
     customer.id = CustomerId("c");
     customer.keys = {"k"};
@@ -190,11 +194,17 @@
             route("/look/", RetryPolicy::kIdempotent, "desk", 2),
             route("/letter/", RetryPolicy::kStream, "llm", 1),
             route("/note/", RetryPolicy::kResumableStream, "llm", 2)},
-        std::vector<SiteService>{desk, llm},
+        std::vector<SiteService>{desk, llm, llm2},
         std::vector<SiteCustomer>{customer}, CallerLimits{});
     rate_limiter.SetCustomers(config->customers(), loop->Now());
   }
 
+  // Half of the requests under /note/ go to the engines of "llm2" from now on.
+  void SplitNotes() {
+    splits_notes = true;
+    SetConfig();
+  }
+
   void AddBackEnd(const std::string& id, const char* service, EngineRole role,
                   uint16_t port, const std::string& version = "v1") {
     BackEndEntry entry;
@@ -264,6 +274,7 @@
   std::unique_ptr<EntryFrontend> frontend;
   std::unique_ptr<HttpServer> server;
   double rate = 0;
+  bool splits_notes = false;
   int serial = 0;
 };
 
--- a/tests/software_version_test.cc
+++ b/tests/software_version_test.cc
@@ -148,6 +148,33 @@
   CHECK(e1.runs + e2.runs + RunsOfV2() == 0);
 }
 
+TEST_CASE_METHOD(StreamFixture,
+                 "a stream that a caller takes up stays at its service") {
+  SplitNotes();
+  FakeEngine other(loop.get());
+  AddBackEnd("o", "llm2", EngineRole::kDecode, other.back_end.port());
+  const auto run = [](const FakeBackEnd::Exchange& exchange) {
+    exchange->StartStream(200, MakeMarkers(exchange->request()));
+    exchange->Write(MakeEvent(2));
+    exchange->Finish();
+  };
+  decode.on_run = other.on_run = run;
+  for (int i = 0; i < 20; ++i) {
+    const int runs_before = decode.runs;
+    HttpRequest first = MakeRequest("/note/1");
+    REQUIRE(CallFrontend(first).ok);
+    const bool began_at_decode = decode.runs > runs_before;
+    HttpRequest takeup = MakeRequest("/note/1");
+    takeup.headers.Set("Last-Event-Id", "2");
+    takeup.headers.Set("Resumes", *Header(first, "Mimosarouter-Request-Id"));
+    const int decode_runs = decode.runs;
+    REQUIRE(CallFrontend(takeup).ok);
+    CHECK((decode.runs > decode_runs) == began_at_decode);
+  }
+  CHECK(decode.runs > 0);
+  CHECK(other.runs > 0);
+}
+
 TEST_CASE_METHOD(StreamFixture,
                  "with one version, a stream of unknown origin goes on") {
   decode.on_run = [](const FakeBackEnd::Exchange& exchange) {
