An engine that says that it leaves gets nothing new from the daemon that it told

Change: any response of an engine with the field, to a request, a reservation, a prefill, a report or an order, also in the head of a stream and if it isn't passed on, marks its incarnation in the selector until another one is listed. Line back_end_leaving, gauge mimosa_back_ends_leaving, leaving in /status.

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 
 namespace mimosa {
@@ -21,6 +22,9 @@
 // Penalty for a back end whose record has been missing since a store outage: it
 // may no longer exist.
 constexpr double kMissingRecordPenaltyMs = 100;
+// Above this number, back ends that are about to terminate are forgotten once
+// they are no longer listed.
+constexpr size_t kMaxLeaving = 1000;
 // A random term up to this value breaks ties, so that daemons with the same
 // view don't all select the same back end.
 constexpr double kTieBreakMs = 3;
@@ -50,12 +54,32 @@
 bool BackEndSelector::IsEligible(const BackEndEntry& entry,
                                  const ServiceId& service,
                                  EngineRole role) const {
-  if (entry.service != service || entry.role != role || entry.draining)
+  if (entry.service != service || entry.role != role || entry.draining ||
+      IsLeaving(entry))
     return false;
   const auto role_change = role_changes_.find(entry.id);
   return role_change == role_changes_.end() || role_change->second == role;
 }
 
+bool BackEndSelector::RecordLeaving(const BackEndEntry& back_end) {
+  if (leaving_.size() >= kMaxLeaving) RemoveUnlistedLeaving();
+  const auto [it, is_new] = leaving_.emplace(back_end.id, back_end.incarnation);
+  if (!is_new && it->second == back_end.incarnation) return false;
+  it->second = back_end.incarnation;
+  return true;
+}
+
+bool BackEndSelector::IsLeaving(const BackEndEntry& back_end) const {
+  const auto it = leaving_.find(back_end.id);
+  return it != leaving_.end() && it->second == back_end.incarnation;
+}
+
+void BackEndSelector::RemoveUnlistedLeaving() {
+  for (auto it = leaving_.begin(); it != leaving_.end();)
+    it = list_->entries().count(it->first) == 0 ? leaving_.erase(it)
+                                                : std::next(it);
+}
+
 bool BackEndSelector::Matches(const BackEndEntry& entry,
                               const SelectionQuery& query) const {
   return IsEligible(entry, query.service, query.role) &&
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -10,6 +10,10 @@
 // each consecutive failure; after that it gets one request at a time until one
 // succeeds.
 //
+// A back end that says that it is about to terminate gets nothing new from the
+// daemon that it told; the others learn it from its entry or its responses to
+// them.
+//
 // Load patterns covered: a burst of twice the usual rate while a quarter of the
 // engines don't respond or respond slowly; engines that are full for a moment;
 // prefill engines whose results expire at once; a restart of many engines.
@@ -124,6 +128,14 @@
   void RecordOutcome(const BackEndEntry& back_end, CallOutcome outcome,
                      MonoTime now);
 
+  // The back end has said that it is about to terminate. From now on it is not
+  // selected, whatever its entry says, until another incarnation of it is
+  // listed. Returns false if that was known.
+  bool RecordLeaving(const BackEndEntry& back_end);
+  // Returns whether this incarnation of the back end is about to terminate.
+  bool IsLeaving(const BackEndEntry& back_end) const;
+  size_t leaving_count() const { return leaving_.size(); }
+
   // Sets the engines that are changing their role, with the new role. They get
   // no requests until they are listed under the new role.
   void SetRoleChanges(std::map<BackEndId, EngineRole> role_changes) {
@@ -170,6 +182,7 @@
   bool IsEligible(const BackEndEntry& entry, const ServiceId& service,
                   EngineRole role) const;
   bool Matches(const BackEndEntry& entry, const SelectionQuery& query) const;
+  void RemoveUnlistedLeaving();
   bool IsInBackoff(const BackEndState& state, MonoTime now) const;
   double DecayedFailures(const BackEndState& state, MonoTime now) const;
   OpenWork PeerLoadOf(const BackEndId& id) const;
@@ -187,6 +200,9 @@
   const Options options_;
   std::map<BackEndId, BackEndState> states_;
   OpenWorkByBackEnd peer_load_;
+  // The incarnations that have said that they are about to terminate, also
+  // after their entries are gone: an entry may come back after an outage.
+  std::map<BackEndId, int64_t> leaving_;
   // Engines that are changing their role, with the new role.
   std::map<BackEndId, EngineRole> role_changes_;
 };
--- a/decide/serving_decisions_test.cc
+++ b/decide/serving_decisions_test.cc
@@ -73,6 +73,25 @@
   CHECK(SelectId(EngineRole::kPrefill, At(0)) == "p");
 }
 
+TEST_CASE_METHOD(SelectorFixture,
+                 "a back end that leaves is skipped until it starts again") {
+  BackEndEntry engine = Engine("d", EngineRole::kDecode);
+  engine.incarnation = 1;
+  Add(engine);
+  CHECK(SelectId(EngineRole::kDecode, At(0)) == "d");
+  CHECK(selector.RecordLeaving(engine));
+  CHECK_FALSE(selector.RecordLeaving(engine));
+  CHECK(SelectId(EngineRole::kDecode, At(0)).empty());
+  CHECK_FALSE(selector.HasBackEnd(ServiceId("s"), EngineRole::kDecode));
+  // An outage of the store may remove the entry and bring it back.
+  list.Remove(engine.id, At(1));
+  Add(engine);
+  CHECK(SelectId(EngineRole::kDecode, At(2)).empty());
+  engine.incarnation = 2;
+  Add(engine);
+  CHECK(SelectId(EngineRole::kDecode, At(3)) == "d");
+}
+
 TEST_CASE_METHOD(SelectorFixture,
                  "prefills are spread by the prompt tokens queued ahead") {
   for (const char* id : {"a", "b", "c"}) Add(Engine(id, EngineRole::kPrefill));
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -84,6 +84,8 @@
 
 void BackEndCall::OnHead(int status, const HttpHeaders& headers) {
   const ResponseMarkers markers = deps_.format->ReadResponseMarkers(headers);
+  // Another server that now has the address speaks for itself only.
+  if (markers.leaving && status != kMisdirected) RecordLeaving();
   if (markers.not_executed || status == kMisdirected ||
       (internal_call_ && PromisesNotRun(status))) {
     not_executed_ = true;
@@ -138,6 +140,14 @@
   }
 }
 
+void BackEndCall::RecordLeaving() {
+  if (!deps_.selector->RecordLeaving(back_end_)) return;
+  deps_.log->Write(LogLine("back_end_leaving")
+                       .Add("back_end", back_end_.id.value())
+                       .Add("incarnation", back_end_.incarnation)
+                       .Add("request", id_.value()));
+}
+
 void BackEndCall::ReportOutcome(CallOutcome outcome) {
   if (!counted_) return;
   counted_ = false;
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -103,6 +103,8 @@
   void OnFailed(HttpFailure failure, bool sent) override;
 
  private:
+  // The back end's response says that it is about to terminate.
+  void RecordLeaving();
   // Reports `outcome` to the selector, once per call.
   void ReportOutcome(CallOutcome outcome);
   // Reports `outcome`, logs `failure` and notifies the handler.
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -367,6 +367,7 @@
       item["role"] = RoleName(back_end.entry.role);
       item["zone"] = back_end.entry.zone.value();
       item["draining"] = back_end.entry.draining;
+      item["leaving"] = selector_.IsLeaving(back_end.entry);
       item["held"] = back_end.removal_pending;
       item["changes_role"] = state.changing_role;
       item["open_calls"] = state.open_calls;
@@ -498,6 +499,9 @@
             [this] { return double(members_.size()); });
   add_gauge("mimosa_back_ends", "Backend servers listed",
             [this] { return double(back_ends_.entries().size()); });
+  add_gauge("mimosa_back_ends_leaving",
+            "Backend servers whose responses said that they leave",
+            [this] { return double(selector_.leaving_count()); });
   add_gauge("mimosa_store_lost", "1 while the store doesn't answer",
             [this] { return site_sync_.store_lost() ? 1.0 : 0.0; });
   add_gauge("mimosa_running_requests", "Requests being served",
--- a/serving/request_format.h
+++ b/serving/request_format.h
@@ -68,6 +68,7 @@
   bool not_executed = false;     // The request has not run at the back end.
   bool sealed = false;           // The back end itself generated the response.
   bool content_encoded = false;  // The body has a Content-Encoding.
+  bool leaving = false;          // The back end is about to terminate.
 };
 
 // An engine's report on its own state.
--- a/serving/role_controller.cc
+++ b/serving/role_controller.cc
@@ -174,8 +174,8 @@
     engine.id = id;
     engine.zone = entry.zone;
     engine.role = entry.role;
-    engine.accepts_work =
-        !entry.draining && !listed.removal_pending && moves_.count(id) == 0;
+    engine.accepts_work = !entry.draining && !selector_->IsLeaving(entry) &&
+                          !listed.removal_pending && moves_.count(id) == 0;
     const auto open = load.open_work.find(id);
     if (open != load.open_work.end()) engine.open_calls = open->second.calls;
     engines.push_back(std::move(engine));
@@ -270,7 +270,17 @@
       [this, id](const HttpResult& result) { OnReport(id, result); });
 }
 
+void RoleController::RecordIfLeaving(const BackEndId& id,
+                                     const HttpResult& result) {
+  const auto listed = back_ends_->entries().find(id);
+  if (!result.ok || listed == back_ends_->entries().end() ||
+      !format_->ReadResponseMarkers(result.response.headers).leaving)
+    return;
+  selector_->RecordLeaving(listed->second.entry);
+}
+
 void RoleController::OnReport(const BackEndId& id, const HttpResult& result) {
+  RecordIfLeaving(id, result);
   const auto it = orders_.find(id);
   if (it == orders_.end()) return;
   const auto report = result.ok && result.response.status == kStatusOk
@@ -302,6 +312,7 @@
 
 void RoleController::OnOrderResponse(const BackEndId& id,
                                      const HttpResult& result) {
+  RecordIfLeaving(id, result);
   if (!result.ok) {
     RetryOrderLater(id);
     return;
--- a/serving/role_controller.h
+++ b/serving/role_controller.h
@@ -106,6 +106,8 @@
   void OnMovesAnnounced(const KvResult& result, MonoTime sent_at);
   void StartOrders();
   void RequestReport(const BackEndId& id);
+  // Records an engine that says in the response that it is about to terminate.
+  void RecordIfLeaving(const BackEndId& id, const HttpResult& result);
   void OnReport(const BackEndId& id, const HttpResult& result);
   void SendOrder(const BackEndId& id, int64_t orders_accepted);
   void OnOrderResponse(const BackEndId& id, const HttpResult& result);
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -206,7 +206,8 @@
   }
 
   void AddBackEnd(const std::string& id, const char* service, EngineRole role,
-                  uint16_t port, const std::string& version = "v1") {
+                  uint16_t port, const std::string& version = "v1",
+                  int64_t incarnation = 1) {
     BackEndEntry entry;
     entry.id = BackEndId(id);
     entry.service = ServiceId(service);
@@ -214,6 +215,7 @@
     entry.ip = "127.0.0.1";
     entry.port = port;
     entry.slots = 8;
+    entry.incarnation = incarnation;
     entry.software_version = SoftwareVersion(version);
     back_ends.Put(entry, loop->Now());
     origins.OnBackEndsChanged();
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "net/test_peer.h"
 #include "tests/relay_fixture.h"
@@ -237,6 +238,96 @@
                         response_text("two", "second")) == "second");
 }
 
+// --- Leaving engines
+// ----------------------------------------------------------
+
+// Adds the field by which a backend server says that it leaves.
+HttpHeaders MakeLeavingMarkers(const HttpRequest& request) {
+  HttpHeaders headers = MakeMarkers(request);
+  headers.Add("Server-Leaving", "1");
+  return headers;
+}
+
+TEST_CASE_METHOD(RelayFixture,
+                 "a server that says that it leaves gets no new request") {
+  FakeBackEnd leaving(loop.get());
+  FakeBackEnd other(loop.get());
+  other.script = [](const auto& exchange) {
+    SendResponse(exchange, 200, "ok");
+  };
+  // The field may come with any response.
+  const std::vector<FakeBackEnd::Script> responses = {
+      [](const auto& exchange) {
+        exchange->Respond({200, MakeLeavingMarkers(exchange->request()), "ok"});
+      },
+      [](const auto& exchange) {
+        exchange->Respond({500, MakeLeavingMarkers(exchange->request()), ""});
+      },
+      [](const auto& exchange) {
+        HttpHeaders headers;
+        headers.Add("Mimosarouter-Not-Executed", "1");
+        headers.Add("Server-Leaving", "1");
+        exchange->Respond({503, headers, ""});
+      },
+      // A forged success isn't passed on, but its sender leaves all the same.
+      [](const auto& exchange) {
+        HttpHeaders headers;
+        headers.Add("Server-Leaving", "1");
+        exchange->Respond({200, headers, ""});
+      }};
+  int number = 0;
+  for (const FakeBackEnd::Script& response : responses) {
+    INFO("response " << number);
+    const std::string id = "a" + std::to_string(number++);
+    back_ends = BackEndList();
+    leaving.script = response;
+    leaving.requests.clear();
+    AddBackEnd(id, "desk", EngineRole::kNone, leaving.port());
+    CallFrontend("/book/1");
+    REQUIRE(leaving.requests.size() == 1);
+    // No other server: refused at once.
+    CHECK(CallFrontend("/book/2").status == 503);
+    AddBackEnd("b", "desk", EngineRole::kNone, other.port());
+    // The entry that says "ready" doesn't lift it.
+    AddBackEnd(id, "desk", EngineRole::kNone, leaving.port());
+    for (int i = 0; i < 10; ++i) CHECK(CallFrontend("/look/1").status == 200);
+    CHECK(leaving.requests.size() == 1);
+    // A new start of the server does.
+    back_ends = BackEndList();
+    AddBackEnd(id, "desk", EngineRole::kNone, leaving.port(), "v1",
+               /*incarnation=*/2);
+    CallFrontend("/book/3");
+    CHECK(leaving.requests.size() == 2);
+  }
+}
+
+TEST_CASE_METHOD(RelayFixture,
+                 "an engine that says that it leaves gets no new stage") {
+  FakeEngine prefill(loop.get());
+  FakeEngine decode(loop.get());
+  FakeEngine other(loop.get());
+  AddBackEnd("p", "llm", EngineRole::kPrefill, prefill.back_end.port());
+  AddBackEnd("e", "llm", EngineRole::kDecode, decode.back_end.port());
+  prefill.on_prefill = [](const FakeBackEnd::Exchange& exchange) {
+    exchange->Respond({200, MakeLeavingMarkers(exchange->request()),
+                       R"({"handle":"kv1","tokens":10,"version":1})"});
+  };
+  decode.on_run = [](const FakeBackEnd::Exchange& exchange) {
+    exchange->StartStream(200, MakeLeavingMarkers(exchange->request()));
+    exchange->Write(MakeEvent(1));
+    exchange->Finish();
+  };
+  // The request that learns of it is served to its end.
+  CHECK(CallFrontend("/letter/1").body == MakeEvent(1));
+  const size_t requests = decode.back_end.requests.size();
+  CHECK(CallFrontend("/letter/2").status == 503);
+  AddBackEnd("f", "llm", EngineRole::kDecode, other.back_end.port());
+  CHECK(CallFrontend("/letter/3").ok);
+  CHECK(prefill.prefills == 1);
+  CHECK(decode.back_end.requests.size() == requests);
+  CHECK(other.runs == 1);
+}
+
 // --- Streams -----------------------------------------------------------------
 
 TEST_CASE_METHOD(
