An engine that asks for a pause gets nothing until its end

Change: the selector never selects a back end in its pause, not even as the only one; a model request that can't wait for the end of the first pause is rejected at once, with a Retry-After behind that end. Line back_end_pauses, gauge mimosa_back_end_pauses.

Conclusion: releases of memory, reports and orders still go to an engine in its pause; no stand-in process and no soak play it.

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -69,6 +69,28 @@
   return true;
 }
 
+void BackEndSelector::RecordPause(const BackEndEntry& back_end,
+                                  MonoTime until) {
+  const auto it = states_.find(back_end.id);
+  if (it == states_.end() || it->second.incarnation != back_end.incarnation)
+    return;
+  it->second.pause_until = std::max(it->second.pause_until, until);
+}
+
+MonoTime BackEndSelector::EndOfPauses(const SelectionQuery& query,
+                                      MonoTime now) const {
+  MonoTime end = kNever;
+  for (const auto& [id, listed] : list_->entries()) {
+    if (!Matches(listed.entry, query)) continue;
+    const auto state = states_.find(id);
+    const bool pauses = state != states_.end() &&
+                        state->second.incarnation == listed.entry.incarnation;
+    end =
+        std::min(end, pauses ? std::max(now, state->second.pause_until) : now);
+  }
+  return end == kNever ? now : end;
+}
+
 bool BackEndSelector::IsLeaving(const BackEndEntry& back_end) const {
   const auto it = leaving_.find(back_end.id);
   return it != leaving_.end() && it->second == back_end.incarnation;
@@ -115,7 +137,8 @@
   return std::any_of(all.begin(), all.end(), [&](const auto& item) {
     if (!Matches(item.second.entry, query)) return false;
     const auto state = states_.find(item.first);
-    return state == states_.end() || !IsInBackoff(state->second, now);
+    return state == states_.end() || (!IsInBackoff(state->second, now) &&
+                                      now >= state->second.pause_until);
   });
 }
 
@@ -129,6 +152,7 @@
     const BackEndEntry& entry = listed.entry;
     if (!Matches(entry, query)) continue;
     const BackEndState& state = StateOf(entry);
+    if (now < state.pause_until) continue;
     if (query.require_free_memory && ExceedsMemory(id, state, query)) continue;
     if (IsInBackoff(state, now)) {
       if (state.backoff_until < first_available_at) {
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -109,6 +109,9 @@
 
   // Returns nullptr if no back end of the service and role takes new work.
   const BackEndEntry* SelectBackEnd(const SelectionQuery& query, MonoTime now);
+  // Returns when the first back end that the query matches has ended the pause
+  // that it asked for; `now` if one is in no pause, or if none matches.
+  MonoTime EndOfPauses(const SelectionQuery& query, MonoTime now) const;
   // Returns whether the query matches a back end at all, however loaded or
   // unhealthy it is now.
   bool HasCandidate(const SelectionQuery& query) const;
@@ -132,6 +135,9 @@
   // selected, whatever its entry says, until another incarnation of it is
   // listed. Returns false if that was known.
   bool RecordLeaving(const BackEndEntry& back_end);
+  // The back end has rejected a request and wants none before `until`. It is
+  // not selected until then, not even if there is no other.
+  void RecordPause(const BackEndEntry& back_end, MonoTime until);
   // Returns whether this incarnation of the back end is about to terminate.
   bool IsLeaving(const BackEndEntry& back_end) const;
   size_t leaving_count() const { return leaving_.size(); }
@@ -173,6 +179,7 @@
     double failures = 0;  // as of failures_at
     MonoTime failures_at{};
     MonoTime backoff_until{};
+    MonoTime pause_until{};  // As asked for by the back end.
     CallOutcome last_failure = CallOutcome::kSuccess;
     // After a failure, allows one open call at a time until one succeeds.
     bool probe_only = false;
--- a/decide/serving_decisions_test.cc
+++ b/decide/serving_decisions_test.cc
@@ -92,6 +92,37 @@
   CHECK(SelectId(EngineRole::kDecode, At(3)) == "d");
 }
 
+TEST_CASE_METHOD(
+    SelectorFixture,
+    "a back end in the pause that it asked for is never selected") {
+  BackEndEntry engine = Engine("d", EngineRole::kDecode);
+  engine.incarnation = 1;
+  Add(engine);
+  const SelectionQuery query = Query(EngineRole::kDecode);
+  CHECK(selector.EndOfPauses(query, At(0)) == At(0));
+  selector.OnCallStarted(engine, {});
+  selector.RecordPause(engine, At(500));
+  selector.RecordPause(engine, At(300));  // A shorter one changes nothing.
+  selector.OnCallEnded(engine, {}, CallOutcome::kFull, At(0));
+  // Not even as the only one, though it is a candidate for later.
+  CHECK(SelectId(EngineRole::kDecode, At(499)).empty());
+  CHECK(selector.HasCandidate(query));
+  CHECK_FALSE(selector.HasHealthyCandidate(query, At(499)));
+  CHECK(selector.EndOfPauses(query, At(1)) == At(500));
+  CHECK(SelectId(EngineRole::kDecode, At(500)) == "d");
+  Add(Engine("other", EngineRole::kDecode));
+  CHECK(selector.EndOfPauses(query, At(1)) == At(1));
+  // A new start knows nothing of the pause, and an old call of the former start
+  // doesn't begin one.
+  engine.incarnation = 2;
+  Add(engine);
+  list.Remove(BackEndId("other"), At(1));
+  CHECK(SelectId(EngineRole::kDecode, At(1)) == "d");
+  engine.incarnation = 1;
+  selector.RecordPause(engine, At(900));
+  CHECK(SelectId(EngineRole::kDecode, At(2)) == "d");
+}
+
 TEST_CASE_METHOD(SelectorFixture,
                  "prefills are spread by the prompt tokens queued ahead") {
   for (const char* id : {"a", "b", "c"}) Add(Engine(id, EngineRole::kPrefill));
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -90,6 +90,7 @@
       (internal_call_ && PromisesNotRun(status))) {
     not_executed_ = true;
     refusal_status_ = status;
+    if (status == kStatusUnavailable) RecordPause(markers.retry_after);
     return;
   }
   const bool trusted =
@@ -148,6 +149,16 @@
                        .Add("request", id_.value()));
 }
 
+void BackEndCall::RecordPause(Duration pause) {
+  if (pause <= Duration::zero()) return;
+  deps_.selector->RecordPause(back_end_, deps_.loop->Now() + pause);
+  ++deps_.counters->pauses;
+  deps_.log->Write(LogLine("back_end_pauses")
+                       .Add("back_end", back_end_.id.value())
+                       .Add("request", id_.value())
+                       .AddMillis("pause_ms", pause));
+}
+
 void BackEndCall::ReportOutcome(CallOutcome outcome) {
   if (!counted_) return;
   counted_ = false;
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -105,6 +105,8 @@
  private:
   // The back end's response says that it is about to terminate.
   void RecordLeaving();
+  // The back end asks to be sent nothing for `pause`; zero if it doesn't.
+  void RecordPause(Duration pause);
   // Reports `outcome` to the selector, once per call.
   void ReportOutcome(CallOutcome outcome);
   // Reports `outcome`, logs `failure` and notifies the handler.
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -542,6 +542,9 @@
                         return double(stream_origins_.counters().*count);
                       });
   }
+  add_gauge("mimosa_back_end_pauses",
+            "Rejections by backend servers that asked for a pause",
+            [this] { return double(counters_.pauses); });
   add_gauge("mimosa_responses_incomplete",
             "Responses of backend servers that ended inside their content",
             [this] { return double(counters_.responses_incomplete); });
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -146,12 +146,17 @@
     return may_have_run_ == 0 && running == 0;
   }
 
-  // Returns false if no server is available or the retry budget is exhausted.
-  bool StartNextAttempt() {
-    const MonoTime now = deps_.loop->Now();
+  SelectionQuery MakeQuery() const {
     SelectionQuery query;
     query.service = request_.service.id;
     query.preferred_zone = deps_.zone;
+    return query;
+  }
+
+  // Returns false if no server is available or the retry budget is exhausted.
+  bool StartNextAttempt() {
+    const MonoTime now = deps_.loop->Now();
+    SelectionQuery query = MakeQuery();
     query.exclude = &tried_back_ends_;
     const BackEndEntry* selected = deps_.selector->SelectBackEnd(query, now);
     if (selected == nullptr) return false;
@@ -238,7 +243,10 @@
   void Refuse(const char* reason) {
     const Duration spread =
         Scaled(kRetryAfterSpread, deps_.random->UniformDouble());
-    Respond(RetryLaterResponse(kStatusUnavailable, kMinRetryAfter + spread),
+    const MonoTime now = deps_.loop->Now();
+    const Duration pause = deps_.selector->EndOfPauses(MakeQuery(), now) - now;
+    Respond(RetryLaterResponse(kStatusUnavailable,
+                               std::max(kMinRetryAfter, pause) + spread),
             reason);
   }
 
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -36,6 +36,7 @@
   // Responses of back ends whose content was truncated although they ended as
   // their framing says.
   uint64_t responses_incomplete = 0;
+  uint64_t pauses = 0;  // Rejections that asked for a pause.
 };
 
 // Dependencies shared by all relays. All of them outlive the relays.
--- a/serving/request_format.h
+++ b/serving/request_format.h
@@ -69,6 +69,8 @@
   bool sealed = false;           // The back end itself generated the response.
   bool content_encoded = false;  // The body has a Content-Encoding.
   bool leaving = false;          // The back end is about to terminate.
+  // For how long the back end asks to be sent nothing; zero if it doesn't.
+  Duration retry_after{};
 };
 
 // An engine's report on its own state.
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -342,8 +342,9 @@
     TryReserve();
   }
 
-  WaitingRequest MakeWaitingRequest() const {
-    const MonoTime now = deps_.loop->Now();
+  // Returns the request as it will be `in` from now.
+  WaitingRequest MakeWaitingRequest(Duration in = Duration::zero()) const {
+    const MonoTime now = deps_.loop->Now() + in;
     WaitingRequest waiting;
     waiting.waited = now - request_.arrived;
     waiting.time_left = request_.deadline - now;
@@ -360,14 +361,29 @@
 
   void ScheduleReserveRetry() {
     waited_for_reservation_ = true;
-    const auto delay =
-        deps_.reservation_retry->NextRetryDelay(MakeWaitingRequest());
+    // While all engines pause, nothing is known to happen before the first
+    // pause ends, so a request that can't wait for it is rejected now.
+    const Duration pause = TimeToEndOfPauses();
+    const auto delay = deps_.reservation_retry->NextRetryDelay(
+        MakeWaitingRequest(/*in=*/pause));
     if (!delay) {
       FinishUnanswered();
       return;
     }
     refusing_engines_.clear();
-    reservation_timer_ = deps_.loop->After(*delay, [this] { TryReserve(); });
+    reservation_timer_ =
+        deps_.loop->After(pause + *delay, [this] { TryReserve(); });
+  }
+
+  // Returns how long all decode engines that may run the request still want to
+  // be sent nothing; zero if one doesn't.
+  Duration TimeToEndOfPauses() const {
+    const MonoTime now = deps_.loop->Now();
+    return deps_.selector->EndOfPauses(
+               MakeQuery(EngineRole::kDecode, deps_.zone,
+                         &tried_decode_engines_),
+               now) -
+           now;
   }
 
   void ReleaseKvHandle() {
@@ -654,9 +670,10 @@
   }
 
   void Refuse(const char* reason) {
-    Respond(RetryLaterResponse(
-                kStatusUnavailable,
-                deps_.reservation_retry->RetryAfter(MakeWaitingRequest())),
+    const Duration retry_after =
+        deps_.reservation_retry->RetryAfter(MakeWaitingRequest());
+    Respond(RetryLaterResponse(kStatusUnavailable,
+                               TimeToEndOfPauses() + retry_after),
             reason);
   }
 
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -328,6 +328,85 @@
   CHECK(other.runs == 1);
 }
 
+// --- Resting back ends
+// --------------------------------------------------------
+
+FakeBackEnd::Script RejectFor(const std::string& seconds) {
+  return [seconds](const FakeBackEnd::Exchange& exchange) {
+    HttpHeaders headers;
+    headers.Add("Mimosarouter-Not-Executed", "1");
+    headers.Add("Retry-After", seconds);
+    exchange->Respond({503, headers, ""});
+  };
+}
+
+TEST_CASE_METHOD(
+    RelayFixture,
+    "a server that asks for a pause gets no request until its end") {
+  FakeBackEnd resting(loop.get());
+  FakeBackEnd other(loop.get());
+  resting.script = RejectFor("0.8");
+  other.script = [](const auto& exchange) {
+    SendResponse(exchange, 200, "ok");
+  };
+  AddBackEnd("a", "desk", EngineRole::kNone, resting.port());
+  const MonoTime start = loop->Now();
+  // Without another server, the caller learns when to come back.
+  const CallerResponse refused = CallFrontend("/book/1");
+  CHECK(refused.status == 503);
+  CHECK(std::stod(*refused.headers.Find("Retry-After")) >= 0.7);
+  for (int i = 0; i < 10; ++i) CHECK(CallFrontend("/look/1").status == 503);
+  CHECK(resting.requests.size() == 1);
+  AddBackEnd("b", "desk", EngineRole::kNone, other.port());
+  for (int i = 0; i < 10; ++i) CHECK(CallFrontend("/look/1").status == 200);
+  CHECK(loop->Now() - start < milliseconds(800));
+  CHECK(resting.requests.size() == 1);
+  back_ends.Remove(BackEndId("b"), loop->Now());
+  RunFor(loop.get(), milliseconds(900));
+  resting.script = other.script;
+  CHECK(CallFrontend("/look/1").status == 200);
+}
+
+TEST_CASE_METHOD(RelayFixture,
+                 "a senseless Retry-After is ignored or bounded") {
+  FakeBackEnd desk(loop.get());
+  int number = 0;
+  for (const char* value : {"", "0", "-1", "1e", "nan", "inf", "-inf", "1e999",
+                            "Fri, 04 Dec 2026 09:00:00 GMT"}) {
+    INFO("Retry-After: " << value);
+    back_ends = BackEndList();
+    AddBackEnd("a" + std::to_string(number++), "desk", EngineRole::kNone,
+               desk.port());
+    desk.script = RejectFor(value);
+    CHECK(CallFrontend("/book/1").status == 503);
+    // Not long after, the server is asked again.
+    RunFor(loop.get(), milliseconds(250));
+    desk.script = [](const auto& exchange) {
+      SendResponse(exchange, 200, "ok");
+    };
+    CHECK(CallFrontend("/book/1").status == 200);
+  }
+}
+
+TEST_CASE_METHOD(
+    RelayFixture,
+    "if all engines ask for a long pause, callers learn it at once") {
+  FakeEngine one(loop.get());
+  FakeEngine two(loop.get());
+  for (FakeEngine* engine : {&one, &two})
+    engine->back_end.script = RejectFor("5");
+  AddBackEnd("e1", "llm", EngineRole::kDecode, one.back_end.port());
+  AddBackEnd("e2", "llm", EngineRole::kDecode, two.back_end.port());
+  const MonoTime start = loop->Now();
+  for (int i = 0; i < 5; ++i) {
+    const CallerResponse refused = CallFrontend("/letter/1");
+    CHECK(refused.status == 503);
+    CHECK(std::stod(*refused.headers.Find("Retry-After")) > 4);
+  }
+  CHECK(loop->Now() - start < milliseconds(500));
+  CHECK(one.back_end.requests.size() + two.back_end.requests.size() == 2);
+}
+
 // --- Streams -----------------------------------------------------------------
 
 TEST_CASE_METHOD(
--- a/tests/software_version_test.cc
+++ b/tests/software_version_test.cc
@@ -46,7 +46,7 @@
     f1.has_capacity = f2.has_capacity = false;
     runs_to_abort = 1;
     HttpRequest request = MakeRequest("/note/1");
-    const std::string id = *Header(request, "Mimosarouter-Request-Id");
+    std::string id = *Header(request, "Mimosarouter-Request-Id");
     e2.has_capacity = false;
     const auto run = e1.on_run;
     e1.on_run = [this, run](const FakeBackEnd::Exchange& exchange) {
