Events don't follow a response that isn't an event stream

Cause, of the class of the truncated streams: where a model route's response isn't an event stream and breaks off, a request with Last-Event-Id resumed at another engine, whose events would have followed the bytes of the first response.

Evidence: the new case of truncated_stream_test failed at the commit before (the second engine ran, and the response looked complete).

Change: only event streams resume once a response has begun.

Measured: truncated_stream_test 231 checks, relay_test 396, software_version_test 164 pass.

--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -570,7 +570,8 @@
     const bool may_resume =
         request_.route.retry_policy == RetryPolicy::kResumableStream &&
         may_have_run_ < request_.route.max_attempts &&
-        (!exchange_->response_started() || last_event_id_);
+        (!exchange_->response_started() ||
+         (is_event_stream_ && last_event_id_));
     if (!may_resume) {
       FinishUnanswered();
       return;
@@ -598,7 +599,9 @@
     if (call_ == nullptr || stage_ != Stage::kRun || silent_run_ != nullptr)
       return;
     if (may_have_run_ + 1 >= request_.route.max_attempts) return;
-    if (exchange_->response_started() && !event_splitter_.last_id()) return;
+    if (exchange_->response_started() &&
+        (!is_event_stream_ || !event_splitter_.last_id()))
+      return;
     deps_.selector->RecordOutcome(call_->back_end(), CallOutcome::kFailed,
                                   deps_.loop->Now());
     silent_response_ = response_;
--- a/tests/truncated_stream_test.cc
+++ b/tests/truncated_stream_test.cc
@@ -147,6 +147,25 @@
   CHECK(response.body == stream);
 }
 
+TEST_CASE_METHOD(
+    TruncationFixture,
+    "events don't follow a truncated response that isn't an event stream") {
+  FakeEngine other(loop.get());
+  AddBackEnd("f", "llm", EngineRole::kDecode, other.back_end.port());
+  other.has_capacity = false;
+  const auto serve = engine.script;
+  engine.script = [&](const std::string& request, RawPeer* peer) {
+    serve(request, peer);
+    other.has_capacity = true;
+  };
+  fields = "Content-Type: application/json\r\nContent-Length: 100\r\n";
+  stream = "{\"text\":";
+  HttpRequest request = MakeRequest("/note/1");
+  request.headers.Set("Last-Event-Id", "1");
+  CHECK_FALSE(CallFrontend(request).ok);
+  CHECK(other.runs == 0);
+}
+
 TEST_CASE_METHOD(
     TruncationFixture,
     "an event stream of a plain service may not end inside an event") {
