A registration of the stand-in no longer drops a pending claim

Cause: standin-site-server kept its registration, each 300 ms, and its claims of prefill results in one list and cleared it at each registration. A claim in flight then never ended, and the run that waited for it got no response until its deadline.

Change: the registration's call and the claims are kept apart; a claim ends by itself.

Conclusion: a fault of the stand-in, not of the daemon.

--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -3,6 +3,7 @@
 
 #include <cstdlib>
 #include <ctime>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -78,9 +79,8 @@
   request.method = "PUT";
   request.target = "/debug/record?key=servers/" + options_.id;
   request.body = RegistrationJson();
-  calls_.clear();
-  calls_.push_back(Fetch(client_.get(), options, std::move(request),
-                         [](const HttpResult&) {}));
+  register_call_ = Fetch(client_.get(), options, std::move(request),
+                         [](const HttpResult&) {});
 }
 
 void SiteServer::RespondNotExecuted(const ExchangePtr& exchange, int status) {
@@ -212,14 +212,18 @@
   HttpRequest request;
   request.method = "POST";
   request.target = "/debug/take/" + source.substr(slash + 1);
-  calls_.push_back(Fetch(client_.get(), options, std::move(request),
-                         [this, exchange](const HttpResult& result) {
-                           if (result.ok && result.response.status == 200) {
-                             AdmitRun(exchange);
-                           } else {
-                             RespondNotExecuted(exchange, 503);
-                           }
-                         }));
+  claims_.emplace_back();
+  const auto claim = std::prev(claims_.end());
+  *claim = Fetch(client_.get(), options, std::move(request),
+                 [this, exchange, claim](const HttpResult& result) {
+                   if (result.ok && result.response.status == 200) {
+                     AdmitRun(exchange);
+                   } else {
+                     RespondNotExecuted(exchange, 503);
+                   }
+                   // Later, since the call is still on the stack.
+                   loop_->Post([this, claim] { claims_.erase(claim); });
+                 });
 }
 
 void SiteServer::AdmitRun(const ExchangePtr& exchange) {
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -108,7 +108,8 @@
   std::map<std::string, TimerHandle> handles_;
   // Tokens and expiry timer of each reservation, by its id.
   std::map<std::string, std::pair<int64_t, TimerHandle>> reservations_;
-  std::list<std::unique_ptr<HttpCall>> calls_;
+  std::unique_ptr<HttpCall> register_call_;
+  std::list<std::unique_ptr<HttpCall>> claims_;  // Of prefill results.
   DelayedTasks delayed_tasks_;
   TimerHandle register_timer_;
 };
