--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -233,6 +233,9 @@
       AddStep(at + duration, "end of streams without framing",
               [server] { server->SetBehavior("unframed", false); });
       if (maintenance_only_) continue;
+      const int pause = 600 + static_cast<int>(ends_random_.UniformInt(1500));
+      AddStep(at + duration, server->id() + " asks for a pause",
+              [server, pause] { server->SetBehavior("pause_ms", pause); });
       AddStep(at + duration / 2, server->id() + " aborts runs",
               [server] { server->SetBehavior("abort_runs", 2); });
     }
--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -23,14 +23,6 @@
   return value == nullptr ? "" : *value;
 }
 
-HttpHeaders ResponseHeaders(const HttpRequest& request, const std::string& id) {
-  HttpHeaders headers;
-  headers.Add("Mimosarouter-Request-Id",
-              HeaderField(request, "Mimosarouter-Request-Id"));
-  headers.Add("Mimosarouter-Response-Seal", "seal-of-" + id);
-  return headers;
-}
-
 // Returns the sum of the two counts in the header "PROMPT,OUTPUT".
 int64_t TokenCount(const HttpRequest& request) {
   const std::string text = HeaderField(request, "Mimosarouter-Token-Counts");
@@ -83,6 +75,30 @@
                          [](const HttpResult&) {});
 }
 
+HttpHeaders SiteServer::ResponseHeaders(const HttpRequest& request) const {
+  HttpHeaders headers;
+  headers.Add("Mimosarouter-Request-Id",
+              HeaderField(request, "Mimosarouter-Request-Id"));
+  headers.Add("Mimosarouter-Response-Seal", "seal-of-" + options_.id);
+  if (says_leaving_) headers.Add("Server-Leaving", "1");
+  return headers;
+}
+
+bool SiteServer::RejectInPause(const ExchangePtr& exchange) {
+  // Until then, requests that were sent before the rejection may arrive.
+  constexpr Duration kInFlight = std::chrono::milliseconds(500);
+  const MonoTime now = loop_->Now();
+  if (now >= pause_until_) return false;
+  if (now - pause_began_ > kInFlight) ++requests_in_pause_;
+  HttpResponse response;
+  response.status = 503;
+  response.headers.Add("Mimosarouter-Not-Executed", "1");
+  response.headers.Add("Retry-After",
+                       std::to_string(ToSeconds(pause_until_ - now)));
+  exchange->Respond(std::move(response));
+  return true;
+}
+
 void SiteServer::RespondNotExecuted(const ExchangePtr& exchange, int status) {
   HttpResponse response;
   response.status = status;
@@ -105,6 +121,8 @@
     return;
   }
   if (!HeaderField(request, "X-Api-Key").empty()) ++requests_with_api_key_;
+  if (request.method != "DELETE" && RejectInPause(exchange)) return;
+  ++requests_served_;
   const std::string source = HeaderField(request, "Mimosarouter-Kv-Source");
   if (path == "/mimosarouter/report") {
     HandleReport(exchange);
@@ -247,7 +265,7 @@
   used_tokens_ += tokens;
   const std::string last = HeaderField(request, "Last-Event-Id");
   if (!last.empty()) run.next_event = std::atoll(last.c_str()) + 1;
-  HttpHeaders headers = ResponseHeaders(request, options_.id);
+  HttpHeaders headers = ResponseHeaders(request);
   headers.Add("Content-Type", "text/event-stream");
   exchange->StartStream(
       200, headers,
@@ -310,7 +328,7 @@
     }
     HttpResponse response;
     response.status = 200;
-    response.headers = ResponseHeaders(request, options_.id);
+    response.headers = ResponseHeaders(request);
     response.body = request.target + " " + request.body + " for " +
                     HeaderField(request, "Mimosarouter-Tenant");
     exchange->Respond(std::move(response));
@@ -345,6 +363,11 @@
   unresponsive_ = BoolMember(*body, "silent", unresponsive_);
   draining_ = BoolMember(*body, "draining", draining_);
   unframed_ = BoolMember(*body, "unframed", unframed_);
+  says_leaving_ = BoolMember(*body, "says_leaving", says_leaving_);
+  if (body->isMember("pause_ms")) {
+    pause_began_ = loop_->Now();
+    pause_until_ = pause_began_ + MillisMember(*body, "pause_ms", Duration{});
+  }
   RespondJson(exchange.get(), 200, Json::Value(Json::objectValue));
   Register();
 }
@@ -357,6 +380,8 @@
   journal["foreign"] = Json::Int64(requests_with_api_key_);
   journal["stage"] = stage_;
   journal["orders"] = Json::Int64(accepted_orders_);
+  journal["in_pause"] = Json::Int64(requests_in_pause_);
+  journal["served"] = Json::Int64(requests_served_);
   journal["used"] = Json::Int64(used_tokens_);
   journal["handles"] = Json::UInt64(handles_.size());
   journal["rooms"] = Json::UInt64(reservations_.size());
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -8,12 +8,17 @@
 //
 //   POST /debug/behave   any of {"gap_ms", "events", "delay_ms",
 //                        "abort_runs", "draining": bool, "silent": bool,
-//                        "unframed": bool}
+//                        "unframed": bool, "says_leaving": bool, "pause_ms"}
+//       "says_leaving": responses to requests have the field that announces the
+//       end of the server, whatever its entry says
+//       "pause_ms": rejects all requests for so long and asks for that pause
 //       "unframed": streams have neither a length nor chunks, and an aborted
 //       one ends with an orderly close
 //   GET  /debug/journal  {"runs": {id: count}, "foreign": requests that carried
 //                        a caller's key, "used": tokens, "handles": n,
-//                        "rooms": reservations, "stage", "orders": n}
+//                        "rooms": reservations, "stage", "orders": n,
+//                        "in_pause": requests later than half a second into a
+//                        pause, "served": requests that were not rejected}
 //   POST /debug/take/HANDLE  claims a prefill result; 404 if it has expired
 #ifndef STANDINS_SITE_SERVER_H_
 #define STANDINS_SITE_SERVER_H_
@@ -81,6 +86,10 @@
   void SendNextEvent(uint64_t serial);
   void EndRun(uint64_t serial);
   static void RespondNotExecuted(const ExchangePtr& exchange, int status);
+  // Rejects a request during a pause. Returns false if there is none.
+  bool RejectInPause(const ExchangePtr& exchange);
+  // Returns the fields of a response of this server to `request`.
+  HttpHeaders ResponseHeaders(const HttpRequest& request) const;
 
   LwsLoop* const loop_;
   const SiteServerOptions options_;
@@ -94,6 +103,11 @@
   bool draining_ = false;
   // Requests get no response, and registration stops.
   bool unresponsive_ = false;
+  bool says_leaving_ = false;
+  MonoTime pause_began_{};
+  MonoTime pause_until_{};
+  int64_t requests_in_pause_ = 0;
+  int64_t requests_served_ = 0;
   bool unframed_ = false;  // streams end with their connection
   int64_t events_per_run_ = 5;
   int64_t runs_to_abort_ = 0;  // this many next runs are aborted after an event
--- a/tests/entry_process_test.cc
+++ b/tests/entry_process_test.cc
@@ -130,10 +130,29 @@
   }
 
   Entry& entry(size_t i) { return *entries_[i]; }
+
+  // Waits until all daemons list `count` servers.
+  void AwaitListed(size_t count) {
+    for (const auto& entry : entries_)
+      REQUIRE(Eventually(
+          [&] { return Status(*entry)["back_ends"].size() == count; }));
+  }
+  // Returns how many servers a daemon knows to be leaving.
+  int CountLeaving(size_t entry) {
+    int count = 0;
+    const Json::Value status = Status(*entries_[entry]);
+    for (const Json::Value& back_end : status["back_ends"])
+      count += back_end["leaving"].asBool() ? 1 : 0;
+    return count;
+  }
   Server& server(const std::string& id) { return servers_[id]; }
   StandIn& store() { return store_; }
 
  private:
+  static Json::Value Status(const Entry& entry) {
+    return GetJson(entry.settings.control_port(), "/status");
+  }
+
   StandIn store_;
   std::map<std::string, Server> servers_;
   std::vector<std::unique_ptr<Entry>> entries_;
@@ -258,6 +277,53 @@
   CHECK(went_on >= kStreams / 2);
 }
 
+TEST_CASE("a server that announces its end gets no new request") {
+  Site site;
+  site.AwaitListed(5);
+  for (const char* id : {"k1", "d1"})
+    site.SetBehavior(id, MakeObject("says_leaving", true));
+  // Both daemons hear it from their own requests.
+  for (size_t entry = 0; entry < 2; ++entry) {
+    CHECK(Eventually([&] {
+      for (const char* target : {"/book/x", "/letter/x"})
+        CHECK(site.SendRequest(entry, target).status == 200);
+      return site.CountLeaving(entry) == 2;
+    }));
+  }
+  const int64_t served = site.Journal("k1")["served"].asInt64();
+  const int64_t runs = site.Journal("d1")["served"].asInt64();
+  for (size_t entry = 0; entry < 2; ++entry)
+    for (const char* target : {"/book/x", "/letter/x"})
+      for (int i = 0; i < 12; ++i)
+        CHECK(site.SendRequest(entry, target).status == 200);
+  CHECK(site.Journal("k1")["served"].asInt64() == served);
+  CHECK(site.Journal("d1")["served"].asInt64() == runs);
+}
+
+TEST_CASE("a server that asks for a pause gets no request until its end") {
+  Site site;
+  site.AwaitListed(5);
+  for (const char* id : {"k1", "d1"})
+    site.SetBehavior(id, MakeObject("pause_ms", 2000));
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+  while (std::chrono::steady_clock::now() < end) {
+    for (size_t entry = 0; entry < 2; ++entry)
+      for (const char* target : {"/book/x", "/letter/x"})
+        CHECK(site.SendRequest(entry, target).status == 200);
+  }
+  // A daemon may hear of the pause late, from its first request to the server.
+  for (const char* id : {"k1", "d1"})
+    CHECK(site.Journal(id)["in_pause"].asInt64() <= 2);
+  for (const char* id : {"k1", "d1"}) {
+    const int64_t served = site.Journal(id)["served"].asInt64();
+    CHECK(Eventually([&] {
+      site.SendRequest(0, "/book/x");
+      site.SendRequest(0, "/letter/x");
+      return site.Journal(id)["served"].asInt64() > served;
+    }));
+  }
+}
+
 TEST_CASE("a withdrawn key and a new one take effect on all daemons") {
   Site site;
   site.WriteConfig(2, "key-two");
