Log the shared parts of prompts, and whether a lost call had a head

Cause: nothing in the logs could tell the hypotheses of the incident of prompts that crash engines apart: the parts of a prompt were parsed by nobody, and a lost call didn't say how far it had got.

Change: the request format reads the parts of a prompt that other requests may share (all but the last). request_answered and request_failed have prompt_parts, call_lost has head.

--- a/base/ids.h
+++ b/base/ids.h
@@ -13,6 +13,8 @@
 using BackEndId = StrongId<struct BackEndIdTag>;  // an engine or plain service
 using FailureDomain = StrongId<struct FailureDomainTag>;
 using ModelId = StrongId<struct ModelIdTag>;
+// A part of prompts that several requests may share, as callers name it.
+using PromptPartId = StrongId<struct PromptPartIdTag>;
 
 // Identifies one run of one daemon: "<daemon name>#<incarnation>". A restarted
 // process is a new member. Only members hold member leases, slots and
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -172,6 +172,7 @@
                        .Add("back_end", back_end_.id.value())
                        .Add("loss", CallFailureName(failure))
                        .Add("status", refusal_status_)
+                       .Add("head", response_started_)
                        .AddMillis("after_ms", deps_.loop->Now() - started_));
   handler_->OnCallFailed(this, failure);
 }
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -33,6 +33,19 @@
       -kBits);
 }
 
+// Returns the shared parts of a prompt for a log line.
+std::string JoinPromptParts(const CallerRequest& caller) {
+  constexpr size_t kMaxLogged = 4;
+  std::string joined;
+  size_t count = 0;
+  for (const PromptPartId& part : caller.shared_prompt_parts) {
+    if (++count > kMaxLogged) break;
+    if (!joined.empty()) joined += ',';
+    joined += part.value();
+  }
+  return joined;
+}
+
 std::optional<int> PriorityOf(const SiteRoute& route,
                               const SiteCustomer* customer) {
   const int priority = customer != nullptr && customer->priority
@@ -245,6 +258,7 @@
       .Add("prompt", counts.prompt.count())
       .Add("max_output", counts.max_output.count())
       .Add("likely_output", counts.expected_output.value_or(Tokens(0)).count())
+      .Add("prompt_parts", JoinPromptParts(request.caller))
       .Add("resumes", request.caller.resumed_request.value())
       .Add("last_event", request.caller.last_event_id.value_or(-1))
       .Add("software_version", result.software_version.value())
--- a/serving/request_format.h
+++ b/serving/request_format.h
@@ -34,6 +34,9 @@
   // say.
   std::optional<Duration> timeout;
   std::optional<TokenCounts> token_counts;  // Absent for a plain request.
+  // The parts of the prompt that other requests may share: all but the last
+  // one. Entries that can't be read are left out.
+  std::vector<PromptPartId> shared_prompt_parts;
   // Id of the last event that the caller has received.
   std::optional<int64_t> last_event_id;
   // The request whose response brought the caller the first event of the stream
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -182,6 +182,29 @@
   CHECK(read->last_event_id == 12);
 }
 
+TEST_CASE("the shared parts of a prompt are read, malformed ones left out") {
+  const PlatformRequestFormat format;
+  const auto read = [&](const std::string& value) {
+    HttpRequest http;
+    http.headers.Add("Mimosarouter-Request-Id", "r1");
+    http.headers.Add("Mimosarouter-Prompt-Prefix", value);
+    const auto request = format.ReadRequest(std::move(http));
+    REQUIRE(request);
+    std::string parts;
+    for (const PromptPartId& part : request->shared_prompt_parts)
+      parts += part.value() + ";";
+    return parts;
+  };
+  CHECK(read("5c1e07a2:800,91BD3f06:410, e4402b7d:250,77:1") ==
+        "5c1e07a2;91bd3f06;e4402b7d;");
+  CHECK(read("5c1e07a2:800").empty());
+  CHECK(read("").empty());
+  CHECK(read(",,:,").empty());
+  CHECK(read("a:1,zz:2,b,:3, ,c:,77:1") == "a;c;");
+  CHECK(read(std::string(65, 'a') + ":1,b:2,77:1") == "b;");
+  CHECK(read("a:1,a:1,77:1") == "a;a;");
+}
+
 TEST_CASE("neither keys nor internal headers of callers reach an engine") {
   const PlatformRequestFormat format;
   HttpRequest http = ModelRequest();
