Failing test: prompts with a part that crashes engines go on reaching them

Cause: each daemon sends every admitted request to an engine, whatever became of the engines to which the same part of a prompt was sent before.

Change: stand-in engines can crash on a part of a prompt and come back as another incarnation. A process test plays two daemons and two decode engines: prompts with one part crash them, sound prompts share the first part, and all daemons start anew at the end.

--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -14,6 +14,10 @@
 namespace {
 
 constexpr Duration kRegistrationInterval = std::chrono::milliseconds(300);
+// Time from the head of a response that crashes the server to the crash, and
+// from the crash to the restart.
+constexpr Duration kCrashDelay = std::chrono::milliseconds(20);
+constexpr Duration kRestartTime = std::chrono::milliseconds(500);
 constexpr Duration kHandleLifetime = std::chrono::milliseconds(500);
 // Duration of a stage change.
 constexpr Duration kStageChangeTime = std::chrono::milliseconds(500);
@@ -61,7 +65,7 @@
 
 void SiteServer::Register() {
   register_timer_ = loop_->After(kRegistrationInterval, [this] { Register(); });
-  if (unresponsive_) return;
+  if (unresponsive_ || crashed_) return;
   HttpCallOptions options;
   options.to = options_.store;
   options.reuse_connection = true;
@@ -114,6 +118,10 @@
     return;
   }
   if (unresponsive_) return;
+  if (crashed_) {
+    exchange->Abort();
+    return;
+  }
   const std::string expected =
       HeaderField(request, "Mimosarouter-Expect-Instance");
   if (!expected.empty() && expected != options_.id) {
@@ -123,6 +131,9 @@
   if (!HeaderField(request, "X-Api-Key").empty()) ++requests_with_api_key_;
   if (request.method != "DELETE" && RejectInPause(exchange)) return;
   ++requests_served_;
+  if (CrashesServer(request))
+    crash_part_requests_.insert(
+        HeaderField(request, "Mimosarouter-Request-Id"));
   const std::string source = HeaderField(request, "Mimosarouter-Kv-Source");
   if (path == "/mimosarouter/report") {
     HandleReport(exchange);
@@ -272,9 +283,40 @@
       unframed_ ? HttpExchange::kCloseDelimited : HttpExchange::kChunked);
   run.ends_with_close = unframed_;
   exchange->OnClientDisconnected([this, serial] { EndRun(serial); });
+  if (CrashesServer(request)) {
+    run.timer = loop_->After(kCrashDelay, [this] { Crash(); });
+    return;
+  }
   SendNextEvent(serial);
 }
 
+bool SiteServer::CrashesServer(const HttpRequest& request) const {
+  if (crash_part_.empty()) return false;
+  const std::string parts = HeaderField(request, "Mimosarouter-Prompt-Prefix");
+  const std::string before_last = "," + parts.substr(0, parts.rfind(',') + 1);
+  return before_last.find("," + crash_part_ + ":") != std::string::npos;
+}
+
+void SiteServer::Crash() {
+  ++crashes_;
+  crashed_ = true;
+  ++incarnation_;
+  used_tokens_ = 0;
+  handles_.clear();
+  reservations_.clear();
+  for (auto& [serial, run] : running_) {
+    run.exchange->Abort();
+    // Kept until later, since the timer of one of them is on the stack.
+    auto ended = std::make_shared<Run>(std::move(run));
+    loop_->Post([ended] {});
+  }
+  running_.clear();
+  restart_timer_ = loop_->After(kRestartTime, [this] {
+    crashed_ = false;
+    Register();
+  });
+}
+
 void SiteServer::SendNextEvent(uint64_t serial) {
   Run& run = running_[serial];
   if (run.next_event > events_per_run_) {  // resumed after its last event
@@ -363,6 +405,8 @@
   unresponsive_ = BoolMember(*body, "silent", unresponsive_);
   draining_ = BoolMember(*body, "draining", draining_);
   unframed_ = BoolMember(*body, "unframed", unframed_);
+  if (body->isMember("crash_part"))
+    crash_part_ = StringMember(*body, "crash_part");
   says_leaving_ = BoolMember(*body, "says_leaving", says_leaving_);
   if (body->isMember("pause_ms")) {
     pause_began_ = loop_->Now();
@@ -382,6 +426,10 @@
   journal["orders"] = Json::Int64(accepted_orders_);
   journal["in_pause"] = Json::Int64(requests_in_pause_);
   journal["served"] = Json::Int64(requests_served_);
+  journal["crashes"] = Json::Int64(crashes_);
+  journal["crash_part_requests"] = Json::Value(Json::arrayValue);
+  for (const std::string& id : crash_part_requests_)
+    journal["crash_part_requests"].append(id);
   journal["used"] = Json::Int64(used_tokens_);
   journal["handles"] = Json::UInt64(handles_.size());
   journal["rooms"] = Json::UInt64(reservations_.size());
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -8,7 +8,11 @@
 //
 //   POST /debug/behave   any of {"gap_ms", "events", "delay_ms",
 //                        "abort_runs", "draining": bool, "silent": bool,
-//                        "unframed": bool, "says_leaving": bool, "pause_ms"}
+//                        "unframed": bool, "says_leaving": bool, "pause_ms",
+//                        "crash_part": part of a prompt}
+//       "crash_part": a run whose prompt has the part, not as its last one,
+//       crashes the server once the head of its response is out; it is back as
+//       another incarnation after half a second
 //       "says_leaving": responses to requests have the field that announces the
 //       end of the server, whatever its entry says
 //       "pause_ms": rejects all requests for so long and asks for that pause
@@ -18,7 +22,9 @@
 //                        a caller's key, "used": tokens, "handles": n,
 //                        "rooms": reservations, "stage", "orders": n,
 //                        "in_pause": requests later than half a second into a
-//                        pause, "served": requests that were not rejected}
+//                        pause, "served": requests that were not rejected,
+//                        "crashes": n, "crash_part_requests": [ids of the
+//                        requests with the part that have reached the server]}
 //   POST /debug/take/HANDLE  claims a prefill result; 404 if it has expired
 #ifndef STANDINS_SITE_SERVER_H_
 #define STANDINS_SITE_SERVER_H_
@@ -29,6 +35,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "net/event_loop.h"
@@ -83,6 +90,10 @@
   void ClaimKvThenAdmit(const ExchangePtr& exchange, const std::string& source);
   void AdmitRun(const ExchangePtr& exchange);
   void HandlePlainRequest(const ExchangePtr& exchange);
+  // Returns whether a part of the prompt, except the last, is crash_part_.
+  bool CrashesServer(const HttpRequest& request) const;
+  // Breaks off all runs, and restarts as another incarnation.
+  void Crash();
   void SendNextEvent(uint64_t serial);
   void EndRun(uint64_t serial);
   static void RespondNotExecuted(const ExchangePtr& exchange, int status);
@@ -99,11 +110,16 @@
   int64_t accepted_orders_ = 0;
   int64_t max_fence_ = 0;  // the highest fencing token accepted
   TimerHandle stage_change_timer_;
-  const int64_t incarnation_;
+  int64_t incarnation_;
   bool draining_ = false;
   // Requests get no response, and registration stops.
   bool unresponsive_ = false;
   bool says_leaving_ = false;
+  std::string crash_part_;  // empty: none
+  bool crashed_ = false;    // breaks off all connections until the restart
+  int64_t crashes_ = 0;
+  std::set<std::string> crash_part_requests_;
+  TimerHandle restart_timer_;
   MonoTime pause_began_{};
   MonoTime pause_until_{};
   int64_t requests_in_pause_ = 0;
--- a/tests/entry_process_test.cc
+++ b/tests/entry_process_test.cc
@@ -82,6 +82,15 @@
     return MakeSiteRequest(target, "request-" + std::to_string(++serial_), key,
                            "body", 9000);
   }
+  // Sends a model request whose prompt has `parts`, of which the last is its
+  // own.
+  Reply SendPrompt(size_t entry, const std::string& parts) {
+    Request request = MakeRequest("/note/x");
+    request.headers.emplace_back(
+        "Mimosarouter-Prompt-Prefix",
+        parts + ",f" + std::to_string(serial_) + ":500");
+    return Call(entries_[entry]->settings.listen_port(), request);
+  }
   Reply SendRequest(size_t entry, const std::string& target,
                     const std::string& key = "key-one") {
     return Call(entries_[entry]->settings.listen_port(),
@@ -129,6 +138,23 @@
     return most;
   }
 
+  // Returns how often the decode engines have crashed.
+  int64_t CountCrashes() {
+    return Journal("d1")["crashes"].asInt64() +
+           Journal("d2")["crashes"].asInt64();
+  }
+  // Returns how many requests with a part that crashes engines have reached
+  // some engine.
+  size_t CountCrashPartRequests() {
+    std::set<std::string> requests;
+    for (const char* id : {"p1", "d1", "d2"}) {
+      const Json::Value journal = Journal(id);
+      for (const Json::Value& request : journal["crash_part_requests"])
+        requests.insert(request.asString());
+    }
+    return requests.size();
+  }
+
   Entry& entry(size_t i) { return *entries_[i]; }
 
   // Waits until all daemons list `count` servers.
@@ -324,6 +350,46 @@
   }
 }
 
+TEST_CASE("prompts with a part that has crashed five engines reach no other",
+          "[prompt_crash]") {
+  constexpr int kMaxPrompts = 40;
+  constexpr int kSoundPrompts = 20;
+  // Requests that may still reach engines once the daemons know of the crashes.
+  constexpr size_t kAllowed = 3;
+  const std::string crashing = "a1:200,bad:100";
+  const std::string sound = "a1:200,50:100";
+  Site site;
+  for (const char* id : {"p1", "d1", "d2"})
+    site.SetBehavior(id, MakeObject("crash_part", "bad"));
+  for (int i = 0; i < kMaxPrompts && site.CountCrashes() < 5; ++i) {
+    CHECK(site.SendPrompt(i % 2, crashing).status != 429);
+    CHECK(Eventually([&] { return site.SendPrompt(i % 2, sound).complete; }));
+  }
+  // The daemons may take `settle_ms`, by default three seconds, to agree.
+  const auto settled =
+      std::chrono::steady_clock::now() + std::chrono::seconds(3);
+  while (std::chrono::steady_clock::now() < settled)
+    for (size_t entry = 0; entry < 2; ++entry) site.SendPrompt(entry, crashing);
+
+  const size_t reached = site.CountCrashPartRequests();
+  for (int i = 0; i < kSoundPrompts; ++i) {
+    const Reply reply = site.SendPrompt(i % 2, crashing);
+    CHECK(reply.status == 503);
+    // Nothing is gained by a retry.
+    CHECK(reply.Header("Retry-After").empty());
+  }
+  int served = 0;
+  for (int i = 0; i < kSoundPrompts; ++i)
+    served += site.SendPrompt(i % 2, sound).complete ? 1 : 0;
+  CHECK(served >= kSoundPrompts / 2);
+  // All daemons start anew, with the engines unchanged.
+  for (size_t entry = 0; entry < 2; ++entry) site.entry(entry).process->Kill();
+  for (size_t entry = 0; entry < 2; ++entry) site.entry(entry).process->Start();
+  for (size_t entry = 0; entry < 2; ++entry) site.AwaitServing(entry);
+  for (int i = 0; i < kSoundPrompts; ++i) site.SendPrompt(i % 2, crashing);
+  CHECK(site.CountCrashPartRequests() <= reached + kAllowed);
+}
+
 TEST_CASE("a withdrawn key and a new one take effect on all daemons") {
   Site site;
   site.WriteConfig(2, "key-two");
