Prompts with a part that crashes engines reach no more of them

What callers saw: all engines of a service crashed one after the other, and more than a tenth of the requests on three routes weren't served.

Cause: a part of a prompt crashes each engine that generates on it. Each daemon sent every such request to an engine, since nothing related crashes of engines to the prompts of the runs that they broke off, and each daemon saw few of them.

Change: crashes under runs that were about to generate count against the shared parts of their prompts at three keepers (decide/prompt_crash_evidence). After three engines, unless a daemon knows a run that generated on the part, its requests are refused everywhere (decide/prompt_quarantine): notices tell the daemons at once, a record in the store tells those that the notices don't reach and those that start later. Its revision gives at most three trials to one daemon each, so that a part that was blamed wrongly is released.

--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -118,6 +118,7 @@
     return;
   }
   if (handler_->IsResponseTruncated(*this)) {
+    connection_lost_ = end == ResponseEnd::kClose;
     ++deps_.counters->responses_incomplete;
     Fail(CallFailure::kIncompleteContent, CallOutcome::kFailed);
     return;
@@ -127,6 +128,8 @@
 }
 
 void BackEndCall::OnFailed(HttpFailure failure, bool sent) {
+  connection_lost_ =
+      failure == HttpFailure::kNoResponse || failure == HttpFailure::kTruncated;
   if (not_executed_) {
     Fail(CallFailure::kNotExecuted, CallOutcome::kFull);
   } else if (!sent) {
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -91,6 +91,8 @@
   bool response_started() const { return response_started_; }
   // What marked the end of the response; valid from IsResponseTruncated() on.
   ResponseEnd response_end() const { return response_end_; }
+  // Whether the connection ended before the response did.
+  bool connection_lost() const { return connection_lost_; }
   MonoTime started() const { return started_; }
   void Pause(bool pause) {
     if (call_ != nullptr) call_->Pause(pause);
@@ -120,6 +122,7 @@
   bool internal_call_ = false;
   bool counted_ = false;  // Counts as open at the selector.
   bool response_started_ = false;
+  bool connection_lost_ = false;
   // The current response rejects the request as not executed.
   bool not_executed_ = false;
   int refusal_status_ = 0;
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -24,6 +24,7 @@
 #include "serving/entry_frontend.h"
 #include "serving/local_responses.h"
 #include "serving/member_list.h"
+#include "serving/prompt_crash_exchange.h"
 #include "serving/role_controller.h"
 #include "serving/site_sync.h"
 #include "serving/stream_origin_exchange.h"
@@ -62,6 +63,7 @@
 // Keys of the fleet's own records, relative to the deployment's prefix.
 constexpr std::string_view kMemberRecordPrefix = "members/";
 constexpr std::string_view kRoleRecordName = "roles";
+constexpr std::string_view kPromptQuarantineRecordName = "prompt_quarantine";
 
 // Returns the longest time that a stream of the configuration may last.
 Duration LongestStream(const SiteConfig& config) {
@@ -147,6 +149,8 @@
             loop_.get(), &members_, &back_ends_, &log_,
             [this] { return IsBackEndListCurrent(); },
             StreamOriginExchange::Options{}),
+        prompt_crashes_(loop_.get(), &members_, store_.get(), &random_, &log_,
+                        PromptCrashOptions()),
         deps_{loop_.get(),
               client_.get(),
               platform.request_format,
@@ -159,6 +163,7 @@
               &counters_,
               &stage_meter_,
               &stream_origins_,
+              &prompt_crashes_,
               FailureDomain(settings.failure_domain())},
         frontend_(&deps_, &rate_limiter_,
                   [this] { return site_sync_.config(); }),
@@ -204,6 +209,7 @@
     members_.Start();
     usage_exchange_.Start(peer_socket_.get());
     stream_origins_.Start(peer_socket_.get());
+    prompt_crashes_.Start(peer_socket_.get());
     role_controller_.Start();
     FlushLog();
     loop_->Run();
@@ -259,6 +265,7 @@
     }
     usage_exchange_.OnDatagram(from, datagram);
     stream_origins_.OnDatagram(from, datagram);
+    prompt_crashes_.OnDatagram(from, datagram);
   }
 
   // Changes may be missing from the list for as long as a silent watch goes
@@ -289,6 +296,8 @@
   void OnRecord(const std::string& name, const KvRecord* record) {
     if (name == kRoleRecordName) {
       role_controller_.OnRecord(record);
+    } else if (name == kPromptQuarantineRecordName) {
+      prompt_crashes_.OnRecord(record);
     } else if (StartsWith(name, kMemberRecordPrefix)) {
       const std::string member = name.substr(kMemberRecordPrefix.size());
       members_.OnRecord(member, record == nullptr ? nullptr : &record->value);
@@ -315,6 +324,12 @@
     return options;
   }
 
+  PromptCrashExchange::Options PromptCrashOptions() const {
+    PromptCrashExchange::Options options;
+    options.record_key = RecordPrefix().append(kPromptQuarantineRecordName);
+    return options;
+  }
+
   bool IsReady() const {
     return !leaving_ && site_sync_.config() != nullptr && site_sync_.listed();
   }
@@ -469,6 +484,7 @@
   RoleController role_controller_;
   SiteSync site_sync_;
   StreamOriginExchange stream_origins_;
+  PromptCrashExchange prompt_crashes_;
   const RelayDeps deps_;
   EntryFrontend frontend_;
   PathHandler ready_handler_;
@@ -542,6 +558,22 @@
                         return double(stream_origins_.counters().*count);
                       });
   }
+  add_gauge("mimosa_prompt_parts_quarantined",
+            "Parts of prompts whose requests reach no engine",
+            [this] { return double(prompt_crashes_.quarantined_count()); });
+  for (const auto& [event, count] :
+       {std::pair("crash_reported", &PromptCrashExchange::Counters::crashes),
+        std::pair("quarantined", &PromptCrashExchange::Counters::quarantined),
+        std::pair("trial", &PromptCrashExchange::Counters::trials),
+        std::pair("released", &PromptCrashExchange::Counters::released),
+        std::pair("request_refused",
+                  &PromptCrashExchange::Counters::refused)}) {
+    metrics_.AddGauge("mimosa_prompt_crashes",
+                      "Events about parts of prompts that crash engines",
+                      {{"event", event}}, [this, count = count] {
+                        return double(prompt_crashes_.counters().*count);
+                      });
+  }
   add_gauge("mimosa_back_end_pauses",
             "Rejections by backend servers that asked for a pause",
             [this] { return double(counters_.pauses); });
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -124,6 +124,12 @@
     *refusal = {kStatusUnavailable, kShutdownRetryAfter, "leaving"};
     return false;
   }
+  if (service->engine &&
+      deps_->prompt_guard->Decide(caller.shared_prompt_parts).verdict ==
+          PromptQuarantine::Verdict::kRefuse) {
+    *refusal = {kStatusUnavailable, Duration::zero(), "quarantined_prompt"};
+    return false;
+  }
   request->priority = PriorityOf(*route, customer);
   Duration timeout = caller.timeout.value_or(kDefaultTimeout);
   if (route->timeout > Duration::zero())
--- a/serving/entry_frontend.h
+++ b/serving/entry_frontend.h
@@ -1,8 +1,8 @@
 // Serves the callers' port: admits each request and passes it to a relay.
 //
 // Admission checks, in this order: configuration known, request well-formed,
-// route, key, service, rate limit. A request that fails one of them was not
-// sent to any back end. Each request ends in exactly one log line and is
+// route, key, service, prompt, rate limit. A request that fails one of them was
+// not sent to any back end. Each request ends in exactly one log line and is
 // counted once in the metrics.
 #ifndef SERVING_ENTRY_FRONTEND_H_
 #define SERVING_ENTRY_FRONTEND_H_
--- /dev/null
+++ b/serving/prompt_crash_exchange.h
@@ -0,0 +1,168 @@
+// Finds, together with the other daemons, the parts of prompts that crash
+// engines, and keeps the requests with such a part from all engines.
+//
+// Model: a daemon reports each crash under a run that was about to generate to
+// a few keepers of each part, the members with the highest rendezvous hashes
+// for it. A keeper for which a part becomes suspect
+// (decide/prompt_crash_evidence.h) asks all members for a run that has
+// generated on it. Without one, it puts the part into quarantine
+// (decide/prompt_quarantine.h): it notifies all members, and writes the part to
+// a record in the platform's store. The record reaches daemons that the keeper
+// can't, and those that start later before they are ready. Its revision decides
+// which daemon gets a trial. Whoever sees a run generate on a quarantined part
+// releases it in the same way.
+//
+// Cost: nothing while no engine crashes; kKeepers datagrams for a crash, and
+// for each part that is put into quarantine some datagrams to each member and
+// one write.
+#ifndef SERVING_PROMPT_CRASH_EXCHANGE_H_
+#define SERVING_PROMPT_CRASH_EXCHANGE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/kv_store.h"
+#include "base/line_log.h"
+#include "base/random.h"
+#include "decide/prompt_crash_evidence.h"
+#include "decide/prompt_quarantine.h"
+#include "net/datagram.h"
+#include "net/event_loop.h"
+#include "serving/member_list.h"
+#include "serving/prompt_guard.h"
+
+namespace mimosa {
+
+class PromptCrashExchange : public PromptGuard {
+ public:
+  struct Options {
+    std::string record_key;
+    // Time between the two queries of an inquiry, and from the second one to
+    // the verdict.
+    Duration query_interval = std::chrono::milliseconds(60);
+    // By how much later each further keeper begins its inquiry, so that it
+    // learns of the verdict of the one before.
+    Duration keeper_delay = std::chrono::milliseconds(250);
+    // Delay after a failed write of the record, before jitter.
+    Duration write_retry_delay = std::chrono::milliseconds(500);
+    // Time for which a notice holds without a record that confirms it.
+    Duration notice_lifetime = std::chrono::seconds(30);
+    // Time between two notices of a part whose record can't be written.
+    Duration notice_interval = std::chrono::seconds(10);
+    PromptCrashEvidence::Options evidence;
+    PromptQuarantine::Options quarantine;
+  };
+  struct Counters {
+    uint64_t refused = 0;  // Requests with a quarantined part.
+    uint64_t trials = 0;   // Granted to this daemon.
+    uint64_t crashes = 0;  // Reported by this daemon.
+    uint64_t quarantined = 0;
+    uint64_t released = 0;
+  };
+
+  // Number of members that judge a part.
+  static constexpr size_t kKeepers = 3;
+
+  PromptCrashExchange(EventLoop* loop, const MemberList* members,
+                      KvStore* store, RandomSource* random, LineLog* log,
+                      const Options& options);
+  ~PromptCrashExchange() override;
+
+  // `socket` must outlive the exchange.
+  void Start(DatagramSocket* socket) { socket_ = socket; }
+  void OnDatagram(const Endpoint& from, const wire::UsageDatagram& datagram);
+  // The record in the store; nullptr if it was removed.
+  void OnRecord(const KvRecord* record);
+
+  // PromptGuard:
+  PromptQuarantine::Decision Decide(
+      const std::vector<PromptPartId>& parts) override;
+  bool IsQuarantined(const std::vector<PromptPartId>& parts) const override {
+    return quarantine_.ContainsAny(parts);
+  }
+  std::unique_ptr<PromptTrialClaim> ClaimTrial(const PromptPartId& part,
+                                               ClaimCallback callback) override;
+  void RecordGenerated(const std::vector<PromptPartId>& parts) override;
+  void RecordCrash(const RequestId& request,
+                   const std::vector<PromptPartId>& parts,
+                   const BackEndEntry& engine) override;
+
+  const Counters& counters() const { return counters_; }
+  size_t quarantined_count() const { return quarantine_.size(); }
+
+ private:
+  class TrialClaim;
+
+  // A part in the record.
+  struct RecordedPart {
+    size_t trials = 0;
+    std::vector<BackEndId> engines;
+  };
+  // What this daemon has decided and the record doesn't show yet.
+  struct PendingChange {
+    bool release = false;
+    std::vector<BackEndId> engines;  // Unless it is a release.
+    MonoTime notified_at{};
+  };
+  // What another daemon has decided and the record doesn't show yet.
+  struct Notice {
+    bool released = false;
+    MonoTime expires_at{};
+  };
+  using RecordedParts = std::map<PromptPartId, RecordedPart>;
+
+  // Returns the names of the keepers of `part`, the first one first. May
+  // include this daemon.
+  std::vector<std::string> KeepersOf(const PromptPartId& part) const;
+  void OnEvidence(const PromptPartId& part);
+  void SendQuery(PromptPartId part, int queries_left);
+  void Quarantine(const PromptPartId& part);
+  void Release(const PromptPartId& part);
+  void HandleCrashReport(const wire::PromptCrashReport& report);
+  void HandleNotice(const wire::PromptPartNotice& notice);
+  void Notify(const PromptPartId& part, PendingChange* change);
+  void SendToMember(const std::string& name,
+                    const wire::UsageDatagram& datagram);
+  void SendToAll(const wire::UsageDatagram& datagram);
+  bool IsMember(const Endpoint& address) const;
+
+  // Takes the contents of the record over; nullptr if there is none.
+  void ApplyRecord(const KvRecord* record);
+  // Makes the quarantine what the record, the pending changes and the notices
+  // say together.
+  void UpdateQuarantine();
+  // Writes the pending changes unless a write is in flight.
+  void WritePendingChanges();
+  void Write(const RecordedParts& parts,
+             std::function<void(KvStatus status)> done);
+  void ScheduleWrite();
+
+  EventLoop* const loop_;
+  const MemberList* const members_;
+  KvStore* const store_;
+  RandomSource* const random_;
+  LineLog* const log_;
+  const Options options_;
+  DatagramSocket* socket_ = nullptr;
+  PromptCrashEvidence evidence_;
+  PromptQuarantine quarantine_;
+  std::map<PromptPartId, TimerHandle> inquiries_;
+
+  RecordedParts recorded_;  // As of revision_.
+  Revision revision_;       // Of the record; 0 if there is none.
+  std::map<PromptPartId, PendingChange> pending_;
+  std::map<PromptPartId, Notice> notices_;
+  KvStore::CallPtr write_;           // nullptr if none is in flight.
+  KvStore::CallPtr previous_write_;  // May be on the stack.
+  TimerHandle write_timer_;
+  Counters counters_;
+};
+
+}  // namespace mimosa
+
+#endif  // SERVING_PROMPT_CRASH_EXCHANGE_H_
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -17,6 +17,7 @@
 #include "net/event_loop.h"
 #include "net/http.h"
 #include "serving/engine_memory_releaser.h"
+#include "serving/prompt_guard.h"
 #include "serving/request_format.h"
 #include "serving/stream_origin_directory.h"
 
@@ -53,6 +54,7 @@
   RelayCounters* counters;
   StageMeter* stage_meter;
   StreamOriginDirectory* stream_origins;
+  PromptGuard* prompt_guard;
   FailureDomain zone;  // Zone of this daemon.
 };
 
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -78,16 +78,14 @@
       Refuse("no_decode_engine");
       return;
     }
-    if (!last_event_id_ || !IsStream(request_.route.retry_policy)) {
-      StartStages();
-      return;
+    const PromptQuarantine::Decision decision =
+        deps_.prompt_guard->Decide(request_.caller.shared_prompt_parts);
+    if (decision.verdict == PromptQuarantine::Verdict::kTrial) {
+      trial_claim_ = deps_.prompt_guard->ClaimTrial(
+          decision.part, [this](bool granted) { OnTrialClaimed(granted); });
+    } else {
+      FindOriginAndStart();
     }
-    // What two software versions generate doesn't fit together.
-    origin_lookup_ = deps_.stream_origins->Find(
-        request_.caller.resumed_request, request_.service.id,
-        [this](const std::optional<SoftwareVersion>& version) {
-          OnOriginFound(version);
-        });
   }
 
   void OnCallerDisconnected() override {
@@ -138,6 +136,7 @@
                                      call->back_end().software_version);
     }
     result_.events = event_splitter_.event_count();
+    RecordGenerated();
     if (!software_version_)
       software_version_ = call->back_end().software_version;
     result_.software_version = *software_version_;
@@ -198,6 +197,7 @@
       return;
     }
     silence_timer_.Cancel();
+    RecordCrash(*call);
     if (failure == CallFailure::kIncompleteContent)
       result_.response_end = call->response_end();
     const BackEndEntry back_end = call->back_end();
@@ -222,6 +222,31 @@
   }
 
  private:
+  void OnTrialClaimed(bool granted) {
+    is_trial_ = granted;
+    FindOriginAndStart();
+  }
+
+  void FindOriginAndStart() {
+    if (!last_event_id_ || !IsStream(request_.route.retry_policy)) {
+      StartStages();
+      return;
+    }
+    // What two software versions generate doesn't fit together.
+    origin_lookup_ = deps_.stream_origins->Find(
+        request_.caller.resumed_request, request_.service.id,
+        [this](const std::optional<SoftwareVersion>& version) {
+          OnOriginFound(version);
+        });
+  }
+
+  // Whether the request must not reach any engine. That may change until it
+  // runs.
+  bool IsQuarantined() const {
+    return !is_trial_ && deps_.prompt_guard->IsQuarantined(
+                             request_.caller.shared_prompt_parts);
+  }
+
   void OnOriginFound(const std::optional<SoftwareVersion>& version) {
     if (!version) {
       Refuse("unknown_stream_origin");
@@ -273,6 +298,10 @@
   // Continues once there is a reservation, or without one if the engines make
   // none.
   void StartPrefillOrRun() {
+    if (IsQuarantined()) {
+      FinishUnanswered();
+      return;
+    }
     if (kv_handle_ && reservation_ &&
         prefill_engine_->software_version !=
             reservation_->engine.software_version)
@@ -284,6 +313,10 @@
   }
 
   void TryReserve() {
+    if (IsQuarantined()) {
+      FinishUnanswered();
+      return;
+    }
     const MonoTime now = deps_.loop->Now();
     stage_ = Stage::kReserve;
     std::set<BackEndId> excluded = tried_decode_engines_;
@@ -482,13 +515,17 @@
   }
 
   void OnPrefillFailed() {
-    if (prefills_ < kMaxPrefills && TryPrefill()) return;
+    if (prefills_ < kMaxPrefills && !IsQuarantined() && TryPrefill()) return;
     StartRun();
   }
 
   // Sends the run to a decode engine, with the prefill result unless there is
   // none or it has expired.
   void StartRun() {
+    if (IsQuarantined()) {
+      FinishUnanswered();
+      return;
+    }
     const MonoTime now = deps_.loop->Now();
     stage_ = Stage::kRun;
     if (kv_handle_ && KvHandleExpired(now)) kv_handle_.reset();
@@ -557,6 +594,30 @@
     StartStages();
   }
 
+  // Events of the response of call_.
+  int64_t EventsOfRun() const {
+    return call_->response_started()
+               ? event_splitter_.event_count() - events_before_run_
+               : 0;
+  }
+
+  // Reports that the current run got beyond its first event, once.
+  void RecordGenerated() {
+    if (generated_ || EventsOfRun() < kEventsUntilGenerated) return;
+    generated_ = true;
+    deps_.prompt_guard->RecordGenerated(request_.caller.shared_prompt_parts);
+  }
+
+  // Reports a run that the engine broke off when it was about to generate.
+  void RecordCrash(const BackEndCall& call) const {
+    if (stage_ != Stage::kRun || !call.connection_lost() ||
+        EventsOfRun() >= kEventsUntilGenerated)
+      return;
+    deps_.prompt_guard->RecordCrash(request_.caller.id,
+                                    request_.caller.shared_prompt_parts,
+                                    call.back_end());
+  }
+
   void RecordFailedRun() {
     ++may_have_run_;
     result_.partial_event_bytes = event_splitter_.partial_event().size();
@@ -568,6 +629,7 @@
     RecordFailedRun();
     kv_handle_.reset();
     const bool may_resume =
+        !is_trial_ &&
         request_.route.retry_policy == RetryPolicy::kResumableStream &&
         may_have_run_ < request_.route.max_attempts &&
         (!exchange_->response_started() ||
@@ -664,6 +726,9 @@
       AbortStream("stream_lost");
     } else if (may_have_run_ > 0) {
       Respond(EmptyResponse(kStatusBadGateway), "lost");
+    } else if (IsQuarantined()) {
+      // A retry would end the same way, so there is no time for one.
+      Respond(EmptyResponse(kStatusUnavailable), "quarantined_prompt");
     } else if (budget_exhausted_) {
       Refuse("retry_budget");
     } else {
@@ -698,6 +763,7 @@
     silence_timer_.Cancel();
     reservation_timer_.Cancel();
     origin_lookup_.reset();
+    trial_claim_.reset();
     if (kv_handle_) ++deps_.counters->prefills_unused;
     result_.status = status;
     result_.reason = reason;
@@ -735,6 +801,9 @@
   // Maximum number of prefills of a request. Further ones are not worth the
   // engines' time.
   static constexpr int kMaxPrefills = 2;
+  // An engine that has sent so many events of a run doesn't crash at the begin
+  // of generation.
+  static constexpr int64_t kEventsUntilGenerated = 2;
 
   const RelayDeps& deps_;
   const RelayRequest request_;
@@ -778,6 +847,9 @@
   int rejections_ = 0;    // Rejected runs.
   int may_have_run_ = 0;  // Finished calls whose request may have run.
   bool budget_exhausted_ = false;
+  bool is_trial_ = false;   // Runs although a part of its prompt is suspect.
+  bool generated_ = false;  // A run got beyond its first event.
+  std::unique_ptr<PromptTrialClaim> trial_claim_;  // Pending, or finished.
   bool waited_for_reservation_ = false;
   // Pending until the version of a stream that the caller takes up is known.
   std::unique_ptr<StreamOriginLookup> origin_lookup_;
--- /dev/null
+++ b/tests/prompt_crash_exchange_test.cc
@@ -0,0 +1,341 @@
+// Runs the exchange about prompts that crash engines of whole fleets in virtual
+// time: requests that share a part arrive at random daemons beside sound ones,
+// and daemons are cut off, restarted, or without the store. Once five engines
+// have crashed and all daemons that have contact could know, at most three
+// more requests with the part may reach engines.
+#include "serving/prompt_crash_exchange.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/json.h"
+#include "base/random.h"
+#include "tests/serving_fakes.h"
+#include "tests/virtual_datagrams.h"
+#include "tests/virtual_fleet.h"
+
+namespace mimosa {
+namespace {
+
+using std::chrono::seconds;
+using Verdict = PromptQuarantine::Verdict;
+
+constexpr char kRecordKey[] = "site/prompt_quarantine";
+constexpr size_t kCrashesKnown = 5;
+constexpr int kMaxRequestsAfter = 3;
+// The platform's time within which daemons have to be in contact.
+constexpr Duration kContactTime = seconds(3);
+// Time between two looks of a daemon at the store, as with the batch delay of
+// its watch.
+constexpr Duration kWatchInterval = milliseconds(500);
+// Time from the begin of a run to its crash.
+constexpr Duration kTimeToCrash = milliseconds(60);
+
+using Parts = std::vector<PromptPartId>;
+const PromptPartId kBad("bad");
+const PromptPartId kShared("5a");
+
+// One start of a daemon.
+struct Daemon {
+  Daemon(VirtualTimeSimulator* simulator, FakeNetwork* network,
+         VirtualPlatform* platform, int index, uint64_t boot, int fleet_size)
+      : random(boot),
+        loop(simulator, Duration::zero(), 0),
+        log(-1, &loop, testing::DisabledLogOptions()),
+        store(platform, &loop),
+        platform(platform),
+        members(&loop, &store, &random, &log, MemberOf(index, boot), {}),
+        exchange(&loop, &members, &store, &random, &log, ExchangeOptions()),
+        socket(network, index) {
+    for (int other = 0; other < fleet_size; ++other) {
+      if (other == index) continue;
+      const std::string record = ToJson(MemberOf(other, 1));
+      members.OnRecord(NameOf(other), &record);
+    }
+    network->Attach(index, [this](const Endpoint& from,
+                                  const wire::UsageDatagram& datagram) {
+      exchange.OnDatagram(from, datagram);
+    });
+    exchange.Start(&socket);
+    Watch();
+  }
+  ~Daemon() { loop.Kill(); }
+
+  static PromptCrashExchange::Options ExchangeOptions() {
+    PromptCrashExchange::Options options;
+    options.record_key = kRecordKey;
+    return options;
+  }
+
+  // Delivers the record if it has changed.
+  void Watch() {
+    watch_timer = loop.After(kWatchInterval, [this] { Watch(); });
+    if (platform->injected_faults()->platform_down) return;
+    const KvResult result = platform->Get(kRecordKey);
+    if (result.record.revision == seen) return;
+    seen = result.record.revision;
+    exchange.OnRecord(seen == Revision(0) ? nullptr : &result.record);
+  }
+
+  SeededRandom random;
+  VirtualLoop loop;
+  LineLog log;
+  VirtualKvStore store;
+  VirtualPlatform* const platform;
+  MemberList members;
+  PromptCrashExchange exchange;
+  FakeSocket socket;
+  Revision seen;
+  TimerHandle watch_timer;
+};
+
+class Fleet {
+ public:
+  Fleet(int size, uint64_t seed)
+      : random_(seed),
+        network_(&simulator_, &random_),
+        platform_(&simulator_, &random_, &faults_),
+        size_(size) {
+    network_.loss_per_mille = 30;
+    daemons_.resize(static_cast<size_t>(size));
+    for (int i = 0; i < size; ++i) Start(i);
+    Run(milliseconds(10));
+  }
+
+  void Start(int index) {
+    auto& daemon = daemons_[static_cast<size_t>(index)];
+    network_.Attach(index, nullptr);
+    daemon.reset();
+    daemon = std::make_unique<Daemon>(&simulator_, &network_, &platform_, index,
+                                      ++last_boot_, size_);
+  }
+  void RestartAll() {
+    for (int i = 0; i < size_; ++i) Start(i);
+  }
+  Daemon& daemon(int index) { return *daemons_[static_cast<size_t>(index)]; }
+  FakeNetwork& network() { return network_; }
+  VirtualPlatform& platform() { return platform_; }
+  InjectedFaults& faults() { return faults_; }
+  int size() const { return size_; }
+  void Run(Duration duration) {
+    simulator_.RunUntil(simulator_.now() + duration);
+  }
+
+  // A request with these shared parts arrives at a random daemon. If it gets to
+  // an engine, it generates or crashes it, together with runs that have
+  // `bystanders` as their parts.
+  void Send(const Parts& parts, const Parts& bystanders = {}) {
+    Daemon* const target = &daemon(static_cast<int>(random_.UniformInt(size_)));
+    const PromptQuarantine::Decision decision = target->exchange.Decide(parts);
+    if (decision.verdict == Verdict::kAdmit) {
+      RunAt(target, parts, bystanders);
+    } else if (decision.verdict == Verdict::kTrial) {
+      claims_.push_back(target->exchange.ClaimTrial(
+          decision.part, [this, target, parts, bystanders](bool granted) {
+            if (granted) RunAt(target, parts, bystanders);
+          }));
+    }
+  }
+
+  // Sends requests with the part that crashes engines, and as many sound ones,
+  // for `duration`.
+  void SendFor(Duration duration, Duration interval,
+               const Parts& sound = {kShared}) {
+    const MonoTime end = simulator_.now() + duration;
+    while (simulator_.now() < end) {
+      Send({kShared, kBad}, sound);
+      Send(sound);
+      Run(interval);
+    }
+  }
+
+  int reached() const { return reached_; }     // Requests with kBad.
+  size_t crashes() const { return crashes_; }  // Of engines.
+  int generated() const { return generated_; }
+  // Requests with kBad later than the contact time after the fifth crash.
+  int reached_after() const { return reached_after_; }
+
+ private:
+  static bool CrashesEngine(const Parts& parts) {
+    return std::find(parts.begin(), parts.end(), kBad) != parts.end();
+  }
+
+  void RunAt(Daemon* target, const Parts& parts, const Parts& bystanders) {
+    if (!CrashesEngine(parts)) {
+      ++generated_;
+      target->exchange.RecordGenerated(parts);
+      return;
+    }
+    ++reached_;
+    if (crashes_ >= kCrashesKnown &&
+        simulator_.now() > fifth_crash_at_ + kContactTime)
+      ++reached_after_;
+    BackEndEntry engine;
+    engine.id = BackEndId("e" + std::to_string(random_.UniformInt(9)));
+    engine.incarnation = ++last_incarnation_;
+    target->loop.RunAt(simulator_.now() + kTimeToCrash, [=] {
+      if (++crashes_ == kCrashesKnown) fifth_crash_at_ = simulator_.now();
+      target->exchange.RecordCrash(RequestId("r"), parts, engine);
+      if (!bystanders.empty())
+        daemon(static_cast<int>(random_.UniformInt(size_)))
+            .exchange.RecordCrash(RequestId("s"), bystanders, engine);
+    });
+  }
+
+  VirtualTimeSimulator simulator_;
+  SeededRandom random_;
+  FakeNetwork network_;
+  InjectedFaults faults_;
+  VirtualPlatform platform_;
+  const int size_;
+  std::vector<std::unique_ptr<Daemon>> daemons_;
+  std::vector<std::unique_ptr<PromptTrialClaim>> claims_;
+  uint64_t last_boot_ = 0;
+  int64_t last_incarnation_ = 0;
+  size_t crashes_ = 0;
+  MonoTime fifth_crash_at_{};
+  int reached_ = 0;
+  int reached_after_ = 0;
+  int generated_ = 0;
+};
+
+// Runs `body` with fleets of all sizes and several seeds.
+template <typename Body>
+void ForEachFleet(const Body& body) {
+  for (const auto& [size, seeds] :
+       {std::pair(6, 20), {86, 4}, {195, 2}, {389, 1}}) {
+    for (int i = 1; i <= seeds; ++i) {
+      const auto seed = static_cast<uint64_t>(i);
+      INFO(size << " daemons, seed " << seed);
+      Fleet fleet(size, seed);
+      body(fleet);
+    }
+  }
+}
+
+TEST_CASE("few requests with a part that crashes engines reach engines") {
+  ForEachFleet([](Fleet& fleet) {
+    fleet.SendFor(seconds(60), milliseconds(150));
+    CHECK(fleet.reached_after() <= kMaxRequestsAfter);
+    CHECK(fleet.reached() <= 10);
+    // Sound requests share the first part and crash beside them.
+    CHECK(fleet.generated() >= 395);
+    CHECK(fleet.daemon(0).exchange.quarantined_count() == 1);
+  });
+}
+
+TEST_CASE("crashes far apart are counted together") {
+  ForEachFleet([](Fleet& fleet) {
+    fleet.SendFor(seconds(900), seconds(20));
+    CHECK(fleet.reached_after() <= kMaxRequestsAfter);
+    CHECK(fleet.generated() >= 44);
+  });
+}
+
+TEST_CASE("daemons that hear no other learn of the quarantine from the store") {
+  ForEachFleet([](Fleet& fleet) {
+    for (int i = 0; i < fleet.size() / 3; ++i)
+      fleet.network().cut_off.insert(i);
+    fleet.SendFor(seconds(30), milliseconds(150));
+    CHECK(fleet.reached_after() <= kMaxRequestsAfter);
+  });
+}
+
+TEST_CASE("the quarantine outlives a restart of all daemons") {
+  ForEachFleet([](Fleet& fleet) {
+    fleet.SendFor(seconds(6), milliseconds(150));
+    const int reached = fleet.reached();
+    fleet.RestartAll();
+    fleet.SendFor(seconds(30), milliseconds(150));
+    // The trials that are left.
+    CHECK(fleet.reached() <= reached + kMaxRequestsAfter);
+  });
+}
+
+TEST_CASE("without the store, notices keep requests from engines") {
+  ForEachFleet([](Fleet& fleet) {
+    fleet.faults().platform_down = true;
+    fleet.SendFor(seconds(45), milliseconds(150));
+    CHECK(fleet.reached_after() <= kMaxRequestsAfter);
+    fleet.faults().platform_down = false;
+    fleet.Run(seconds(3));
+    CHECK(fleet.platform().Get(kRecordKey).record.revision != Revision(0));
+    fleet.RestartAll();
+    fleet.Run(seconds(1));
+    CHECK(fleet.daemon(0).exchange.quarantined_count() == 1);
+  });
+}
+
+TEST_CASE("a sound part that was quarantined with another one is released") {
+  ForEachFleet([](Fleet& fleet) {
+    // No sound request comes before the verdict.
+    while (fleet.daemon(0).exchange.quarantined_count() == 0 &&
+           fleet.crashes() < 20) {
+      fleet.Send({kShared, kBad});
+      fleet.Run(milliseconds(300));
+    }
+    fleet.Run(2 * kWatchInterval);
+    CHECK(fleet.daemon(0).exchange.quarantined_count() == 2);
+    fleet.SendFor(kContactTime, milliseconds(150));
+    const int generated = fleet.generated();
+    fleet.SendFor(seconds(30), milliseconds(150));
+    CHECK(fleet.generated() - generated == 200);
+    CHECK(fleet.daemon(0).exchange.quarantined_count() == 1);
+    CHECK(fleet.reached_after() <= kMaxRequestsAfter);
+  });
+}
+
+TEST_CASE("engines that crash by themselves put no part into quarantine") {
+  ForEachFleet([](Fleet& fleet) {
+    for (int crash = 0; crash < 60; ++crash) {
+      // Each part is in few requests; one of two loses its run.
+      const PromptPartId part("a" + std::to_string(crash / 6));
+      fleet.Send({part});
+      BackEndEntry engine;
+      engine.id = BackEndId("e" + std::to_string(crash));
+      fleet.daemon(crash % fleet.size())
+          .exchange.RecordCrash(RequestId("r"), {part}, engine);
+      fleet.Run(milliseconds(200));
+    }
+    CHECK(fleet.daemon(0).exchange.quarantined_count() == 0);
+    CHECK(fleet.generated() == 60);
+  });
+}
+
+TEST_CASE("operators release a part by removing the record") {
+  Fleet fleet(6, 1);
+  fleet.SendFor(seconds(4), milliseconds(150));
+  CHECK(fleet.daemon(1).exchange.quarantined_count() == 1);
+  const Revision revision = fleet.platform().Get(kRecordKey).record.revision;
+  fleet.platform().Delete(kRecordKey, revision);
+  fleet.Run(seconds(1));
+  for (int i = 0; i < fleet.size(); ++i)
+    CHECK(fleet.daemon(i).exchange.quarantined_count() == 0);
+  // It is found again.
+  fleet.SendFor(seconds(4), milliseconds(150));
+  CHECK(fleet.daemon(1).exchange.quarantined_count() == 1);
+}
+
+TEST_CASE("datagrams of others and unreadable records change nothing") {
+  Fleet fleet(6, 1);
+  PromptCrashExchange& exchange = fleet.daemon(0).exchange;
+  wire::UsageDatagram datagram;
+  datagram.mutable_prompt_part_notice()->set_part("5a");
+  exchange.OnDatagram({"10.9.9.9", 1}, datagram);
+  for (int i = 0; i < 9; ++i) {
+    datagram.mutable_prompt_crash_report()->set_back_end(std::to_string(i));
+    datagram.mutable_prompt_crash_report()->add_parts("5a");
+    exchange.OnDatagram({"10.9.9.9", 1}, datagram);
+  }
+  exchange.OnDatagram(AddressOf(1), wire::UsageDatagram());
+  const KvRecord record{kRecordKey, "{\"parts\":7", Revision(9)};
+  exchange.OnRecord(&record);
+  fleet.Run(seconds(1));
+  CHECK(exchange.quarantined_count() == 0);
+}
+
+}  // namespace
+}  // namespace mimosa
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -18,6 +18,7 @@
 #include "platform/request_codec.h"
 #include "serving/entry_frontend.h"
 #include "serving/member_list.h"
+#include "serving/prompt_crash_exchange.h"
 #include "serving/stream_origin_exchange.h"
 #include "tests/serving_fakes.h"
 
@@ -268,10 +269,12 @@
   MemberList members{loop.get(), &store, &random, &log, {}, {}};
   StreamOriginExchange origins{loop.get(),          &members, &back_ends, &log,
                                [] { return true; }, {}};
-  RelayDeps deps{loop.get(),        client.get(),       &format, &selector,
-                 &budget,           &reservation_retry, &random, &log,
-                 &releaser,         &counters,          &meter,  &origins,
-                 FailureDomain("z")};
+  PromptCrashExchange prompt_crashes{loop.get(), &members, &store,
+                                     &random,    &log,     {}};
+  RelayDeps deps{loop.get(),      client.get(),       &format, &selector,
+                 &budget,         &reservation_retry, &random, &log,
+                 &releaser,       &counters,          &meter,  &origins,
+                 &prompt_crashes, FailureDomain("z")};
   std::shared_ptr<const SiteConfig> config;
   std::unique_ptr<EntryFrontend> frontend;
   std::unique_ptr<HttpServer> server;
