Limits that back ends name are read and logged

Cause: the daemons' knowledge of limits couldn't be compared with the rates at the servers, since nobody read the field.

Change: the request format reads the limit in a response; decide/back_end_limits keeps what is known of each incarnation, and changes are logged (back_end_limit) and counted. Nothing is decided by it yet. A response without a limit ends one only if its call was started after the limit was learnt.

--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -85,7 +85,10 @@
 void BackEndCall::OnHead(int status, const HttpHeaders& headers) {
   const ResponseMarkers markers = deps_.format->ReadResponseMarkers(headers);
   // Another server that now has the address speaks for itself only.
-  if (markers.leaving && status != kMisdirected) RecordLeaving();
+  if (status != kMisdirected) {
+    if (markers.leaving) RecordLeaving();
+    RecordLimit(markers.limit);
+  }
   if (markers.not_executed || status == kMisdirected ||
       (internal_call_ && PromisesNotRun(status))) {
     not_executed_ = true;
@@ -152,6 +155,17 @@
                        .Add("request", id_.value()));
 }
 
+void BackEndCall::RecordLimit(std::optional<double> limit) {
+  if (!deps_.limits->Record(back_end_, limit, started_, deps_.loop->Now()))
+    return;
+  deps_.log->Write(LogLine("back_end_limit")
+                       .Add("back_end", back_end_.id.value())
+                       .Add("incarnation", back_end_.incarnation)
+                       .Add("request", id_.value())
+                       .Add("per_second", limit ? std::to_string(*limit)
+                                                : std::string("none")));
+}
+
 void BackEndCall::RecordPause(Duration pause) {
   if (pause <= Duration::zero()) return;
   deps_.selector->RecordPause(back_end_, deps_.loop->Now() + pause);
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -164,6 +164,7 @@
               &stage_meter_,
               &stream_origins_,
               &prompt_crashes_,
+              &limits_,
               FailureDomain(settings.failure_domain())},
         frontend_(&deps_, &rate_limiter_,
                   [this] { return site_sync_.config(); }),
@@ -485,6 +486,7 @@
   SiteSync site_sync_;
   StreamOriginExchange stream_origins_;
   PromptCrashExchange prompt_crashes_;
+  BackEndLimits limits_;
   const RelayDeps deps_;
   EntryFrontend frontend_;
   PathHandler ready_handler_;
@@ -518,6 +520,9 @@
   add_gauge("mimosa_back_ends_leaving",
             "Backend servers whose responses said that they leave",
             [this] { return double(selector_.leaving_count()); });
+  add_gauge("mimosa_back_end_limits",
+            "Backend servers that name a limit on the requests of all daemons",
+            [this] { return double(limits_.size()); });
   add_gauge("mimosa_store_lost", "1 while the store doesn't answer",
             [this] { return site_sync_.store_lost() ? 1.0 : 0.0; });
   add_gauge("mimosa_running_requests", "Requests being served",
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -9,6 +9,7 @@
 
 #include "base/line_log.h"
 #include "base/random.h"
+#include "decide/back_end_limits.h"
 #include "decide/back_end_selector.h"
 #include "decide/reservation_retry_policy.h"
 #include "decide/retry_budget.h"
@@ -55,6 +56,7 @@
   StageMeter* stage_meter;
   StreamOriginDirectory* stream_origins;
   PromptGuard* prompt_guard;
+  BackEndLimits* limits;
   FailureDomain zone;  // Zone of this daemon.
 };
 
--- a/serving/request_format.h
+++ b/serving/request_format.h
@@ -72,6 +72,9 @@
   bool sealed = false;           // The back end itself generated the response.
   bool content_encoded = false;  // The body has a Content-Encoding.
   bool leaving = false;          // The back end is about to terminate.
+  // Requests a second that the back end takes from all daemons together; absent
+  // if it names no limit.
+  std::optional<double> limit;
   // For how long the back end asks to be sent nothing; zero if it doesn't.
   Duration retry_after{};
 };
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -285,6 +285,22 @@
   CHECK_FALSE(error_with("Mimosarouter-Length-Hint", "many"));
 }
 
+TEST_CASE("the limit that a back end names is read") {
+  const PlatformRequestFormat format;
+  const auto read = [&](const char* value) {
+    HttpHeaders headers;
+    headers.Add("Server-Limit", value);
+    return format.ReadResponseMarkers(headers).limit;
+  };
+  CHECK(read("2.5") == 2.5);
+  CHECK(read("0") == 0.0);
+  CHECK(read("100000000") == 1e8);
+  for (const char* other :
+       {"", "-1", "-0", "nan", "inf", "1e3", "2,5", "2.5 /s"})
+    CHECK_FALSE(read(other));
+  CHECK_FALSE(format.ReadResponseMarkers(HttpHeaders()).limit);
+}
+
 TEST_CASE("engine responses are read") {
   const PlatformRequestFormat format;
   HttpHeaders headers;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -269,12 +269,14 @@
   MemberList members{loop.get(), &store, &random, &log, {}, {}};
   StreamOriginExchange origins{loop.get(),          &members, &back_ends, &log,
                                [] { return true; }, {}};
+  BackEndLimits limits;
   PromptCrashExchange prompt_crashes{loop.get(), &members, &store,
                                      &random,    &log,     {}};
-  RelayDeps deps{loop.get(),      client.get(),       &format, &selector,
-                 &budget,         &reservation_retry, &random, &log,
-                 &releaser,       &counters,          &meter,  &origins,
-                 &prompt_crashes, FailureDomain("z")};
+  RelayDeps deps{loop.get(),      client.get(), &format,
+                 &selector,       &budget,      &reservation_retry,
+                 &random,         &log,         &releaser,
+                 &counters,       &meter,       &origins,
+                 &prompt_crashes, &limits,      FailureDomain("z")};
   std::shared_ptr<const SiteConfig> config;
   std::unique_ptr<EntryFrontend> frontend;
   std::unique_ptr<HttpServer> server;
