Failing test: servers that name a limit get as much as before

Cause: no daemon heeds the limit, and each would know only its own requests.

Change: stand-in servers can name a limit in their responses. A process test plays two daemons before a plain service and engines of which one server, then both, name 4 requests a second, and then recover.

--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -85,6 +85,7 @@
               HeaderField(request, "Mimosarouter-Request-Id"));
   headers.Add("Mimosarouter-Response-Seal", "seal-of-" + options_.id);
   if (says_leaving_) headers.Add("Server-Leaving", "1");
+  if (limit_ >= 0) headers.Add("Server-Limit", std::to_string(limit_));
   return headers;
 }
 
@@ -405,6 +406,7 @@
   unresponsive_ = BoolMember(*body, "silent", unresponsive_);
   draining_ = BoolMember(*body, "draining", draining_);
   unframed_ = BoolMember(*body, "unframed", unframed_);
+  if ((*body)["limit"].isNumeric()) limit_ = (*body)["limit"].asDouble();
   if (body->isMember("crash_part"))
     crash_part_ = StringMember(*body, "crash_part");
   says_leaving_ = BoolMember(*body, "says_leaving", says_leaving_);
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -9,7 +9,9 @@
 //   POST /debug/behave   any of {"gap_ms", "events", "delay_ms",
 //                        "abort_runs", "draining": bool, "silent": bool,
 //                        "unframed": bool, "says_leaving": bool, "pause_ms",
-//                        "crash_part": part of a prompt}
+//                        "crash_part": part of a prompt,
+//                        "limit": requests a second, negative for none}
+//       "limit": all responses name it as the server's limit
 //       "crash_part": a run whose prompt has the part, not as its last one,
 //       crashes the server once the head of its response is out; it is back as
 //       another incarnation after half a second
@@ -115,6 +117,7 @@
   // Requests get no response, and registration stops.
   bool unresponsive_ = false;
   bool says_leaving_ = false;
+  double limit_ = -1;       // negative: none
   std::string crash_part_;  // empty: none
   bool crashed_ = false;    // breaks off all connections until the restart
   int64_t crashes_ = 0;
--- a/tests/entry_process_test.cc
+++ b/tests/entry_process_test.cc
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/json.h"
@@ -390,6 +391,63 @@
   CHECK(site.CountCrashPartRequests() <= reached + kAllowed);
 }
 
+// Sends requests through all daemons in turn for `duration`. Returns how many
+// got a response of a server.
+int SendFor(Site* site, const char* target,
+            std::chrono::milliseconds duration) {
+  int served = 0;
+  const auto end = std::chrono::steady_clock::now() + duration;
+  for (size_t i = 0; std::chrono::steady_clock::now() < end; ++i) {
+    const Reply reply = site->SendRequest(i % 2, target);
+    served += reply.status == 200 ? 1 : 0;
+    if (reply.status != 200) CHECK(reply.status == 503);
+  }
+  return served;
+}
+
+TEST_CASE("servers that name a limit get no more from all daemons together",
+          "[limit]") {
+  constexpr double kLimit = 4;
+  constexpr std::chrono::milliseconds kSettleTime(3000);
+  constexpr std::chrono::milliseconds kWindow(4000);
+  // The platform's tolerance.
+  constexpr double kMaxRequests =
+      1.5 * kLimit * (double(kWindow.count()) / 1000) + 5;
+  Site site;
+  site.AwaitListed(5);
+  const auto serve_window = [&](const char* target, const char* server,
+                                double* received) {
+    const int64_t before = site.Journal(server)["served"].asInt64();
+    const int served = SendFor(&site, target, kWindow);
+    *received = double(site.Journal(server)["served"].asInt64() - before);
+    return served;
+  };
+  double received = 0;
+  // One server of each service names a limit; the other one takes the rest.
+  for (const auto& [target, server] :
+       {std::pair("/book/x", "k1"), std::pair("/letter/x", "d1")}) {
+    site.SetBehavior(server, MakeObject("limit", kLimit));
+    SendFor(&site, target, kSettleTime);
+    CHECK(serve_window(target, server, &received) > 40);
+    CHECK(received <= kMaxRequests);
+  }
+  // Both servers of a service do: the rest is refused.
+  site.SetBehavior("k2", MakeObject("limit", kLimit));
+  SendFor(&site, "/look/x", kSettleTime);
+  const int served = serve_window("/look/x", "k2", &received);
+  CHECK(received <= kMaxRequests);
+  CHECK(served >= int(kLimit * double(kWindow.count()) / 1000));
+  // They recover.
+  for (const char* server : {"k1", "k2"})
+    site.SetBehavior(server, MakeObject("limit", -1));
+  CHECK(Eventually([&] {
+    int answered = 0;
+    for (int i = 0; i < 20; ++i)
+      answered += site.SendRequest(i % 2, "/look/x").status == 200 ? 1 : 0;
+    return answered == 20;
+  }));
+}
+
 TEST_CASE("a withdrawn key and a new one take effect on all daemons") {
   Site site;
   site.WriteConfig(2, "key-two");
