The limit that a back end names holds for all daemons together

What callers saw: little; a server in need that named 2.5 requests a second got 44 in 4 s, and was left to its overload.

Cause: nobody heeded the limit, and a limit on the sum can't be kept by daemons that know only their own requests.

Change: a daemon that learns of a limit tells all members. From then on a call to that back end needs a permit. One member issues the permits of a back end (serving/permit_exchange, decide/permit_issuer); requests go to other back ends meanwhile, and a plain request waits for a permit only as long as it may still be in time. Of what daemons have heard of a limit the newest holds (decide/back_end_limits).

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -83,10 +83,14 @@
   for (const auto& [id, listed] : list_->entries()) {
     if (!Matches(listed.entry, query)) continue;
     const auto state = states_.find(id);
-    const bool pauses = state != states_.end() &&
-                        state->second.incarnation == listed.entry.incarnation;
-    end =
-        std::min(end, pauses ? std::max(now, state->second.pause_until) : now);
+    MonoTime available_at = now;
+    if (state != states_.end() &&
+        state->second.incarnation == listed.entry.incarnation)
+      available_at = std::max(now, state->second.pause_until);
+    if (permits_ != nullptr)
+      available_at =
+          std::max(available_at, permits_->AvailableAt(listed.entry, now));
+    end = std::min(end, available_at);
   }
   return end == kNever ? now : end;
 }
@@ -117,6 +121,16 @@
   });
 }
 
+bool BackEndSelector::AwaitsPermit(const SelectionQuery& query,
+                                   MonoTime now) const {
+  const auto& all = list_->entries();
+  return permits_ != nullptr &&
+         std::any_of(all.begin(), all.end(), [&](const auto& item) {
+           const BackEndEntry& entry = item.second.entry;
+           return Matches(entry, query) && !permits_->IsAvailable(entry, now);
+         });
+}
+
 bool BackEndSelector::IsInBackoff(const BackEndState& state,
                                   MonoTime now) const {
   return now < state.backoff_until ||
@@ -148,12 +162,25 @@
   double best_ms = std::numeric_limits<double>::infinity();
   const BackEndEntry* first_available = nullptr;  // used if all are in backoff
   MonoTime first_available_at = kNever;
+  const BackEndEntry* lacks_permit = nullptr;  // the best one that does
+  double lacks_permit_ms = std::numeric_limits<double>::infinity();
   for (const auto& [id, listed] : list_->entries()) {
     const BackEndEntry& entry = listed.entry;
     if (!Matches(entry, query)) continue;
     const BackEndState& state = StateOf(entry);
     if (now < state.pause_until) continue;
     if (query.require_free_memory && ExceedsMemory(id, state, query)) continue;
+    if (permits_ != nullptr && !permits_->IsAvailable(entry, now)) {
+      const double ms =
+          ExpectedMillis(listed, state, query, now) +
+          ToSeconds(permits_->AvailableAt(entry, now) - now) * 1000 +
+          random_->UniformDouble() * kTieBreakMs;
+      if (ms < lacks_permit_ms) {
+        lacks_permit = &entry;
+        lacks_permit_ms = ms;
+      }
+      continue;
+    }
     if (IsInBackoff(state, now)) {
       if (state.backoff_until < first_available_at) {
         first_available = &entry;
@@ -170,8 +197,10 @@
   }
   // The caller will retry the reservation anyway, so an engine that has just
   // failed is not used as a fallback.
-  if (query.require_free_memory) return best;
-  return best != nullptr ? best : first_available;
+  if (best == nullptr && !query.require_free_memory) best = first_available;
+  if (lacks_permit != nullptr) permits_->Request(*lacks_permit);
+  if (best != nullptr && permits_ != nullptr) permits_->Take(*best);
+  return best;
 }
 
 OpenWork BackEndSelector::PeerLoadOf(const BackEndId& id) const {
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -14,6 +14,9 @@
 // daemon that it told; the others learn it from its entry or its responses to
 // them.
 //
+// A back end that names a limit on the calls of all daemons is called with a
+// permit only; meanwhile, requests go to others.
+//
 // Load patterns covered: a burst of twice the usual rate while a quarter of the
 // engines don't respond or respond slowly; engines that are full for a moment;
 // prefill engines whose results expire at once; a restart of many engines.
@@ -30,6 +33,7 @@
 #include "base/ids.h"
 #include "base/random.h"
 #include "decide/back_end_list.h"
+#include "decide/call_permits.h"
 #include "decide/open_work.h"
 #include "decide/site.h"
 
@@ -103,15 +107,21 @@
     Duration failure_half_life = std::chrono::seconds(8);
   };
 
+  // Without `permits`, limits that back ends name are ignored.
   BackEndSelector(const BackEndList* list, RandomSource* random,
-                  const Options& options)
-      : list_(list), random_(random), options_(options) {}
+                  const Options& options, CallPermits* permits = nullptr)
+      : list_(list), random_(random), options_(options), permits_(permits) {}
 
-  // Returns nullptr if no back end of the service and role takes new work.
+  // Returns nullptr if no back end of the service and role takes new work. If a
+  // call to the selected one needs a permit, it is used up; one is requested
+  // for the best back end that only lacks a permit.
   const BackEndEntry* SelectBackEnd(const SelectionQuery& query, MonoTime now);
   // Returns when the first back end that the query matches has ended the pause
-  // that it asked for; `now` if one is in no pause, or if none matches.
+  // that it asked for and can be called within its limit; `now` if that holds
+  // for one already, or if none matches.
   MonoTime EndOfPauses(const SelectionQuery& query, MonoTime now) const;
+  // Returns whether a back end that the query matches only lacks a permit.
+  bool AwaitsPermit(const SelectionQuery& query, MonoTime now) const;
   // Returns whether the query matches a back end at all, however loaded or
   // unhealthy it is now.
   bool HasCandidate(const SelectionQuery& query) const;
@@ -205,6 +215,7 @@
   const BackEndList* const list_;
   RandomSource* const random_;
   const Options options_;
+  CallPermits* const permits_;  // May be null.
   std::map<BackEndId, BackEndState> states_;
   OpenWorkByBackEnd peer_load_;
   // The incarnations that have said that they are about to terminate, also
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -87,7 +87,7 @@
   // Another server that now has the address speaks for itself only.
   if (status != kMisdirected) {
     if (markers.leaving) RecordLeaving();
-    RecordLimit(markers.limit);
+    deps_.permits->RecordLimit(back_end_, markers.limit, id_, started_);
   }
   if (markers.not_executed || status == kMisdirected ||
       (internal_call_ && PromisesNotRun(status))) {
@@ -155,17 +155,6 @@
                        .Add("request", id_.value()));
 }
 
-void BackEndCall::RecordLimit(std::optional<double> limit) {
-  if (!deps_.limits->Record(back_end_, limit, started_, deps_.loop->Now()))
-    return;
-  deps_.log->Write(LogLine("back_end_limit")
-                       .Add("back_end", back_end_.id.value())
-                       .Add("incarnation", back_end_.incarnation)
-                       .Add("request", id_.value())
-                       .Add("per_second", limit ? std::to_string(*limit)
-                                                : std::string("none")));
-}
-
 void BackEndCall::RecordPause(Duration pause) {
   if (pause <= Duration::zero()) return;
   deps_.selector->RecordPause(back_end_, deps_.loop->Now() + pause);
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -7,7 +7,6 @@
 #define SERVING_BACK_END_CALL_H_
 
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -108,8 +107,6 @@
  private:
   // The back end's response says that it is about to terminate.
   void RecordLeaving();
-  // The back end names a limit on the requests of all daemons, or none.
-  void RecordLimit(std::optional<double> limit);
   // The back end asks to be sent nothing for `pause`; zero if it doesn't.
   void RecordPause(Duration pause);
   // Reports `outcome` to the selector, once per call.
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -24,6 +24,7 @@
 #include "serving/entry_frontend.h"
 #include "serving/local_responses.h"
 #include "serving/member_list.h"
+#include "serving/permit_exchange.h"
 #include "serving/prompt_crash_exchange.h"
 #include "serving/role_controller.h"
 #include "serving/site_sync.h"
@@ -129,13 +130,15 @@
         store_(platform.open_store(client_.get(),
                                    ParseEndpointOrDefault(settings.store()),
                                    &metrics_)),
-        selector_(&back_ends_, &random_, BackEndSelector::Options{}),
         retry_budget_(RetryBudgetOptions(settings)),
         reservation_retry_(ReservationRetryPolicy::Options{}, &random_),
         rate_limiter_(RateLimiterOptions(settings), &random_),
         releaser_(loop_.get(), client_.get(), platform.request_format),
         members_(loop_.get(), store_.get(), &random_, &log_, MakeSelf(settings),
                  MemberOptions()),
+        permits_(loop_.get(), &members_, &random_, &log_,
+                 PermitExchange::Options{}),
+        selector_(&back_ends_, &random_, BackEndSelector::Options{}, &permits_),
         usage_exchange_(loop_.get(), &members_, &rate_limiter_, &selector_,
                         &stage_meter_, &log_, UsageExchange::Options{}),
         role_controller_(
@@ -164,7 +167,7 @@
               &stage_meter_,
               &stream_origins_,
               &prompt_crashes_,
-              &limits_,
+              &permits_,
               FailureDomain(settings.failure_domain())},
         frontend_(&deps_, &rate_limiter_,
                   [this] { return site_sync_.config(); }),
@@ -204,13 +207,16 @@
         [this](const std::string& name, const KvRecord* record) {
           OnRecord(name, record);
         });
-    site_sync_.SetBackEndsObserver(
-        [this] { stream_origins_.OnBackEndsChanged(); });
+    site_sync_.SetBackEndsObserver([this] {
+      stream_origins_.OnBackEndsChanged();
+      permits_.OnBackEndsChanged(back_ends_);
+    });
     site_sync_.Start();
     members_.Start();
     usage_exchange_.Start(peer_socket_.get());
     stream_origins_.Start(peer_socket_.get());
     prompt_crashes_.Start(peer_socket_.get());
+    permits_.Start(peer_socket_.get());
     role_controller_.Start();
     FlushLog();
     loop_->Run();
@@ -267,6 +273,7 @@
     usage_exchange_.OnDatagram(from, datagram);
     stream_origins_.OnDatagram(from, datagram);
     prompt_crashes_.OnDatagram(from, datagram);
+    permits_.OnDatagram(from, datagram);
   }
 
   // Changes may be missing from the list for as long as a silent watch goes
@@ -384,6 +391,8 @@
       item["zone"] = back_end.entry.zone.value();
       item["draining"] = back_end.entry.draining;
       item["leaving"] = selector_.IsLeaving(back_end.entry);
+      if (const auto limit = permits_.FindLimit(back_end.entry))
+        item["limit"] = *limit;
       item["held"] = back_end.removal_pending;
       item["changes_role"] = state.changing_role;
       item["open_calls"] = state.open_calls;
@@ -473,7 +482,6 @@
   const std::unique_ptr<HttpClient> client_;
   const std::unique_ptr<KvStore> store_;
   BackEndList back_ends_;
-  BackEndSelector selector_;
   RetryBudget retry_budget_;
   ReservationRetryPolicy reservation_retry_;
   ReplicatedRateLimiter rate_limiter_;
@@ -481,12 +489,13 @@
   RelayCounters counters_;
   StageMeter stage_meter_;
   MemberList members_;
+  PermitExchange permits_;
+  BackEndSelector selector_;
   UsageExchange usage_exchange_;
   RoleController role_controller_;
   SiteSync site_sync_;
   StreamOriginExchange stream_origins_;
   PromptCrashExchange prompt_crashes_;
-  BackEndLimits limits_;
   const RelayDeps deps_;
   EntryFrontend frontend_;
   PathHandler ready_handler_;
@@ -522,7 +531,18 @@
             [this] { return double(selector_.leaving_count()); });
   add_gauge("mimosa_back_end_limits",
             "Backend servers that name a limit on the requests of all daemons",
-            [this] { return double(limits_.size()); });
+            [this] { return double(permits_.limit_count()); });
+  for (const auto& [event, count] :
+       {std::pair("requested", &PermitExchange::Counters::requests),
+        std::pair("granted", &PermitExchange::Counters::granted),
+        std::pair("issued", &PermitExchange::Counters::issued),
+        std::pair("unanswered", &PermitExchange::Counters::unanswered)}) {
+    metrics_.AddGauge("mimosa_permits",
+                      "Permits for calls to backend servers that name a limit",
+                      {{"event", event}}, [this, count = count] {
+                        return double(permits_.counters().*count);
+                      });
+  }
   add_gauge("mimosa_store_lost", "1 while the store doesn't answer",
             [this] { return site_sync_.store_lost() ? 1.0 : 0.0; });
   add_gauge("mimosa_running_requests", "Requests being served",
--- /dev/null
+++ b/serving/permit_exchange.cc
@@ -0,0 +1,375 @@
+// Requests, grants and notices about limits.
+#include "serving/permit_exchange.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "decide/rendezvous.h"
+
+namespace mimosa {
+namespace {
+
+// A request at a decode engine takes a reservation and a run.
+constexpr int kPermitsPerDecodeCall = 2;
+// Most calls for which one request asks for permits.
+constexpr int kMaxCallsPerRequest = 8;
+// Most permits that a member may ask for at once.
+constexpr uint32_t kMaxPermitsPerRequest =
+    kPermitsPerDecodeCall * kMaxCallsPerRequest;
+// Estimated time of a request for permits.
+constexpr Duration kRequestTime = std::chrono::milliseconds(5);
+// Longest time for which a denial holds, since limits change.
+constexpr Duration kMaxWait = std::chrono::seconds(1);
+constexpr size_t kMaxIssued = 5000;
+// A limit of nearly zero still yields a permit now and then, because only a
+// response can show that the back end has withdrawn it.
+constexpr double kMinRate = 0.2;
+
+// Returns an entry that has only what identifies a back end.
+BackEndEntry Identify(const BackEndId& id, int64_t incarnation) {
+  BackEndEntry back_end;
+  back_end.id = id;
+  back_end.incarnation = incarnation;
+  return back_end;
+}
+
+// Returns the permits a second for a limit.
+double RateOf(double limit) { return std::max(limit, kMinRate); }
+
+}  // namespace
+
+PermitExchange::PermitExchange(EventLoop* loop, const MemberList* members,
+                               RandomSource* random, LineLog* log,
+                               const Options& options)
+    : loop_(loop),
+      members_(members),
+      random_(random),
+      log_(log),
+      options_(options) {}
+
+// --- Limits ---------------------------------------------------------------
+
+void PermitExchange::RecordLimit(const BackEndEntry& back_end,
+                                 std::optional<double> limit,
+                                 const RequestId& request,
+                                 MonoTime call_started) {
+  const bool was_limited = limits_.Find(back_end).has_value();
+  if (!limits_.Record(back_end, limit, call_started, loop_->Now())) return;
+  LogLimit(back_end, request);
+  if (!limit) permits_.erase(back_end.id);
+  // Another rate spreads with the requests for permits.
+  if (was_limited != limit.has_value()) NotifyAll(back_end);
+}
+
+bool PermitExchange::MergeStatement(const BackEndEntry& back_end,
+                                    const wire::LimitStatement& statement) {
+  // An unknown limit isn't the same as none.
+  if (!statement.is_known()) return true;
+  BackEndLimits::Statement merged;
+  if (statement.has_per_second()) {
+    if (!(statement.per_second() >= 0)) return false;
+    merged.per_second = statement.per_second();
+  }
+  merged.named_at =
+      loop_->Now() - std::chrono::milliseconds(statement.age_ms());
+  if (!limits_.Merge(back_end, merged)) return true;
+  LogLimit(back_end, RequestId());
+  return true;
+}
+
+wire::LimitStatement PermitExchange::StatementOf(
+    const BackEndEntry& back_end) const {
+  wire::LimitStatement statement;
+  const auto known = limits_.FindStatement(back_end);
+  statement.set_is_known(known.has_value());
+  if (!known) return statement;
+  if (known->per_second) statement.set_per_second(*known->per_second);
+  statement.set_age_ms(static_cast<uint32_t>(
+      std::max<int64_t>(0, ToMillis(loop_->Now() - known->named_at))));
+  return statement;
+}
+
+void PermitExchange::LogLimit(const BackEndEntry& back_end,
+                              const RequestId& request) {
+  const std::optional<double> limit = limits_.Find(back_end);
+  log_->Write(LogLine("back_end_limit")
+                  .Add("back_end", back_end.id.value())
+                  .Add("incarnation", back_end.incarnation)
+                  .Add("request", request.value())
+                  .Add("per_second",
+                       limit ? std::to_string(*limit) : std::string("none")));
+}
+
+void PermitExchange::NotifyAll(const BackEndEntry& back_end) {
+  wire::UsageDatagram datagram;
+  wire::LimitNotice* const notice = datagram.mutable_limit_notice();
+  notice->set_back_end(back_end.id.value());
+  notice->set_incarnation(back_end.incarnation);
+  *notice->mutable_statement() = StatementOf(back_end);
+  for (const auto& [name, member] : members_->others())
+    SendToMember(name, datagram);
+}
+
+void PermitExchange::HandleNotice(const wire::LimitNotice& notice) {
+  const BackEndEntry back_end =
+      Identify(BackEndId(notice.back_end()), notice.incarnation());
+  MergeStatement(back_end, notice.statement());
+  if (!limits_.Find(back_end)) permits_.erase(back_end.id);
+}
+
+void PermitExchange::OnBackEndsChanged(const BackEndList& back_ends) {
+  const MonoTime now = loop_->Now();
+  limits_.ForgetUnlisted(back_ends);
+  for (auto it = permits_.begin(); it != permits_.end();) {
+    const bool is_limited =
+        limits_.Find(Identify(it->first, it->second.incarnation)).has_value();
+    it = is_limited ? std::next(it) : permits_.erase(it);
+  }
+  for (auto it = issued_.begin(); it != issued_.end();)
+    it = now - it->second.last_asked >= options_.issuer_lifetime
+             ? issued_.erase(it)
+             : std::next(it);
+}
+
+// --- Permits of this daemon -----------------------------------------------
+
+int PermitExchange::PermitsPerCall(const BackEndEntry& back_end) {
+  return back_end.role == EngineRole::kDecode ? kPermitsPerDecodeCall : 1;
+}
+
+PermitExchange::Permits* PermitExchange::PermitsOf(
+    const BackEndEntry& back_end) {
+  Permits& permits = permits_[back_end.id];
+  if (permits.incarnation != back_end.incarnation) {
+    permits = Permits{};
+    permits.incarnation = back_end.incarnation;
+  }
+  return &permits;
+}
+
+const PermitExchange::Permits* PermitExchange::FindPermits(
+    const BackEndEntry& back_end) const {
+  const auto it = permits_.find(back_end.id);
+  return it == permits_.end() || it->second.incarnation != back_end.incarnation
+             ? nullptr
+             : &it->second;
+}
+
+bool PermitExchange::IsAvailable(const BackEndEntry& back_end,
+                                 MonoTime now) const {
+  if (!limits_.Find(back_end)) return true;
+  const Permits* const permits = FindPermits(back_end);
+  return permits != nullptr && permits->held >= PermitsPerCall(back_end) &&
+         now < permits->held_until;
+}
+
+MonoTime PermitExchange::AvailableAt(const BackEndEntry& back_end,
+                                     MonoTime now) const {
+  if (IsAvailable(back_end, now)) return now;
+  const Permits* const permits = FindPermits(back_end);
+  const MonoTime soon = now + kRequestTime;
+  return permits == nullptr ? soon : std::max(soon, permits->not_before);
+}
+
+void PermitExchange::Take(const BackEndEntry& back_end) {
+  if (!limits_.Find(back_end)) return;
+  Permits* const permits = PermitsOf(back_end);
+  permits->held = std::max(0, permits->held - PermitsPerCall(back_end));
+}
+
+void PermitExchange::Request(const BackEndEntry& back_end) {
+  Permits* const permits = PermitsOf(back_end);
+  permits->wanted = std::min(permits->wanted + 1, kMaxCallsPerRequest);
+  const MonoTime now = loop_->Now();
+  if (permits->serial != 0 || now < permits->not_before) return;
+  const bool first_is_reachable = now >= permits->first_unreachable_until;
+  Ask(back_end, permits, first_is_reachable ? Issuer::kFirst : Issuer::kSecond);
+}
+
+std::vector<std::string> PermitExchange::IssuersOf(const BackEndId& id) const {
+  constexpr size_t kIssuers = 2;
+  struct Member {
+    MemberId id;
+  };
+  std::vector<Member> members = {{MemberId(members_->self().name())}};
+  members.reserve(static_cast<size_t>(members_->size()));
+  for (const auto& [name, member] : members_->others())
+    members.push_back({MemberId(name)});
+  std::vector<std::string> names;
+  for (const Member* member :
+       TopByRendezvousWeight(members, id.value(), kIssuers))
+    names.push_back(member->id.value());
+  return names;
+}
+
+void PermitExchange::Ask(const BackEndEntry& back_end, Permits* permits,
+                         Issuer issuer) {
+  const MonoTime now = loop_->Now();
+  const double limit = limits_.Find(back_end).value_or(0);
+  const int per_call = PermitsPerCall(back_end);
+  permits->asked = issuer;
+  permits->asked_at = now;
+  permits->asked_count = std::max(1, permits->wanted) * per_call;
+  permits->wanted = 0;
+  ++counters_.requests;
+  if (issuer == Issuer::kSelf) {
+    // The shares of all daemons add up to the limit. They begin at random
+    // levels, so that daemons that were cut off together don't get their
+    // permits together.
+    if (!permits->own_share)
+      permits->own_share.emplace(random_->UniformDouble() * per_call, now);
+    permits->own_share->SetRate(RateOf(limit) / members_->size(), now);
+    const int count = permits->own_share->Issue(per_call, per_call, now);
+    OnGranted(permits, count, permits->own_share->TimeUntil(per_call, now));
+    return;
+  }
+  const std::vector<std::string> issuers = IssuersOf(back_end.id);
+  const size_t rank = issuer == Issuer::kFirst ? 0 : 1;
+  if (rank >= issuers.size()) {
+    Ask(back_end, permits, Issuer::kSelf);
+    return;
+  }
+  if (issuers[rank] == members_->self().name()) {
+    Duration wait{};
+    const int count = Issue(back_end, permits->asked_count, per_call, &wait);
+    permits->missed_answers = 0;
+    permits->own_share.reset();
+    OnGranted(permits, count, wait);
+    return;
+  }
+  permits->serial = ++last_serial_;
+  permits->asked_member = issuers[rank];
+  wire::UsageDatagram datagram;
+  wire::PermitRequest* const request = datagram.mutable_permit_request();
+  request->set_serial(permits->serial);
+  request->set_back_end(back_end.id.value());
+  request->set_incarnation(back_end.incarnation);
+  *request->mutable_statement() = StatementOf(back_end);
+  request->set_count(static_cast<uint32_t>(permits->asked_count));
+  request->set_minimum(static_cast<uint32_t>(per_call));
+  SendToMember(issuers[rank], datagram);
+  permits->timeout = loop_->After(options_.request_timeout,
+                                  [this, back_end] { OnUnanswered(back_end); });
+}
+
+void PermitExchange::OnUnanswered(const BackEndEntry& asked) {
+  // The timer that holds `asked` may be replaced.
+  const BackEndEntry back_end = asked;
+  Permits* const permits = PermitsOf(back_end);
+  permits->serial = 0;
+  ++counters_.unanswered;
+  if (!limits_.Find(back_end)) return;
+  if (permits->asked == Issuer::kFirst &&
+      ++permits->missed_answers >= options_.misses_until_unreachable)
+    permits->first_unreachable_until = loop_->Now() + options_.unreachable_time;
+  Ask(back_end, permits,
+      permits->asked == Issuer::kFirst ? Issuer::kSecond : Issuer::kSelf);
+}
+
+void PermitExchange::OnGranted(Permits* permits, int count, Duration wait) {
+  const MonoTime now = loop_->Now();
+  if (now >= permits->held_until) permits->held = 0;
+  counters_.granted += static_cast<uint64_t>(count);
+  if (count > 0) {
+    permits->held += count;
+    permits->held_until = permits->asked_at + options_.permit_lifetime;
+  } else {
+    permits->not_before = now + std::min(wait, kMaxWait);
+  }
+}
+
+// --- Permits that this daemon issues --------------------------------------
+
+int PermitExchange::Issue(const BackEndEntry& back_end, int count, int minimum,
+                          Duration* wait) {
+  const MonoTime now = loop_->Now();
+  const BackEndId& id = back_end.id;
+  const int64_t incarnation = back_end.incarnation;
+  const std::vector<std::string> issuers = IssuersOf(id);
+  const auto rank =
+      std::find(issuers.begin(), issuers.end(), members_->self().name()) -
+      issuers.begin();
+  const bool is_issuer = rank < static_cast<std::ptrdiff_t>(issuers.size());
+  auto it = issued_.find(id);
+  // The members' views of the fleet may differ for a moment.
+  if (!is_issuer || (it == issued_.end() && issued_.size() >= kMaxIssued)) {
+    *wait = kMaxWait;
+    return 0;
+  }
+  if (it == issued_.end() || it->second.incarnation != incarnation) {
+    const Issued issued{incarnation, PermitIssuer(0, now), now};
+    it = issued_.insert_or_assign(id, issued).first;
+  }
+  Issued& issued = it->second;
+  issued.last_asked = now;
+  issued.issuer.SetRate(RateOf(limits_.Find(back_end).value_or(0)) *
+                            (rank == 0 ? 1 : options_.backup_share),
+                        now);
+  const int granted = issued.issuer.Issue(count, minimum, now);
+  counters_.issued += static_cast<uint64_t>(granted);
+  if (granted == 0) *wait = issued.issuer.TimeUntil(minimum, now);
+  return granted;
+}
+
+void PermitExchange::HandleRequest(const wire::PermitRequest& request,
+                                   const Endpoint& from) {
+  const BackEndEntry back_end =
+      Identify(BackEndId(request.back_end()), request.incarnation());
+  if (!MergeStatement(back_end, request.statement())) return;
+  Duration wait{};
+  const auto limit_count = [](uint32_t count) {
+    return static_cast<int>(std::clamp(count, 1U, kMaxPermitsPerRequest));
+  };
+  const int count = Issue(back_end, limit_count(request.count()),
+                          limit_count(request.minimum()), &wait);
+  wire::UsageDatagram datagram;
+  wire::PermitGrant* const grant = datagram.mutable_permit_grant();
+  grant->set_serial(request.serial());
+  grant->set_count(static_cast<uint32_t>(count));
+  grant->set_wait_ms(static_cast<uint32_t>(ToMillis(wait)));
+  *grant->mutable_statement() = StatementOf(back_end);
+  if (socket_ != nullptr) socket_->Send(from, datagram.SerializeAsString());
+}
+
+void PermitExchange::HandleGrant(const wire::PermitGrant& grant,
+                                 const Endpoint& from) {
+  for (auto& [id, permits] : permits_) {
+    if (permits.serial == 0 || permits.serial != grant.serial()) continue;
+    const auto member = members_->others().find(permits.asked_member);
+    if (member == members_->others().end() ||
+        member->second.peer_address() != from.ToString())
+      return;
+    permits.serial = 0;
+    permits.timeout.Cancel();
+    permits.own_share.reset();
+    if (permits.asked == Issuer::kFirst) permits.missed_answers = 0;
+    const int count = static_cast<int>(std::min<uint32_t>(
+        grant.count(), static_cast<uint32_t>(permits.asked_count)));
+    OnGranted(&permits, count, std::chrono::milliseconds(grant.wait_ms()));
+    const BackEndEntry back_end = Identify(id, permits.incarnation);
+    MergeStatement(back_end, grant.statement());
+    if (!limits_.Find(back_end)) permits_.erase(back_end.id);
+    return;
+  }
+}
+
+void PermitExchange::OnDatagram(const Endpoint& from,
+                                const wire::UsageDatagram& datagram) {
+  if (datagram.has_permit_request())
+    HandleRequest(datagram.permit_request(), from);
+  if (datagram.has_permit_grant()) HandleGrant(datagram.permit_grant(), from);
+  if (datagram.has_limit_notice()) HandleNotice(datagram.limit_notice());
+}
+
+bool PermitExchange::SendToMember(const std::string& name,
+                                  const wire::UsageDatagram& datagram) {
+  const auto found = members_->others().find(name);
+  Endpoint to;
+  if (socket_ == nullptr || found == members_->others().end() ||
+      !Endpoint::Parse(found->second.peer_address(), &to))
+    return false;
+  return socket_->Send(to, datagram.SerializeAsString());
+}
+
+}  // namespace mimosa
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -28,6 +28,12 @@
 // Minimum Retry-After of a refusal: the queue of a plain server drains in less.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(80);
 constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(170);
+// The same while servers name limits: what they let through is spread over more
+// time.
+constexpr Duration kLimitedRetryAfterSpread = std::chrono::seconds(1);
+// A request waits for a permit until this share of its target latency.
+constexpr double kMaxPermitWaitShare = 0.5;
+constexpr Duration kMinPermitWait = std::chrono::milliseconds(3);
 
 bool IsServerError(int status) { return status / 100 == 5; }
 
@@ -45,7 +51,7 @@
     deadline_timer_ = deps_.loop->After(std::max(time_left, Duration::zero()),
                                         [this] { OnDeadline(); });
     StartSilenceTimer();
-    if (!StartNextAttempt()) FinishUnanswered();
+    if (!StartNextAttempt() && !AwaitPermit()) FinishUnanswered();
   }
 
   void OnCallerDisconnected() override {
@@ -122,7 +128,7 @@
       ++may_have_run_;
     }
     if (!attempts_.empty()) return;
-    if (MayRetry() && StartNextAttempt()) return;
+    if (MayRetry() && (StartNextAttempt() || AwaitPermit())) return;
     FinishUnanswered();
   }
 
@@ -187,6 +193,25 @@
     return true;
   }
 
+  // Waits for a permit if all servers that may be called lack one and it may
+  // come in time. Returns false otherwise.
+  bool AwaitPermit() {
+    const MonoTime now = deps_.loop->Now();
+    SelectionQuery query = MakeQuery();
+    query.exclude = &tried_back_ends_;
+    if (budget_exhausted_ || !deps_.selector->AwaitsPermit(query, now))
+      return false;
+    const MonoTime retry_at =
+        std::max(deps_.selector->EndOfPauses(query, now), now + kMinPermitWait);
+    const Duration longest_wait = std::chrono::duration_cast<Duration>(
+        request_.route.target_latency * kMaxPermitWaitShare);
+    if (retry_at > request_.arrived + longest_wait) return false;
+    permit_timer_ = deps_.loop->After(retry_at - now, [this] {
+      if (!StartNextAttempt() && !AwaitPermit()) FinishUnanswered();
+    });
+    return true;
+  }
+
   void StartSilenceTimer() {
     const Duration target = request_.route.target_latency;
     if (target <= Duration::zero()) return;
@@ -241,9 +266,12 @@
   }
 
   void Refuse(const char* reason) {
-    const Duration spread =
-        Scaled(kRetryAfterSpread, deps_.random->UniformDouble());
     const MonoTime now = deps_.loop->Now();
+    const Duration spread =
+        Scaled(deps_.selector->AwaitsPermit(MakeQuery(), now)
+                   ? kLimitedRetryAfterSpread
+                   : kRetryAfterSpread,
+               deps_.random->UniformDouble());
     const Duration pause = deps_.selector->EndOfPauses(MakeQuery(), now) - now;
     Respond(RetryLaterResponse(kStatusUnavailable,
                                std::max(kMinRetryAfter, pause) + spread),
@@ -284,6 +312,7 @@
   void Finish(int status, const char* reason) {
     deadline_timer_.Cancel();
     silence_timer_.Cancel();
+    permit_timer_.Cancel();
     result_.status = status;
     result_.reason = reason;
     const RelayDoneCallback done = std::move(done_);
@@ -324,6 +353,7 @@
   bool budget_exhausted_ = false;
   TimerHandle deadline_timer_;
   TimerHandle silence_timer_;
+  TimerHandle permit_timer_;
 };
 
 }  // namespace
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -9,7 +9,6 @@
 
 #include "base/line_log.h"
 #include "base/random.h"
-#include "decide/back_end_limits.h"
 #include "decide/back_end_selector.h"
 #include "decide/reservation_retry_policy.h"
 #include "decide/retry_budget.h"
@@ -18,6 +17,7 @@
 #include "net/event_loop.h"
 #include "net/http.h"
 #include "serving/engine_memory_releaser.h"
+#include "serving/permit_exchange.h"
 #include "serving/prompt_guard.h"
 #include "serving/request_format.h"
 #include "serving/stream_origin_directory.h"
@@ -56,7 +56,7 @@
   StageMeter* stage_meter;
   StreamOriginDirectory* stream_origins;
   PromptGuard* prompt_guard;
-  BackEndLimits* limits;
+  PermitExchange* permits;
   FailureDomain zone;  // Zone of this daemon.
 };
 
--- a/tests/prompt_crash_exchange_test.cc
+++ b/tests/prompt_crash_exchange_test.cc
@@ -5,17 +5,13 @@
 // more requests with the part may reach engines.
 #include "serving/prompt_crash_exchange.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
-#include "base/json.h"
-#include "base/random.h"
-#include "tests/serving_fakes.h"
-#include "tests/virtual_datagrams.h"
-#include "tests/virtual_fleet.h"
+#include "tests/virtual_member.h"
 
 namespace mimosa {
 namespace {
@@ -38,23 +34,12 @@
 const PromptPartId kBad("bad");
 const PromptPartId kShared("5a");
 
-// One start of a daemon.
-struct Daemon {
+struct Daemon : VirtualMember {
   Daemon(VirtualTimeSimulator* simulator, FakeNetwork* network,
          VirtualPlatform* platform, int index, uint64_t boot, int fleet_size)
-      : random(boot),
-        loop(simulator, Duration::zero(), 0),
-        log(-1, &loop, testing::DisabledLogOptions()),
-        store(platform, &loop),
+      : VirtualMember(simulator, network, platform, index, boot, fleet_size),
         platform(platform),
-        members(&loop, &store, &random, &log, MemberOf(index, boot), {}),
-        exchange(&loop, &members, &store, &random, &log, ExchangeOptions()),
-        socket(network, index) {
-    for (int other = 0; other < fleet_size; ++other) {
-      if (other == index) continue;
-      const std::string record = ToJson(MemberOf(other, 1));
-      members.OnRecord(NameOf(other), &record);
-    }
+        exchange(&loop, &members, &store, &random, &log, ExchangeOptions()) {
     network->Attach(index, [this](const Endpoint& from,
                                   const wire::UsageDatagram& datagram) {
       exchange.OnDatagram(from, datagram);
@@ -62,7 +47,6 @@
     exchange.Start(&socket);
     Watch();
   }
-  ~Daemon() { loop.Kill(); }
 
   static PromptCrashExchange::Options ExchangeOptions() {
     PromptCrashExchange::Options options;
@@ -80,14 +64,8 @@
     exchange.OnRecord(seen == Revision(0) ? nullptr : &result.record);
   }
 
-  SeededRandom random;
-  VirtualLoop loop;
-  LineLog log;
-  VirtualKvStore store;
   VirtualPlatform* const platform;
-  MemberList members;
   PromptCrashExchange exchange;
-  FakeSocket socket;
   Revision seen;
   TimerHandle watch_timer;
 };
@@ -202,22 +180,8 @@
   int generated_ = 0;
 };
 
-// Runs `body` with fleets of all sizes and several seeds.
-template <typename Body>
-void ForEachFleet(const Body& body) {
-  for (const auto& [size, seeds] :
-       {std::pair(6, 20), {86, 4}, {195, 2}, {389, 1}}) {
-    for (int i = 1; i <= seeds; ++i) {
-      const auto seed = static_cast<uint64_t>(i);
-      INFO(size << " daemons, seed " << seed);
-      Fleet fleet(size, seed);
-      body(fleet);
-    }
-  }
-}
-
 TEST_CASE("few requests with a part that crashes engines reach engines") {
-  ForEachFleet([](Fleet& fleet) {
+  ForEachFleet<Fleet>([](Fleet& fleet) {
     fleet.SendFor(seconds(60), milliseconds(150));
     CHECK(fleet.reached_after() <= kMaxRequestsAfter);
     CHECK(fleet.reached() <= 10);
@@ -228,7 +192,7 @@
 }
 
 TEST_CASE("crashes far apart are counted together") {
-  ForEachFleet([](Fleet& fleet) {
+  ForEachFleet<Fleet>([](Fleet& fleet) {
     fleet.SendFor(seconds(900), seconds(20));
     CHECK(fleet.reached_after() <= kMaxRequestsAfter);
     CHECK(fleet.generated() >= 44);
@@ -236,7 +200,7 @@
 }
 
 TEST_CASE("daemons that hear no other learn of the quarantine from the store") {
-  ForEachFleet([](Fleet& fleet) {
+  ForEachFleet<Fleet>([](Fleet& fleet) {
     for (int i = 0; i < fleet.size() / 3; ++i)
       fleet.network().cut_off.insert(i);
     fleet.SendFor(seconds(30), milliseconds(150));
@@ -245,7 +209,7 @@
 }
 
 TEST_CASE("the quarantine outlives a restart of all daemons") {
-  ForEachFleet([](Fleet& fleet) {
+  ForEachFleet<Fleet>([](Fleet& fleet) {
     fleet.SendFor(seconds(6), milliseconds(150));
     const int reached = fleet.reached();
     fleet.RestartAll();
@@ -256,7 +220,7 @@
 }
 
 TEST_CASE("without the store, notices keep requests from engines") {
-  ForEachFleet([](Fleet& fleet) {
+  ForEachFleet<Fleet>([](Fleet& fleet) {
     fleet.faults().platform_down = true;
     fleet.SendFor(seconds(45), milliseconds(150));
     CHECK(fleet.reached_after() <= kMaxRequestsAfter);
@@ -270,7 +234,7 @@
 }
 
 TEST_CASE("a sound part that was quarantined with another one is released") {
-  ForEachFleet([](Fleet& fleet) {
+  ForEachFleet<Fleet>([](Fleet& fleet) {
     // No sound request comes before the verdict.
     while (fleet.daemon(0).exchange.quarantined_count() == 0 &&
            fleet.crashes() < 20) {
@@ -289,7 +253,7 @@
 }
 
 TEST_CASE("engines that crash by themselves put no part into quarantine") {
-  ForEachFleet([](Fleet& fleet) {
+  ForEachFleet<Fleet>([](Fleet& fleet) {
     for (int crash = 0; crash < 60; ++crash) {
       // Each part is in few requests; one of two loses its run.
       const PromptPartId part("a" + std::to_string(crash / 6));
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -18,6 +18,7 @@
 #include "platform/request_codec.h"
 #include "serving/entry_frontend.h"
 #include "serving/member_list.h"
+#include "serving/permit_exchange.h"
 #include "serving/prompt_crash_exchange.h"
 #include "serving/stream_origin_exchange.h"
 #include "tests/serving_fakes.h"
@@ -256,7 +257,6 @@
   SeededRandom random{5};
   LineLog log{STDERR_FILENO, loop.get(), DisabledLogOptions()};
   BackEndList back_ends;
-  BackEndSelector selector{&back_ends, &random, BackEndSelector::Options{}};
   RetryBudget budget{RetryBudget::Options{}};
   ReservationRetryPolicy reservation_retry{ReservationRetryPolicy::Options{},
                                            &random};
@@ -267,16 +267,18 @@
   StageMeter meter;
   UnresponsiveStore store;
   MemberList members{loop.get(), &store, &random, &log, {}, {}};
+  PermitExchange permits{loop.get(), &members, &random, &log, {}};
+  BackEndSelector selector{&back_ends, &random, BackEndSelector::Options{},
+                           &permits};
   StreamOriginExchange origins{loop.get(),          &members, &back_ends, &log,
                                [] { return true; }, {}};
-  BackEndLimits limits;
   PromptCrashExchange prompt_crashes{loop.get(), &members, &store,
                                      &random,    &log,     {}};
   RelayDeps deps{loop.get(),      client.get(), &format,
                  &selector,       &budget,      &reservation_retry,
                  &random,         &log,         &releaser,
                  &counters,       &meter,       &origins,
-                 &prompt_crashes, &limits,      FailureDomain("z")};
+                 &prompt_crashes, &permits,     FailureDomain("z")};
   std::shared_ptr<const SiteConfig> config;
   std::unique_ptr<EntryFrontend> frontend;
   std::unique_ptr<HttpServer> server;
