Calls have a total timeout, and refusals are not read to their end

Cause: the timeouts of a response began anew with each byte, and the daemon's own calls (reservations, prefills, reports, orders, releases, the store) read up to 64 MB. A refusal, of which only the head matters, was read to its end. A call skipped late responses to other requests without bound.

A refusal counts 100 ms after its head at the latest. Skipped responses have 1 MiB together.

--- a/net/http.cc
+++ b/net/http.cc
@@ -66,6 +66,7 @@
   options.connect_timeout = timeout;
   options.head_timeout = timeout;
   options.idle_timeout = timeout;
+  options.total_timeout = 2 * timeout;
   return options;
 }
 
--- a/net/http.h
+++ b/net/http.h
@@ -220,6 +220,9 @@
   Duration head_timeout = std::chrono::seconds(30);
   // Between two reads of the response body.
   Duration idle_timeout = std::chrono::seconds(30);
+  // From the transmission of the request to the end of the response, however
+  // its bytes arrive; zero for none.
+  Duration total_timeout{};
   // Maximum size of the response body; a larger one fails with kTooLarge.
   size_t max_response_bytes = 64u << 20;
   // If true, the call may use a pooled keep-alive connection and returns its
@@ -292,7 +295,7 @@
 std::unique_ptr<HttpClient> MakeHttpClient(LwsLoop* loop);
 
 // Returns options for a call to `to` that use `timeout` as connect timeout,
-// head timeout and idle timeout.
+// head timeout and idle timeout, and twice that as total timeout.
 HttpCallOptions CallOptionsWithTimeout(const Endpoint& to, Duration timeout);
 
 // The outcome of Fetch(): a complete response or a failure.
--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -28,6 +28,9 @@
 // Later, the back end might close it while a request is in transit.
 constexpr double kAnnouncedTimeoutShare = 0.7;
 constexpr size_t kMaxPooledPerEndpoint = 32;
+// Late responses to other requests that a call skips may have so many bytes
+// together.
+constexpr size_t kMaxSkippedBytes = 1U << 20;
 
 // A connection that may outlive a call. Its events go to its current user: a
 // call or the pool.
@@ -232,6 +235,9 @@
                                      options_.reuse_connection) +
         request_.body);
     ArmTimer(options_.head_timeout);
+    if (options_.total_timeout > Duration::zero())
+      total_timer_ = loop_->After(options_.total_timeout,
+                                  [this] { Fail(HttpFailure::kTimeout); });
   }
 
   // Returns whether the current response doesn't belong to this request. At the
@@ -257,6 +263,7 @@
 
   void CloseConnection() {
     timer_.Cancel();
+    total_timer_.Cancel();
     sent_earlier_ = sent();
     connection_.reset();
     state_ = State::kFinished;
@@ -272,6 +279,7 @@
 
   void Complete(ResponseEnd end, bool keep_connection) {
     timer_.Cancel();
+    total_timer_.Cancel();
     state_ = State::kFinished;
     sent_earlier_ = true;
     if (const auto pool = keep_connection ? pool_.lock() : nullptr) {
@@ -303,13 +311,22 @@
   bool response_started_ = false;
   // reader_ reads a response that doesn't belong to this request.
   bool skipping_response_ = false;
+  size_t skipped_bytes_ = 0;  // Read while skipping_response_.
   bool paused_ = false;
-  TimerHandle timer_;
+  TimerHandle timer_;        // Of the current state.
+  TimerHandle total_timer_;  // Of the response.
 };
 
 void CallState::OnRead(std::string_view data) {
   const auto self = shared_from_this();
   response_started_ = true;
+  if (skipping_response_) {
+    skipped_bytes_ += data.size();
+    if (skipped_bytes_ > kMaxSkippedBytes) {
+      Fail(HttpFailure::kMalformed);
+      return;
+    }
+  }
   input_.append(data);
   while (ReadResponse()) {
   }
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -10,6 +10,8 @@
 
 constexpr int kMisdirected = 421;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+// Time for the body of a refusal after its head.
+constexpr Duration kRefusalBodyTimeout = std::chrono::milliseconds(100);
 
 // Statuses that would promise the caller that its request has not run. They are
 // not forwarded unless the back end marks the request as not executed.
@@ -69,6 +71,10 @@
   call_options.max_idle = options.max_idle;
   call_options.retry_on_fresh_connection = options.retryable;
   call_options.accept_close_delimited = true;
+  if (options.internal_call) {
+    call_options.total_timeout = options.head_timeout;
+    call_options.max_response_bytes = kMaxInternalResponseBytes;
+  }
   // A late response to another request may arrive on a kept-alive connection.
   call_options.matches_request = [this](const HttpHeaders& headers) {
     const ResponseMarkers markers = deps_.format->ReadResponseMarkers(headers);
@@ -94,14 +100,16 @@
     not_executed_ = true;
     refusal_status_ = status;
     if (status == kStatusUnavailable) RecordPause(markers.retry_after);
+    // Its body is read only to keep the connection.
+    refusal_timer_ =
+        deps_.loop->After(kRefusalBodyTimeout, [this] { EndRefusal(); });
     return;
   }
   const bool trusted =
       internal_call_ || (markers.sealed && markers.request_id == id_);
   if (markers.content_encoded || PromisesNotRun(status) ||
       (IsSuccess(status) && !trusted)) {
-    call_.reset();
-    Fail(CallFailure::kInvalidResponse, CallOutcome::kFailed);
+    Reject();
     return;
   }
   response_started_ = true;
@@ -109,15 +117,35 @@
 }
 
 void BackEndCall::OnBody(std::string_view data) {
-  if (!not_executed_) handler_->OnResponseBody(this, data);
+  if (!not_executed_) {
+    handler_->OnResponseBody(this, data);
+    return;
+  }
+  refusal_bytes_ += data.size();
+  if (refusal_bytes_ > kMaxInternalResponseBytes) EndRefusal();
+}
+
+void BackEndCall::EndRefusal() {
+  call_.reset();
+  FailRefused();
+}
+
+void BackEndCall::FailRefused() {
+  refusal_timer_.Cancel();
+  Fail(CallFailure::kNotExecuted, refusal_status_ == kMisdirected
+                                      ? CallOutcome::kAddressReused
+                                      : CallOutcome::kFull);
+}
+
+void BackEndCall::Reject() {
+  call_.reset();
+  Fail(CallFailure::kInvalidResponse, CallOutcome::kFailed);
 }
 
 void BackEndCall::OnDone(ResponseEnd end) {
   response_end_ = end;
   if (not_executed_) {
-    Fail(CallFailure::kNotExecuted, refusal_status_ == kMisdirected
-                                        ? CallOutcome::kAddressReused
-                                        : CallOutcome::kFull);
+    FailRefused();
     return;
   }
   if (handler_->IsResponseTruncated(*this)) {
@@ -134,7 +162,7 @@
   connection_lost_ =
       failure == HttpFailure::kNoResponse || failure == HttpFailure::kTruncated;
   if (not_executed_) {
-    Fail(CallFailure::kNotExecuted, CallOutcome::kFull);
+    FailRefused();
   } else if (!sent) {
     Fail(CallFailure::kNotSent, CallOutcome::kUnreachable);
   } else if (response_started_) {
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -6,6 +6,7 @@
 #ifndef SERVING_BACK_END_CALL_H_
 #define SERVING_BACK_END_CALL_H_
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -86,6 +87,10 @@
   // already reported. A call destroyed without it reports kUnknown.
   void Cancel(CallOutcome outcome);
 
+  // Ends the call because of a response that is no use. The handler gets
+  // OnCallFailed().
+  void Reject();
+
   const BackEndEntry& back_end() const { return back_end_; }
   Endpoint address() const { return {back_end_.ip, back_end_.port}; }
   bool response_started() const { return response_started_; }
@@ -109,6 +114,9 @@
   void RecordLeaving();
   // The back end asks to be sent nothing for `pause`; zero if it doesn't.
   void RecordPause(Duration pause);
+  // Stops to read the body of a refusal.
+  void EndRefusal();
+  void FailRefused();
   // Reports `outcome` to the selector, once per call.
   void ReportOutcome(CallOutcome outcome);
   // Reports `outcome`, logs `failure` and notifies the handler.
@@ -126,6 +134,8 @@
   // The current response rejects the request as not executed.
   bool not_executed_ = false;
   int refusal_status_ = 0;
+  size_t refusal_bytes_ = 0;  // Of the body.
+  TimerHandle refusal_timer_;
   ResponseEnd response_end_ = ResponseEnd::kFraming;
   MonoTime started_{};
   std::unique_ptr<HttpCall> call_;
--- a/serving/engine_memory_releaser.cc
+++ b/serving/engine_memory_releaser.cc
@@ -23,6 +23,7 @@
 void EngineMemoryReleaser::Send(const Endpoint& engine, HttpRequest request) {
   HttpCallOptions options = CallOptionsWithTimeout(engine, kReleaseTimeout);
   options.reuse_connection = true;
+  options.max_response_bytes = kMaxInternalResponseBytes;
   calls_.emplace_back();
   const auto call = std::prev(calls_.end());
   *call = Fetch(client_, options, std::move(request),
--- a/serving/request_format.h
+++ b/serving/request_format.h
@@ -3,6 +3,7 @@
 #ifndef SERVING_REQUEST_FORMAT_H_
 #define SERVING_REQUEST_FORMAT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -16,6 +17,9 @@
 
 namespace mimosa {
 
+// Largest response of a back end to a call that the daemon makes for itself.
+inline constexpr size_t kMaxInternalResponseBytes = 64U << 10;
+
 // Token counts of a model request.
 struct TokenCounts {
   Tokens prompt;      // Tokens of the prompt.
--- a/serving/role_controller.cc
+++ b/serving/role_controller.cc
@@ -247,6 +247,7 @@
   HttpCallOptions options =
       CallOptionsWithTimeout({engine.ip, engine.port}, options_.call_timeout);
   options.retry_on_fresh_connection = false;
+  options.max_response_bytes = kMaxInternalResponseBytes;
   return options;
 }
 
