An event without end, and a failure without end, end their run

Cause: the relay collected an incomplete event, and the body of a response that isn't a success, for as long as bytes came: up to 64 MB of each stream, on machines with 88 MB.

Change: a run whose event exceeds 256 KiB, or whose other response exceeds 1 MiB, counts as failed (BackEndCall::Reject()): a resumable stream goes on at another engine after the events that the caller has, another one is broken off.

--- a/decide/event_stream.h
+++ b/decide/event_stream.h
@@ -20,9 +20,9 @@
 
 class SseEventSplitter {
  public:
-  // A longer run of bytes without an event boundary is not treated as an event
-  // stream.
-  static constexpr size_t kMaxEventBytes = 1U << 20;
+  // A longer run of bytes without an event boundary is no event: its sender is
+  // in trouble and may never end it.
+  static constexpr size_t kMaxEventBytes = 256U << 10;
 
   // Appends bytes. Returns the unchanged bytes of all events completed by them,
   // or an empty string if there are none. Lines end in LF, CRLF or CR.
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -30,6 +30,8 @@
 // While more bytes than this are unsent to the caller, the engine's response is
 // not read.
 constexpr size_t kMaxUnsentBytes = 256U << 10;
+// Larger responses that aren't streamed count as failed.
+constexpr size_t kMaxBufferedBytes = 1U << 20;
 // Number of engines that may refuse a reservation before the retry delay.
 constexpr size_t kMaxReserveRefusals = 3;
 // Timeout of a reservation request. An engine that does not respond to such a
@@ -120,6 +122,7 @@
     if (call == silent_run_.get()) RestoreSilentRun();
     if (stage_ != Stage::kRun || !IsSuccess(response_.status)) {
       response_.body.append(data);
+      if (response_.body.size() > kMaxBufferedBytes) call->Reject();
       return;
     }
     if (!is_event_stream_) {
@@ -128,21 +131,8 @@
       return;
     }
     const std::string events = event_splitter_.Feed(data);
-    if (events.empty()) return;
-    if (result_.events == 0) {
-      result_.time_to_first_event = deps_.loop->Now() - request_.arrived;
-      if (request_.route.retry_policy == RetryPolicy::kResumableStream)
-        deps_.stream_origins->Record(request_.caller.id, request_.service.id,
-                                     call->back_end().software_version);
-    }
-    result_.events = event_splitter_.event_count();
-    RecordGenerated();
-    if (!software_version_)
-      software_version_ = call->back_end().software_version;
-    result_.software_version = *software_version_;
-    exchange_->Write(events);
-    StartSilenceTimer();
-    ApplyBackpressure();
+    if (!events.empty()) ForwardEvents(events, *call);
+    if (event_splitter_.event_too_long()) call->Reject();
   }
 
   bool IsResponseTruncated(const BackEndCall& call) const override {
@@ -222,6 +212,24 @@
   }
 
  private:
+  // Forwards complete events of the run `call`.
+  void ForwardEvents(const std::string& events, const BackEndCall& call) {
+    if (result_.events == 0) {
+      result_.time_to_first_event = deps_.loop->Now() - request_.arrived;
+      if (request_.route.retry_policy == RetryPolicy::kResumableStream)
+        deps_.stream_origins->Record(request_.caller.id, request_.service.id,
+                                     call.back_end().software_version);
+    }
+    result_.events = event_splitter_.event_count();
+    RecordGenerated();
+    if (!software_version_)
+      software_version_ = call.back_end().software_version;
+    result_.software_version = *software_version_;
+    exchange_->Write(events);
+    StartSilenceTimer();
+    ApplyBackpressure();
+  }
+
   void OnTrialClaimed(bool granted) {
     is_trial_ = granted;
     FindOriginAndStart();
