A plain response is streamed no faster than its caller reads

Cause: a response of a plain service beyond 1 MiB was written to the caller as it came, so that one without end filled the memory: up to 64 MB before a caller that reads nothing. An event without end was collected, too.

Change: the plain relay pauses the call while much is unsent, as the stream relay does, and fails a response with an event without end.

--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -72,8 +72,13 @@
   void OnResponseBody(BackEndCall* call, std::string_view data) override {
     Attempt* const attempt = FindAttempt(call);
     if (attempt->events) attempt->events->Feed(data);
+    if (attempt->events && attempt->events->event_too_long()) {
+      call->Reject();
+      return;
+    }
     if (attempt == streaming_) {
       exchange_->Write(data);
+      ApplyBackpressure();
       return;
     }
     attempt->response.body.append(data);
@@ -285,6 +290,17 @@
     exchange_->StartStream(attempt->response.status, attempt->response.headers);
     exchange_->Write(attempt->response.body);
     attempt->response.body.clear();
+    ApplyBackpressure();
+  }
+
+  // Reads from the server no faster than the caller reads.
+  void ApplyBackpressure() {
+    if (streaming_ == nullptr || !HasSlowReader(*exchange_)) return;
+    streaming_->call->Pause(true);
+    exchange_->OnDrained([this] {
+      exchange_->OnDrained(nullptr);
+      if (streaming_ != nullptr) streaming_->call->Pause(false);
+    });
   }
 
   void Respond(HttpResponse response, const char* reason) {
@@ -313,6 +329,7 @@
     deadline_timer_.Cancel();
     silence_timer_.Cancel();
     permit_timer_.Cancel();
+    exchange_->OnDrained(nullptr);
     result_.status = status;
     result_.reason = reason;
     const RelayDoneCallback done = std::move(done_);
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -27,9 +27,6 @@
 // The same before the first event, as a multiple of the target latency, if that
 // is longer.
 constexpr double kFirstEventTimeoutShare = 0.8;
-// While more bytes than this are unsent to the caller, the engine's response is
-// not read.
-constexpr size_t kMaxUnsentBytes = 256U << 10;
 // Larger responses that aren't streamed count as failed.
 constexpr size_t kMaxBufferedBytes = 1U << 20;
 // Number of engines that may refuse a reservation before the retry delay.
@@ -699,10 +696,9 @@
     ++deps_.counters->streams_resumed;
   }
 
-  // Applies backpressure: reads from the engine no faster than the caller
-  // reads.
+  // Reads from the engine no faster than the caller reads.
   void ApplyBackpressure() {
-    if (exchange_->UnsentBytes() <= kMaxUnsentBytes || call_ == nullptr) return;
+    if (call_ == nullptr || !HasSlowReader(*exchange_)) return;
     call_->Pause(true);
     exchange_->OnDrained([this] {
       exchange_->OnDrained(nullptr);
