The soak draws limits of servers and prompts that crash engines

Change: servers name limits for a while; in some seeds one of twenty model requests has a part that crashes engines from some time on. Drawn by a generator of their own, so that the other steps stay as they were. The guarantees checked stay the same, above all that a refusal has not run.

--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -46,6 +46,9 @@
   return text == nullptr ? default_value : std::atoi(text);
 }
 
+// Seeds the generator of limits and crashing prompts.
+constexpr uint64_t kNeedsSeedOffset = 1U << 20;
+
 // An action at a given time after the start of the fault injection.
 struct Step {
   int at_ms = 0;
@@ -61,6 +64,7 @@
       : fleet_(fleet),
         random_(seed),
         ends_random_(~seed),
+        needs_random_(seed + kNeedsSeedOffset),
         length_ms_(length_ms) {
     maintenance_only_ = seed % 4 == 0;
     const int faults = 4 + static_cast<int>(random_.UniformInt(6));
@@ -72,6 +76,7 @@
       }
     }
     DrawResponseEnds();
+    DrawNeeds();
     std::stable_sort(
         steps_.begin(), steps_.end(),
         [](const Step& a, const Step& b) { return a.at_ms < b.at_ms; });
@@ -241,6 +246,31 @@
     }
   }
 
+  // Servers that name limits, and engines that a part of some callers' prompts
+  // crashes from some time on. Drawn by a generator of its own, too.
+  void DrawNeeds() {
+    const auto& servers = fleet_->servers();
+    for (uint64_t i = needs_random_.UniformInt(4); i > 0; --i) {
+      Server* const server =
+          servers[needs_random_.UniformInt(servers.size())].get();
+      const auto at = static_cast<int>(needs_random_.UniformInt(length_ms_));
+      const auto duration =
+          500 + static_cast<int>(needs_random_.UniformInt(3000));
+      const auto limit = static_cast<int>(needs_random_.UniformInt(20));
+      AddStep(at, server->id() + " names a limit",
+              [server, limit] { server->SetBehavior("limit", limit); });
+      AddStep(at + duration, server->id() + " names no limit",
+              [server] { server->SetBehavior("limit", -1); });
+    }
+    if (maintenance_only_ || needs_random_.UniformInt(2) == 0) return;
+    const auto at = static_cast<int>(needs_random_.UniformInt(length_ms_ / 2));
+    AddStep(at, "prompts crash engines", [this] {
+      for (const auto& server : fleet_->servers())
+        if (server->is_engine())
+          server->SetBehavior("crash_part", kCrashingPart);
+    });
+  }
+
   void DrawLinkFault() {
     const bool to_store = random_.UniformInt(3) == 0;
     testing::Proxy* const proxy =
@@ -293,6 +323,7 @@
   Fleet* const fleet_;
   SeededRandom random_;
   SeededRandom ends_random_;
+  SeededRandom needs_random_;
   const int length_ms_;
   bool maintenance_only_ = false;
   std::vector<Step> steps_;
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -79,6 +79,13 @@
   return reply.body == expected ? "" : "wrong response body";
 }
 
+// All prompts share their first part.
+void AddPromptParts(bool crashing, testing::Request* request) {
+  std::string parts = "a1:200,";
+  if (crashing) parts += std::string(kCrashingPart) + ":100,";
+  request->headers.emplace_back("Mimosarouter-Prompt-Prefix", parts + "f0:500");
+}
+
 }  // namespace
 
 Callers::Callers(std::vector<uint16_t> ports, uint64_t seed, int count)
@@ -97,6 +104,8 @@
   constexpr std::array<const char*, 4> kKinds = {"book", "look", "letter",
                                                  "note"};
   constexpr int kRequestsPerConnection = 20;
+  // One of so many model requests has the part that may crash engines.
+  constexpr uint64_t kCrashingShare = 20;
   SeededRandom random(seed * 1000 + static_cast<uint64_t>(number));
   std::unique_ptr<testing::Connection> connection;
   int requests_left = 0;  // requests that this connection may still send
@@ -114,7 +123,10 @@
     outcome.id = "s" + std::to_string(seed) + "-" + std::to_string(number) +
                  "-" + std::to_string(i);
     const std::string body = "body of " + outcome.id;
-    if (!connection->Send(MakeRequest(outcome.kind, outcome.id, body))) {
+    testing::Request request = MakeRequest(outcome.kind, outcome.id, body);
+    if (IsStream(outcome.kind))
+      AddPromptParts(random.UniformInt(kCrashingShare) == 0, &request);
+    if (!connection->Send(request)) {
       connection.reset();  // the daemon is down
       continue;
     }
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -16,6 +16,8 @@
 namespace mimosa::soak {
 
 inline constexpr char kApiKey[] = "key-one";
+// The part of some callers' prompts that crashes engines, once told to.
+inline constexpr char kCrashingPart[] = "bad";
 
 // A backend server process behind a fault proxy. The run counts from its
 // journal are kept across kills.
