--- a/serving/permit_exchange.cc
+++ b/serving/permit_exchange.cc
@@ -214,12 +214,12 @@
   permits->wanted = 0;
   ++counters_.requests;
   if (issuer == Issuer::kSelf) {
-    // The shares of all daemons add up to the limit. They begin at random
-    // levels, so that daemons that were cut off together don't get their
-    // permits together.
+    // The shares begin at random levels, so that daemons that were cut off
+    // together don't get their permits together.
     if (!permits->own_share)
       permits->own_share.emplace(random_->UniformDouble() * per_call, now);
-    permits->own_share->SetRate(RateOf(limit) / members_->size(), now);
+    permits->own_share->SetRate(
+        RateOf(limit) * options_.isolated_share / members_->size(), now);
     const int count = permits->own_share->Issue(per_call, per_call, now);
     OnGranted(permits, count, permits->own_share->TimeUntil(per_call, now));
     return;
--- a/serving/permit_exchange.h
+++ b/serving/permit_exchange.h
@@ -7,7 +7,7 @@
 // the others ask it when they would have called the back end, and use others
 // meanwhile. If the issuer doesn't respond, the second member issues permits at
 // a lower rate, so that both together stay within the tolerance of a limit; a
-// daemon that reaches neither uses its share of the limit. A permit expires
+// daemon that reaches neither uses a small share of the limit. A permit expires
 // soon, since an unused one adds to what is issued later.
 //
 // Cost: nothing while no back end names a limit; else two datagrams for each
@@ -45,7 +45,10 @@
     // Time from the request in which a permit has to be used.
     Duration permit_lifetime = std::chrono::milliseconds(500);
     // Share of a limit that the second issuer issues.
-    double backup_share = 0.3;
+    double backup_share = 0.2;
+    // Share of a limit that daemons which reach no issuer use together, if all
+    // of them do.
+    double isolated_share = 0.5;
     // An issuer that was not asked for this long is dropped.
     Duration issuer_lifetime = std::chrono::seconds(60);
   };
