--- a/serving/permit_exchange.cc
+++ b/serving/permit_exchange.cc
@@ -253,9 +253,7 @@
                                   [this, back_end] { OnUnanswered(back_end); });
 }
 
-void PermitExchange::OnUnanswered(const BackEndEntry& asked) {
-  // The timer that holds `asked` may be replaced.
-  const BackEndEntry back_end = asked;
+void PermitExchange::OnUnanswered(const BackEndEntry& back_end) {
   Permits* const permits = PermitsOf(back_end);
   permits->serial = 0;
   ++counters_.unanswered;
--- a/serving/prompt_crash_exchange.cc
+++ b/serving/prompt_crash_exchange.cc
@@ -168,7 +168,8 @@
   });
 }
 
-void PromptCrashExchange::SendQuery(PromptPartId part, int queries_left) {
+void PromptCrashExchange::SendQuery(const PromptPartId& part,
+                                    int queries_left) {
   if (!evidence_.IsSuspect(part, loop_->Now()) || quarantine_.Contains(part)) {
     inquiries_.erase(part);
     return;
--- a/serving/prompt_crash_exchange.h
+++ b/serving/prompt_crash_exchange.h
@@ -120,7 +120,7 @@
   // include this daemon.
   std::vector<std::string> KeepersOf(const PromptPartId& part) const;
   void OnEvidence(const PromptPartId& part);
-  void SendQuery(PromptPartId part, int queries_left);
+  void SendQuery(const PromptPartId& part, int queries_left);
   void Quarantine(const PromptPartId& part);
   void Release(const PromptPartId& part);
   void HandleCrashReport(const wire::PromptCrashReport& report);
