The member list ranks members for a key and finds their addresses

Cause: found in reading the change: three exchanges ranked members by rendezvous hash and looked up addresses, each in its own copy, and permits were taken from any sender.

Change: MemberList::TopMembers(), TopOthers(), FindAddress() and IsMemberAddress(); datagrams about permits are taken from members only.

Conclusion: no change of behaviour but for senders that are no members.

--- a/serving/member_list.cc
+++ b/serving/member_list.cc
@@ -1,11 +1,36 @@
 // Registration under a platform lease, and tracking of the other members.
 #include "serving/member_list.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/json.h"
+#include "decide/rendezvous.h"
 
 namespace mimosa {
+namespace {
+
+struct NamedMember {
+  MemberId id;
+};
+
+std::vector<std::string> TopNames(const std::vector<NamedMember>& members,
+                                  std::string_view key, size_t count) {
+  std::vector<std::string> names;
+  for (const NamedMember* member : TopByRendezvousWeight(members, key, count))
+    names.push_back(member->id.value());
+  return names;
+}
+
+std::vector<NamedMember> NamesOf(
+    const std::map<std::string, wire::EntryMember>& members) {
+  std::vector<NamedMember> names;
+  names.reserve(members.size() + 1);
+  for (const auto& [name, member] : members) names.push_back({MemberId(name)});
+  return names;
+}
+
+}  // namespace
 
 MemberList::MemberList(EventLoop* loop, KvStore* store, RandomSource* random,
                        LineLog* log, wire::EntryMember self,
@@ -106,4 +131,32 @@
   }
 }
 
+std::vector<std::string> MemberList::TopMembers(std::string_view key,
+                                                size_t count) const {
+  std::vector<NamedMember> members = NamesOf(others_);
+  members.push_back({MemberId(self_.name())});
+  return TopNames(members, key, count);
+}
+
+std::vector<std::string> MemberList::TopOthers(std::string_view key,
+                                               size_t count) const {
+  return TopNames(NamesOf(others_), key, count);
+}
+
+std::optional<Endpoint> MemberList::FindAddress(const std::string& name) const {
+  const auto found = others_.find(name);
+  Endpoint address;
+  if (found == others_.end() ||
+      !Endpoint::Parse(found->second.peer_address(), &address))
+    return std::nullopt;
+  return address;
+}
+
+bool MemberList::IsMemberAddress(const Endpoint& address) const {
+  const std::string text = address.ToString();
+  return std::any_of(others_.begin(), others_.end(), [&text](const auto& item) {
+    return item.second.peer_address() == text;
+  });
+}
+
 }  // namespace mimosa
--- a/serving/member_list.h
+++ b/serving/member_list.h
@@ -7,14 +7,19 @@
 #ifndef SERVING_MEMBER_LIST_H_
 #define SERVING_MEMBER_LIST_H_
 
+#include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "base/kv_store.h"
 #include "base/line_log.h"
 #include "base/random.h"
 #include "net/event_loop.h"
+#include "net/http.h"
 #include "wire/usage.pb.h"
 
 namespace mimosa {
@@ -49,6 +54,16 @@
   const std::map<std::string, wire::EntryMember>& others() const {
     return others_;
   }
+  // Returns the names of the `count` members with the highest rendezvous hashes
+  // for `key`, the highest first; fewer if there are fewer. Includes this one.
+  std::vector<std::string> TopMembers(std::string_view key, size_t count) const;
+  // The same among the other members.
+  std::vector<std::string> TopOthers(std::string_view key, size_t count) const;
+  // Returns where to send datagrams for another member; nullopt if it is
+  // unknown or its record is invalid.
+  std::optional<Endpoint> FindAddress(const std::string& name) const;
+  // Returns whether datagrams of another member come from `address`.
+  bool IsMemberAddress(const Endpoint& address) const;
   // Number of members, including this one.
   int size() const { return static_cast<int>(others_.size()) + 1; }
 
--- a/serving/permit_exchange.cc
+++ b/serving/permit_exchange.cc
@@ -5,8 +5,6 @@
 #include <iterator>
 #include <utility>
 
-#include "decide/rendezvous.h"
-
 namespace mimosa {
 namespace {
 
@@ -17,6 +15,8 @@
 // Most permits that a member may ask for at once.
 constexpr uint32_t kMaxPermitsPerRequest =
     kPermitsPerDecodeCall * kMaxCallsPerRequest;
+// Members that issue the permits of a back end.
+constexpr size_t kIssuers = 2;
 // Estimated time of a request for permits.
 constexpr Duration kRequestTime = std::chrono::milliseconds(5);
 // Longest time for which a denial holds, since limits change.
@@ -187,22 +187,6 @@
   Ask(back_end, permits, first_is_reachable ? Issuer::kFirst : Issuer::kSecond);
 }
 
-std::vector<std::string> PermitExchange::IssuersOf(const BackEndId& id) const {
-  constexpr size_t kIssuers = 2;
-  struct Member {
-    MemberId id;
-  };
-  std::vector<Member> members = {{MemberId(members_->self().name())}};
-  members.reserve(static_cast<size_t>(members_->size()));
-  for (const auto& [name, member] : members_->others())
-    members.push_back({MemberId(name)});
-  std::vector<std::string> names;
-  for (const Member* member :
-       TopByRendezvousWeight(members, id.value(), kIssuers))
-    names.push_back(member->id.value());
-  return names;
-}
-
 void PermitExchange::Ask(const BackEndEntry& back_end, Permits* permits,
                          Issuer issuer) {
   const MonoTime now = loop_->Now();
@@ -224,7 +208,8 @@
     OnGranted(permits, count, permits->own_share->TimeUntil(per_call, now));
     return;
   }
-  const std::vector<std::string> issuers = IssuersOf(back_end.id);
+  const std::vector<std::string> issuers =
+      members_->TopMembers(back_end.id.value(), kIssuers);
   const size_t rank = issuer == Issuer::kFirst ? 0 : 1;
   if (rank >= issuers.size()) {
     Ask(back_end, permits, Issuer::kSelf);
@@ -284,7 +269,8 @@
   const MonoTime now = loop_->Now();
   const BackEndId& id = back_end.id;
   const int64_t incarnation = back_end.incarnation;
-  const std::vector<std::string> issuers = IssuersOf(id);
+  const std::vector<std::string> issuers =
+      members_->TopMembers(id.value(), kIssuers);
   const auto rank =
       std::find(issuers.begin(), issuers.end(), members_->self().name()) -
       issuers.begin();
@@ -334,10 +320,8 @@
                                  const Endpoint& from) {
   for (auto& [id, permits] : permits_) {
     if (permits.serial == 0 || permits.serial != grant.serial()) continue;
-    const auto member = members_->others().find(permits.asked_member);
-    if (member == members_->others().end() ||
-        member->second.peer_address() != from.ToString())
-      return;
+    const auto address = members_->FindAddress(permits.asked_member);
+    if (!address || address->ToString() != from.ToString()) return;
     permits.serial = 0;
     permits.timeout.Cancel();
     permits.own_share.reset();
@@ -354,20 +338,21 @@
 
 void PermitExchange::OnDatagram(const Endpoint& from,
                                 const wire::UsageDatagram& datagram) {
+  const bool is_about_permits = datagram.has_permit_request() ||
+                                datagram.has_permit_grant() ||
+                                datagram.has_limit_notice();
+  if (!is_about_permits || !members_->IsMemberAddress(from)) return;
   if (datagram.has_permit_request())
     HandleRequest(datagram.permit_request(), from);
   if (datagram.has_permit_grant()) HandleGrant(datagram.permit_grant(), from);
   if (datagram.has_limit_notice()) HandleNotice(datagram.limit_notice());
 }
 
-bool PermitExchange::SendToMember(const std::string& name,
+void PermitExchange::SendToMember(const std::string& name,
                                   const wire::UsageDatagram& datagram) {
-  const auto found = members_->others().find(name);
-  Endpoint to;
-  if (socket_ == nullptr || found == members_->others().end() ||
-      !Endpoint::Parse(found->second.peer_address(), &to))
-    return false;
-  return socket_->Send(to, datagram.SerializeAsString());
+  const auto to = members_->FindAddress(name);
+  if (to && socket_ != nullptr)
+    socket_->Send(*to, datagram.SerializeAsString());
 }
 
 }  // namespace mimosa
--- a/serving/permit_exchange.h
+++ b/serving/permit_exchange.h
@@ -120,8 +120,6 @@
   static int PermitsPerCall(const BackEndEntry& back_end);
   Permits* PermitsOf(const BackEndEntry& back_end);
   const Permits* FindPermits(const BackEndEntry& back_end) const;
-  // Returns the names of the first two issuers; fewer if the fleet is smaller.
-  std::vector<std::string> IssuersOf(const BackEndId& id) const;
   void Ask(const BackEndEntry& back_end, Permits* permits, Issuer issuer);
   void OnUnanswered(const BackEndEntry& back_end);
   void OnGranted(Permits* permits, int count, Duration wait);
@@ -142,7 +140,7 @@
   // member told it.
   void LogLimit(const BackEndEntry& back_end, const RequestId& request);
   void NotifyAll(const BackEndEntry& back_end);
-  bool SendToMember(const std::string& name,
+  void SendToMember(const std::string& name,
                     const wire::UsageDatagram& datagram);
 
   EventLoop* const loop_;
--- a/serving/prompt_crash_exchange.cc
+++ b/serving/prompt_crash_exchange.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "base/json.h"
-#include "decide/rendezvous.h"
 
 namespace mimosa {
 namespace {
@@ -116,7 +115,8 @@
         evidence_.TimeSinceGenerated(part, now).has_value())
       continue;
     reported += (reported.empty() ? "" : ",") + part.value();
-    for (const std::string& keeper : KeepersOf(part)) {
+    for (const std::string& keeper :
+         members_->TopMembers(part.value(), kKeepers)) {
       wire::PromptCrashReport* const report =
           reports[keeper].mutable_prompt_crash_report();
       report->set_back_end(engine.id.value());
@@ -138,28 +138,13 @@
 
 // --- Evidence of the fleet ------------------------------------------------
 
-std::vector<std::string> PromptCrashExchange::KeepersOf(
-    const PromptPartId& part) const {
-  struct Member {
-    MemberId id;
-  };
-  std::vector<Member> members = {{MemberId(members_->self().name())}};
-  members.reserve(static_cast<size_t>(members_->size()));
-  for (const auto& [name, member] : members_->others())
-    members.push_back({MemberId(name)});
-  std::vector<std::string> names;
-  for (const Member* member :
-       TopByRendezvousWeight(members, part.value(), kKeepers))
-    names.push_back(member->id.value());
-  return names;
-}
-
 void PromptCrashExchange::OnEvidence(const PromptPartId& part) {
   if (!evidence_.IsSuspect(part, loop_->Now()) || quarantine_.Contains(part) ||
       inquiries_.count(part) > 0)
     return;
   // A daemon that isn't a keeper comes last: the keepers may be out of reach.
-  const std::vector<std::string> keepers = KeepersOf(part);
+  const std::vector<std::string> keepers =
+      members_->TopMembers(part.value(), kKeepers);
   const auto rank =
       std::find(keepers.begin(), keepers.end(), members_->self().name()) -
       keepers.begin();
@@ -234,10 +219,10 @@
     socket_->Send(from, answer.SerializeAsString());
     return;
   }
-  const bool is_verdict = datagram.has_prompt_crash_report() ||
-                          datagram.has_prompt_part_answer() ||
-                          datagram.has_prompt_part_notice();
-  if (!is_verdict || !IsMember(from)) return;
+  const bool is_evidence = datagram.has_prompt_crash_report() ||
+                           datagram.has_prompt_part_answer() ||
+                           datagram.has_prompt_part_notice();
+  if (!is_evidence || !members_->IsMemberAddress(from)) return;
   if (datagram.has_prompt_crash_report())
     HandleCrashReport(datagram.prompt_crash_report());
   if (datagram.has_prompt_part_answer()) {
@@ -280,12 +265,9 @@
 
 void PromptCrashExchange::SendToMember(const std::string& name,
                                        const wire::UsageDatagram& datagram) {
-  const auto found = members_->others().find(name);
-  Endpoint to;
-  if (socket_ == nullptr || found == members_->others().end() ||
-      !Endpoint::Parse(found->second.peer_address(), &to))
-    return;
-  socket_->Send(to, datagram.SerializeAsString());
+  const auto to = members_->FindAddress(name);
+  if (to && socket_ != nullptr)
+    socket_->Send(*to, datagram.SerializeAsString());
 }
 
 void PromptCrashExchange::SendToAll(const wire::UsageDatagram& datagram) {
@@ -293,14 +275,6 @@
     SendToMember(name, datagram);
 }
 
-bool PromptCrashExchange::IsMember(const Endpoint& address) const {
-  const std::string text = address.ToString();
-  const auto& others = members_->others();
-  return std::any_of(others.begin(), others.end(), [&text](const auto& item) {
-    return item.second.peer_address() == text;
-  });
-}
-
 // --- The record -----------------------------------------------------------
 
 void PromptCrashExchange::OnRecord(const KvRecord* record) {
--- a/serving/prompt_crash_exchange.h
+++ b/serving/prompt_crash_exchange.h
@@ -116,9 +116,6 @@
   };
   using RecordedParts = std::map<PromptPartId, RecordedPart>;
 
-  // Returns the names of the keepers of `part`, the first one first. May
-  // include this daemon.
-  std::vector<std::string> KeepersOf(const PromptPartId& part) const;
   void OnEvidence(const PromptPartId& part);
   void SendQuery(const PromptPartId& part, int queries_left);
   void Quarantine(const PromptPartId& part);
@@ -129,7 +126,6 @@
   void SendToMember(const std::string& name,
                     const wire::UsageDatagram& datagram);
   void SendToAll(const wire::UsageDatagram& datagram);
-  bool IsMember(const Endpoint& address) const;
 
   // Takes the contents of the record over; nullptr if there is none.
   void ApplyRecord(const KvRecord* record);
--- a/serving/stream_origin_exchange.cc
+++ b/serving/stream_origin_exchange.cc
@@ -4,8 +4,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "decide/rendezvous.h"
-
 namespace mimosa {
 namespace {
 
@@ -26,9 +24,9 @@
         callback_(std::move(callback)),
         serial_(++exchange->last_serial_),
         // Requests that name none are spread over the members by daemon.
-        members_(exchange->TopMembers(
-            request_.empty() ? RequestId(exchange->members_->self().name())
-                             : request_,
+        members_(exchange->members_->TopOthers(
+            request_.empty() ? exchange->members_->self().name()
+                             : request_.value(),
             kMaxAsked)),
         consensus_(exchange->OwnView(service_), exchange->is_list_current_()) {
     exchange_->lookups_[serial_] = this;
@@ -171,22 +169,6 @@
   return lookup;
 }
 
-std::vector<std::string> StreamOriginExchange::TopMembers(
-    const RequestId& request, size_t count) const {
-  struct Member {
-    MemberId id;
-  };
-  std::vector<Member> others;
-  others.reserve(members_->others().size());
-  for (const auto& [name, member] : members_->others())
-    others.push_back({MemberId(name)});
-  std::vector<std::string> names;
-  for (const Member* member :
-       TopByRendezvousWeight(others, request.value(), count))
-    names.push_back(member->id.value());
-  return names;
-}
-
 VersionView StreamOriginExchange::OwnView(const ServiceId& service) const {
   const MonoTime now = loop_->Now();
   const Duration lifetime = origins_.lifetime();
@@ -196,7 +178,8 @@
 
 void StreamOriginExchange::QueueReport(const RequestId& request,
                                        const Origin& origin) {
-  for (const std::string& keeper : TopMembers(request, kKeepers)) {
+  for (const std::string& keeper :
+       members_->TopOthers(request.value(), kKeepers)) {
     wire::StreamOrigin* const item = reports_[keeper].add_origins();
     item->set_request(request.value());
     item->set_service(origin.service.value());
@@ -214,36 +197,30 @@
   report_timer_.Cancel();
   const auto reports = std::exchange(reports_, {});
   for (const auto& [keeper, report] : reports) {
-    const auto member = members_->others().find(keeper);
-    Endpoint to;
-    if (member == members_->others().end() ||
-        !Endpoint::Parse(member->second.peer_address(), &to))
-      continue;
+    const auto to = members_->FindAddress(keeper);
+    if (!to) continue;
     wire::UsageDatagram datagram;
     for (const wire::StreamOrigin& origin : report.origins()) {
       wire::StreamOriginReport* const part = datagram.mutable_origin_report();
       *part->add_origins() = origin;
       if (part->origins_size() < kMaxOriginsPerReport) continue;
-      Send(to, datagram);
+      Send(*to, datagram);
       datagram.Clear();
     }
-    if (datagram.has_origin_report()) Send(to, datagram);
+    if (datagram.has_origin_report()) Send(*to, datagram);
   }
 }
 
 void StreamOriginExchange::SendQuery(const std::string& member,
                                      const Lookup& lookup) {
-  const auto found = members_->others().find(member);
-  Endpoint to;
-  if (found == members_->others().end() ||
-      !Endpoint::Parse(found->second.peer_address(), &to))
-    return;
+  const auto to = members_->FindAddress(member);
+  if (!to) return;
   wire::UsageDatagram datagram;
   wire::StreamOriginQuery* const query = datagram.mutable_origin_query();
   query->set_serial(lookup.serial());
   query->set_request(lookup.request().value());
   query->set_service(lookup.service().value());
-  Send(to, datagram);
+  Send(*to, datagram);
 }
 
 void StreamOriginExchange::OnDatagram(const Endpoint& from,
--- a/serving/stream_origin_exchange.h
+++ b/serving/stream_origin_exchange.h
@@ -87,10 +87,6 @@
   class Lookup;
   using Origin = StreamOrigins::Origin;
 
-  // Returns the names of the `count` members with the highest ranks for
-  // `request`, the highest first.
-  std::vector<std::string> TopMembers(const RequestId& request,
-                                      size_t count) const;
   VersionView OwnView(const ServiceId& service) const;
   // Queues an origin of this daemon for its keepers.
   void QueueReport(const RequestId& request, const Origin& origin);
--- a/serving/usage_exchange.cc
+++ b/serving/usage_exchange.cc
@@ -214,14 +214,11 @@
 }
 
 void UsageExchange::SendReportTo(const std::string& member) {
-  const auto found = members_->others().find(member);
-  Endpoint to;
-  if (found == members_->others().end() ||
-      !Endpoint::Parse(found->second.peer_address(), &to))
-    return;
+  const auto to = members_->FindAddress(member);
+  if (!to) return;
   wire::UsageDatagram datagram;
   *datagram.mutable_report() = MakeReport();
-  Send(to, datagram);
+  Send(*to, datagram);
 }
 
 void UsageExchange::Send(const Endpoint& to,
