A stand-in that crashes ends its streams inside an event

The stand-in's new crash closed a stream without framing exactly between two events.

Change: a crash breaks streams off as an aborted run does.

The daemon's code is unchanged.

--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -298,6 +298,15 @@
   return before_last.find("," + crash_part_ + ":") != std::string::npos;
 }
 
+void SiteServer::BreakOff(const Run& run) {
+  run.exchange->Write("id: 99\nda");
+  if (run.ends_with_close) {
+    run.exchange->Finish();
+  } else {
+    AbortWhenDrained(run.exchange);
+  }
+}
+
 void SiteServer::Crash() {
   ++crashes_;
   crashed_ = true;
@@ -306,7 +315,7 @@
   handles_.clear();
   reservations_.clear();
   for (auto& [serial, run] : running_) {
-    run.exchange->Abort();
+    BreakOff(run);
     // Kept until later, since the timer of one of them is on the stack.
     auto ended = std::make_shared<Run>(std::move(run));
     loop_->Post([ended] {});
@@ -332,12 +341,7 @@
   run.exchange->Write("id: " + id + "\ndata: " + text + "\n\n");
   if (runs_to_abort_ > 0) {
     --runs_to_abort_;
-    run.exchange->Write("id: 99\nda");
-    if (run.ends_with_close) {
-      run.exchange->Finish();
-    } else {
-      AbortWhenDrained(run.exchange);
-    }
+    BreakOff(run);
     EndRun(serial);
     return;
   }
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -94,6 +94,9 @@
   void HandlePlainRequest(const ExchangePtr& exchange);
   // Returns whether a part of the prompt, except the last, is crash_part_.
   bool CrashesServer(const HttpRequest& request) const;
+  // Ends a stream inside an event. Without framing, nothing else would show
+  // that it is truncated.
+  static void BreakOff(const Run& run);
   // Breaks off all runs, and restarts as another incarnation.
   void Crash();
   void SendNextEvent(uint64_t serial);
