Evidence, quarantine and exchange name what they judge a suspect

Cause: a whole request that crashes engines needs the mechanism that parts of prompts have, and the names said that it was for parts only.

Change: PromptCrashEvidence, PromptQuarantine, PromptGuard and PromptCrashExchange lose the word; parts are CrashSuspectIds, which the frontend gives to each request. Names that leave the process (the store's record, log lines, metrics) stay; field numbers of the datagrams are unchanged.

No change of logic.

--- a/base/ids.h
+++ b/base/ids.h
@@ -15,6 +15,8 @@
 using ModelId = StrongId<struct ModelIdTag>;
 // A part of prompts that several requests may share, as callers name it.
 using PromptPartId = StrongId<struct PromptPartIdTag>;
+// What may have crashed an engine; see decide/crash_suspects.h.
+using CrashSuspectId = StrongId<struct CrashSuspectIdTag>;
 
 // Identifies one run of one daemon: "<daemon name>#<incarnation>". A restarted
 // process is a new member. Only members hold member leases, slots and
--- a/decide/prompt_crash_evidence.cc
+++ b/decide/crash_evidence.cc
@@ -1,5 +1,5 @@
 // Counting, expiry and bounds of the evidence.
-#include "decide/prompt_crash_evidence.h"
+#include "decide/crash_evidence.h"
 
 #include <algorithm>
 #include <iterator>
@@ -17,70 +17,71 @@
 
 }  // namespace
 
-void PromptCrashEvidence::RecordGenerated(const PromptPartId& part,
-                                          MonoTime when, MonoTime now) {
+void CrashEvidence::RecordSurvived(const CrashSuspectId& suspect, MonoTime when,
+                                   MonoTime now) {
   DropExpired(now);
   if (now - when >= options_.cleared_lifetime) return;
-  const auto [it, is_new] = cleared_.emplace(part, when);
+  const auto [it, is_new] = cleared_.emplace(suspect, when);
   if (!is_new) {
     if (it->second >= when) return;
-    cleared_by_age_.erase({it->second, part});
+    cleared_by_age_.erase({it->second, suspect});
     it->second = when;
   }
-  cleared_by_age_.emplace(when, part);
-  if (cleared_.size() > options_.max_cleared_parts) {
+  cleared_by_age_.emplace(when, suspect);
+  if (cleared_.size() > options_.max_cleared_suspects) {
     cleared_.erase(cleared_by_age_.begin()->second);
     cleared_by_age_.erase(cleared_by_age_.begin());
   }
   // All crashes so far were at most `cleared_lifetime` later.
-  crashes_.erase(part);
+  crashes_.erase(suspect);
 }
 
-void PromptCrashEvidence::RecordCrash(const PromptPartId& part,
-                                      const BackEndId& engine,
-                                      int64_t incarnation, MonoTime now) {
+void CrashEvidence::RecordCrash(const CrashSuspectId& suspect,
+                                const BackEndId& engine, int64_t incarnation,
+                                MonoTime now) {
   DropExpired(now);
-  if (cleared_.count(part) > 0) return;
-  if (crashes_.count(part) == 0 &&
-      crashes_.size() >= options_.max_crash_parts) {
+  if (cleared_.count(suspect) > 0) return;
+  if (crashes_.count(suspect) == 0 &&
+      crashes_.size() >= options_.max_crash_suspects) {
     crashes_.erase(std::min_element(
         crashes_.begin(), crashes_.end(), [](const auto& a, const auto& b) {
           return LastCrash(a.second) < LastCrash(b.second);
         }));
   }
-  auto& crashes = crashes_[part];
+  auto& crashes = crashes_[suspect];
   for (auto it = crashes.begin(); it != crashes.end();)
     it = now - it->second >= options_.crash_lifetime ? crashes.erase(it)
                                                      : std::next(it);
   // Further crashes would add nothing to the verdict.
-  if (crashes.size() < options_.crashes_until_suspect)
+  if (crashes.size() < options_.crashes_until_conclusive)
     crashes.emplace(Incarnation(engine, incarnation), now);
 }
 
-std::optional<Duration> PromptCrashEvidence::TimeSinceGenerated(
-    const PromptPartId& part, MonoTime now) const {
-  const auto it = cleared_.find(part);
+std::optional<Duration> CrashEvidence::TimeSinceSurvived(
+    const CrashSuspectId& suspect, MonoTime now) const {
+  const auto it = cleared_.find(suspect);
   if (it == cleared_.end() || now - it->second >= options_.cleared_lifetime)
     return std::nullopt;
   return now - it->second;
 }
 
-bool PromptCrashEvidence::IsSuspect(const PromptPartId& part,
-                                    MonoTime now) const {
-  return CrashedEngines(part, now).size() >= options_.crashes_until_suspect;
+bool CrashEvidence::IsConclusive(const CrashSuspectId& suspect,
+                                 MonoTime now) const {
+  return CrashedEngines(suspect, now).size() >=
+         options_.crashes_until_conclusive;
 }
 
-std::vector<BackEndId> PromptCrashEvidence::CrashedEngines(
-    const PromptPartId& part, MonoTime now) const {
+std::vector<BackEndId> CrashEvidence::CrashedEngines(
+    const CrashSuspectId& suspect, MonoTime now) const {
   std::vector<BackEndId> engines;
-  const auto it = crashes_.find(part);
+  const auto it = crashes_.find(suspect);
   if (it == crashes_.end()) return engines;
   for (const auto& [engine, when] : it->second)
     if (now - when < options_.crash_lifetime) engines.push_back(engine.first);
   return engines;
 }
 
-void PromptCrashEvidence::DropExpired(MonoTime now) {
+void CrashEvidence::DropExpired(MonoTime now) {
   while (!cleared_by_age_.empty() &&
          now - cleared_by_age_.begin()->first >= options_.cleared_lifetime) {
     cleared_.erase(cleared_by_age_.begin()->second);
--- a/serving/prompt_crash_exchange.h
+++ b/serving/crash_exchange.h
@@ -1,22 +1,22 @@
-// Finds, together with the other daemons, the parts of prompts that crash
-// engines, and keeps the requests with such a part from all engines.
+// Finds, together with the other daemons, what in requests crashes engines, and
+// keeps the requests with it from all engines.
 //
-// Model: a daemon reports each crash under a run that was about to generate to
-// a few keepers of each part, the members with the highest rendezvous hashes
-// for it. A keeper for which a part becomes suspect
-// (decide/prompt_crash_evidence.h) asks all members for a run that has
-// generated on it. Without one, it puts the part into quarantine
-// (decide/prompt_quarantine.h): it notifies all members, and writes the part to
-// a record in the platform's store. The record reaches daemons that the keeper
-// can't, and those that start later before they are ready. Its revision decides
-// which daemon gets a trial. Whoever sees a run generate on a quarantined part
-// releases it in the same way.
+// Model: a daemon reports each crash under a run to a few keepers of each of
+// the run's suspects, the members with the highest rendezvous hashes for it. A
+// keeper whose evidence against a suspect becomes conclusive
+// (decide/crash_evidence.h) asks all members for a run with it that has
+// survived. Without one, it puts the suspect into quarantine
+// (decide/crash_quarantine.h): it notifies all members, and writes the suspect
+// to a record in the platform's store. The record reaches daemons that the
+// keeper can't, and those that start later before they are ready. Its revision
+// decides which daemon gets a trial. Whoever sees a run with a quarantined
+// suspect survive releases it in the same way.
 //
 // Cost: nothing while no engine crashes; kKeepers datagrams for a crash, and
-// for each part that is put into quarantine some datagrams to each member and
-// one write.
-#ifndef SERVING_PROMPT_CRASH_EXCHANGE_H_
-#define SERVING_PROMPT_CRASH_EXCHANGE_H_
+// for each suspect that is put into quarantine some datagrams to each member
+// and one write.
+#ifndef SERVING_CRASH_EXCHANGE_H_
+#define SERVING_CRASH_EXCHANGE_H_
 
 #include <cstdint>
 #include <functional>
@@ -29,16 +29,16 @@
 #include "base/kv_store.h"
 #include "base/line_log.h"
 #include "base/random.h"
-#include "decide/prompt_crash_evidence.h"
-#include "decide/prompt_quarantine.h"
+#include "decide/crash_evidence.h"
+#include "decide/crash_quarantine.h"
 #include "net/datagram.h"
 #include "net/event_loop.h"
+#include "serving/crash_guard.h"
 #include "serving/member_list.h"
-#include "serving/prompt_guard.h"
 
 namespace mimosa {
 
-class PromptCrashExchange : public PromptGuard {
+class CrashExchange : public CrashGuard {
  public:
   struct Options {
     std::string record_key;
@@ -52,26 +52,25 @@
     Duration write_retry_delay = std::chrono::milliseconds(500);
     // Time for which a notice holds without a record that confirms it.
     Duration notice_lifetime = std::chrono::seconds(30);
-    // Time between two notices of a part whose record can't be written.
+    // Time between two notices of a suspect whose record can't be written.
     Duration notice_interval = std::chrono::seconds(10);
-    PromptCrashEvidence::Options evidence;
-    PromptQuarantine::Options quarantine;
+    CrashEvidence::Options evidence;
+    CrashQuarantine::Options quarantine;
   };
   struct Counters {
-    uint64_t refused = 0;  // Requests with a quarantined part.
+    uint64_t refused = 0;  // Requests with a quarantined suspect.
     uint64_t trials = 0;   // Granted to this daemon.
     uint64_t crashes = 0;  // Reported by this daemon.
     uint64_t quarantined = 0;
     uint64_t released = 0;
   };
 
-  // Number of members that judge a part.
+  // Number of members that judge a suspect.
   static constexpr size_t kKeepers = 3;
 
-  PromptCrashExchange(EventLoop* loop, const MemberList* members,
-                      KvStore* store, RandomSource* random, LineLog* log,
-                      const Options& options);
-  ~PromptCrashExchange() override;
+  CrashExchange(EventLoop* loop, const MemberList* members, KvStore* store,
+                RandomSource* random, LineLog* log, const Options& options);
+  ~CrashExchange() override;
 
   // `socket` must outlive the exchange.
   void Start(DatagramSocket* socket) { socket_ = socket; }
@@ -79,17 +78,18 @@
   // The record in the store; nullptr if it was removed.
   void OnRecord(const KvRecord* record);
 
-  // PromptGuard:
-  PromptQuarantine::Decision Decide(
-      const std::vector<PromptPartId>& parts) override;
-  bool IsQuarantined(const std::vector<PromptPartId>& parts) const override {
-    return quarantine_.ContainsAny(parts);
+  // CrashGuard:
+  CrashQuarantine::Decision Decide(
+      const std::vector<CrashSuspectId>& suspects) override;
+  bool IsQuarantined(
+      const std::vector<CrashSuspectId>& suspects) const override {
+    return quarantine_.ContainsAny(suspects);
   }
-  std::unique_ptr<PromptTrialClaim> ClaimTrial(const PromptPartId& part,
-                                               ClaimCallback callback) override;
-  void RecordGenerated(const std::vector<PromptPartId>& parts) override;
+  std::unique_ptr<CrashTrialClaim> ClaimTrial(const CrashSuspectId& suspect,
+                                              ClaimCallback callback) override;
+  void RecordSurvived(const std::vector<CrashSuspectId>& suspects) override;
   void RecordCrash(const RequestId& request,
-                   const std::vector<PromptPartId>& parts,
+                   const std::vector<CrashSuspectId>& suspects,
                    const BackEndEntry& engine) override;
 
   const Counters& counters() const { return counters_; }
@@ -98,8 +98,8 @@
  private:
   class TrialClaim;
 
-  // A part in the record.
-  struct RecordedPart {
+  // A suspect in the record.
+  struct RecordedSuspect {
     size_t trials = 0;
     std::vector<BackEndId> engines;
   };
@@ -114,15 +114,15 @@
     bool released = false;
     MonoTime expires_at{};
   };
-  using RecordedParts = std::map<PromptPartId, RecordedPart>;
-
-  void OnEvidence(const PromptPartId& part);
-  void SendQuery(const PromptPartId& part, int queries_left);
-  void Quarantine(const PromptPartId& part);
-  void Release(const PromptPartId& part);
-  void HandleCrashReport(const wire::PromptCrashReport& report);
-  void HandleNotice(const wire::PromptPartNotice& notice);
-  void Notify(const PromptPartId& part, PendingChange* change);
+  using RecordedSuspects = std::map<CrashSuspectId, RecordedSuspect>;
+
+  void OnEvidence(const CrashSuspectId& suspect);
+  void SendQuery(const CrashSuspectId& suspect, int queries_left);
+  void Quarantine(const CrashSuspectId& suspect);
+  void Release(const CrashSuspectId& suspect);
+  void HandleCrashReport(const wire::CrashReport& report);
+  void HandleNotice(const wire::CrashSuspectNotice& notice);
+  void Notify(const CrashSuspectId& suspect, PendingChange* change);
   void SendToMember(const std::string& name,
                     const wire::UsageDatagram& datagram);
   void SendToAll(const wire::UsageDatagram& datagram);
@@ -134,7 +134,7 @@
   void UpdateQuarantine();
   // Writes the pending changes unless a write is in flight.
   void WritePendingChanges();
-  void Write(const RecordedParts& parts,
+  void Write(const RecordedSuspects& suspects,
              std::function<void(KvStatus status)> done);
   void ScheduleWrite();
 
@@ -145,14 +145,14 @@
   LineLog* const log_;
   const Options options_;
   DatagramSocket* socket_ = nullptr;
-  PromptCrashEvidence evidence_;
-  PromptQuarantine quarantine_;
-  std::map<PromptPartId, TimerHandle> inquiries_;
-
-  RecordedParts recorded_;  // As of revision_.
-  Revision revision_;       // Of the record; 0 if there is none.
-  std::map<PromptPartId, PendingChange> pending_;
-  std::map<PromptPartId, Notice> notices_;
+  CrashEvidence evidence_;
+  CrashQuarantine quarantine_;
+  std::map<CrashSuspectId, TimerHandle> inquiries_;
+
+  RecordedSuspects recorded_;  // As of revision_.
+  Revision revision_;          // Of the record; 0 if there is none.
+  std::map<CrashSuspectId, PendingChange> pending_;
+  std::map<CrashSuspectId, Notice> notices_;
   KvStore::CallPtr write_;           // nullptr if none is in flight.
   KvStore::CallPtr previous_write_;  // May be on the stack.
   TimerHandle write_timer_;
@@ -161,4 +161,4 @@
 
 }  // namespace mimosa
 
-#endif  // SERVING_PROMPT_CRASH_EXCHANGE_H_
+#endif  // SERVING_CRASH_EXCHANGE_H_
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -20,12 +20,12 @@
 #include "decide/replicated_rate_limiter.h"
 #include "decide/retry_budget.h"
 #include "net/datagram.h"
+#include "serving/crash_exchange.h"
 #include "serving/engine_memory_releaser.h"
 #include "serving/entry_frontend.h"
 #include "serving/local_responses.h"
 #include "serving/member_list.h"
 #include "serving/permit_exchange.h"
-#include "serving/prompt_crash_exchange.h"
 #include "serving/role_controller.h"
 #include "serving/site_sync.h"
 #include "serving/stream_origin_exchange.h"
@@ -64,7 +64,7 @@
 // Keys of the fleet's own records, relative to the deployment's prefix.
 constexpr std::string_view kMemberRecordPrefix = "members/";
 constexpr std::string_view kRoleRecordName = "roles";
-constexpr std::string_view kPromptQuarantineRecordName = "prompt_quarantine";
+constexpr std::string_view kCrashQuarantineRecordName = "prompt_quarantine";
 
 // Returns the longest time that a stream of the configuration may last.
 Duration LongestStream(const SiteConfig& config) {
@@ -152,8 +152,8 @@
             loop_.get(), &members_, &back_ends_, &log_,
             [this] { return IsBackEndListCurrent(); },
             StreamOriginExchange::Options{}),
-        prompt_crashes_(loop_.get(), &members_, store_.get(), &random_, &log_,
-                        PromptCrashOptions()),
+        crash_exchange_(loop_.get(), &members_, store_.get(), &random_, &log_,
+                        CrashOptions()),
         deps_{loop_.get(),
               client_.get(),
               platform.request_format,
@@ -166,7 +166,7 @@
               &counters_,
               &stage_meter_,
               &stream_origins_,
-              &prompt_crashes_,
+              &crash_exchange_,
               &permits_,
               FailureDomain(settings.failure_domain())},
         frontend_(&deps_, &rate_limiter_,
@@ -215,7 +215,7 @@
     members_.Start();
     usage_exchange_.Start(peer_socket_.get());
     stream_origins_.Start(peer_socket_.get());
-    prompt_crashes_.Start(peer_socket_.get());
+    crash_exchange_.Start(peer_socket_.get());
     permits_.Start(peer_socket_.get());
     role_controller_.Start();
     FlushLog();
@@ -272,7 +272,7 @@
     }
     usage_exchange_.OnDatagram(from, datagram);
     stream_origins_.OnDatagram(from, datagram);
-    prompt_crashes_.OnDatagram(from, datagram);
+    crash_exchange_.OnDatagram(from, datagram);
     permits_.OnDatagram(from, datagram);
   }
 
@@ -304,8 +304,8 @@
   void OnRecord(const std::string& name, const KvRecord* record) {
     if (name == kRoleRecordName) {
       role_controller_.OnRecord(record);
-    } else if (name == kPromptQuarantineRecordName) {
-      prompt_crashes_.OnRecord(record);
+    } else if (name == kCrashQuarantineRecordName) {
+      crash_exchange_.OnRecord(record);
     } else if (StartsWith(name, kMemberRecordPrefix)) {
       const std::string member = name.substr(kMemberRecordPrefix.size());
       members_.OnRecord(member, record == nullptr ? nullptr : &record->value);
@@ -332,9 +332,9 @@
     return options;
   }
 
-  PromptCrashExchange::Options PromptCrashOptions() const {
-    PromptCrashExchange::Options options;
-    options.record_key = RecordPrefix().append(kPromptQuarantineRecordName);
+  CrashExchange::Options CrashOptions() const {
+    CrashExchange::Options options;
+    options.record_key = RecordPrefix().append(kCrashQuarantineRecordName);
     return options;
   }
 
@@ -495,7 +495,7 @@
   RoleController role_controller_;
   SiteSync site_sync_;
   StreamOriginExchange stream_origins_;
-  PromptCrashExchange prompt_crashes_;
+  CrashExchange crash_exchange_;
   const RelayDeps deps_;
   EntryFrontend frontend_;
   PathHandler ready_handler_;
@@ -585,18 +585,17 @@
   }
   add_gauge("mimosa_prompt_parts_quarantined",
             "Parts of prompts whose requests reach no engine",
-            [this] { return double(prompt_crashes_.quarantined_count()); });
+            [this] { return double(crash_exchange_.quarantined_count()); });
   for (const auto& [event, count] :
-       {std::pair("crash_reported", &PromptCrashExchange::Counters::crashes),
-        std::pair("quarantined", &PromptCrashExchange::Counters::quarantined),
-        std::pair("trial", &PromptCrashExchange::Counters::trials),
-        std::pair("released", &PromptCrashExchange::Counters::released),
-        std::pair("request_refused",
-                  &PromptCrashExchange::Counters::refused)}) {
+       {std::pair("crash_reported", &CrashExchange::Counters::crashes),
+        std::pair("quarantined", &CrashExchange::Counters::quarantined),
+        std::pair("trial", &CrashExchange::Counters::trials),
+        std::pair("released", &CrashExchange::Counters::released),
+        std::pair("request_refused", &CrashExchange::Counters::refused)}) {
     metrics_.AddGauge("mimosa_prompt_crashes",
                       "Events about parts of prompts that crash engines",
                       {{"event", event}}, [this, count = count] {
-                        return double(prompt_crashes_.counters().*count);
+                        return double(crash_exchange_.counters().*count);
                       });
   }
   add_gauge("mimosa_back_end_pauses",
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <utility>
 
+#include "decide/crash_suspects.h"
 #include "decide/rendezvous.h"
 #include "serving/local_responses.h"
 #include "serving/plain_relay.h"
@@ -46,6 +47,13 @@
   return joined;
 }
 
+std::vector<CrashSuspectId> CrashSuspectsOf(const CallerRequest& caller) {
+  std::vector<CrashSuspectId> suspects;
+  for (const PromptPartId& part : caller.shared_prompt_parts)
+    suspects.emplace_back(SuspectPromptPart(part));
+  return suspects;
+}
+
 std::optional<int> PriorityOf(const SiteRoute& route,
                               const SiteCustomer* customer) {
   const int priority = customer != nullptr && customer->priority
@@ -124,9 +132,10 @@
     *refusal = {kStatusUnavailable, kShutdownRetryAfter, "leaving"};
     return false;
   }
+  if (service->engine) request->crash_suspects = CrashSuspectsOf(caller);
   if (service->engine &&
-      deps_->prompt_guard->Decide(caller.shared_prompt_parts).verdict ==
-          PromptQuarantine::Verdict::kRefuse) {
+      deps_->crash_guard->Decide(request->crash_suspects).verdict ==
+          CrashQuarantine::Verdict::kRefuse) {
     *refusal = {kStatusUnavailable, Duration::zero(), "quarantined_prompt"};
     return false;
   }
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/line_log.h"
 #include "base/random.h"
@@ -16,9 +17,9 @@
 #include "decide/stage_meter.h"
 #include "net/event_loop.h"
 #include "net/http.h"
+#include "serving/crash_guard.h"
 #include "serving/engine_memory_releaser.h"
 #include "serving/permit_exchange.h"
-#include "serving/prompt_guard.h"
 #include "serving/request_format.h"
 #include "serving/stream_origin_directory.h"
 
@@ -55,7 +56,7 @@
   RelayCounters* counters;
   StageMeter* stage_meter;
   StreamOriginDirectory* stream_origins;
-  PromptGuard* prompt_guard;
+  CrashGuard* crash_guard;
   PermitExchange* permits;
   FailureDomain zone;  // Zone of this daemon.
 };
@@ -67,6 +68,8 @@
   SiteService service;
   CustomerId customer;          // Empty on a route without authentication.
   std::optional<int> priority;  // Sent to engines; 0 is served first.
+  // What would be at fault if the request crashed an engine.
+  std::vector<CrashSuspectId> crash_suspects;
   MonoTime arrived{};
   MonoTime deadline{};  // A later response is of no use to the caller.
 };
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -77,11 +77,11 @@
       Refuse("no_decode_engine");
       return;
     }
-    const PromptQuarantine::Decision decision =
-        deps_.prompt_guard->Decide(request_.caller.shared_prompt_parts);
-    if (decision.verdict == PromptQuarantine::Verdict::kTrial) {
-      trial_claim_ = deps_.prompt_guard->ClaimTrial(
-          decision.part, [this](bool granted) { OnTrialClaimed(granted); });
+    const CrashQuarantine::Decision decision =
+        deps_.crash_guard->Decide(request_.crash_suspects);
+    if (decision.verdict == CrashQuarantine::Verdict::kTrial) {
+      trial_claim_ = deps_.crash_guard->ClaimTrial(
+          decision.suspect, [this](bool granted) { OnTrialClaimed(granted); });
     } else {
       FindOriginAndStart();
     }
@@ -253,8 +253,8 @@
   // Whether the request must not reach any engine. That may change until it
   // runs.
   bool IsQuarantined() const {
-    return !is_trial_ && deps_.prompt_guard->IsQuarantined(
-                             request_.caller.shared_prompt_parts);
+    return !is_trial_ &&
+           deps_.crash_guard->IsQuarantined(request_.crash_suspects);
   }
 
   void OnOriginFound(const std::optional<SoftwareVersion>& version) {
@@ -615,7 +615,7 @@
   void RecordGenerated() {
     if (generated_ || EventsOfRun() < kEventsUntilGenerated) return;
     generated_ = true;
-    deps_.prompt_guard->RecordGenerated(request_.caller.shared_prompt_parts);
+    deps_.crash_guard->RecordSurvived(request_.crash_suspects);
   }
 
   // Reports a run that the engine broke off when it was about to generate.
@@ -623,9 +623,8 @@
     if (stage_ != Stage::kRun || !call.connection_lost() ||
         EventsOfRun() >= kEventsUntilGenerated)
       return;
-    deps_.prompt_guard->RecordCrash(request_.caller.id,
-                                    request_.caller.shared_prompt_parts,
-                                    call.back_end());
+    deps_.crash_guard->RecordCrash(request_.caller.id, request_.crash_suspects,
+                                   call.back_end());
   }
 
   void RecordFailedRun() {
@@ -858,7 +857,7 @@
   bool budget_exhausted_ = false;
   bool is_trial_ = false;   // Runs although a part of its prompt is suspect.
   bool generated_ = false;  // A run got beyond its first event.
-  std::unique_ptr<PromptTrialClaim> trial_claim_;  // Pending, or finished.
+  std::unique_ptr<CrashTrialClaim> trial_claim_;  // Pending, or finished.
   bool waited_for_reservation_ = false;
   // Pending until the version of a stream that the caller takes up is known.
   std::unique_ptr<StreamOriginLookup> origin_lookup_;
--- a/tests/prompt_crash_exchange_test.cc
+++ b/tests/crash_exchange_test.cc
@@ -3,7 +3,7 @@
 // and daemons are cut off, restarted, or without the store. Once five engines
 // have crashed and all daemons that have contact could know, at most three
 // more requests with the part may reach engines.
-#include "serving/prompt_crash_exchange.h"
+#include "serving/crash_exchange.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -17,7 +17,7 @@
 namespace {
 
 using std::chrono::seconds;
-using Verdict = PromptQuarantine::Verdict;
+using Verdict = CrashQuarantine::Verdict;
 
 constexpr char kRecordKey[] = "site/prompt_quarantine";
 constexpr size_t kCrashesKnown = 5;
@@ -30,9 +30,9 @@
 // Time from the begin of a run to its crash.
 constexpr Duration kTimeToCrash = milliseconds(60);
 
-using Parts = std::vector<PromptPartId>;
-const PromptPartId kBad("bad");
-const PromptPartId kShared("5a");
+using Parts = std::vector<CrashSuspectId>;
+const CrashSuspectId kBad("bad");
+const CrashSuspectId kShared("5a");
 
 struct Daemon : VirtualMember {
   Daemon(VirtualTimeSimulator* simulator, FakeNetwork* network,
@@ -48,8 +48,8 @@
     Watch();
   }
 
-  static PromptCrashExchange::Options ExchangeOptions() {
-    PromptCrashExchange::Options options;
+  static CrashExchange::Options ExchangeOptions() {
+    CrashExchange::Options options;
     options.record_key = kRecordKey;
     return options;
   }
@@ -65,7 +65,7 @@
   }
 
   VirtualPlatform* const platform;
-  PromptCrashExchange exchange;
+  CrashExchange exchange;
   Revision seen;
   TimerHandle watch_timer;
 };
@@ -102,18 +102,19 @@
     simulator_.RunUntil(simulator_.now() + duration);
   }
 
-  // A request with these shared parts arrives at a random daemon. If it gets to
+  // A request with these suspects arrives at a random daemon. If it gets to
   // an engine, it generates or crashes it, together with runs that have
-  // `bystanders` as their parts.
-  void Send(const Parts& parts, const Parts& bystanders = {}) {
+  // `bystanders` as their suspects.
+  void Send(const Parts& suspects, const Parts& bystanders = {}) {
     Daemon* const target = &daemon(static_cast<int>(random_.UniformInt(size_)));
-    const PromptQuarantine::Decision decision = target->exchange.Decide(parts);
+    const CrashQuarantine::Decision decision =
+        target->exchange.Decide(suspects);
     if (decision.verdict == Verdict::kAdmit) {
-      RunAt(target, parts, bystanders);
+      RunAt(target, suspects, bystanders);
     } else if (decision.verdict == Verdict::kTrial) {
       claims_.push_back(target->exchange.ClaimTrial(
-          decision.part, [this, target, parts, bystanders](bool granted) {
-            if (granted) RunAt(target, parts, bystanders);
+          decision.suspect, [this, target, suspects, bystanders](bool granted) {
+            if (granted) RunAt(target, suspects, bystanders);
           }));
     }
   }
@@ -137,14 +138,14 @@
   int reached_after() const { return reached_after_; }
 
  private:
-  static bool CrashesEngine(const Parts& parts) {
-    return std::find(parts.begin(), parts.end(), kBad) != parts.end();
+  static bool CrashesEngine(const Parts& suspects) {
+    return std::find(suspects.begin(), suspects.end(), kBad) != suspects.end();
   }
 
-  void RunAt(Daemon* target, const Parts& parts, const Parts& bystanders) {
-    if (!CrashesEngine(parts)) {
+  void RunAt(Daemon* target, const Parts& suspects, const Parts& bystanders) {
+    if (!CrashesEngine(suspects)) {
       ++generated_;
-      target->exchange.RecordGenerated(parts);
+      target->exchange.RecordSurvived(suspects);
       return;
     }
     ++reached_;
@@ -156,7 +157,7 @@
     engine.incarnation = ++last_incarnation_;
     target->loop.RunAt(simulator_.now() + kTimeToCrash, [=] {
       if (++crashes_ == kCrashesKnown) fifth_crash_at_ = simulator_.now();
-      target->exchange.RecordCrash(RequestId("r"), parts, engine);
+      target->exchange.RecordCrash(RequestId("r"), suspects, engine);
       if (!bystanders.empty())
         daemon(static_cast<int>(random_.UniformInt(size_)))
             .exchange.RecordCrash(RequestId("s"), bystanders, engine);
@@ -170,7 +171,7 @@
   VirtualPlatform platform_;
   const int size_;
   std::vector<std::unique_ptr<Daemon>> daemons_;
-  std::vector<std::unique_ptr<PromptTrialClaim>> claims_;
+  std::vector<std::unique_ptr<CrashTrialClaim>> claims_;
   uint64_t last_boot_ = 0;
   int64_t last_incarnation_ = 0;
   size_t crashes_ = 0;
@@ -256,12 +257,12 @@
   ForEachFleet<Fleet>([](Fleet& fleet) {
     for (int crash = 0; crash < 60; ++crash) {
       // Each part is in few requests; one of two loses its run.
-      const PromptPartId part("a" + std::to_string(crash / 6));
-      fleet.Send({part});
+      const CrashSuspectId suspect("a" + std::to_string(crash / 6));
+      fleet.Send({suspect});
       BackEndEntry engine;
       engine.id = BackEndId("e" + std::to_string(crash));
       fleet.daemon(crash % fleet.size())
-          .exchange.RecordCrash(RequestId("r"), {part}, engine);
+          .exchange.RecordCrash(RequestId("r"), {suspect}, engine);
       fleet.Run(milliseconds(200));
     }
     CHECK(fleet.daemon(0).exchange.quarantined_count() == 0);
@@ -285,17 +286,17 @@
 
 TEST_CASE("datagrams of others and unreadable records change nothing") {
   Fleet fleet(6, 1);
-  PromptCrashExchange& exchange = fleet.daemon(0).exchange;
+  CrashExchange& exchange = fleet.daemon(0).exchange;
   wire::UsageDatagram datagram;
-  datagram.mutable_prompt_part_notice()->set_part("5a");
+  datagram.mutable_suspect_notice()->set_suspect("5a");
   exchange.OnDatagram({"10.9.9.9", 1}, datagram);
   for (int i = 0; i < 9; ++i) {
-    datagram.mutable_prompt_crash_report()->set_back_end(std::to_string(i));
-    datagram.mutable_prompt_crash_report()->add_parts("5a");
+    datagram.mutable_crash_report()->set_back_end(std::to_string(i));
+    datagram.mutable_crash_report()->add_suspects("5a");
     exchange.OnDatagram({"10.9.9.9", 1}, datagram);
   }
   exchange.OnDatagram(AddressOf(1), wire::UsageDatagram());
-  const KvRecord record{kRecordKey, "{\"parts\":7", Revision(9)};
+  const KvRecord record{kRecordKey, "{\"suspects\":7", Revision(9)};
   exchange.OnRecord(&record);
   fleet.Run(seconds(1));
   CHECK(exchange.quarantined_count() == 0);
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -16,10 +16,10 @@
 
 #include "net/test_peer.h"
 #include "platform/request_codec.h"
+#include "serving/crash_exchange.h"
 #include "serving/entry_frontend.h"
 #include "serving/member_list.h"
 #include "serving/permit_exchange.h"
-#include "serving/prompt_crash_exchange.h"
 #include "serving/stream_origin_exchange.h"
 #include "tests/serving_fakes.h"
 
@@ -272,8 +272,7 @@
                            &permits};
   StreamOriginExchange origins{loop.get(),          &members, &back_ends, &log,
                                [] { return true; }, {}};
-  PromptCrashExchange prompt_crashes{loop.get(), &members, &store,
-                                     &random,    &log,     {}};
+  CrashExchange prompt_crashes{loop.get(), &members, &store, &random, &log, {}};
   RelayDeps deps{loop.get(),      client.get(), &format,
                  &selector,       &budget,      &reservation_retry,
                  &random,         &log,         &releaser,
