Log lines of requests carry a fingerprint

Cause: the log of the incident of requests that crash engines shows ids, which are new in each repetition, so it can't tell one request that is repeated from overload.

Change: a digest of method, host, path with query, customer and body stands in request_answered, request_failed and request_refused.

--- a/base/ids.h
+++ b/base/ids.h
@@ -15,6 +15,8 @@
 using ModelId = StrongId<struct ModelIdTag>;
 // A part of prompts that several requests may share, as callers name it.
 using PromptPartId = StrongId<struct PromptPartIdTag>;
+// Digest of what repetitions of a request have in common.
+using RequestFingerprint = StrongId<struct RequestFingerprintTag>;
 // What may have crashed an engine; see decide/crash_suspects.h.
 using CrashSuspectId = StrongId<struct CrashSuspectIdTag>;
 
--- a/bench/decide_bench.cc
+++ b/bench/decide_bench.cc
@@ -11,6 +11,7 @@
 
 #include "base/json.h"
 #include "base/random.h"
+#include "decide/crash_suspects.h"
 #include "decide/engine_ledger.h"
 #include "decide/engine_search.h"
 #include "decide/placement.h"
@@ -142,6 +143,15 @@
   });
 }
 
+void MeasureFingerprint(const Size& size, const char* name, size_t bytes) {
+  const std::string body(bytes, 'b');
+  const CustomerId customer("customer-1");
+  Measure(name, size, [&](int i) {
+    const std::string target = "/look/" + std::to_string(i);
+    FingerprintOf({"POST", "host.example", target, customer, body});
+  });
+}
+
 }  // namespace
 }  // namespace mimosa::bench
 
@@ -154,6 +164,8 @@
     bench::MeasurePlacement(size, PlacementKind::kLeastLoaded,
                             "search-least-loaded");
     bench::MeasurePrefix(size);
+    bench::MeasureFingerprint(size, "fingerprint-600-bytes", 600);
+    bench::MeasureFingerprint(size, "fingerprint-72000-bytes", 72000);
   }
   return 0;
 }
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -47,6 +47,12 @@
   return joined;
 }
 
+RequestFingerprint Fingerprint(const RelayRequest& request) {
+  const CallerRequest& caller = request.caller;
+  return FingerprintOf({caller.http.method, caller.host, caller.http.target,
+                        request.customer, caller.http.body});
+}
+
 std::vector<CrashSuspectId> CrashSuspectsOf(const CallerRequest& caller) {
   std::vector<CrashSuspectId> suspects;
   for (const PromptPartId& part : caller.shared_prompt_parts)
@@ -132,6 +138,9 @@
     *refusal = {kStatusUnavailable, kShutdownRetryAfter, "leaving"};
     return false;
   }
+  if (customer != nullptr && !route->allows_anonymous)
+    request->customer = customer->id;
+  request->fingerprint = Fingerprint(*request);
   if (service->engine) request->crash_suspects = CrashSuspectsOf(caller);
   if (service->engine &&
       deps_->crash_guard->Decide(request->crash_suspects).verdict ==
@@ -145,8 +154,7 @@
     timeout = std::min(timeout, route->timeout);
   request->deadline = request->arrived + timeout;
   deps_->retry_budget->RecordRequest(service->id, request->arrived);
-  if (customer == nullptr || route->allows_anonymous) return true;
-  request->customer = customer->id;
+  if (request->customer.empty()) return true;
   return ChargeRateLimit(*customer, request, refusal);
 }
 
@@ -217,6 +225,7 @@
                         .Add("request", request.caller.id.value())
                         .Add("route", request.route.id.value())
                         .Add("customer", request.customer.value())
+                        .Add("fingerprint", request.fingerprint.value())
                         .Add("status", refusal.status)
                         .Add("why", refusal.reason)
                         .AddMillis("retry_after_ms", retry_after));
@@ -266,6 +275,7 @@
       .Add("route", request.route.id.value())
       .Add("customer", request.customer.value())
       .Add("service", request.service.id.value())
+      .Add("fingerprint", request.fingerprint.value())
       .Add("back_end", result.back_end.value())
       .Add("status", result.status)
       .Add("why", result.reason)
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -68,6 +68,7 @@
   SiteService service;
   CustomerId customer;          // Empty on a route without authentication.
   std::optional<int> priority;  // Sent to engines; 0 is served first.
+  RequestFingerprint fingerprint;
   // What would be at fault if the request crashed an engine.
   std::vector<CrashSuspectId> crash_suspects;
   MonoTime arrived{};
