A request that crashes engines is kept from all of them

What callers saw: a crane-lookup ended each server that ran it and came again, with a new id each time, through all daemons; 13 to 16 servers ended, and a service of three was away for seconds, again and again.

Cause: crashes were evidence against parts of prompts only. A plain request reported none, and nothing recognised a repetition.

Change: a whole request, by its fingerprint, is one more suspect. Plain requests report crashes and survivals, model requests also a crash while their prompt is read. A request under which two engines are known to have crashed gets no second attempt, one with any crash no hedge.

--- a/decide/crash_evidence.cc
+++ b/decide/crash_evidence.cc
@@ -71,13 +71,13 @@
          options_.crashes_until_conclusive;
 }
 
-std::vector<BackEndId> CrashEvidence::CrashedEngines(
+std::vector<CrashEvidence::Incarnation> CrashEvidence::CrashedEngines(
     const CrashSuspectId& suspect, MonoTime now) const {
-  std::vector<BackEndId> engines;
+  std::vector<Incarnation> engines;
   const auto it = crashes_.find(suspect);
   if (it == crashes_.end()) return engines;
   for (const auto& [engine, when] : it->second)
-    if (now - when < options_.crash_lifetime) engines.push_back(engine.first);
+    if (now - when < options_.crash_lifetime) engines.push_back(engine);
   return engines;
 }
 
--- a/decide/crash_evidence.h
+++ b/decide/crash_evidence.h
@@ -30,6 +30,9 @@
 
 class CrashEvidence {
  public:
+  // An engine and the incarnation of it that crashed.
+  using Incarnation = std::pair<BackEndId, int64_t>;
+
   struct Options {
     // Engines that have to crash before the evidence is conclusive.
     size_t crashes_until_conclusive = 3;
@@ -59,15 +62,13 @@
                                             MonoTime now) const;
   bool IsConclusive(const CrashSuspectId& suspect, MonoTime now) const;
   // Returns the engines whose crashes count against `suspect`.
-  std::vector<BackEndId> CrashedEngines(const CrashSuspectId& suspect,
-                                        MonoTime now) const;
+  std::vector<Incarnation> CrashedEngines(const CrashSuspectId& suspect,
+                                          MonoTime now) const;
 
   size_t cleared_count() const { return cleared_.size(); }
   size_t crash_suspect_count() const { return crashes_.size(); }
 
  private:
-  using Incarnation = std::pair<BackEndId, int64_t>;
-
   void DropExpired(MonoTime now);
 
   const Options options_;
--- a/decide/crash_quarantine.cc
+++ b/decide/crash_quarantine.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "decide/crash_suspects.h"
+
 namespace mimosa {
 
 void CrashQuarantine::Add(const CrashSuspectId& suspect, size_t trials,
@@ -26,6 +28,15 @@
     it = kept.count(it->first) == 0 ? suspects_.erase(it) : std::next(it);
 }
 
+bool CrashQuarantine::IsTrialDue(const CrashSuspectId& suspect,
+                                 const State& state, MonoTime now) const {
+  const std::vector<Duration>& delays = IsRequest(suspect)
+                                            ? options_.request_trial_delays
+                                            : options_.trial_delays;
+  return state.trials < delays.size() &&
+         now - state.since >= delays[state.trials];
+}
+
 CrashQuarantine::Decision CrashQuarantine::Decide(
     const std::vector<CrashSuspectId>& suspects, MonoTime now) {
   Decision decision;
@@ -36,7 +47,7 @@
     it->second.last_requested = now;
     const bool is_only_one = decision.suspect.empty();
     if (is_only_one) decision.suspect = suspect;
-    decision.verdict = is_only_one && IsTrialDue(it->second, now)
+    decision.verdict = is_only_one && IsTrialDue(suspect, it->second, now)
                            ? Verdict::kTrial
                            : Verdict::kRefuse;
   }
@@ -50,4 +61,10 @@
                      [this](const auto& suspect) { return Contains(suspect); });
 }
 
+size_t CrashQuarantine::request_count() const {
+  return static_cast<size_t>(
+      std::count_if(suspects_.begin(), suspects_.end(),
+                    [](const auto& item) { return IsRequest(item.first); }));
+}
+
 }  // namespace mimosa
--- a/decide/crash_quarantine.h
+++ b/decide/crash_quarantine.h
@@ -38,6 +38,11 @@
     std::vector<Duration> trial_delays = {std::chrono::seconds(2),
                                           std::chrono::seconds(10),
                                           std::chrono::minutes(5)};
+    // The same for a whole request. It is rarely blamed wrongly, since each of
+    // its repetitions clears it, and a trial that crashes an engine costs all
+    // runs there.
+    std::vector<Duration> request_trial_delays = {std::chrono::seconds(10),
+                                                  std::chrono::minutes(5)};
   };
   // Beyond this number, the suspect that was requested least recently is
   // released.
@@ -59,6 +64,8 @@
   }
   bool ContainsAny(const std::vector<CrashSuspectId>& suspects) const;
   size_t size() const { return suspects_.size(); }
+  // Of those, the whole requests.
+  size_t request_count() const;
 
  private:
   struct State {
@@ -67,10 +74,8 @@
     MonoTime last_requested{};  // Or added, if that was later.
   };
 
-  bool IsTrialDue(const State& state, MonoTime now) const {
-    return state.trials < options_.trial_delays.size() &&
-           now - state.since >= options_.trial_delays[state.trials];
-  }
+  bool IsTrialDue(const CrashSuspectId& suspect, const State& state,
+                  MonoTime now) const;
 
   const Options options_;
   std::map<CrashSuspectId, State> suspects_;
--- a/serving/crash_exchange.cc
+++ b/serving/crash_exchange.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/json.h"
+#include "decide/crash_suspects.h"
 
 namespace mimosa {
 namespace {
@@ -12,6 +13,14 @@
 // Queries of one inquiry, in case a datagram is lost.
 constexpr int kQueriesPerInquiry = 2;
 
+// Returns a log line about a suspect.
+LogLine SuspectLine(const CrashSuspectId& suspect, const char* event) {
+  const bool is_request = IsRequest(suspect);
+  return LogLine((is_request ? "crashing_request_" : "prompt_part_") +
+                 std::string(event))
+      .Add(is_request ? "suspect" : "part", suspect.value());
+}
+
 std::string JoinIds(const std::vector<BackEndId>& ids) {
   std::string joined;
   for (const BackEndId& id : ids) {
@@ -85,9 +94,7 @@
     if (!pending_.empty()) ScheduleWrite();
     if (granted) {
       ++counters_.trials;
-      log_->WriteAlways(LogLine("prompt_part_trial")
-                            .Add("part", suspect.value())
-                            .Add("trial", trial));
+      log_->WriteAlways(SuspectLine(suspect, "trial").Add("trial", trial));
     }
     finish(granted);
   });
@@ -103,26 +110,29 @@
   }
 }
 
+size_t CrashExchange::CountCrashes(
+    const std::vector<CrashSuspectId>& suspects) const {
+  size_t most = 0;
+  for (const CrashSuspectId& suspect : suspects)
+    most =
+        std::max(most, evidence_.CrashedEngines(suspect, loop_->Now()).size());
+  return most;
+}
+
 void CrashExchange::RecordCrash(const RequestId& request,
                                 const std::vector<CrashSuspectId>& suspects,
                                 const BackEndEntry& engine) {
   const MonoTime now = loop_->Now();
   const std::set<CrashSuspectId> distinct(suspects.begin(), suspects.end());
-  std::map<std::string, wire::UsageDatagram> reports;  // By keeper.
+  CrashReports reports;
   std::string reported;
   for (const CrashSuspectId& suspect : distinct) {
     if (quarantine_.Contains(suspect) ||
         evidence_.TimeSinceSurvived(suspect, now).has_value())
       continue;
     reported += (reported.empty() ? "" : ",") + suspect.value();
-    for (const std::string& keeper :
-         members_->TopMembers(suspect.value(), kKeepers)) {
-      wire::CrashReport* const report = reports[keeper].mutable_crash_report();
-      report->set_back_end(engine.id.value());
-      report->set_incarnation(engine.incarnation);
-      report->add_suspects(suspect.value());
-    }
     evidence_.RecordCrash(suspect, engine.id, engine.incarnation, now);
+    AddReports(suspect, &reports);
     OnEvidence(suspect);
   }
   if (reported.empty()) return;
@@ -132,7 +142,28 @@
                   .Add("back_end", engine.id.value())
                   .Add("incarnation", engine.incarnation)
                   .Add("parts", reported));
-  for (const auto& [keeper, report] : reports) SendToMember(keeper, report);
+  for (const auto& [key, report] : reports) SendToMember(key.first, report);
+}
+
+// Crashes before this one are reported again: their keepers may have started
+// since, or the reports may have been lost.
+void CrashExchange::AddReports(const CrashSuspectId& suspect,
+                               CrashReports* reports) const {
+  const auto engines = evidence_.CrashedEngines(suspect, loop_->Now());
+  for (const std::string& keeper :
+       members_->TopMembers(suspect.value(), kKeepers)) {
+    for (const CrashEvidence::Incarnation& engine : engines) {
+      wire::CrashReport* const report =
+          (*reports)[{keeper, engine}].mutable_crash_report();
+      report->set_back_end(engine.first.value());
+      report->set_incarnation(engine.second);
+      report->add_suspects(suspect.value());
+    }
+  }
+}
+
+size_t CrashExchange::quarantined_request_count() const {
+  return quarantine_.request_count();
 }
 
 // --- Evidence of the fleet ------------------------------------------------
@@ -173,11 +204,12 @@
 
 void CrashExchange::Quarantine(const CrashSuspectId& suspect) {
   PendingChange change;
-  change.engines = evidence_.CrashedEngines(suspect, loop_->Now());
+  for (const auto& [engine, incarnation] :
+       evidence_.CrashedEngines(suspect, loop_->Now()))
+    change.engines.push_back(engine);
   evidence_.ForgetCrashes(suspect);
   ++counters_.quarantined;
-  log_->WriteAlways(LogLine("prompt_part_quarantined")
-                        .Add("part", suspect.value())
+  log_->WriteAlways(SuspectLine(suspect, "quarantined")
                         .Add("back_ends", JoinIds(change.engines)));
   notices_.erase(suspect);
   Notify(suspect, &(pending_[suspect] = std::move(change)));
@@ -187,8 +219,7 @@
 
 void CrashExchange::Release(const CrashSuspectId& suspect) {
   ++counters_.released;
-  log_->WriteAlways(
-      LogLine("prompt_part_released").Add("part", suspect.value()));
+  log_->WriteAlways(SuspectLine(suspect, "released"));
   notices_.erase(suspect);
   PendingChange change;
   change.release = true;
--- a/serving/crash_exchange.h
+++ b/serving/crash_exchange.h
@@ -47,7 +47,7 @@
     Duration query_interval = std::chrono::milliseconds(60);
     // By how much later each further keeper begins its inquiry, so that it
     // learns of the verdict of the one before.
-    Duration keeper_delay = std::chrono::milliseconds(250);
+    Duration keeper_delay = std::chrono::milliseconds(200);
     // Delay after a failed write of the record, before jitter.
     Duration write_retry_delay = std::chrono::milliseconds(500);
     // Time for which a notice holds without a record that confirms it.
@@ -65,8 +65,9 @@
     uint64_t released = 0;
   };
 
-  // Number of members that judge a suspect.
-  static constexpr size_t kKeepers = 3;
+  // Number of members that judge a suspect: so many that one of them is in reach
+  // while a third of the fleet is cut off.
+  static constexpr size_t kKeepers = 7;
 
   CrashExchange(EventLoop* loop, const MemberList* members, KvStore* store,
                 RandomSource* random, LineLog* log, const Options& options);
@@ -87,6 +88,8 @@
   }
   std::unique_ptr<CrashTrialClaim> ClaimTrial(const CrashSuspectId& suspect,
                                               ClaimCallback callback) override;
+  size_t CountCrashes(
+      const std::vector<CrashSuspectId>& suspects) const override;
   void RecordSurvived(const std::vector<CrashSuspectId>& suspects) override;
   void RecordCrash(const RequestId& request,
                    const std::vector<CrashSuspectId>& suspects,
@@ -94,6 +97,8 @@
 
   const Counters& counters() const { return counters_; }
   size_t quarantined_count() const { return quarantine_.size(); }
+  // Of those, the whole requests.
+  size_t quarantined_request_count() const;
 
  private:
   class TrialClaim;
@@ -114,8 +119,14 @@
     bool released = false;
     MonoTime expires_at{};
   };
+  // By keeper and crashed engine.
+  using CrashReports =
+      std::map<std::pair<std::string, CrashEvidence::Incarnation>,
+               wire::UsageDatagram>;
   using RecordedSuspects = std::map<CrashSuspectId, RecordedSuspect>;
 
+  // Adds the crashes known under `suspect` to the reports to its keepers.
+  void AddReports(const CrashSuspectId& suspect, CrashReports* reports) const;
   void OnEvidence(const CrashSuspectId& suspect);
   void SendQuery(const CrashSuspectId& suspect, int queries_left);
   void Quarantine(const CrashSuspectId& suspect);
--- a/serving/crash_guard.h
+++ b/serving/crash_guard.h
@@ -3,12 +3,14 @@
 #ifndef SERVING_CRASH_GUARD_H_
 #define SERVING_CRASH_GUARD_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <vector>
 
 #include "base/ids.h"
 #include "decide/crash_quarantine.h"
+#include "decide/crash_suspects.h"
 #include "decide/site.h"
 
 namespace mimosa {
@@ -19,6 +21,11 @@
   virtual ~CrashTrialClaim() = default;
 };
 
+// Returns why a request with a quarantined suspect is refused, for log lines.
+inline const char* QuarantineReason(const CrashSuspectId& suspect) {
+  return IsRequest(suspect) ? "quarantined_request" : "quarantined_prompt";
+}
+
 class CrashGuard {
  public:
   using ClaimCallback = std::function<void(bool granted)>;
@@ -36,6 +43,10 @@
   // Runs `callback` once, from the loop.
   [[nodiscard]] virtual std::unique_ptr<CrashTrialClaim> ClaimTrial(
       const CrashSuspectId& suspect, ClaimCallback callback) = 0;
+  // Returns the number of engines that are known to this daemon to have crashed
+  // under one of the suspects, at most as many as make the evidence conclusive.
+  virtual size_t CountCrashes(
+      const std::vector<CrashSuspectId>& suspects) const = 0;
   // A run with these suspects has survived.
   virtual void RecordSurvived(const std::vector<CrashSuspectId>& suspects) = 0;
   // `engine` has broken off a run with these suspects.
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -584,8 +584,14 @@
                       });
   }
   add_gauge("mimosa_prompt_parts_quarantined",
-            "Parts of prompts whose requests reach no engine",
-            [this] { return double(crash_exchange_.quarantined_count()); });
+            "Parts of prompts whose requests reach no engine", [this] {
+              return double(crash_exchange_.quarantined_count() -
+                            crash_exchange_.quarantined_request_count());
+            });
+  add_gauge(
+      "mimosa_requests_quarantined",
+      "Requests that reach no backend server, however often repeated",
+      [this] { return double(crash_exchange_.quarantined_request_count()); });
   for (const auto& [event, count] :
        {std::pair("crash_reported", &CrashExchange::Counters::crashes),
         std::pair("quarantined", &CrashExchange::Counters::quarantined),
@@ -593,7 +599,7 @@
         std::pair("released", &CrashExchange::Counters::released),
         std::pair("request_refused", &CrashExchange::Counters::refused)}) {
     metrics_.AddGauge("mimosa_prompt_crashes",
-                      "Events about parts of prompts that crash engines",
+                      "Events about prompts and requests that crash engines",
                       {{"event", event}}, [this, count = count] {
                         return double(crash_exchange_.counters().*count);
                       });
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -53,10 +53,11 @@
                         request.customer, caller.http.body});
 }
 
-std::vector<CrashSuspectId> CrashSuspectsOf(const CallerRequest& caller) {
-  std::vector<CrashSuspectId> suspects;
-  for (const PromptPartId& part : caller.shared_prompt_parts)
-    suspects.emplace_back(SuspectPromptPart(part));
+std::vector<CrashSuspectId> CrashSuspectsOf(const RelayRequest& request) {
+  std::vector<CrashSuspectId> suspects = {SuspectRequest(request.fingerprint)};
+  if (!request.service.engine) return suspects;
+  for (const PromptPartId& part : request.caller.shared_prompt_parts)
+    suspects.push_back(SuspectPromptPart(part));
   return suspects;
 }
 
@@ -141,11 +142,12 @@
   if (customer != nullptr && !route->allows_anonymous)
     request->customer = customer->id;
   request->fingerprint = Fingerprint(*request);
-  if (service->engine) request->crash_suspects = CrashSuspectsOf(caller);
-  if (service->engine &&
-      deps_->crash_guard->Decide(request->crash_suspects).verdict ==
-          CrashQuarantine::Verdict::kRefuse) {
-    *refusal = {kStatusUnavailable, Duration::zero(), "quarantined_prompt"};
+  request->crash_suspects = CrashSuspectsOf(*request);
+  const CrashQuarantine::Decision decision =
+      deps_->crash_guard->Decide(request->crash_suspects);
+  if (decision.verdict == CrashQuarantine::Verdict::kRefuse) {
+    *refusal = {kStatusUnavailable, Duration::zero(),
+                QuarantineReason(decision.suspect)};
     return false;
   }
   request->priority = PriorityOf(*route, customer);
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -50,8 +50,17 @@
     const Duration time_left = request_.deadline - deps_.loop->Now();
     deadline_timer_ = deps_.loop->After(std::max(time_left, Duration::zero()),
                                         [this] { OnDeadline(); });
-    StartSilenceTimer();
-    if (!StartNextAttempt() && !AwaitPermit()) FinishUnanswered();
+    const CrashQuarantine::Decision decision =
+        deps_.crash_guard->Decide(request_.crash_suspects);
+    if (decision.verdict == CrashQuarantine::Verdict::kTrial) {
+      trial_claim_ =
+          deps_.crash_guard->ClaimTrial(decision.suspect, [this](bool granted) {
+            is_trial_ = granted;
+            StartFirstAttempt();
+          });
+    } else {
+      StartFirstAttempt();
+    }
   }
 
   void OnCallerDisconnected() override {
@@ -99,12 +108,14 @@
     Attempt* const attempt = FindAttempt(call);
     result_.response_end = call->response_end();
     if (attempt == streaming_) {
+      deps_.crash_guard->RecordSurvived(request_.crash_suspects);
       exchange_->Finish();
       Finish(attempt->response.status, "answered");
       return;
     }
     result_.back_end = call->back_end().id;
     ++may_have_run_;
+    deps_.crash_guard->RecordSurvived(request_.crash_suspects);
     HttpResponse response = std::move(attempt->response);
     Retire(call);
     const bool failed = IsServerError(response.status);
@@ -119,6 +130,9 @@
   void OnCallFailed(BackEndCall* call, CallFailure failure) override {
     const bool was_streaming = FindAttempt(call) == streaming_;
     result_.back_end = call->back_end().id;
+    if (call->connection_lost() && failure != CallFailure::kNotSent)
+      deps_.crash_guard->RecordCrash(request_.caller.id,
+                                     request_.crash_suspects, call->back_end());
     Retire(call);
     if (was_streaming) {
       exchange_->Abort();
@@ -144,6 +158,18 @@
     std::optional<SseEventSplitter> events;  // Set if it is an event stream.
   };
 
+  void StartFirstAttempt() {
+    StartSilenceTimer();
+    if (!StartNextAttempt() && !AwaitPermit()) FinishUnanswered();
+  }
+
+  // Whether the request must not reach any server. That may change until it
+  // runs.
+  bool IsQuarantined() const {
+    return !is_trial_ &&
+           deps_.crash_guard->IsQuarantined(request_.crash_suspects);
+  }
+
   bool IsIdempotent() const {
     return request_.route.retry_policy == RetryPolicy::kIdempotent;
   }
@@ -151,6 +177,11 @@
   // Whether the request may be sent to another server now.
   bool MayRetry() const {
     if (rejections_ >= kMaxRejections) return false;
+    // One crash may have any cause.
+    const bool may_crash_another =
+        is_trial_ ||
+        deps_.crash_guard->CountCrashes(request_.crash_suspects) > 1;
+    if (may_have_run_ > 0 && may_crash_another) return false;
     const int running = static_cast<int>(attempts_.size());
     if (IsIdempotent())
       return may_have_run_ + running < request_.route.max_attempts;
@@ -164,8 +195,10 @@
     return query;
   }
 
-  // Returns false if no server is available or the retry budget is exhausted.
+  // Returns false if no server is available, the request is in quarantine or
+  // the retry budget is exhausted.
   bool StartNextAttempt() {
+    if (IsQuarantined()) return false;
     const MonoTime now = deps_.loop->Now();
     SelectionQuery query = MakeQuery();
     query.exclude = &tried_back_ends_;
@@ -204,7 +237,8 @@
     const MonoTime now = deps_.loop->Now();
     SelectionQuery query = MakeQuery();
     query.exclude = &tried_back_ends_;
-    if (budget_exhausted_ || !deps_.selector->AwaitsPermit(query, now))
+    if (budget_exhausted_ || IsQuarantined() ||
+        !deps_.selector->AwaitsPermit(query, now))
       return false;
     const MonoTime retry_at =
         std::max(deps_.selector->EndOfPauses(query, now), now + kMinPermitWait);
@@ -231,8 +265,10 @@
   void OnSilence() {
     silence_timer_.Cancel();
     if (IsIdempotent()) {
-      if (attempts_.size() == 1 && MayRetry() && StartNextAttempt())
-        ++deps_.counters->hedges;
+      const bool may_hedge =
+          attempts_.size() == 1 && MayRetry() &&
+          deps_.crash_guard->CountCrashes(request_.crash_suspects) == 0;
+      if (may_hedge && StartNextAttempt()) ++deps_.counters->hedges;
       return;
     }
     if (attempts_.empty()) return;
@@ -263,6 +299,9 @@
       Respond(std::move(*error_response_), "answered");
     } else if (may_have_run_ > 0) {
       Respond(EmptyResponse(kStatusBadGateway), "lost");
+    } else if (IsQuarantined()) {
+      // A retry would end the same way, so there is no time for one.
+      Respond(EmptyResponse(kStatusUnavailable), "quarantined_request");
     } else if (budget_exhausted_) {
       Refuse("retry_budget");
     } else {
@@ -329,6 +368,7 @@
     deadline_timer_.Cancel();
     silence_timer_.Cancel();
     permit_timer_.Cancel();
+    trial_claim_.reset();
     exchange_->OnDrained(nullptr);
     result_.status = status;
     result_.reason = reason;
@@ -368,6 +408,8 @@
   int rejections_ = 0;
   int may_have_run_ = 0;  // Finished calls whose request may have run.
   bool budget_exhausted_ = false;
+  bool is_trial_ = false;  // Runs although it is in quarantine.
+  std::unique_ptr<CrashTrialClaim> trial_claim_;  // Pending, or finished.
   TimerHandle deadline_timer_;
   TimerHandle silence_timer_;
   TimerHandle permit_timer_;
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -618,13 +618,25 @@
     deps_.crash_guard->RecordSurvived(request_.crash_suspects);
   }
 
-  // Reports a run that the engine broke off when it was about to generate.
+  // Reports a call that the engine broke off when it was about to generate, or
+  // while it read the prompt. What generation would make of the parts of a
+  // prompt isn't known then.
   void RecordCrash(const BackEndCall& call) const {
-    if (stage_ != Stage::kRun || !call.connection_lost() ||
-        EventsOfRun() >= kEventsUntilGenerated)
-      return;
-    deps_.crash_guard->RecordCrash(request_.caller.id, request_.crash_suspects,
-                                   call.back_end());
+    if (!call.connection_lost() || stage_ == Stage::kReserve) return;
+    if (stage_ == Stage::kPrefill) {
+      deps_.crash_guard->RecordCrash(request_.caller.id,
+                                     {SuspectRequest(request_.fingerprint)},
+                                     call.back_end());
+    } else if (EventsOfRun() < kEventsUntilGenerated) {
+      deps_.crash_guard->RecordCrash(request_.caller.id,
+                                     request_.crash_suspects, call.back_end());
+    }
+  }
+
+  // Whether one more engine may get the request after a crash. One crash may
+  // have any cause.
+  bool MayRetryAfterCrash() const {
+    return deps_.crash_guard->CountCrashes(request_.crash_suspects) <= 1;
   }
 
   void RecordFailedRun() {
@@ -638,7 +650,7 @@
     RecordFailedRun();
     kv_handle_.reset();
     const bool may_resume =
-        !is_trial_ &&
+        !is_trial_ && MayRetryAfterCrash() &&
         request_.route.retry_policy == RetryPolicy::kResumableStream &&
         may_have_run_ < request_.route.max_attempts &&
         (!exchange_->response_started() ||
@@ -736,7 +748,7 @@
       Respond(EmptyResponse(kStatusBadGateway), "lost");
     } else if (IsQuarantined()) {
       // A retry would end the same way, so there is no time for one.
-      Respond(EmptyResponse(kStatusUnavailable), "quarantined_prompt");
+      Respond(EmptyResponse(kStatusUnavailable), "quarantined");
     } else if (budget_exhausted_) {
       Refuse("retry_budget");
     } else {
--- a/tests/crash_exchange_test.cc
+++ b/tests/crash_exchange_test.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "decide/crash_suspects.h"
 #include "tests/virtual_member.h"
 
 namespace mimosa {
@@ -21,6 +22,8 @@
 
 constexpr char kRecordKey[] = "site/prompt_quarantine";
 constexpr size_t kCrashesKnown = 5;
+// The same for a whole request that is repeated.
+constexpr size_t kRequestCrashesKnown = 3;
 constexpr int kMaxRequestsAfter = 3;
 // The platform's time within which daemons have to be in contact.
 constexpr Duration kContactTime = seconds(3);
@@ -32,6 +35,7 @@
 
 using Parts = std::vector<CrashSuspectId>;
 const CrashSuspectId kBad("bad");
+const CrashSuspectId kBadRequest = SuspectRequest(FingerprintOf({}));
 const CrashSuspectId kShared("5a");
 
 struct Daemon : VirtualMember {
@@ -137,9 +141,25 @@
   // Requests with kBad later than the contact time after the fifth crash.
   int reached_after() const { return reached_after_; }
 
+  // Repeats a request that crashes engines for `duration`, beside others that
+  // lose their runs with it.
+  void RepeatFor(Duration duration, Duration interval) {
+    crashes_known_ = kRequestCrashesKnown;
+    const MonoTime end = simulator_.now() + duration;
+    for (int i = 0; simulator_.now() < end; ++i) {
+      const CrashSuspectId sound("request:" + std::to_string(i % 7));
+      Send({kBadRequest}, {sound});
+      if (i % 2 == 0) Send({sound});
+      Run(interval);
+    }
+  }
+
  private:
   static bool CrashesEngine(const Parts& suspects) {
-    return std::find(suspects.begin(), suspects.end(), kBad) != suspects.end();
+    return std::any_of(suspects.begin(), suspects.end(),
+                       [](const CrashSuspectId& suspect) {
+                         return suspect == kBad || suspect == kBadRequest;
+                       });
   }
 
   void RunAt(Daemon* target, const Parts& suspects, const Parts& bystanders) {
@@ -149,14 +169,15 @@
       return;
     }
     ++reached_;
-    if (crashes_ >= kCrashesKnown &&
-        simulator_.now() > fifth_crash_at_ + kContactTime)
+    if (crashes_ >= crashes_known_ &&
+        simulator_.now() > last_counted_crash_at_ + kContactTime)
       ++reached_after_;
     BackEndEntry engine;
     engine.id = BackEndId("e" + std::to_string(random_.UniformInt(9)));
     engine.incarnation = ++last_incarnation_;
     target->loop.RunAt(simulator_.now() + kTimeToCrash, [=] {
-      if (++crashes_ == kCrashesKnown) fifth_crash_at_ = simulator_.now();
+      if (++crashes_ == crashes_known_)
+        last_counted_crash_at_ = simulator_.now();
       target->exchange.RecordCrash(RequestId("r"), suspects, engine);
       if (!bystanders.empty())
         daemon(static_cast<int>(random_.UniformInt(size_)))
@@ -175,7 +196,8 @@
   uint64_t last_boot_ = 0;
   int64_t last_incarnation_ = 0;
   size_t crashes_ = 0;
-  MonoTime fifth_crash_at_{};
+  size_t crashes_known_ = kCrashesKnown;
+  MonoTime last_counted_crash_at_{};
   int reached_ = 0;
   int reached_after_ = 0;
   int generated_ = 0;
@@ -270,6 +292,54 @@
   });
 }
 
+TEST_CASE("few repetitions of a request that crashes engines reach engines") {
+  ForEachFleet<Fleet>([](Fleet& fleet) {
+    fleet.RepeatFor(seconds(60), milliseconds(150));
+    CHECK(fleet.reached_after() <= kMaxRequestsAfter);
+    // The crashes until the verdict, what was under way, and a trial.
+    CHECK(fleet.reached() <= 8);
+    CHECK(fleet.daemon(0).exchange.quarantined_count() == 1);
+    CHECK(fleet.daemon(0).exchange.quarantined_request_count() == 1);
+  });
+}
+
+TEST_CASE("repetitions far apart are counted together") {
+  ForEachFleet<Fleet>([](Fleet& fleet) {
+    fleet.RepeatFor(seconds(900), seconds(20));
+    CHECK(fleet.reached_after() <= kMaxRequestsAfter);
+  });
+}
+
+TEST_CASE("without the store, notices keep repetitions from engines") {
+  ForEachFleet<Fleet>([](Fleet& fleet) {
+    fleet.faults().platform_down = true;
+    fleet.RepeatFor(seconds(45), milliseconds(150));
+    CHECK(fleet.reached_after() <= kMaxRequestsAfter);
+  });
+}
+
+TEST_CASE("repetitions reach few engines when all daemons start anew") {
+  ForEachFleet<Fleet>([](Fleet& fleet) {
+    // Once before the verdict, and once after it.
+    fleet.RepeatFor(milliseconds(250), milliseconds(150));
+    fleet.RestartAll();
+    fleet.RepeatFor(seconds(6), milliseconds(150));
+    fleet.RestartAll();
+    fleet.RepeatFor(seconds(30), milliseconds(150));
+    CHECK(fleet.reached_after() <= kMaxRequestsAfter);
+  });
+}
+
+TEST_CASE(
+    "a third of the daemons that hears no other repeats a request rarely") {
+  ForEachFleet<Fleet>([](Fleet& fleet) {
+    for (int i = 0; i < fleet.size() / 3; ++i)
+      fleet.network().cut_off.insert(i);
+    fleet.RepeatFor(seconds(30), milliseconds(150));
+    CHECK(fleet.reached_after() <= kMaxRequestsAfter);
+  });
+}
+
 TEST_CASE("operators release a part by removing the record") {
   Fleet fleet(6, 1);
   fleet.SendFor(seconds(4), milliseconds(150));
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -120,6 +120,31 @@
   for (int i = 0; i < 5; ++i) CHECK(CallFrontend("/look/1").status == 200);
 }
 
+TEST_CASE_METHOD(RelayFixture,
+                 "a request under which servers crashed gets one attempt") {
+  std::vector<std::unique_ptr<FakeBackEnd>> servers;
+  for (int i = 0; i < 4; ++i) {
+    servers.push_back(std::make_unique<FakeBackEnd>(loop.get()));
+    servers.back()->script = [](const FakeBackEnd::Exchange& exchange) {
+      exchange->Abort();
+    };
+    AddBackEnd("s" + std::to_string(i), "desk", EngineRole::kNone,
+               servers.back()->port());
+  }
+  const auto calls = [&servers] {
+    size_t count = 0;
+    for (const auto& server : servers) count += server->requests.size();
+    return count;
+  };
+  CHECK(CallFrontend("/look/1").status == 502);
+  CHECK(calls() == 2);
+  CHECK(CallFrontend("/look/1").status == 502);
+  CHECK(calls() == 3);
+  // Another request may still be at the mercy of servers that crash.
+  CHECK(CallFrontend("/look/2").status == 502);
+  CHECK(calls() == 5);
+}
+
 TEST_CASE_METHOD(RelayFixture,
                  "an idempotent request doesn't wait for a hung server") {
   FakeBackEnd hung(loop.get());
