A server that terminates under a pooled call counts as crashed

Cause: an idempotent call on a pooled connection that the server closes is sent once more on a fresh connection. A server that has crashed listens no longer, so the call ended as a failed connect, and the crash was no evidence against the request. HttpFailure::kConnect promises that nothing was sent, which was wrong as well.

New case of net_test: failed before (kConnect instead of kNoResponse), passes now.

Change: the failure of such a retry is that of the first connection.

--- a/net/client_test.cc
+++ b/net/client_test.cc
@@ -358,6 +358,21 @@
   }
 }
 
+TEST_CASE_METHOD(ClientFixture,
+                 "a server that terminates under a pooled call didn't respond",
+                 "[client]") {
+  options_.reuse_connection = true;
+  auto peer = CompleteCall();
+  Start();
+  AwaitRequest(peer.get());
+  // The retry on a fresh connection finds nobody.
+  listener_.Close();
+  peer->CloseWithReset();
+  AwaitEnd();
+  CHECK(recorded_.failure == HttpFailure::kNoResponse);
+  CHECK(recorded_.sent);
+}
+
 TEST_CASE_METHOD(ClientFixture, "no retry after the first byte of a response",
                  "[client]") {
   options_.reuse_connection = true;
--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -271,6 +271,12 @@
 
   void Fail(HttpFailure failure) {
     const auto self = shared_from_this();
+    // If a retry on a fresh connection can't connect, what failed is the
+    // connection before, which was closed without a response.
+    const bool is_failed_retry =
+        sent_earlier_ &&
+        (failure == HttpFailure::kConnect || state_ == State::kConnecting);
+    if (is_failed_retry) failure = HttpFailure::kNoResponse;
     CloseConnection();
     if (HttpCallHandler* handler = std::exchange(handler_, nullptr)) {
       handler->OnFailed(failure, sent_earlier_);
--- a/serving/crash_exchange.h
+++ b/serving/crash_exchange.h
@@ -65,8 +65,8 @@
     uint64_t released = 0;
   };
 
-  // Number of members that judge a suspect: so many that one of them is in reach
-  // while a third of the fleet is cut off.
+  // Number of members that judge a suspect: so many that one of them is in
+  // reach while a third of the fleet is cut off.
   static constexpr size_t kKeepers = 7;
 
   CrashExchange(EventLoop* loop, const MemberList* members, KvStore* store,
