Daemons judge and log which services they reach

Cause: in the incident of daemons cut from all engines, no line says which engines a daemon considers unreachable, nor tells its own links from engines that failed.

A service in doubt is probed; the lines service_unreachable and service_reached and a gauge show what changes.

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -348,6 +348,19 @@
   state->probe_only = true;
 }
 
+void BackEndSelector::ForgetFailures(const ServiceId& service) {
+  for (const auto& [id, listed] : list_->entries()) {
+    if (listed.entry.service != service) continue;
+    const auto it = states_.find(id);
+    if (it == states_.end()) continue;
+    BackEndState& state = it->second;
+    state.consecutive_failures = 0;
+    state.failures = 0;
+    state.backoff_until = MonoTime{};
+    state.probe_only = false;
+  }
+}
+
 BackEndSelector::ObservedState BackEndSelector::GetObservedState(
     const BackEndId& id, MonoTime now) const {
   ObservedState observed;
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -141,6 +141,10 @@
   void RecordOutcome(const BackEndEntry& back_end, CallOutcome outcome,
                      MonoTime now);
 
+  // The failures of the service's back ends so far say nothing about them: the
+  // daemon could not reach any.
+  void ForgetFailures(const ServiceId& service);
+
   // The back end has said that it is about to terminate. From now on it is not
   // selected, whatever its entry says, until another incarnation of it is
   // listed. Returns false if that was known.
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -84,14 +84,23 @@
 }
 
 void BackEndCall::Cancel(CallOutcome outcome) {
+  if (call_ != nullptr && outcome == CallOutcome::kFailed && !response_started_)
+    deps_.reachability->RecordMiss(back_end_);
   call_.reset();
   ReportOutcome(outcome);
 }
 
+void BackEndCall::ReportSilence() {
+  deps_.selector->RecordOutcome(back_end_, CallOutcome::kFailed,
+                                deps_.loop->Now());
+  deps_.reachability->RecordMiss(back_end_);
+}
+
 void BackEndCall::OnHead(int status, const HttpHeaders& headers) {
   const ResponseMarkers markers = deps_.format->ReadResponseMarkers(headers);
   // Another server that now has the address speaks for itself only.
   if (status != kMisdirected) {
+    deps_.reachability->RecordContact(back_end_);
     if (markers.leaving) RecordLeaving();
     deps_.permits->RecordLimit(back_end_, markers.limit, id_, started_);
   }
@@ -118,6 +127,7 @@
 
 void BackEndCall::OnBody(std::string_view data) {
   if (!not_executed_) {
+    deps_.reachability->RecordContact(back_end_);
     handler_->OnResponseBody(this, data);
     return;
   }
@@ -163,12 +173,16 @@
       failure == HttpFailure::kNoResponse || failure == HttpFailure::kTruncated;
   if (not_executed_) {
     FailRefused();
-  } else if (!sent) {
+    return;
+  }
+  const bool is_invalid =
+      failure == HttpFailure::kMalformed || failure == HttpFailure::kTooLarge;
+  if (!is_invalid) deps_.reachability->RecordMiss(back_end_);
+  if (!sent) {
     Fail(CallFailure::kNotSent, CallOutcome::kUnreachable);
   } else if (response_started_) {
     Fail(CallFailure::kTruncated, CallOutcome::kFailed);
-  } else if (failure == HttpFailure::kMalformed ||
-             failure == HttpFailure::kTooLarge) {
+  } else if (is_invalid) {
     Fail(CallFailure::kInvalidResponse, CallOutcome::kFailed);
   } else {
     Fail(CallFailure::kNoResponse, CallOutcome::kFailed);
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -94,6 +94,8 @@
   // already reported. A call destroyed without it reports kUnknown.
   void Cancel(CallOutcome outcome);
 
+  // Reports that a response is overdue. The call goes on.
+  void ReportSilence();
   // Ends the call because of a response that is no use. The handler gets
   // OnCallFailed().
   void Reject();
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -26,6 +26,7 @@
 #include "serving/local_responses.h"
 #include "serving/member_list.h"
 #include "serving/permit_exchange.h"
+#include "serving/reachability_monitor.h"
 #include "serving/role_controller.h"
 #include "serving/site_sync.h"
 #include "serving/stream_origin_exchange.h"
@@ -139,6 +140,9 @@
         permits_(loop_.get(), &members_, &random_, &log_,
                  PermitExchange::Options{}),
         selector_(&back_ends_, &random_, BackEndSelector::Options{}, &permits_),
+        reachability_(loop_.get(), client_.get(), platform.request_format,
+                      &back_ends_, &selector_, &log_,
+                      ReachabilityMonitor::Options{}),
         usage_exchange_(loop_.get(), &members_, &rate_limiter_, &selector_,
                         &stage_meter_, &log_, UsageExchange::Options{}),
         role_controller_(
@@ -168,6 +172,7 @@
               &stream_origins_,
               &crash_exchange_,
               &permits_,
+              &reachability_,
               FailureDomain(settings.failure_domain())},
         frontend_(&deps_, &rate_limiter_,
                   [this] { return site_sync_.config(); }),
@@ -297,6 +302,7 @@
     rate_limiter_.SetCustomers(config.customers(), loop_->Now());
     stream_origins_.SetStreamLifetime(LongestStream(config) + kTakeupMargin);
     role_controller_.SetServices(config.services());
+    reachability_.SetServices(config.services());
     if (config.limits().idle_timeout > Duration::zero())
       caller_server_->SetIdleTimeout(config.limits().idle_timeout);
   }
@@ -491,6 +497,7 @@
   MemberList members_;
   PermitExchange permits_;
   BackEndSelector selector_;
+  ReachabilityMonitor reachability_;
   UsageExchange usage_exchange_;
   RoleController role_controller_;
   SiteSync site_sync_;
@@ -543,6 +550,9 @@
                         return double(permits_.counters().*count);
                       });
   }
+  add_gauge("mimosa_services_unreachable",
+            "Services of which this daemon reaches no backend server",
+            [this] { return double(reachability_.unreachable_count()); });
   add_gauge("mimosa_store_lost", "1 while the store doesn't answer",
             [this] { return site_sync_.store_lost() ? 1.0 : 0.0; });
   add_gauge("mimosa_running_requests", "Requests being served",
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -272,10 +272,8 @@
       return;
     }
     if (attempts_.empty()) return;
-    const BackEndCall& call = *attempts_.front()->call;
-    if (!call.response_started())
-      deps_.selector->RecordOutcome(call.back_end(), CallOutcome::kFailed,
-                                    deps_.loop->Now());
+    BackEndCall* const call = attempts_.front()->call.get();
+    if (!call->response_started()) call->ReportSilence();
   }
 
   void OnDeadline() {
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -20,6 +20,7 @@
 #include "serving/crash_guard.h"
 #include "serving/engine_memory_releaser.h"
 #include "serving/permit_exchange.h"
+#include "serving/reachability_monitor.h"
 #include "serving/request_format.h"
 #include "serving/stream_origin_directory.h"
 
@@ -58,6 +59,7 @@
   StreamOriginDirectory* stream_origins;
   CrashGuard* crash_guard;
   PermitExchange* permits;
+  ReachabilityMonitor* reachability;
   FailureDomain zone;  // Zone of this daemon.
 };
 
--- a/serving/request_format.h
+++ b/serving/request_format.h
@@ -152,6 +152,9 @@
   virtual HttpRequest WriteReleaseReservation(
       const std::string& reservation_id) const = 0;
 
+  // Asks a back end for a sign of life.
+  virtual HttpRequest WriteProbe(const SiteService& service,
+                                 const BackEndId& expected_back_end) const = 0;
   virtual HttpRequest WriteReportRequest(
       const BackEndId& expected_back_end) const = 0;
   // Returns nullopt if the body is not a report of an engine with a role.
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -685,8 +685,7 @@
     if (exchange_->response_started() &&
         (!is_event_stream_ || !event_splitter_.last_id()))
       return;
-    deps_.selector->RecordOutcome(call_->back_end(), CallOutcome::kFailed,
-                                  deps_.loop->Now());
+    call_->ReportSilence();
     silent_response_ = response_;
     silent_run_ = std::move(call_);
     StartStages();
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -270,14 +270,16 @@
   PermitExchange permits{loop.get(), &members, &random, &log, {}};
   BackEndSelector selector{&back_ends, &random, BackEndSelector::Options{},
                            &permits};
+  ReachabilityMonitor reachability{
+      loop.get(), client.get(), &format, &back_ends, &selector, &log, {}};
   StreamOriginExchange origins{loop.get(),          &members, &back_ends, &log,
                                [] { return true; }, {}};
   CrashExchange prompt_crashes{loop.get(), &members, &store, &random, &log, {}};
-  RelayDeps deps{loop.get(),      client.get(), &format,
-                 &selector,       &budget,      &reservation_retry,
-                 &random,         &log,         &releaser,
-                 &counters,       &meter,       &origins,
-                 &prompt_crashes, &permits,     FailureDomain("z")};
+  RelayDeps deps{
+      loop.get(),      client.get(),       &format,       &selector,
+      &budget,         &reservation_retry, &random,       &log,
+      &releaser,       &counters,          &meter,        &origins,
+      &prompt_crashes, &permits,           &reachability, FailureDomain("z")};
   std::shared_ptr<const SiteConfig> config;
   std::unique_ptr<EntryFrontend> frontend;
   std::unique_ptr<HttpServer> server;
