Daemons that reach no engine are helped by those that do

Cause: each daemon judges engines one by one, with callers' requests as probes, and never its own links. Evidence that the engines are sound lies with the other daemons, and nobody asked them.

Change: a daemon that doesn't reach a service asks a few members whether they do, and hands its admitted requests to the nearest one with the least work (serving/helper_exchange, serving/forward_relay), over TCP at the members' address. A call without a sign for 0.3 s has its service probed, so that calls which hang until their deadline are noticed, too. If no member reaches the service, requests are refused at once.

--- a/decide/site.cc
+++ b/decide/site.cc
@@ -57,6 +57,13 @@
   return it == customers_by_key_.end() ? nullptr : it->second;
 }
 
+const SiteCustomer* SiteConfig::FindCustomer(const CustomerId& id) const {
+  const auto it =
+      std::find_if(customers_.begin(), customers_.end(),
+                   [&id](const auto& customer) { return customer.id == id; });
+  return it == customers_.end() ? nullptr : &*it;
+}
+
 const SiteService* SiteConfig::FindService(const ServiceId& id) const {
   const auto it = services_by_id_.find(id);
   return it == services_by_id_.end() ? nullptr : it->second;
--- a/decide/site.h
+++ b/decide/site.h
@@ -123,6 +123,8 @@
                              std::string_view path) const;
   // Returns nullptr if no customer has the key.
   const SiteCustomer* FindCustomerByKey(const std::string& key) const;
+  // Returns nullptr if there is no such customer.
+  const SiteCustomer* FindCustomer(const CustomerId& id) const;
   const SiteService* FindService(const ServiceId& id) const;
 
  private:
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -10,6 +10,8 @@
 
 constexpr int kMisdirected = 421;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+// A call without a response head for this long casts doubt on the link.
+constexpr Duration kSilence = std::chrono::milliseconds(300);
 // Time for the body of a refusal after its head.
 constexpr Duration kRefusalBodyTimeout = std::chrono::milliseconds(100);
 
@@ -81,11 +83,14 @@
     return markers.request_id.empty() || markers.request_id == id_;
   };
   call_ = deps_.client->Start(call_options, std::move(request), this);
+  silence_timer_ = deps_.loop->After(
+      kSilence, [this] { deps_.reachability->RecordSilence(back_end_); });
 }
 
 void BackEndCall::Cancel(CallOutcome outcome) {
   if (call_ != nullptr && outcome == CallOutcome::kFailed && !response_started_)
     deps_.reachability->RecordMiss(back_end_);
+  silence_timer_.Cancel();
   call_.reset();
   ReportOutcome(outcome);
 }
@@ -97,6 +102,7 @@
 }
 
 void BackEndCall::OnHead(int status, const HttpHeaders& headers) {
+  silence_timer_.Cancel();
   const ResponseMarkers markers = deps_.format->ReadResponseMarkers(headers);
   // Another server that now has the address speaks for itself only.
   if (status != kMisdirected) {
@@ -214,6 +220,7 @@
 }
 
 void BackEndCall::Fail(CallFailure failure, CallOutcome outcome) {
+  silence_timer_.Cancel();
   ReportOutcome(outcome);
   deps_.log->Write(LogLine("call_lost")
                        .Add("request", id_.value())
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -145,6 +145,7 @@
   int refusal_status_ = 0;
   size_t refusal_bytes_ = 0;  // Of the body.
   TimerHandle refusal_timer_;
+  TimerHandle silence_timer_;
   ResponseEnd response_end_ = ResponseEnd::kFraming;
   MonoTime started_{};
   std::unique_ptr<HttpCall> call_;
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -23,6 +23,7 @@
 #include "serving/crash_exchange.h"
 #include "serving/engine_memory_releaser.h"
 #include "serving/entry_frontend.h"
+#include "serving/helper_exchange.h"
 #include "serving/local_responses.h"
 #include "serving/member_list.h"
 #include "serving/permit_exchange.h"
@@ -115,6 +116,18 @@
   const std::function<HttpResponse(const std::string&)> respond_;
 };
 
+// Passes the requests of the members' port on.
+class ForwardedHandler : public HttpHandler {
+ public:
+  explicit ForwardedHandler(EntryFrontend* frontend) : frontend_(frontend) {}
+  void OnRequest(std::shared_ptr<HttpExchange> exchange) override {
+    frontend_->OnForwardedRequest(exchange);
+  }
+
+ private:
+  EntryFrontend* const frontend_;
+};
+
 // Members are declared in the order of their dependencies.
 class EntryDaemonImpl : public EntryDaemon {
  public:
@@ -143,6 +156,10 @@
         reachability_(loop_.get(), client_.get(), platform.request_format,
                       &back_ends_, &selector_, &log_,
                       ReachabilityMonitor::Options{}),
+        helpers_(
+            loop_.get(), &members_, &reachability_, &random_,
+            [this] { return frontend_.running_requests(); },
+            HelperExchange::Options{}),
         usage_exchange_(loop_.get(), &members_, &rate_limiter_, &selector_,
                         &stage_meter_, &log_, UsageExchange::Options{}),
         role_controller_(
@@ -174,8 +191,9 @@
               &permits_,
               &reachability_,
               FailureDomain(settings.failure_domain())},
-        frontend_(&deps_, &rate_limiter_,
+        frontend_(&deps_, &rate_limiter_, &helpers_,
                   [this] { return site_sync_.config(); }),
+        forwarded_handler_(&frontend_),
         ready_handler_(
             [this](const std::string& path) { return ReadyResponse(path); }),
         control_handler_(
@@ -196,6 +214,8 @@
           OnDatagram(from, data);
         });
     if (!peer_socket_) return leaf::new_error(EntryError::kPeerPort);
+    forward_server_ = MakeServer(settings_.peer_listen(), &forwarded_handler_);
+    if (!forward_server_) return leaf::new_error(EntryError::kPeerPort);
     return {};
   }
 
@@ -219,6 +239,10 @@
     site_sync_.Start();
     members_.Start();
     usage_exchange_.Start(peer_socket_.get());
+    helpers_.Start(peer_socket_.get());
+    reachability_.SetObserver([this](const ServiceId& service) {
+      helpers_.OnReachabilityChanged(service);
+    });
     stream_origins_.Start(peer_socket_.get());
     crash_exchange_.Start(peer_socket_.get());
     permits_.Start(peer_socket_.get());
@@ -276,6 +300,7 @@
       return;
     }
     usage_exchange_.OnDatagram(from, datagram);
+    helpers_.OnDatagram(from, datagram);
     stream_origins_.OnDatagram(from, datagram);
     crash_exchange_.OnDatagram(from, datagram);
     permits_.OnDatagram(from, datagram);
@@ -458,10 +483,13 @@
         now + std::chrono::milliseconds(settings_.grace_ms()) - kAbortMargin;
     frontend_.BeginShutdown(now + kStreamAdmissionTime);
     caller_server_->DisableKeepAlive();
+    forward_server_->DisableKeepAlive();
+    helpers_.BeginLeaving();
     members_.Deregister();
     role_controller_.Stop();
     shutdown_timer_ = loop_->After(kBalancerRemovalTime, [this] {
       caller_server_->StopAccepting();
+      forward_server_->StopAccepting();
       AwaitRequests();
     });
   }
@@ -469,7 +497,8 @@
   void AwaitRequests() {
     const MonoTime now = loop_->Now();
     const bool within_grace = now < accept_until_ + kIdleConnectionGrace;
-    const bool busy = caller_server_->open_exchanges() > 0;
+    const bool busy = caller_server_->open_exchanges() > 0 ||
+                      forward_server_->open_exchanges() > 0;
     if ((within_grace || busy) && now < abort_at_) {
       shutdown_timer_ =
           loop_->After(kShutdownPollInterval, [this] { AwaitRequests(); });
@@ -498,6 +527,7 @@
   PermitExchange permits_;
   BackEndSelector selector_;
   ReachabilityMonitor reachability_;
+  HelperExchange helpers_;
   UsageExchange usage_exchange_;
   RoleController role_controller_;
   SiteSync site_sync_;
@@ -505,11 +535,13 @@
   CrashExchange crash_exchange_;
   const RelayDeps deps_;
   EntryFrontend frontend_;
+  ForwardedHandler forwarded_handler_;
   PathHandler ready_handler_;
   PathHandler control_handler_;
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> control_server_;
+  std::unique_ptr<HttpServer> forward_server_;
   std::unique_ptr<DatagramSocket> peer_socket_;
   bool leaving_ = false;
   MonoTime accept_until_{};
@@ -553,6 +585,17 @@
   add_gauge("mimosa_services_unreachable",
             "Services of which this daemon reaches no backend server",
             [this] { return double(reachability_.unreachable_count()); });
+  for (const auto& [event, count] :
+       {std::pair("sent", &EntryCounters::forwarded),
+        std::pair("admitted", &EntryCounters::forwarded_here),
+        std::pair("refused", &EntryCounters::forwarded_refused)}) {
+    metrics_.AddGauge("mimosa_requests_forwarded",
+                      "Requests sent to other daemons, and those of others "
+                      "that were admitted or refused here",
+                      {{"event", event}}, [this, count = count] {
+                        return double(frontend_.counters().*count);
+                      });
+  }
   add_gauge("mimosa_store_lost", "1 while the store doesn't answer",
             [this] { return site_sync_.store_lost() ? 1.0 : 0.0; });
   add_gauge("mimosa_running_requests", "Requests being served",
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -7,6 +7,8 @@
 
 #include "decide/crash_suspects.h"
 #include "decide/rendezvous.h"
+#include "serving/forward_relay.h"
+#include "serving/forwarded_request.h"
 #include "serving/local_responses.h"
 #include "serving/plain_relay.h"
 #include "serving/stream_relay.h"
@@ -22,6 +24,11 @@
 // Retry-After while the daemon shuts down: the caller can reach another daemon
 // at once.
 constexpr Duration kShutdownRetryAfter = std::chrono::milliseconds(50);
+// Retry-After of a request for a service that neither this daemon nor others
+// reach.
+constexpr Duration kUnreachableRetryAfter = std::chrono::milliseconds(400);
+// Requests of other daemons that run here at once.
+constexpr size_t kMaxForwardedRequests = 256;
 // Engines define priorities from 0 to this, the lowest.
 constexpr int kLowestPriority = 9;
 
@@ -74,12 +81,16 @@
 struct EntryFrontend::RunningRequest {
   std::unique_ptr<Relay> relay;
   RelayRequest request;  // Without the HTTP request.
+  std::shared_ptr<HttpExchange> exchange;
 };
 
 EntryFrontend::EntryFrontend(const RelayDeps* deps,
                              ReplicatedRateLimiter* rate_limiter,
-                             ConfigSource config)
-    : deps_(deps), rate_limiter_(rate_limiter), config_(std::move(config)) {}
+                             HelperExchange* helpers, ConfigSource config)
+    : deps_(deps),
+      rate_limiter_(rate_limiter),
+      helpers_(helpers),
+      config_(std::move(config)) {}
 
 EntryFrontend::~EntryFrontend() = default;
 
@@ -135,12 +146,29 @@
     return false;
   }
   request->service = *service;
-  if (service->engine && request->arrived > stream_cutoff_) {
+  if (customer != nullptr && !route->allows_anonymous)
+    request->customer = customer->id;
+  if (!AdmitForService(customer, request, refusal)) return false;
+  if (helpers_->Advise(service->id) == HelperExchange::Advice::kRefuse) {
+    *refusal = {kStatusUnavailable, kUnreachableRetryAfter, "unreachable"};
+    return false;
+  }
+  Duration timeout = caller.timeout.value_or(kDefaultTimeout);
+  if (route->timeout > Duration::zero())
+    timeout = std::min(timeout, route->timeout);
+  request->deadline = request->arrived + timeout;
+  deps_->retry_budget->RecordRequest(service->id, request->arrived);
+  if (request->customer.empty()) return true;
+  return ChargeRateLimit(*customer, request, refusal);
+}
+
+bool EntryFrontend::AdmitForService(const SiteCustomer* customer,
+                                    RelayRequest* request, Refusal* refusal) {
+  if (request->service.engine && request->arrived > stream_cutoff_) {
     *refusal = {kStatusUnavailable, kShutdownRetryAfter, "leaving"};
     return false;
   }
-  if (customer != nullptr && !route->allows_anonymous)
-    request->customer = customer->id;
+  request->priority = PriorityOf(request->route, customer);
   request->fingerprint = Fingerprint(*request);
   request->crash_suspects = CrashSuspectsOf(*request);
   const CrashQuarantine::Decision decision =
@@ -150,14 +178,67 @@
                 QuarantineReason(decision.suspect)};
     return false;
   }
-  request->priority = PriorityOf(*route, customer);
-  Duration timeout = caller.timeout.value_or(kDefaultTimeout);
-  if (route->timeout > Duration::zero())
-    timeout = std::min(timeout, route->timeout);
-  request->deadline = request->arrived + timeout;
-  deps_->retry_budget->RecordRequest(service->id, request->arrived);
-  if (request->customer.empty()) return true;
-  return ChargeRateLimit(*customer, request, refusal);
+  return true;
+}
+
+void EntryFrontend::OnForwardedRequest(
+    const std::shared_ptr<HttpExchange>& exchange) {
+  RelayRequest request;
+  if (const char* reason = AdmitForwarded(*exchange, &request)) {
+    RefuseForwarded(exchange.get(), request, reason);
+    return;
+  }
+  ++counters_.forwarded_here;
+  ++running_forwarded_;
+  StartRelay(std::move(request), exchange);
+}
+
+const char* EntryFrontend::AdmitForwarded(const HttpExchange& exchange,
+                                          RelayRequest* request) {
+  request->arrived = deps_->loop->Now();
+  HttpRequest http = exchange.request();
+  const auto envelope = TakeForwardEnvelope(&http.headers);
+  if (!envelope ||
+      !IsFromMember(*envelope, exchange.client().ip, helpers_->members()))
+    return "not_from_a_member";
+  request->forwarded_by = envelope->sender;
+  const bool well_formed = leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_ASSIGN(request->caller,
+                          deps_->format->ReadRequest(std::move(http)));
+        return true;
+      },
+      [] { return false; });
+  if (!well_formed) return "unreadable";
+  const auto config = config_();
+  if (config == nullptr) return "no_configuration";
+  const CallerRequest& caller = request->caller;
+  const SiteRoute* route = config->FindRoute(caller.host, caller.http.target);
+  const SiteService* service = config->FindService(envelope->service);
+  const SiteCustomer* customer = config->FindCustomer(envelope->customer);
+  if (route == nullptr || service == nullptr ||
+      (customer == nullptr && !envelope->customer.empty()))
+    return "other_configuration";
+  if (running_forwarded_ >= kMaxForwardedRequests) return "full";
+  request->route = *route;
+  request->service = *service;
+  request->customer = envelope->customer;
+  request->deadline = request->arrived + envelope->time_left;
+  Refusal refusal;
+  return AdmitForService(customer, request, &refusal) ? nullptr
+                                                      : refusal.reason;
+}
+
+void EntryFrontend::RefuseForwarded(HttpExchange* exchange,
+                                    const RelayRequest& request,
+                                    const char* reason) {
+  ++counters_.forwarded_refused;
+  exchange->Respond(ForwardRefusal());
+  deps_->log->Write(LogLine("forwarded_request_refused")
+                        .Add("request", request.caller.id.value())
+                        .Add("sender", request.forwarded_by)
+                        .Add("client", exchange->client().ip)
+                        .Add("why", reason));
 }
 
 bool EntryFrontend::ChargeRateLimit(const SiteCustomer& customer,
@@ -239,26 +320,62 @@
   auto running = std::make_unique<RunningRequest>();
   running->request = request;
   running->request.caller.http = HttpRequest{};
-  const bool is_stream = request.service.engine.has_value();
-  const auto make_relay = is_stream ? MakeStreamRelay : MakePlainRelay;
-  running->relay = make_relay(*deps_, std::move(request), exchange,
-                              [this, serial](const RelayResult& result) {
-                                OnRelayDone(serial, result);
-                              });
-  Relay* const relay = running->relay.get();
+  running->exchange = exchange;
   running_requests_[serial] = std::move(running);
   exchange->OnClientDisconnected([this, serial] {
     const auto it = running_requests_.find(serial);
     if (it != running_requests_.end())
       it->second->relay->OnCallerDisconnected();
   });
-  relay->Start();
+  const bool forward =
+      request.forwarded_by.empty() &&
+      helpers_->Advise(request.service.id) == HelperExchange::Advice::kForward;
+  StartRelay(serial, std::move(request), forward);
+}
+
+void EntryFrontend::StartRelay(uint64_t serial, RelayRequest request,
+                               bool forward) {
+  RunningRequest& running = *running_requests_.at(serial);
+  const auto done = [this, serial](const RelayResult& result) {
+    OnRelayDone(serial, result);
+  };
+  if (forward) {
+    ++counters_.forwarded;
+    running.relay = MakeForwardRelay(*deps_, helpers_, std::move(request),
+                                     running.exchange, done);
+  } else {
+    const auto make_relay =
+        request.service.engine ? MakeStreamRelay : MakePlainRelay;
+    running.relay =
+        make_relay(*deps_, std::move(request), running.exchange, done);
+  }
+  running.relay->Start();
+}
+
+void EntryFrontend::OnUnreachable(uint64_t serial) {
+  const auto it = running_requests_.find(serial);
+  // Destroys the relay later, since its functions are on the stack.
+  const std::shared_ptr<Relay> relay = std::move(it->second->relay);
+  deps_->loop->Post([relay] {});
+  if (it->second->request.forwarded_by.empty()) {
+    StartRelay(serial, relay->TakeRequest(), /*forward=*/true);
+    return;
+  }
+  const std::shared_ptr<RunningRequest> running = std::move(it->second);
+  running_requests_.erase(it);
+  --running_forwarded_;
+  RefuseForwarded(running->exchange.get(), running->request, "unreachable");
 }
 
 void EntryFrontend::OnRelayDone(uint64_t serial, const RelayResult& result) {
+  if (result.unreachable) {
+    OnUnreachable(serial);
+    return;
+  }
   const auto it = running_requests_.find(serial);
   const std::shared_ptr<RunningRequest> running = std::move(it->second);
   running_requests_.erase(it);
+  if (!running->request.forwarded_by.empty()) --running_forwarded_;
   // Destroys the relay later, since its functions are on the stack.
   deps_->loop->Post([running] {});
   const RelayRequest& request = running->request;
@@ -279,6 +396,8 @@
       .Add("service", request.service.id.value())
       .Add("fingerprint", request.fingerprint.value())
       .Add("back_end", result.back_end.value())
+      .Add("helper", result.helper)
+      .Add("forwarded_by", request.forwarded_by)
       .Add("status", result.status)
       .Add("why", result.reason)
       .Add("calls", result.calls)
--- a/serving/entry_frontend.h
+++ b/serving/entry_frontend.h
@@ -1,4 +1,7 @@
-// Serves the callers' port: admits each request and passes it to a relay.
+// Serves the callers' port: admits each request and passes it to a relay. A
+// request for a service that this daemon doesn't reach goes to another daemon,
+// whose frontend admits it as forwarded: what depends on the caller's key and
+// rate was checked before.
 //
 // Admission checks, in this order: configuration known, request well-formed,
 // route, key, service, prompt, rate limit. A request that fails one of them was
@@ -16,6 +19,7 @@
 
 #include "base/metrics.h"
 #include "decide/replicated_rate_limiter.h"
+#include "serving/helper_exchange.h"
 #include "serving/relay_deps.h"
 
 namespace mimosa {
@@ -25,8 +29,11 @@
   // Responses by HTTP status; 0: none was sent.
   std::array<uint64_t, 600> by_status{};
   uint64_t callers_disconnected = 0;
-  Histogram latency;              // Seconds to the end of a response.
-  Histogram time_to_first_event;  // Seconds to the head of a stream.
+  uint64_t forwarded = 0;          // Requests sent to other daemons.
+  uint64_t forwarded_here = 0;     // Requests of other daemons admitted.
+  uint64_t forwarded_refused = 0;  // Requests of other daemons turned away.
+  Histogram latency;               // Seconds to the end of a response.
+  Histogram time_to_first_event;   // Seconds to the head of a stream.
 };
 
 class EntryFrontend : public HttpHandler {
@@ -35,10 +42,12 @@
   using ConfigSource = std::function<std::shared_ptr<const SiteConfig>()>;
 
   EntryFrontend(const RelayDeps* deps, ReplicatedRateLimiter* rate_limiter,
-                ConfigSource config);
+                HelperExchange* helpers, ConfigSource config);
   ~EntryFrontend() override;
 
   void OnRequest(std::shared_ptr<HttpExchange> exchange) override;
+  // A request arrived at the members' port.
+  void OnForwardedRequest(const std::shared_ptr<HttpExchange>& exchange);
 
   // Refuses streams that arrive after `cutoff`: the daemon's shutdown could
   // truncate them.
@@ -56,6 +65,15 @@
     Duration retry_after{};  // Zero: a retry is of no use.
     const char* reason = "";
   };
+  // Checks the parts of admission that don't depend on the caller's key, and
+  // sets the request's suspects and priority.
+  bool AdmitForService(const SiteCustomer* customer, RelayRequest* request,
+                       Refusal* refusal);
+  // Returns why a forwarded request isn't admitted, or nullptr.
+  const char* AdmitForwarded(const HttpExchange& exchange,
+                             RelayRequest* request);
+  void RefuseForwarded(HttpExchange* exchange, const RelayRequest& request,
+                       const char* reason);
   // Return true if `*request` is admitted, or set `*refusal`.
   bool Admit(const SiteConfig& config, RelayRequest* request, Refusal* refusal);
   bool ChargeRateLimit(const SiteCustomer& customer, RelayRequest* request,
@@ -69,14 +87,20 @@
               const Refusal& refusal);
   void StartRelay(RelayRequest request,
                   const std::shared_ptr<HttpExchange>& exchange);
+  // Starts a relay of a running request.
+  void StartRelay(uint64_t serial, RelayRequest request, bool forward);
   void OnRelayDone(uint64_t serial, const RelayResult& result);
+  // The relay has reached no back end.
+  void OnUnreachable(uint64_t serial);
 
   const RelayDeps* const deps_;
   ReplicatedRateLimiter* const rate_limiter_;
+  HelperExchange* const helpers_;
   const ConfigSource config_;
   EntryCounters counters_;
   MonoTime stream_cutoff_ = kNever;
   uint64_t next_serial_ = 1;
+  size_t running_forwarded_ = 0;  // Of other daemons.
   std::unordered_map<uint64_t, std::unique_ptr<RunningRequest>>
       running_requests_;
 };
--- a/serving/member_list.cc
+++ b/serving/member_list.cc
@@ -152,11 +152,12 @@
   return address;
 }
 
-bool MemberList::IsMemberAddress(const Endpoint& address) const {
+const wire::EntryMember* MemberList::FindMember(const Endpoint& address) const {
   const std::string text = address.ToString();
-  return std::any_of(others_.begin(), others_.end(), [&text](const auto& item) {
-    return item.second.peer_address() == text;
-  });
+  const auto it = std::find_if(
+      others_.begin(), others_.end(),
+      [&text](const auto& item) { return item.second.peer_address() == text; });
+  return it == others_.end() ? nullptr : &it->second;
 }
 
 }  // namespace mimosa
--- a/serving/member_list.h
+++ b/serving/member_list.h
@@ -62,8 +62,13 @@
   // Returns where to send datagrams for another member; nullopt if it is
   // unknown or its record is invalid.
   std::optional<Endpoint> FindAddress(const std::string& name) const;
+  // Returns the other member whose datagrams come from `address`; nullptr if
+  // there is none.
+  const wire::EntryMember* FindMember(const Endpoint& address) const;
   // Returns whether datagrams of another member come from `address`.
-  bool IsMemberAddress(const Endpoint& address) const;
+  bool IsMemberAddress(const Endpoint& address) const {
+    return FindMember(address) != nullptr;
+  }
   // Number of members, including this one.
   int size() const { return static_cast<int>(others_.size()) + 1; }
 
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -69,6 +69,8 @@
     Finish(0, "caller_gone");
   }
 
+  RelayRequest TakeRequest() override { return std::move(request_); }
+
   // BackEndCall::Handler:
   void OnResponseHead(BackEndCall* call, int status,
                       const HttpHeaders& headers) override {
@@ -302,11 +304,19 @@
       Respond(EmptyResponse(kStatusUnavailable), "quarantined_request");
     } else if (budget_exhausted_) {
       Refuse("retry_budget");
+    } else if (ReachedNoServer()) {
+      result_.unreachable = true;
+      Finish(0, "unreachable");
     } else {
       Refuse(rejections_ > 0 ? "back_ends_full" : "no_back_end");
     }
   }
 
+  // Whether servers were called and none of them got the request.
+  bool ReachedNoServer() const {
+    return result_.calls > 0 && rejections_ == 0 && !is_trial_;
+  }
+
   void Refuse(const char* reason) {
     const MonoTime now = deps_.loop->Now();
     const Duration spread =
@@ -392,7 +402,7 @@
   }
 
   const RelayDeps& deps_;
-  const RelayRequest request_;
+  RelayRequest request_;
   const std::shared_ptr<HttpExchange> exchange_;
   RelayDoneCallback done_;
   RelayResult result_;
--- a/serving/reachability_monitor.cc
+++ b/serving/reachability_monitor.cc
@@ -38,6 +38,10 @@
 
 void ReachabilityMonitor::RecordMiss(const BackEndEntry& back_end) {
   reachability_.RecordMiss(back_end, loop_->Now());
+  RecordSilence(back_end);
+}
+
+void ReachabilityMonitor::RecordSilence(const BackEndEntry& back_end) {
   doubts_[back_end.service];
   ScheduleCheck();
 }
--- a/serving/reachability_monitor.h
+++ b/serving/reachability_monitor.h
@@ -57,6 +57,9 @@
   // Signs of a back end, and calls that ended without any.
   void RecordContact(const BackEndEntry& back_end);
   void RecordMiss(const BackEndEntry& back_end);
+  // A call to the back end has got no sign of it for a while. Its service is
+  // probed, unless another of its back ends gives a sign.
+  void RecordSilence(const BackEndEntry& back_end);
 
   bool IsUnreachable(const ServiceId& service) const;
   std::optional<Duration> TimeSinceContact(const ServiceId& service) const;
@@ -89,7 +92,8 @@
   const Options options_;
   ServiceReachability reachability_;
   std::map<ServiceId, SiteService> services_;
-  std::map<ServiceId, Doubt> doubts_;  // Of services with a recent miss.
+  // Of services with a recent miss or silence.
+  std::map<ServiceId, Doubt> doubts_;
   std::list<Probe> probes_;
   TimerHandle check_timer_;
   bool check_scheduled_ = false;
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -68,7 +68,9 @@
   CallerRequest caller;
   SiteRoute route;
   SiteService service;
-  CustomerId customer;          // Empty on a route without authentication.
+  CustomerId customer;  // Empty on a route without authentication.
+  // The member that has forwarded the request; empty if a caller sent it.
+  std::string forwarded_by;
   std::optional<int> priority;  // Sent to engines; 0 is served first.
   RequestFingerprint fingerprint;
   // What would be at fault if the request crashed an engine.
@@ -96,6 +98,10 @@
   Duration time_to_prefill{};      // The last prefill was complete.
   Duration time_to_first_event{};
   bool caller_disconnected = false;
+  // No back end could be reached: the request has run nowhere, and the caller
+  // has no response yet.
+  bool unreachable = false;
+  std::string helper;  // The member that the request was last forwarded to.
 };
 
 // A request in progress. Destroying it cancels its calls and sends no response.
@@ -106,6 +112,8 @@
   virtual void Start() = 0;
   // The caller has closed its connection.
   virtual void OnCallerDisconnected() = 0;
+  // Returns the request of a relay that has ended as unreachable.
+  virtual RelayRequest TakeRequest() = 0;
 };
 
 // Called once, as the last action of a relay. The relay must stay alive until
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -94,6 +94,8 @@
     Finish(0, "caller_gone");
   }
 
+  RelayRequest TakeRequest() override { return std::move(request_); }
+
   // BackEndCall::Handler:
   void OnResponseHead(BackEndCall* call, int status,
                       const HttpHeaders& headers) override {
@@ -327,6 +329,10 @@
       FinishUnanswered();
       return;
     }
+    if (MayHandOver()) {
+      HandOver();
+      return;
+    }
     const MonoTime now = deps_.loop->Now();
     stage_ = Stage::kReserve;
     std::set<BackEndId> excluded = tried_decode_engines_;
@@ -364,6 +370,19 @@
                  options);
   }
 
+  // Whether another daemon may serve the request, since this one reaches no
+  // engine and the request has run nowhere.
+  bool MayHandOver() const {
+    return deps_.reachability->IsUnreachable(request_.service.id) &&
+           !exchange_->response_started() && may_have_run_ == 0 &&
+           silent_run_ == nullptr && !is_trial_;
+  }
+
+  void HandOver() {
+    result_.unreachable = true;
+    Finish(0, "unreachable");
+  }
+
   void OnReserveResponse(const BackEndEntry& engine) {
     const auto id = IsSuccess(response_.status)
                         ? deps_.format->ReadReservation(response_.body)
@@ -750,6 +769,8 @@
       Respond(EmptyResponse(kStatusUnavailable), "quarantined");
     } else if (budget_exhausted_) {
       Refuse("retry_budget");
+    } else if (MayHandOver()) {
+      HandOver();
     } else {
       Refuse(rejections_ > 0 || waited_for_reservation_ ? "engines_full"
                                                         : "no_decode_engine");
@@ -825,7 +846,7 @@
   static constexpr int64_t kEventsUntilGenerated = 2;
 
   const RelayDeps& deps_;
-  const RelayRequest request_;
+  RelayRequest request_;
   const std::shared_ptr<HttpExchange> exchange_;
   RelayDoneCallback done_;
   RelayResult result_;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -151,7 +151,7 @@
   RelayFixture() {
     HttpServerOptions options;
     options.listen = {"127.0.0.1", 0};
-    frontend = std::make_unique<EntryFrontend>(&deps, &rate_limiter,
+    frontend = std::make_unique<EntryFrontend>(&deps, &rate_limiter, &helpers,
                                                [this] { return config; });
     server = MakeHttpServer(loop.get(), options, frontend.get());
     SetConfig();
@@ -272,6 +272,12 @@
                            &permits};
   ReachabilityMonitor reachability{
       loop.get(), client.get(), &format, &back_ends, &selector, &log, {}};
+  HelperExchange helpers{loop.get(),
+                         &members,
+                         &reachability,
+                         &random,
+                         [this] { return frontend->running_requests(); },
+                         {}};
   StreamOriginExchange origins{loop.get(),          &members, &back_ends, &log,
                                [] { return true; }, {}};
   CrashExchange prompt_crashes{loop.get(), &members, &store, &random, &log, {}};
