Tests of forwarded requests: nobody reaches, leaving, dying, forged

A case of net_test shows that libwebsockets sets no TCP_USER_TIMEOUT on our sockets, on either side.

--- a/net/client_test.cc
+++ b/net/client_test.cc
@@ -1,5 +1,9 @@
 // Tests HttpClient against raw TCP peers: truncated responses, the meaning of
 // `sent`, connection reuse, timeouts, back pressure and cancellation.
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <catch2/catch.hpp>
 #include <string>
@@ -373,6 +377,31 @@
   CHECK(recorded_.sent);
 }
 
+// With TCP_USER_TIMEOUT, a connection to a server that is silent for a moment
+// would be reset, and keep-alive probes would give up early.
+TEST_CASE_METHOD(ClientFixture, "connections have no user timeout",
+                 "[client]") {
+  options_.reuse_connection = true;
+  auto peer = CompleteCall();
+  Start();
+  AwaitRequest(peer.get());
+  int sockets = 0;
+  for (int fd = 0; fd < 256; ++fd) {
+    int type = 0;
+    socklen_t length = sizeof(type);
+    if (getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &length) != 0 ||
+        type != SOCK_STREAM)
+      continue;
+    unsigned timeout = 1;
+    length = sizeof(timeout);
+    if (getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, &length) != 0)
+      continue;
+    CHECK(timeout == 0);
+    ++sockets;
+  }
+  CHECK(sockets >= 3);  // A listener and both ends of a connection.
+}
+
 TEST_CASE_METHOD(ClientFixture, "no retry after the first byte of a response",
                  "[client]") {
   options_.reuse_connection = true;
--- a/tests/cut_off_daemon_test.cc
+++ b/tests/cut_off_daemon_test.cc
@@ -57,9 +57,7 @@
   }
 
   Reply Send(size_t daemon, const std::string& target) {
-    return Call(settings_[daemon].listen_port(),
-                MakeSiteRequest(target, target + std::to_string(++serial_),
-                                "key-one", "body", kDeadlineMs));
+    return Call(settings_[daemon].listen_port(), MakeRequest(target));
   }
   // Returns how many of `count` requests in turn are served at a daemon.
   int CountServed(size_t daemon, int count) {
@@ -72,6 +70,43 @@
     return served;
   }
 
+  // Makes the second daemon notice that it is cut off.
+  void CutOff(const std::string& mode) {
+    SetLinks(mode);
+    REQUIRE(Eventually([&] {
+      CountServed(1, 3);
+      return HasMetric(1, "mimosa_services_unreachable 2");
+    }));
+  }
+  void SetBehavior(const char* name, const Json::Value& value) {
+    Json::Value members;
+    members[name] = value;
+    for (const auto& [id, server] : servers_)
+      REQUIRE(PostJson(server.port, "/debug/behave", members).status == 200);
+  }
+  // Returns how many requests all servers have served.
+  int64_t CountRequests() {
+    int64_t count = 0;
+    for (const auto& [id, server] : servers_)
+      count += GetJson(server.port, "/debug/journal")["served"].asInt64();
+    return count;
+  }
+  // Returns how many tokens of engines' memory are in use.
+  int64_t UsedTokens() {
+    int64_t used = 0;
+    for (const auto& [id, server] : servers_)
+      used += GetJson(server.port, "/debug/journal")["used"].asInt64();
+    return used;
+  }
+  const EntrySettingsFile& settings(size_t daemon) const {
+    return settings_[daemon];
+  }
+  Process& daemon(size_t i) { return *daemons_[i]; }
+  Request MakeRequest(const std::string& target) {
+    return MakeSiteRequest(target, target + std::to_string(++serial_),
+                           "key-one", "body", kDeadlineMs);
+  }
+
   // Sets the mode of the cut daemon's links to all servers.
   void SetLinks(const std::string& mode) {
     for (const auto& [id, server] : servers_)
@@ -170,5 +205,77 @@
   }
 }
 
+TEST_CASE(
+    "requests that nobody can serve are refused at once, and not passed on") {
+  CutSite site;
+  // No daemon gets a response of any server.
+  site.SetBehavior("silent", true);
+  for (size_t i = 0; i < 2; ++i)
+    CHECK(Eventually([&] {
+      site.CountServed(i, 3);
+      return site.HasMetric(i, "mimosa_services_unreachable 2");
+    }));
+  for (size_t i = 0; i < 2; ++i) {
+    for (const char* target : {"/look/x", "/book/x", "/letter/x"}) {
+      Reply reply;
+      // An answer of the other daemon may just be due.
+      CHECK(Eventually([&] {
+        const auto began = std::chrono::steady_clock::now();
+        reply = site.Send(i, target);
+        return std::chrono::steady_clock::now() - began < Seconds(0.5);
+      }));
+      CHECK(reply.status == 503);
+      CHECK_FALSE(reply.Header("Retry-After").empty());
+    }
+  }
+}
+
+TEST_CASE("a caller that leaves is heard through the daemon that helps") {
+  CutSite site;
+  site.CutOff("blackhole");
+  site.SetBehavior("gap_ms", 300);
+  site.SetBehavior("events", 100);
+  Connection caller(site.settings(1).listen_port());
+  REQUIRE(caller.Send(site.MakeRequest("/letter/long")));
+  CHECK(caller.ReadAtLeast(10).status == 200);
+  CHECK(site.UsedTokens() > 0);
+  caller.Close();
+  CHECK(Eventually([&] { return site.UsedTokens() == 0; }, Seconds(1)));
+}
+
+TEST_CASE("a helper that dies midway leaves nothing that runs twice") {
+  CutSite site;
+  site.CutOff("cut");
+  site.SetBehavior("delay_ms", 400);
+  const int64_t served = site.CountRequests();
+  Connection caller(site.settings(1).listen_port());
+  REQUIRE(caller.Send(site.MakeRequest("/book/once")));
+  REQUIRE(Eventually([&] { return site.CountRequests() > served; }));
+  site.daemon(0).Kill();
+  // It may have run, so it isn't said not to have.
+  CHECK(caller.ReadReply().status == 502);
+  CHECK(site.MaxRuns() <= 1);
+}
+
+TEST_CASE("the members' port takes requests of members only") {
+  CutSite site;
+  Request request = site.MakeRequest("/book/forged");
+  request.headers.emplace_back("Mimosa-Forward-Sender", "entry-1");
+  request.headers.emplace_back("Mimosa-Forward-Customer", "guild");
+  request.headers.emplace_back("Mimosa-Forward-Service", "desk");
+  request.headers.emplace_back("Mimosa-Forward-Time-Left-Ms", "1000");
+  const int64_t served = site.CountRequests();
+  for (const char* recipient : {"", "entry-0", "entry-0#0", "entry-0#1"}) {
+    request.headers.emplace_back("Mimosa-Forward-Recipient", recipient);
+    CHECK(Call(site.settings(0).peer_port(), request).status == 503);
+    request.headers.pop_back();
+  }
+  CHECK(site.CountRequests() == served);
+  // The same fields mean nothing to the callers' port.
+  request.headers.emplace_back("Mimosa-Forward-Recipient", "entry-0#1");
+  request.headers[2].second = "stolen";
+  CHECK(Call(site.settings(0).listen_port(), request).status == 401);
+}
+
 }  // namespace
 }  // namespace mimosa::testing
--- a/tests/entry_site.h
+++ b/tests/entry_site.h
@@ -38,6 +38,7 @@
   uint16_t listen_port() const { return listen_port_; }
   uint16_t ready_port() const { return ready_port_; }
   uint16_t control_port() const { return control_port_; }
+  uint16_t peer_port() const { return peer_port_; }
   const std::filesystem::path& path() const { return path_; }
   // The command-line arguments of mimosa-entry.
   std::vector<std::string> args() const {
