Failing test: connections to engines live on, new ones are refused

Streams that run on old connections bring signs of their engines, so that the service counts as reached, and new streams wait for a reservation until their deadline.

--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -301,6 +301,8 @@
     SetMode(ProxyMode::kPass);
   } else if (name == "cut") {
     SetMode(ProxyMode::kCut);
+  } else if (name == "refuse") {
+    SetMode(ProxyMode::kRefuse);
   } else if (name == "blackhole") {
     SetMode(ProxyMode::kBlackhole);
   } else {
@@ -333,6 +335,8 @@
     acceptor_.close();
     const auto sessions = sessions_;
     for (const auto& session : sessions) session->Close();
+  } else if (mode == ProxyMode::kRefuse) {
+    acceptor_.close();
   } else if (!acceptor_.is_open()) {
     Listen();
   }
--- a/standins/fault_proxy.h
+++ b/standins/fault_proxy.h
@@ -2,7 +2,9 @@
 //
 // Commands are sent over the control port, one per line. Each gets the response
 // "ok", "error" or a line of JSON:
-//   mode pass|cut|blackhole    cut: close all connections, refuse new ones;
+//   mode pass|cut|refuse|blackhole
+//                              cut: close all connections, refuse new ones;
+//                              refuse: refuse new connections only;
 //                              blackhole: accept, discard all data
 //   set <fault> <n>            see ProxyFaults; -1 turns a fault off
 //   reset                      turn all faults off, set mode pass
@@ -26,7 +28,7 @@
 
 class ProxySession;
 
-enum class ProxyMode { kPass, kCut, kBlackhole };
+enum class ProxyMode { kPass, kCut, kRefuse, kBlackhole };
 
 // Holds the faults by the names that the command "set" uses; -1 means off. Byte
 // counts apply per connection.
--- a/tests/cut_off_daemon_test.cc
+++ b/tests/cut_off_daemon_test.cc
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr int kDeadlineMs = 2000;
+constexpr int kLongDeadlineMs = 30000;
 // A daemon has so long to notice that it is cut off.
 constexpr Seconds kSettleTime(3);
 
@@ -38,7 +39,7 @@
         return Get(stores_[i]->port(), "/debug/stats").status == 200;
       }));
       const Json::Value config =
-          MakeSiteConfig(1, "key-one", {kDeadlineMs, 900, 300});
+          MakeSiteConfig(1, "key-one", {kLongDeadlineMs, 900, 300});
       REQUIRE(PutRecord(stores_[i]->port(), "op/config", WriteJson(config))
                   .status == 200);
     }
@@ -102,9 +103,10 @@
     return settings_[daemon];
   }
   Process& daemon(size_t i) { return *daemons_[i]; }
-  Request MakeRequest(const std::string& target) {
+  Request MakeRequest(const std::string& target,
+                      int deadline_ms = kDeadlineMs) {
     return MakeSiteRequest(target, target + std::to_string(++serial_),
-                           "key-one", "body", kDeadlineMs);
+                           "key-one", "body", deadline_ms);
   }
 
   // Sets the mode of the cut daemon's links to all servers.
@@ -205,6 +207,37 @@
   }
 }
 
+TEST_CASE("a daemon that can't open new connections to engines is helped") {
+  constexpr int kStreams = 20;
+  CutSite site;
+  site.SetBehavior("gap_ms", 100);
+  site.SetBehavior("events", 200);
+  const auto start_stream = [&site](int deadline_ms) {
+    auto stream = std::make_unique<Connection>(site.settings(1).listen_port());
+    const bool sent =
+        stream->Send(site.MakeRequest("/letter/long", deadline_ms));
+    const bool started = sent && stream->ReadAtLeast(10).status == 200;
+    return started ? std::move(stream) : nullptr;
+  };
+  // They use the connections to the engines, and bring signs of them.
+  std::vector<std::unique_ptr<Connection>> streams;
+  for (int i = 0; i < 6; ++i) {
+    streams.push_back(start_stream(kLongDeadlineMs));
+    REQUIRE(streams.back() != nullptr);
+  }
+  site.SetLinks("refuse");
+  const auto settled = std::chrono::steady_clock::now() + kSettleTime;
+  while (std::chrono::steady_clock::now() < settled) start_stream(kDeadlineMs);
+  int started = 0;
+  for (int i = 0; i < kStreams; ++i)
+    started += start_stream(kDeadlineMs) ? 1 : 0;
+  CHECK(started >= kStreams * 2 / 3);
+  // Those that run go on.
+  for (const auto& stream : streams)
+    CHECK_FALSE(stream->ReadAtLeast(20).complete);
+  CHECK(site.HasMetric(1, "mimosa_answers{status=\"0\"} 0"));
+}
+
 TEST_CASE(
     "requests that nobody can serve are refused at once, and not passed on") {
   CutSite site;
