--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -156,6 +156,22 @@
   });
 }
 
+bool BackEndSelector::IsNoneConnectable(const SelectionQuery& query,
+                                        MonoTime now) const {
+  bool is_any_matched = false;
+  for (const auto& [id, listed] : list_->entries()) {
+    if (!Matches(listed.entry, query)) continue;
+    is_any_matched = true;
+    const auto state = states_.find(id);
+    if (state == states_.end() ||
+        state->second.incarnation != listed.entry.incarnation ||
+        state->second.last_failure != CallOutcome::kUnreachable ||
+        !IsInBackoff(state->second, now))
+      return false;
+  }
+  return is_any_matched;
+}
+
 const BackEndEntry* BackEndSelector::SelectBackEnd(const SelectionQuery& query,
                                                    MonoTime now) {
   const BackEndEntry* best = nullptr;
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -131,6 +131,10 @@
   // Returns whether the query matches a back end that is not in backoff.
   bool HasHealthyCandidate(const SelectionQuery& query, MonoTime now) const;
 
+  // Returns whether the query matches back ends, and all of them are in backoff
+  // since they could not be connected to.
+  bool IsNoneConnectable(const SelectionQuery& query, MonoTime now) const;
+
   // Count the open calls and their `size`, as given to SelectBackEnd(). Each
   // OnCallStarted() needs exactly one OnCallEnded().
   void OnCallStarted(const BackEndEntry& back_end, const WorkSize& size);
--- a/decide/helper_choice.cc
+++ b/decide/helper_choice.cc
@@ -62,14 +62,11 @@
     if (!IsFresh(helper, now) || !helper.answer.reaches || is_in_backoff ||
         excluded.count(name) > 0)
       continue;
-    const bool is_doubtful =
-        !helper.answer.contact_age ||
-        *helper.answer.contact_age > options_.recent_contact;
     const auto open = open_.find(name);
     const int work = helper.answer.running +
                      (open == open_.end() ? 0 : open->second) +
                      (helper.zone == zone_ ? 0 : options_.other_zone_penalty);
-    const std::tuple weight(is_doubtful, work, random_->UniformDouble());
+    const std::tuple weight(!IsCertain(helper), work, random_->UniformDouble());
     if (best && best_weight <= weight) continue;
     best = name;
     best_weight = weight;
@@ -77,6 +74,16 @@
   return best;
 }
 
+bool HelperChoice::HasCertainHelper(const ServiceId& service,
+                                    MonoTime now) const {
+  const auto known = known_.find(service);
+  return known != known_.end() &&
+         std::any_of(
+             known->second.begin(), known->second.end(), [&](const auto& item) {
+               return IsFresh(item.second, now) && IsCertain(item.second);
+             });
+}
+
 bool HelperChoice::IsUnreachableForAll(const ServiceId& service,
                                        MonoTime now) const {
   const auto known = known_.find(service);
--- a/decide/helper_choice.h
+++ b/decide/helper_choice.h
@@ -37,7 +37,7 @@
     // How long an answer is used.
     Duration answer_lifetime = std::chrono::milliseconds(1500);
     // A contact with a back end within this time shows that it is reached.
-    Duration recent_contact = std::chrono::seconds(3);
+    Duration recent_contact = std::chrono::seconds(1);
     // Requests that another failure domain weighs.
     int other_zone_penalty = 16;
     // A member that could not be called is left out for this long.
@@ -70,6 +70,8 @@
   std::optional<std::string> Pick(const ServiceId& service,
                                   const std::set<std::string>& excluded,
                                   MonoTime now) const;
+  // Returns whether a member is known to have had a recent contact.
+  bool HasCertainHelper(const ServiceId& service, MonoTime now) const;
   // Returns whether members have lately answered and none of them reaches the
   // service.
   bool IsUnreachableForAll(const ServiceId& service, MonoTime now) const;
@@ -88,6 +90,12 @@
   bool IsFresh(const Known& known, MonoTime now) const {
     return now - known.at < options_.answer_lifetime;
   }
+  // Whether the member is known to reach the service, and not only to have
+  // missed no call.
+  bool IsCertain(const Known& known) const {
+    return known.answer.reaches && known.answer.contact_age &&
+           *known.answer.contact_age <= options_.recent_contact;
+  }
 
   const FailureDomain zone_;
   RandomSource* const random_;
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -190,8 +190,9 @@
               &crash_exchange_,
               &permits_,
               &reachability_,
+              &helpers_,
               FailureDomain(settings.failure_domain())},
-        frontend_(&deps_, &rate_limiter_, &helpers_,
+        frontend_(&deps_, &rate_limiter_,
                   [this] { return site_sync_.config(); }),
         forwarded_handler_(&frontend_),
         ready_handler_(
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -86,11 +86,8 @@
 
 EntryFrontend::EntryFrontend(const RelayDeps* deps,
                              ReplicatedRateLimiter* rate_limiter,
-                             HelperExchange* helpers, ConfigSource config)
-    : deps_(deps),
-      rate_limiter_(rate_limiter),
-      helpers_(helpers),
-      config_(std::move(config)) {}
+                             ConfigSource config)
+    : deps_(deps), rate_limiter_(rate_limiter), config_(std::move(config)) {}
 
 EntryFrontend::~EntryFrontend() = default;
 
@@ -149,7 +146,7 @@
   if (customer != nullptr && !route->allows_anonymous)
     request->customer = customer->id;
   if (!AdmitForService(customer, request, refusal)) return false;
-  if (helpers_->Advise(service->id) == HelperExchange::Advice::kRefuse) {
+  if (deps_->helpers->Advise(service->id) == HelperExchange::Advice::kRefuse) {
     *refusal = {kStatusUnavailable, kUnreachableRetryAfter, "unreachable"};
     return false;
   }
@@ -199,7 +196,7 @@
   HttpRequest http = exchange.request();
   const auto envelope = TakeForwardEnvelope(&http.headers);
   if (!envelope ||
-      !IsFromMember(*envelope, exchange.client().ip, helpers_->members()))
+      !IsFromMember(*envelope, exchange.client().ip, deps_->helpers->members()))
     return "not_from_a_member";
   request->forwarded_by = envelope->sender;
   const bool well_formed = leaf::try_handle_all(
@@ -327,9 +324,9 @@
     if (it != running_requests_.end())
       it->second->relay->OnCallerDisconnected();
   });
-  const bool forward =
-      request.forwarded_by.empty() &&
-      helpers_->Advise(request.service.id) == HelperExchange::Advice::kForward;
+  const bool forward = request.forwarded_by.empty() &&
+                       deps_->helpers->Advise(request.service.id) ==
+                           HelperExchange::Advice::kForward;
   StartRelay(serial, std::move(request), forward);
 }
 
@@ -341,8 +338,8 @@
   };
   if (forward) {
     ++counters_.forwarded;
-    running.relay = MakeForwardRelay(*deps_, helpers_, std::move(request),
-                                     running.exchange, done);
+    running.relay =
+        MakeForwardRelay(*deps_, std::move(request), running.exchange, done);
   } else {
     const auto make_relay =
         request.service.engine ? MakeStreamRelay : MakePlainRelay;
--- a/serving/entry_frontend.h
+++ b/serving/entry_frontend.h
@@ -42,7 +42,7 @@
   using ConfigSource = std::function<std::shared_ptr<const SiteConfig>()>;
 
   EntryFrontend(const RelayDeps* deps, ReplicatedRateLimiter* rate_limiter,
-                HelperExchange* helpers, ConfigSource config);
+                ConfigSource config);
   ~EntryFrontend() override;
 
   void OnRequest(std::shared_ptr<HttpExchange> exchange) override;
@@ -95,7 +95,6 @@
 
   const RelayDeps* const deps_;
   ReplicatedRateLimiter* const rate_limiter_;
-  HelperExchange* const helpers_;
   const ConfigSource config_;
   EntryCounters counters_;
   MonoTime stream_cutoff_ = kNever;
--- a/serving/forward_relay.cc
+++ b/serving/forward_relay.cc
@@ -34,11 +34,9 @@
 
 class ForwardRelay : public Relay, public HttpCallHandler {
  public:
-  ForwardRelay(const RelayDeps& deps, HelperExchange* helpers,
-               RelayRequest request, std::shared_ptr<HttpExchange> exchange,
-               RelayDoneCallback done)
+  ForwardRelay(const RelayDeps& deps, RelayRequest request,
+               std::shared_ptr<HttpExchange> exchange, RelayDoneCallback done)
       : deps_(deps),
-        helpers_(helpers),
         request_(std::move(request)),
         exchange_(std::move(exchange)),
         done_(std::move(done)) {}
@@ -67,7 +65,7 @@
       // Later, since the call is on the stack.
       refusal_timer_ = deps_.loop->After(Duration::zero(), [this, refusing] {
         EndCall();
-        helpers_->RecordRefusal(request_.service.id, refusing);
+        deps_.helpers->RecordRefusal(request_.service.id, refusing);
         TryHelper();
       });
       refused_ = true;
@@ -102,7 +100,7 @@
 
   void OnFailed(HttpFailure /*failure*/, bool sent) override {
     if (refused_) return;
-    helpers_->RecordFailure(*helper_);
+    deps_.helpers->RecordFailure(*helper_);
     const int attempts = sent ? ++attempts_ : attempts_;
     if (streaming_) {
       exchange_->Abort();
@@ -128,17 +126,19 @@
   void TryHelper() {
     refused_ = false;
     const MonoTime now = deps_.loop->Now();
-    const auto helper = tried_.size() < kMaxHelpers
-                            ? helpers_->PickHelper(request_.service.id, tried_)
-                            : std::nullopt;
+    const auto helper =
+        tried_.size() < kMaxHelpers
+            ? deps_.helpers->PickHelper(request_.service.id, tried_)
+            : std::nullopt;
     if (!helper) {
-      const bool may_wait = tried_.empty() && now < wait_until_ &&
-                            !helpers_->IsUnreachableForAll(request_.service.id);
+      const bool may_wait =
+          tried_.empty() && now < wait_until_ &&
+          !deps_.helpers->IsUnreachableForAll(request_.service.id);
       if (!may_wait) {
         FinishUnanswered();
         return;
       }
-      helpers_->Inquire(request_.service.id);
+      deps_.helpers->Inquire(request_.service.id);
       wait_timer_ =
           deps_.loop->After(kHelperPollInterval, [this] { TryHelper(); });
       return;
@@ -147,7 +147,7 @@
     ++result_.calls;
     result_.helper = helper->name;
     ForwardEnvelope envelope;
-    envelope.sender = helpers_->self().name();
+    envelope.sender = deps_.helpers->self().name();
     envelope.recipient = helper->recipient;
     envelope.customer = request_.customer;
     envelope.service = request_.service.id;
@@ -164,13 +164,13 @@
     options.retry_on_fresh_connection =
         request_.route.retry_policy == RetryPolicy::kIdempotent;
     helper_ = helper;
-    helpers_->OnRequestStarted(*helper);
+    deps_.helpers->OnRequestStarted(*helper);
     call_ = deps_.client->Start(options, std::move(http), this);
   }
 
   void EndCall() {
     call_.reset();
-    if (helper_) helpers_->OnRequestEnded(*helper_);
+    if (helper_) deps_.helpers->OnRequestEnded(*helper_);
     helper_.reset();
   }
 
@@ -238,7 +238,6 @@
   }
 
   const RelayDeps& deps_;
-  HelperExchange* const helpers_;
   RelayRequest request_;
   const std::shared_ptr<HttpExchange> exchange_;
   RelayDoneCallback done_;
@@ -259,11 +258,10 @@
 }  // namespace
 
 std::unique_ptr<Relay> MakeForwardRelay(const RelayDeps& deps,
-                                        HelperExchange* helpers,
                                         RelayRequest request,
                                         std::shared_ptr<HttpExchange> exchange,
                                         RelayDoneCallback done) {
-  return std::make_unique<ForwardRelay>(deps, helpers, std::move(request),
+  return std::make_unique<ForwardRelay>(deps, std::move(request),
                                         std::move(exchange), std::move(done));
 }
 
--- a/serving/forward_relay.h
+++ b/serving/forward_relay.h
@@ -11,13 +11,11 @@
 
 #include <memory>
 
-#include "serving/helper_exchange.h"
 #include "serving/relay_deps.h"
 
 namespace mimosa {
 
 std::unique_ptr<Relay> MakeForwardRelay(const RelayDeps& deps,
-                                        HelperExchange* helpers,
                                         RelayRequest request,
                                         std::shared_ptr<HttpExchange> exchange,
                                         RelayDoneCallback done);
--- a/serving/helper_exchange.cc
+++ b/serving/helper_exchange.cc
@@ -74,6 +74,10 @@
   return Helper{*name, RecipientOf(member->second), *address};
 }
 
+bool HelperExchange::HasCertainHelper(const ServiceId& service) const {
+  return choice_.HasCertainHelper(service, loop_->Now());
+}
+
 bool HelperExchange::IsUnreachableForAll(const ServiceId& service) const {
   return choice_.IsUnreachableForAll(service, loop_->Now());
 }
--- a/serving/helper_exchange.h
+++ b/serving/helper_exchange.h
@@ -68,6 +68,9 @@
   void Inquire(const ServiceId& service);
   std::optional<Helper> PickHelper(const ServiceId& service,
                                    const std::set<std::string>& excluded) const;
+  // Returns whether a member is known to have had a recent contact with the
+  // service.
+  bool HasCertainHelper(const ServiceId& service) const;
   // Returns whether members have lately answered that none reaches the service.
   bool IsUnreachableForAll(const ServiceId& service) const;
 
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -19,6 +19,7 @@
 #include "net/http.h"
 #include "serving/crash_guard.h"
 #include "serving/engine_memory_releaser.h"
+#include "serving/helper_exchange.h"
 #include "serving/permit_exchange.h"
 #include "serving/reachability_monitor.h"
 #include "serving/request_format.h"
@@ -60,6 +61,7 @@
   CrashGuard* crash_guard;
   PermitExchange* permits;
   ReachabilityMonitor* reachability;
+  HelperExchange* helpers;
   FailureDomain zone;  // Zone of this daemon.
 };
 
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -372,12 +372,25 @@
 
   // Whether another daemon may serve the request, since this one reaches no
   // engine and the request has run nowhere.
-  bool MayHandOver() const {
-    return deps_.reachability->IsUnreachable(request_.service.id) &&
-           !exchange_->response_started() && may_have_run_ == 0 &&
+  bool MayHandOver() {
+    return IsCutOff() && !exchange_->response_started() && may_have_run_ == 0 &&
            silent_run_ == nullptr && !is_trial_;
   }
 
+  // Old connections may live on while new ones can't be opened. Then there are
+  // signs of engines, but none takes a call, while another daemon reaches them.
+  bool IsCutOff() {
+    const ServiceId& service = request_.service.id;
+    if (deps_.reachability->IsUnreachable(service)) return true;
+    if (!deps_.selector->IsNoneConnectable(
+            MakeQuery(EngineRole::kDecode, deps_.zone, nullptr),
+            deps_.loop->Now()))
+      return false;
+    if (!request_.forwarded_by.empty()) return false;
+    deps_.helpers->Inquire(service);
+    return deps_.helpers->HasCertainHelper(service);
+  }
+
   void HandOver() {
     result_.unreachable = true;
     Finish(0, "unreachable");
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -151,7 +151,7 @@
   RelayFixture() {
     HttpServerOptions options;
     options.listen = {"127.0.0.1", 0};
-    frontend = std::make_unique<EntryFrontend>(&deps, &rate_limiter, &helpers,
+    frontend = std::make_unique<EntryFrontend>(&deps, &rate_limiter,
                                                [this] { return config; });
     server = MakeHttpServer(loop.get(), options, frontend.get());
     SetConfig();
@@ -282,10 +282,11 @@
                                [] { return true; }, {}};
   CrashExchange prompt_crashes{loop.get(), &members, &store, &random, &log, {}};
   RelayDeps deps{
-      loop.get(),      client.get(),       &format,       &selector,
-      &budget,         &reservation_retry, &random,       &log,
-      &releaser,       &counters,          &meter,        &origins,
-      &prompt_crashes, &permits,           &reachability, FailureDomain("z")};
+      loop.get(),        client.get(),       &format,       &selector,
+      &budget,           &reservation_retry, &random,       &log,
+      &releaser,         &counters,          &meter,        &origins,
+      &prompt_crashes,   &permits,           &reachability, &helpers,
+      FailureDomain("z")};
   std::shared_ptr<const SiteConfig> config;
   std::unique_ptr<EntryFrontend> frontend;
   std::unique_ptr<HttpServer> server;
