--- a/tests/truncated_stream_test.cc
+++ b/tests/truncated_stream_test.cc
@@ -43,12 +43,14 @@
     }
   }
 
-  // Forgets what the selector has learned about the engine.
+  // Forgets what the selector has learned about the engine. Each request
+  // differs from those before, since repetitions of one that engines break off
+  // are kept from them.
   CallerResponse CallAnew(const std::string& target) {
     back_ends = BackEndList();
     AddBackEnd("e" + std::to_string(++engines), "llm", EngineRole::kDecode,
                engine.port());
-    return CallFrontend(target);
+    return CallFrontend(target + "?" + std::to_string(engines));
   }
 
   RawBackEnd engine{loop.get()};
