--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -246,8 +246,9 @@
     }
   }
 
-  // Servers that name limits, and engines that a part of some callers' prompts
-  // crashes from some time on. Drawn by a generator of its own, too.
+  // Servers that name limits, and servers that a part of some callers' prompts,
+  // or a request that they repeat, crashes from some time on. Drawn by a
+  // generator of its own, too.
   void DrawNeeds() {
     const auto& servers = fleet_->servers();
     for (uint64_t i = needs_random_.UniformInt(4); i > 0; --i) {
@@ -264,10 +265,14 @@
     }
     if (maintenance_only_ || needs_random_.UniformInt(2) == 0) return;
     const auto at = static_cast<int>(needs_random_.UniformInt(length_ms_ / 2));
-    AddStep(at, "prompts crash engines", [this] {
-      for (const auto& server : fleet_->servers())
-        if (server->is_engine())
+    AddStep(at, "prompts and repeated requests crash servers", [this] {
+      for (const auto& server : fleet_->servers()) {
+        if (server->is_engine()) {
           server->SetBehavior("crash_part", kCrashingPart);
+        } else {
+          server->SetBehavior("crash_target", kCrashingTarget);
+        }
+      }
     });
   }
 
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -104,8 +104,10 @@
   constexpr std::array<const char*, 4> kKinds = {"book", "look", "letter",
                                                  "note"};
   constexpr int kRequestsPerConnection = 20;
-  // One of so many model requests has the part that may crash engines.
+  // One of so many model requests has the part that may crash engines, and one
+  // of so many requests is followed by the one that may crash plain servers.
   constexpr uint64_t kCrashingShare = 20;
+  SeededRandom repeat_random(~seed * 1000 + static_cast<uint64_t>(number));
   SeededRandom random(seed * 1000 + static_cast<uint64_t>(number));
   std::unique_ptr<testing::Connection> connection;
   int requests_left = 0;  // requests that this connection may still send
@@ -136,9 +138,22 @@
       TakeUp(outcome, reply, &random);
     if (!reply.complete || reply.Header("Connection") == "close")
       connection.reset();
+    if (connection != nullptr &&
+        repeat_random.UniformInt(kCrashingShare) == 0 &&
+        !RepeatCrashingRequest(outcome.id, connection.get()))
+      connection.reset();
   }
 }
 
+bool Callers::RepeatCrashingRequest(const std::string& after,
+                                    testing::Connection* connection) {
+  testing::Request request = MakeRequest("look", after + "r", "");
+  request.target = kCrashingTarget;
+  if (!connection->Send(request)) return false;
+  const testing::Reply reply = connection->ReadReply(kReplyTimeout);
+  return reply.complete && reply.Header("Connection") != "close";
+}
+
 void Callers::TakeUp(const Outcome& begun, const testing::Reply& reply,
                      RandomSource* random) {
   constexpr int kMaxTakeups = 3;
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -47,6 +47,10 @@
   void RecordOutcome(const Outcome& outcome, const testing::Reply& reply,
                      const std::string& body, int first_event,
                      const std::string& version);
+  // Sends the request that may crash servers, with an id made from `after`.
+  // Returns whether the connection can be used again.
+  static bool RepeatCrashingRequest(const std::string& after,
+                                    testing::Connection* connection);
   // Takes a truncated stream up again, up to a few times, at random daemons.
   void TakeUp(const Outcome& begun, const testing::Reply& reply,
               RandomSource* random);
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -18,6 +18,8 @@
 inline constexpr char kApiKey[] = "key-one";
 // The part of some callers' prompts that crashes engines, once told to.
 inline constexpr char kCrashingPart[] = "bad";
+// Path of a request that may crash plain servers.
+inline constexpr char kCrashingTarget[] = "/look/crash";
 
 // A backend server process behind a fault proxy. The run counts from its
 // journal are kept across kills.
