--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -120,7 +120,7 @@
   }
   if (unresponsive_) return;
   if (crashed_) {
-    exchange->Abort();
+    if (!crashes_silently_) exchange->Abort();
     return;
   }
   const std::string expected =
@@ -321,8 +321,13 @@
     loop_->Post([ended] {});
   }
   running_.clear();
-  for (const ExchangePtr& exchange : std::exchange(plain_exchanges_, {}))
-    exchange->Abort();
+  for (const ExchangePtr& exchange : std::exchange(plain_exchanges_, {})) {
+    if (crashes_silently_) {
+      abandoned_.insert(exchange);
+    } else {
+      exchange->Abort();
+    }
+  }
   restart_timer_ = loop_->After(kRestartTime, [this] {
     crashed_ = false;
     Register();
@@ -427,6 +432,7 @@
     crash_part_ = StringMember(*body, "crash_part");
   if (body->isMember("crash_target"))
     crash_target_ = StringMember(*body, "crash_target");
+  crashes_silently_ = BoolMember(*body, "crash_silently", crashes_silently_);
   says_leaving_ = BoolMember(*body, "says_leaving", says_leaving_);
   if (body->isMember("pause_ms")) {
     pause_began_ = loop_->Now();
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -11,6 +11,7 @@
 //                        "unframed": bool, "says_leaving": bool, "pause_ms",
 //                        "crash_part": part of a prompt,
 //                        "crash_target": path and query of a request,
+//                        "crash_silently": bool,
 //                        "limit": requests a second, negative for none}
 //       "limit": all responses name it as the server's limit
 //       "crash_part": a run whose prompt has the part, not as its last one,
@@ -18,6 +19,8 @@
 //       another incarnation after half a second
 //       "crash_target": the same for any request with the target, also for a
 //       plain one
+//       "crash_silently": a crash leaves all connections open, without a
+//       response
 //       "says_leaving": responses to requests have the field that announces the
 //       end of the server, whatever its entry says
 //       "pause_ms": rejects all requests for so long and asks for that pause
@@ -127,7 +130,10 @@
   double limit_ = -1;         // negative: none
   std::string crash_part_;    // empty: none
   std::string crash_target_;  // empty: none
-  bool crashed_ = false;      // breaks off all connections until the restart
+  bool crashes_silently_ = false;
+  // Requests that a silent crash has left without a response.
+  std::set<ExchangePtr> abandoned_;
+  bool crashed_ = false;  // breaks off all connections until the restart
   int64_t crashes_ = 0;
   std::set<std::string> crash_requests_;
   std::set<ExchangePtr> plain_exchanges_;  // Not responded to yet.
--- a/tests/entry_process_test.cc
+++ b/tests/entry_process_test.cc
@@ -448,6 +448,41 @@
   }
 }
 
+TEST_CASE("a request under which servers ended in silence reaches few others",
+          "[request_crash]") {
+  constexpr size_t kMaxRepetitions = 12;
+  constexpr size_t kRepetitions = 10;
+  Site site;
+  for (const char* id : {"k1", "k2"}) {
+    site.SetBehavior(id, MakeObject("crash_target", "/book/bad"));
+    site.SetBehavior(id, MakeObject("crash_silently", true));
+  }
+  const auto repeat = [&site](size_t entry) {
+    Request request = site.MakeRequest("/book/bad");
+    for (auto& [name, value] : request.headers)
+      if (name == "Mimosarouter-Deadline-Ms") value = "400";
+    return Call(site.entry(entry).settings.listen_port(), request);
+  };
+  const auto await_servers = [&](size_t entry) {
+    CHECK(Eventually(
+        [&] { return site.SendRequest(entry, "/look/x").status == 200; }));
+  };
+  for (size_t i = 0; i < kMaxRepetitions && site.CountCrashes() < 3; ++i) {
+    repeat(i % 2);
+    await_servers(i % 2);
+  }
+  CHECK(site.CountCrashes() >= 3);
+  const auto settled = std::chrono::steady_clock::now() + kSettleTime;
+  while (std::chrono::steady_clock::now() < settled)
+    for (size_t entry = 0; entry < 2; ++entry) repeat(entry);
+  const size_t reached = site.CountCrashRequests();
+  for (size_t i = 0; i < kRepetitions; ++i) {
+    await_servers(i % 2);
+    repeat(i % 2);
+  }
+  CHECK(site.CountCrashRequests() <= reached + 3);
+}
+
 // Sends requests through all daemons in turn for `duration`. Returns how many
 // got a response of a server.
 int SendFor(Site* site, const char* target,
