Engines that end in silence count as crashed

Cause: an engine whose machine dies closes no connection. A call that it had ends at its caller's deadline, or is given up by the caller, and was no evidence; the postmortem of prompts that crash engines listed it as open.

--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -103,6 +103,10 @@
   const BackEndEntry& back_end() const { return back_end_; }
   Endpoint address() const { return {back_end_.ip, back_end_.port}; }
   bool response_started() const { return response_started_; }
+  // Whether the back end may have the request and has not responded.
+  bool is_unanswered() const {
+    return call_ != nullptr && call_->sent() && !response_started_;
+  }
   // What marked the end of the response; valid from IsResponseTruncated() on.
   ResponseEnd response_end() const { return response_end_; }
   // Whether the connection ended before the response did.
--- a/serving/crash_exchange.cc
+++ b/serving/crash_exchange.cc
@@ -61,6 +61,7 @@
       random_(random),
       log_(log),
       options_(options),
+      abandoned_(options.abandoned),
       evidence_(options.evidence),
       quarantine_(options.quarantine) {}
 
@@ -119,6 +120,18 @@
   return most;
 }
 
+void CrashExchange::RecordAbandoned(const RequestId& request,
+                                    const std::vector<CrashSuspectId>& suspects,
+                                    const BackEndEntry& engine) {
+  abandoned_.Add({request, suspects, engine}, loop_->Now());
+}
+
+void CrashExchange::OnBackEndsChanged(const BackEndList& back_ends) {
+  for (const AbandonedCall& call :
+       abandoned_.TakeEnded(back_ends, loop_->Now()))
+    RecordCrash(call.request, call.suspects, call.engine);
+}
+
 void CrashExchange::RecordCrash(const RequestId& request,
                                 const std::vector<CrashSuspectId>& suspects,
                                 const BackEndEntry& engine) {
--- a/serving/crash_exchange.h
+++ b/serving/crash_exchange.h
@@ -29,6 +29,8 @@
 #include "base/kv_store.h"
 #include "base/line_log.h"
 #include "base/random.h"
+#include "decide/abandoned_calls.h"
+#include "decide/back_end_list.h"
 #include "decide/crash_evidence.h"
 #include "decide/crash_quarantine.h"
 #include "net/datagram.h"
@@ -54,6 +56,7 @@
     Duration notice_lifetime = std::chrono::seconds(30);
     // Time between two notices of a suspect whose record can't be written.
     Duration notice_interval = std::chrono::seconds(10);
+    AbandonedCalls::Options abandoned;
     CrashEvidence::Options evidence;
     CrashQuarantine::Options quarantine;
   };
@@ -76,6 +79,8 @@
   // `socket` must outlive the exchange.
   void Start(DatagramSocket* socket) { socket_ = socket; }
   void OnDatagram(const Endpoint& from, const wire::UsageDatagram& datagram);
+  // The list of backend servers has changed.
+  void OnBackEndsChanged(const BackEndList& back_ends);
   // The record in the store; nullptr if it was removed.
   void OnRecord(const KvRecord* record);
 
@@ -91,6 +96,9 @@
   size_t CountCrashes(
       const std::vector<CrashSuspectId>& suspects) const override;
   void RecordSurvived(const std::vector<CrashSuspectId>& suspects) override;
+  void RecordAbandoned(const RequestId& request,
+                       const std::vector<CrashSuspectId>& suspects,
+                       const BackEndEntry& engine) override;
   void RecordCrash(const RequestId& request,
                    const std::vector<CrashSuspectId>& suspects,
                    const BackEndEntry& engine) override;
@@ -156,6 +164,7 @@
   LineLog* const log_;
   const Options options_;
   DatagramSocket* socket_ = nullptr;
+  AbandonedCalls abandoned_;
   CrashEvidence evidence_;
   CrashQuarantine quarantine_;
   std::map<CrashSuspectId, TimerHandle> inquiries_;
--- a/serving/crash_guard.h
+++ b/serving/crash_guard.h
@@ -49,6 +49,11 @@
       const std::vector<CrashSuspectId>& suspects) const = 0;
   // A run with these suspects has survived.
   virtual void RecordSurvived(const std::vector<CrashSuspectId>& suspects) = 0;
+  // A run with these suspects was given up before `engine` responded. It counts
+  // as broken off if the engine turns out to have ended.
+  virtual void RecordAbandoned(const RequestId& request,
+                               const std::vector<CrashSuspectId>& suspects,
+                               const BackEndEntry& engine) = 0;
   // `engine` has broken off a run with these suspects.
   virtual void RecordCrash(const RequestId& request,
                            const std::vector<CrashSuspectId>& suspects,
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -236,6 +236,7 @@
     site_sync_.SetBackEndsObserver([this] {
       stream_origins_.OnBackEndsChanged();
       permits_.OnBackEndsChanged(back_ends_);
+      crash_exchange_.OnBackEndsChanged(back_ends_);
     });
     site_sync_.Start();
     members_.Start();
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -363,6 +363,10 @@
     const Duration silence_limit =
         request_.route.target_latency * kSilenceMultiple;
     for (const auto& attempt : attempts_) {
+      if (attempt->call->is_unanswered())
+        deps_.crash_guard->RecordAbandoned(request_.caller.id,
+                                           request_.crash_suspects,
+                                           attempt->call->back_end());
       const bool was_silent =
           !attempt->call->response_started() &&
           request_.route.target_latency > Duration::zero() &&
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -665,6 +665,15 @@
     }
   }
 
+  // Reports a run that is given up before the engine has responded to it.
+  void RecordAbandoned(const BackEndCall* call) const {
+    if (call == nullptr || stage_ == Stage::kReserve || !call->is_unanswered())
+      return;
+    deps_.crash_guard->RecordAbandoned(request_.caller.id,
+                                       {SuspectRequest(request_.fingerprint)},
+                                       call->back_end());
+  }
+
   // Whether one more engine may get the request after a crash. One crash may
   // have any cause.
   bool MayRetryAfterCrash() const {
@@ -737,6 +746,7 @@
 
   void CancelSilentRun() {
     if (silent_run_ == nullptr) return;
+    RecordAbandoned(silent_run_.get());
     silent_run_->Cancel(CallOutcome::kFailed);
     finished_calls_.push_back(std::move(silent_run_));
     RecordFailedRun();
@@ -844,6 +854,7 @@
 
   void CancelCall(CallOutcome outcome) {
     if (call_ == nullptr) return;
+    RecordAbandoned(call_.get());
     call_->Cancel(outcome);
     RetireCall();
   }
