--- a/decide/reachability_test.cc
+++ b/decide/reachability_test.cc
@@ -144,6 +144,7 @@
   constexpr int kRequestsEach = 20;
   SeededRandom random(7);
   std::vector<HelperChoice::Candidate> members;
+  members.reserve(kDaemons);
   for (int i = 0; i < kDaemons; ++i)
     members.push_back({"m" + std::to_string(i),
                        FailureDomain("z" + std::to_string(i / kCut))});
--- a/decide/service_reachability.cc
+++ b/decide/service_reachability.cc
@@ -82,6 +82,7 @@
       by_miss.begin(), by_miss.end(),
       [](const auto& a, const auto& b) { return a.first < b.first; });
   std::vector<BackEndEntry> back_ends;
+  back_ends.reserve(by_miss.size());
   for (auto& [last, entry] : by_miss) back_ends.push_back(std::move(entry));
   return back_ends;
 }
