Daemons that start together under load share contended rates

Change: a customer that a daemon has refused since its start counts as contended at the first contact, as after a return from isolation, and contention isn't ended by an assumed but only by a known window.

--- a/decide/replicated_rate_limiter.cc
+++ b/decide/replicated_rate_limiter.cc
@@ -85,8 +85,9 @@
       options_.contention_end_level * heard_share_ * PacingDepth(bucket);
   const bool is_quiet =
       now - bucket.last_refusal_at >= options_.contention_quiet_time;
-  const bool has_room = RemainingInWindow(bucket) >
-                        options_.contention_end_level * WindowLimit(bucket);
+  const bool has_room = !NeedsUsedInWindow(now) &&
+                        RemainingInWindow(bucket) >
+                            options_.contention_end_level * WindowLimit(bucket);
   return bucket.level > end_level && (is_quiet || has_room);
 }
 
@@ -279,8 +280,10 @@
   const bool has_returned = was_isolated && has_had_contact();
   for (auto& [customer, bucket] : buckets_) {
     AdvanceTo(customer, &bucket, now);
-    // Many daemons may return at once, before their reports show their usage.
-    if (has_returned) bucket.contended = true;
+    // Many daemons may start or return at once, before their reports show their
+    // usage. A start under low load is told apart by the lack of refusals.
+    const bool has_refused = bucket.last_refusal_at != MonoTime{};
+    if (has_returned || (was_isolated && has_refused)) bucket.contended = true;
     const auto cost = costs.find(customer);
     const double admitted = cost == costs.end() ? 0 : cost->second;
     bucket.level += bucket.assumed_of_others - admitted;
--- a/decide/replicated_rate_limiter.h
+++ b/decide/replicated_rate_limiter.h
@@ -18,7 +18,9 @@
 // A daemon whose own reports are left unanswered, or which has just started, is
 // isolated: it can't know what the others admit, and any number of daemons may
 // be in the same position. It has an allowance as well, which starts with its
-// share of what the bucket holds.
+// share of what the bucket holds. Back in contact, it counts customers as
+// contended at first, since other daemons may have come back as well; after its
+// start, only those that it has refused.
 //
 // Shares of hundreds of daemons are smaller than single requests. A request
 // that costs more than the allowance is therefore admitted with the probability
--- a/tests/usage_exchange_test.cc
+++ b/tests/usage_exchange_test.cc
@@ -112,6 +112,10 @@
     daemons_[static_cast<size_t>(index)].reset();
   }
 
+  void Wait(Duration duration) {
+    simulator_.RunUntil(simulator_.now() + duration);
+  }
+
   // Sends requests for `duration`, of `load` times the rate.
   void SendRequests(double load, Duration duration) {
     const MonoTime end = simulator_.now() + duration;
@@ -257,6 +261,30 @@
   }
 }
 
+// Nobody knows what the fleet used before the restart, all daemons look for a
+// collector that doesn't come back, and the callers that were cut off come
+// together.
+TEST_CASE("a flood after all daemons were restarted at once", "[restart]") {
+  for (const int size : kSizes) {
+    for (const double before : {kUsualLoad, kHotLoad}) {
+      const uint64_t seed = static_cast<uint64_t>(size) + 7;
+      Fleet fleet(size, seed);
+      fleet.SendRequests(0.001, seconds(10));
+      const std::string collector = fleet.daemon(0)->exchange.collector();
+      fleet.SendRequests(before, seconds(9));
+      for (int daemon = 0; daemon < size; ++daemon) fleet.Kill(daemon);
+      fleet.Wait(milliseconds(1300));
+      for (int daemon = 0; daemon < size; ++daemon)
+        if (NameOf(daemon) != collector) fleet.Start(daemon);
+      fleet.Wait(milliseconds(700));
+      fleet.SendRequests(2 * kHotLoad, seconds(8));
+      INFO(size << " daemons, load before " << before << ", admitted "
+                << fleet.MaxInWindow() << " of " << Bound(size));
+      CHECK(fleet.MaxInWindow() <= Bound(size));
+    }
+  }
+}
+
 // Guards against limits that hold only because daemons refuse what they may
 // admit: those in contact refuse nothing, and those that are cut off serve at
 // least half of their callers.
