Evacuated failure domains and allowed regions

Change: decide/traffic_boundaries holds the evacuated failure domains, the region of each failure domain and the regions of a request. The selector asks it for each call; relays ask it again before each send to an engine that was selected earlier, so that reservations and KV handles from before an evacuation aren't used after it. Probes, orders to engines and releases of memory skip evacuated engines, which don't count as capacity either. A request that no engine may run is refused before its allotment is charged. The watch that exists reads the keys: no further calls.

--- a/base/ids.h
+++ b/base/ids.h
@@ -12,6 +12,7 @@
 using RouteId = StrongId<struct RouteIdTag>;
 using BackEndId = StrongId<struct BackEndIdTag>;  // an engine or plain service
 using FailureDomain = StrongId<struct FailureDomainTag>;
+using Region = StrongId<struct RegionTag>;  // one or more failure domains
 using ModelId = StrongId<struct ModelIdTag>;
 // A part of prompts that several requests may share, as callers name it.
 using PromptPartId = StrongId<struct PromptPartIdTag>;
--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -51,11 +51,23 @@
   return "?";
 }
 
+const char* BarrierName(Barrier barrier) {
+  switch (barrier) {
+    case Barrier::kNone:
+      return "none";
+    case Barrier::kRegions:
+      return "no_engine_in_regions";
+    case Barrier::kEvacuated:
+      return "evacuated";
+  }
+  return "?";
+}
+
 bool BackEndSelector::IsEligible(const BackEndEntry& entry,
                                  const ServiceId& service,
                                  EngineRole role) const {
   if (entry.service != service || entry.role != role || entry.draining ||
-      IsLeaving(entry))
+      IsLeaving(entry) || IsEvacuated(entry))
     return false;
   const auto role_change = role_changes_.find(entry.id);
   return role_change == role_changes_.end() || role_change->second == role;
@@ -109,6 +121,7 @@
 bool BackEndSelector::Matches(const BackEndEntry& entry,
                               const SelectionQuery& query) const {
   return IsEligible(entry, query.service, query.role) &&
+         IsInside(entry, query.allowed_regions) &&
          (query.exclude == nullptr || query.exclude->count(entry.id) == 0) &&
          (!query.software_version ||
           *query.software_version == entry.software_version);
@@ -137,14 +150,49 @@
          (state.probe_only && state.open_calls > 0);
 }
 
-bool BackEndSelector::HasBackEnd(const ServiceId& service,
-                                 EngineRole role) const {
+bool BackEndSelector::HasBackEnd(const ServiceId& service, EngineRole role,
+                                 const AllowedRegions* allowed_regions) const {
   const auto& all = list_->entries();
   return std::any_of(all.begin(), all.end(), [&](const auto& item) {
-    return IsEligible(item.second.entry, service, role);
+    return IsEligible(item.second.entry, service, role) &&
+           IsInside(item.second.entry, allowed_regions);
   });
 }
 
+Barrier BackEndSelector::FindBarrier(const SelectionQuery& query) const {
+  bool is_any_listed = false;
+  bool is_any_inside = false;
+  for (const auto& [id, listed] : list_->entries()) {
+    const BackEndEntry& entry = listed.entry;
+    if (entry.service != query.service || entry.role != query.role) continue;
+    is_any_listed = true;
+    if (!IsInside(entry, query.allowed_regions)) continue;
+    if (!IsEvacuated(entry)) return Barrier::kNone;
+    is_any_inside = true;
+  }
+  if (!is_any_listed) return Barrier::kNone;
+  return is_any_inside ? Barrier::kEvacuated : Barrier::kRegions;
+}
+
+bool BackEndSelector::IsNowhere(const AllowedRegions& allowed_regions) const {
+  return boundaries_ != nullptr && !boundaries_->IsKnown(allowed_regions);
+}
+
+bool BackEndSelector::IsEvacuated(const BackEndEntry& back_end) const {
+  return boundaries_ != nullptr && boundaries_->IsEvacuated(back_end.zone);
+}
+
+bool BackEndSelector::IsInside(const BackEndEntry& entry,
+                               const AllowedRegions* allowed_regions) const {
+  return boundaries_ == nullptr || allowed_regions == nullptr ||
+         boundaries_->IsInside(entry.zone, *allowed_regions);
+}
+
+bool BackEndSelector::MayStillCall(
+    const BackEndEntry& back_end, const AllowedRegions& allowed_regions) const {
+  return !IsEvacuated(back_end) && IsInside(back_end, &allowed_regions);
+}
+
 bool BackEndSelector::HasHealthyCandidate(const SelectionQuery& query,
                                           MonoTime now) const {
   const auto& all = list_->entries();
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -23,6 +23,7 @@
 #ifndef DECIDE_BACK_END_SELECTOR_H_
 #define DECIDE_BACK_END_SELECTOR_H_
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <optional>
@@ -36,6 +37,7 @@
 #include "decide/call_permits.h"
 #include "decide/open_work.h"
 #include "decide/site.h"
+#include "decide/traffic_boundaries.h"
 
 namespace mimosa {
 
@@ -81,10 +83,21 @@
   bool require_free_memory = false;
   // Only back ends of this software version are selected; absent: any version.
   std::optional<SoftwareVersion> software_version;
+  // Only back ends in these regions are selected; may be null: anywhere.
+  const AllowedRegions* allowed_regions = nullptr;
   // Largest share of kv_memory that may be in use once this request is added.
   double max_memory_share = 1;
 };
 
+// Why no back end may get a request, however many are free.
+enum class Barrier {
+  kNone,       // One may, or the service has none at all.
+  kRegions,    // None lies in the request's regions.
+  kEvacuated,  // All of those that do are evacuated.
+};
+inline constexpr size_t kBarrierCount = 3;
+const char* BarrierName(Barrier barrier);
+
 class BackEndSelector {
  public:
   struct Options {
@@ -107,10 +120,16 @@
     Duration failure_half_life = std::chrono::seconds(8);
   };
 
-  // Without `permits`, limits that back ends name are ignored.
+  // Without `permits`, limits that back ends name are ignored; without
+  // `boundaries`, evacuations and allowed regions are.
   BackEndSelector(const BackEndList* list, RandomSource* random,
-                  const Options& options, CallPermits* permits = nullptr)
-      : list_(list), random_(random), options_(options), permits_(permits) {}
+                  const Options& options, CallPermits* permits = nullptr,
+                  const TrafficBoundaries* boundaries = nullptr)
+      : list_(list),
+        random_(random),
+        options_(options),
+        permits_(permits),
+        boundaries_(boundaries) {}
 
   // Returns nullptr if no back end of the service and role takes new work. If a
   // call to the selected one needs a permit, it is used up; one is requested
@@ -126,8 +145,20 @@
   // unhealthy it is now.
   bool HasCandidate(const SelectionQuery& query) const;
   // Returns whether the service has a back end of that role that takes new
-  // work, regardless of its health.
-  bool HasBackEnd(const ServiceId& service, EngineRole role) const;
+  // work, regardless of its health, in the regions (null: anywhere).
+  bool HasBackEnd(const ServiceId& service, EngineRole role,
+                  const AllowedRegions* allowed_regions = nullptr) const;
+  // Returns what keeps the request from all back ends of the query's service
+  // and role.
+  Barrier FindBarrier(const SelectionQuery& query) const;
+  // Returns whether no failure domain lies in the regions, as far as known.
+  bool IsNowhere(const AllowedRegions& allowed_regions) const;
+  // Returns whether nothing new may be sent to the back end.
+  bool IsEvacuated(const BackEndEntry& back_end) const;
+  // Returns whether a request of these regions may still be sent to a back end
+  // that was selected for it before.
+  bool MayStillCall(const BackEndEntry& back_end,
+                    const AllowedRegions& allowed_regions) const;
   // Returns whether the query matches a back end that is not in backoff.
   bool HasHealthyCandidate(const SelectionQuery& query, MonoTime now) const;
 
@@ -206,6 +237,8 @@
   BackEndState& StateOf(const BackEndEntry& back_end);
   bool IsEligible(const BackEndEntry& entry, const ServiceId& service,
                   EngineRole role) const;
+  bool IsInside(const BackEndEntry& entry,
+                const AllowedRegions* allowed_regions) const;
   bool Matches(const BackEndEntry& entry, const SelectionQuery& query) const;
   void RemoveUnlistedLeaving();
   bool IsInBackoff(const BackEndState& state, MonoTime now) const;
@@ -223,7 +256,8 @@
   const BackEndList* const list_;
   RandomSource* const random_;
   const Options options_;
-  CallPermits* const permits_;  // May be null.
+  CallPermits* const permits_;                 // May be null.
+  const TrafficBoundaries* const boundaries_;  // May be null.
   std::map<BackEndId, BackEndState> states_;
   OpenWorkByBackEnd peer_load_;
   // The incarnations that have said that they are about to terminate, also
--- a/decide/reachability_test.cc
+++ b/decide/reachability_test.cc
@@ -171,5 +171,26 @@
   CHECK(most <= 50);
 }
 
+TEST_CASE("evacuated back ends are not probed and don't count") {
+  Fixture fixture(0);
+  TrafficBoundaries boundaries;
+  ServiceReachability reachability(&fixture.list, {}, &boundaries);
+  for (int i = 0; i < 6; ++i) {
+    BackEndEntry entry = Fixture::Entry(i);
+    entry.zone = FailureDomain(i < 4 ? "a" : "b");
+    fixture.list.Put(entry, At(0));
+  }
+  // The two that are left have missed their calls.
+  for (int ms : {100, 200, 300, 400})
+    reachability.RecordMiss(Fixture::Entry(4 + ms / 100 % 2), At(ms));
+  CHECK_FALSE(reachability.IsUnreachable(kDesk, At(2000)));
+  boundaries.SetEvacuated({FailureDomain("a")}, At(2000));
+  CHECK(reachability.IsUnreachable(kDesk, At(2000)));
+  CHECK(reachability.BackEndsToProbe(kDesk).size() == 2);
+  boundaries.SetEvacuated({FailureDomain("a"), FailureDomain("b")}, At(2000));
+  CHECK_FALSE(reachability.IsUnreachable(kDesk, At(2000)));
+  CHECK(reachability.BackEndsToProbe(kDesk).empty());
+}
+
 }  // namespace
 }  // namespace mimosa
--- a/decide/service_reachability.cc
+++ b/decide/service_reachability.cc
@@ -40,7 +40,7 @@
   size_t missed_count = 0;
   for (const auto& [id, listed] : list_->entries()) {
     const BackEndEntry& entry = listed.entry;
-    if (entry.service != service || entry.draining) continue;
+    if (!Counts(entry, service)) continue;
     ++listed_count;
     const auto missed = state.missed.find(id);
     const bool is_missed = missed != state.missed.end() &&
@@ -70,7 +70,7 @@
   std::vector<std::pair<MonoTime, BackEndEntry>> by_miss;
   const auto state = services_.find(service);
   for (const auto& [id, listed] : list_->entries()) {
-    if (listed.entry.service != service || listed.entry.draining) continue;
+    if (!Counts(listed.entry, service)) continue;
     MonoTime last{};
     if (state != services_.end()) {
       const auto missed = state->second.missed.find(id);
--- a/decide/service_reachability.h
+++ b/decide/service_reachability.h
@@ -30,6 +30,7 @@
 #include "base/ids.h"
 #include "decide/back_end_list.h"
 #include "decide/site.h"
+#include "decide/traffic_boundaries.h"
 
 namespace mimosa {
 
@@ -44,8 +45,11 @@
     Duration min_silence = std::chrono::milliseconds(500);
   };
 
-  ServiceReachability(const BackEndList* list, const Options& options)
-      : list_(list), options_(options) {}
+  // Evacuated back ends say nothing about those that may be called, and are not
+  // called. `boundaries` may be null: there are none.
+  ServiceReachability(const BackEndList* list, const Options& options,
+                      const TrafficBoundaries* boundaries = nullptr)
+      : list_(list), options_(options), boundaries_(boundaries) {}
 
   void RecordContact(const BackEndEntry& back_end, MonoTime now);
   // A call to the back end ended without any sign of it.
@@ -75,8 +79,15 @@
     std::map<BackEndId, Misses> missed;
   };
 
+  // Whether calls to the back end show whether the service is reached.
+  bool Counts(const BackEndEntry& entry, const ServiceId& service) const {
+    return entry.service == service && !entry.draining &&
+           (boundaries_ == nullptr || !boundaries_->IsEvacuated(entry.zone));
+  }
+
   const BackEndList* const list_;
   const Options options_;
+  const TrafficBoundaries* const boundaries_;  // May be null.
   std::map<ServiceId, ServiceState> services_;
 };
 
--- a/decide/site.h
+++ b/decide/site.h
@@ -55,7 +55,9 @@
   int priority = 0;  // 0 is served first.
   // Maximum number of backend servers that may run one request.
   int max_attempts = 1;
-  bool allows_anonymous = false;            // Requests need no key.
+  bool allows_anonymous = false;  // Requests need no key.
+  // The regions that requests must stay in; empty: anywhere.
+  std::vector<Region> allowed_regions;
   std::vector<TrafficShare> traffic_split;  // Never empty.
 };
 
@@ -85,6 +87,9 @@
   CustomerId id;
   std::vector<std::string> keys;
   std::optional<int> priority;  // Overrides the route's priority.
+  // The regions that its requests must stay in, besides those of the route;
+  // empty: anywhere.
+  std::vector<Region> allowed_regions;
   // The allotment, enforced over the whole fleet. A rate of zero means no
   // limit.
   double rate_per_second = 0;
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -5,9 +5,11 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "base/digest.h"
 #include "base/json.h"
@@ -19,6 +21,7 @@
 #include "decide/back_end_selector.h"
 #include "decide/replicated_rate_limiter.h"
 #include "decide/retry_budget.h"
+#include "decide/traffic_boundaries.h"
 #include "net/datagram.h"
 #include "serving/crash_exchange.h"
 #include "serving/engine_memory_releaser.h"
@@ -152,14 +155,16 @@
                  MemberOptions()),
         permits_(loop_.get(), &members_, &random_, &log_,
                  PermitExchange::Options{}),
-        selector_(&back_ends_, &random_, BackEndSelector::Options{}, &permits_),
+        boundaries_(ParseRegions(settings.regions(), &unreadable_regions_)),
+        selector_(&back_ends_, &random_, BackEndSelector::Options{}, &permits_,
+                  &boundaries_),
         reachability_(loop_.get(), client_.get(), platform.request_format,
                       &back_ends_, &selector_, &log_,
-                      ReachabilityMonitor::Options{}),
+                      ReachabilityMonitor::Options{}, &boundaries_),
         helpers_(
             loop_.get(), &members_, &reachability_, &random_,
             [this] { return frontend_.running_requests(); },
-            HelperExchange::Options{}),
+            HelperExchange::Options{}, &boundaries_),
         usage_exchange_(loop_.get(), &members_, &rate_limiter_, &selector_,
                         &stage_meter_, &log_, UsageExchange::Options{}),
         role_controller_(
@@ -225,6 +230,8 @@
                          .Add("zone", settings_.failure_domain())
                          .Add("listen", settings_.listen())
                          .Add("store", settings_.store()));
+    for (const std::string& item : unreadable_regions_)
+      log_.WriteAlways(LogLine("region_unreadable").Add("item", item));
     loop_->OnSignal([this] { BeginLeaving(); });
     loop_->OnHangup([this] { ReloadSettings(); });
     site_sync_.SetConfigObserver(
@@ -233,6 +240,10 @@
         [this](const std::string& name, const KvRecord* record) {
           OnRecord(name, record);
         });
+    site_sync_.SetEvacuationObserver(
+        [this](const std::set<FailureDomain>& evacuated) {
+          OnEvacuation(evacuated);
+        });
     site_sync_.SetBackEndsObserver([this] {
       stream_origins_.OnBackEndsChanged();
       permits_.OnBackEndsChanged(back_ends_);
@@ -282,7 +293,8 @@
         std::chrono::milliseconds(settings_.settle_ms()) - kSettleMargin;
     options.batch_delay =
         Scaled(std::chrono::milliseconds(
-                   std::min(settings_.config_apply_ms(), settings_.drain_ms())),
+                   std::min({settings_.config_apply_ms(), settings_.drain_ms(),
+                             settings_.evacuation_ms()})),
                kBatchDelayShare);
     return options;
   }
@@ -334,6 +346,27 @@
       caller_server_->SetIdleTimeout(config.limits().idle_timeout);
   }
 
+  void OnEvacuation(const std::set<FailureDomain>& evacuated) {
+    const auto change = boundaries_.SetEvacuated(evacuated, loop_->Now());
+    const auto write = [this](const char* event, const FailureDomain& domain,
+                              Duration lasted) {
+      const Region* const region = boundaries_.FindRegion(domain);
+      log_.WriteAlways(
+          LogLine(event)
+              .Add("domain", domain.value())
+              .Add("region", region == nullptr ? "" : region->value())
+              .Add("known", region != nullptr)
+              .AddMillis("lasted_ms", lasted)
+              .Add("evacuated", boundaries_.evacuated_count()));
+    };
+    for (const FailureDomain& domain : change.begun) {
+      ++evacuations_;
+      write("evacuation_in_force", domain, Duration::zero());
+    }
+    for (const auto& ended : change.ended)
+      write("evacuation_ended", ended.domain, ended.lasted);
+  }
+
   void OnRecord(const std::string& name, const KvRecord* record) {
     if (name == kRoleRecordName) {
       role_controller_.OnRecord(record);
@@ -422,6 +455,10 @@
       item["service"] = back_end.entry.service.value();
       item["role"] = RoleName(back_end.entry.role);
       item["zone"] = back_end.entry.zone.value();
+      if (const Region* const region =
+              boundaries_.FindRegion(back_end.entry.zone))
+        item["region"] = region->value();
+      item["evacuated"] = selector_.IsEvacuated(back_end.entry);
       item["draining"] = back_end.entry.draining;
       item["leaving"] = selector_.IsLeaving(back_end.entry);
       if (const auto limit = permits_.FindLimit(back_end.entry))
@@ -527,6 +564,9 @@
   StageMeter stage_meter_;
   MemberList members_;
   PermitExchange permits_;
+  std::vector<std::string> unreadable_regions_;
+  TrafficBoundaries boundaries_;
+  uint64_t evacuations_ = 0;  // Begun, as known here.
   BackEndSelector selector_;
   ReachabilityMonitor reachability_;
   HelperExchange helpers_;
@@ -570,6 +610,20 @@
   add_gauge("mimosa_back_ends_leaving",
             "Backend servers whose responses said that they leave",
             [this] { return double(selector_.leaving_count()); });
+  add_gauge("mimosa_failure_domains_evacuated",
+            "Failure domains whose back ends get nothing new",
+            [this] { return double(boundaries_.evacuated_count()); });
+  add_gauge("mimosa_evacuations", "Evacuations of failure domains begun",
+            [this] { return double(evacuations_); });
+  for (const Barrier barrier : {Barrier::kRegions, Barrier::kEvacuated}) {
+    metrics_.AddGauge(
+        "mimosa_requests_without_engine",
+        "Requests refused since no back end may run them",
+        {{"why", BarrierName(barrier)}}, [this, barrier] {
+          return double(
+              frontend_.counters().refused_by_barrier[size_t(barrier)]);
+        });
+  }
   add_gauge("mimosa_back_end_limits",
             "Backend servers that name a limit on the requests of all daemons",
             [this] { return double(permits_.limit_count()); });
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -29,6 +29,10 @@
 constexpr Duration kUnreachableRetryAfter = std::chrono::milliseconds(400);
 // Requests of other daemons that run here at once.
 constexpr size_t kMaxForwardedRequests = 256;
+// Retry-After of a request whose regions have no engine that may run it now.
+// Operators empty and refill failure domains in minutes, so a shorter time
+// would only bring the caller back in vain.
+constexpr Duration kBarrierRetryAfter = std::chrono::seconds(3);
 // Engines define priorities from 0 to this, the lowest.
 constexpr int kLowestPriority = 9;
 
@@ -76,6 +80,13 @@
   return std::clamp(priority, 0, kLowestPriority);
 }
 
+AllowedRegions RegionsOf(const SiteRoute& route, const SiteCustomer* customer) {
+  AllowedRegions regions;
+  regions.Restrict(route.allowed_regions);
+  if (customer != nullptr) regions.Restrict(customer->allowed_regions);
+  return regions;
+}
+
 }  // namespace
 
 struct EntryFrontend::RunningRequest {
@@ -137,6 +148,7 @@
     *refusal = {kStatusUnauthorized, Duration::zero(), "unknown_key"};
     return false;
   }
+  request->allowed_regions = RegionsOf(*route, customer);
   const SiteService* service = PickService(config, *request);
   if (service == nullptr) {
     *refusal = {kStatusUnavailable, kNoConfigRetryAfter, "no_service"};
@@ -146,7 +158,8 @@
   if (customer != nullptr && !route->allows_anonymous)
     request->customer = customer->id;
   if (!AdmitForService(customer, request, refusal)) return false;
-  if (deps_->helpers->Advise(service->id) == HelperExchange::Advice::kRefuse) {
+  if (deps_->helpers->Advise(service->id, request->allowed_regions) ==
+      HelperExchange::Advice::kRefuse) {
     *refusal = {kStatusUnavailable, kUnreachableRetryAfter, "unreachable"};
     return false;
   }
@@ -175,7 +188,25 @@
                 QuarantineReason(decision.suspect)};
     return false;
   }
-  return true;
+  return AdmitWithinBoundaries(*request, refusal);
+}
+
+bool EntryFrontend::AdmitWithinBoundaries(const RelayRequest& request,
+                                          Refusal* refusal) {
+  SelectionQuery query;
+  query.service = request.service.id;
+  query.role = request.service.engine ? EngineRole::kDecode : EngineRole::kNone;
+  query.allowed_regions = &request.allowed_regions;
+  const Barrier barrier = deps_->selector->FindBarrier(query);
+  if (barrier == Barrier::kNone) return true;
+  ++counters_.refused_by_barrier[static_cast<size_t>(barrier)];
+  // Engines may start in a region that exists, in no other.
+  const bool may_change = barrier == Barrier::kEvacuated ||
+                          !deps_->selector->IsNowhere(request.allowed_regions);
+  *refusal = {kStatusUnavailable,
+              may_change ? kBarrierRetryAfter : Duration::zero(),
+              BarrierName(barrier)};
+  return false;
 }
 
 void EntryFrontend::OnForwardedRequest(
@@ -216,6 +247,9 @@
   if (route == nullptr || service == nullptr ||
       (customer == nullptr && !envelope->customer.empty()))
     return "other_configuration";
+  request->allowed_regions = RegionsOf(*route, customer);
+  if (!deps_->helpers->MayReceive(envelope->sender, request->allowed_regions))
+    return "outside_regions";
   if (running_forwarded_ >= kMaxForwardedRequests) return "full";
   request->route = *route;
   request->service = *service;
@@ -277,7 +311,9 @@
     fallback = service;
     const EngineRole role =
         service->engine ? EngineRole::kDecode : EngineRole::kNone;
-    if (!deps_->selector->HasBackEnd(service->id, role)) continue;
+    if (!deps_->selector->HasBackEnd(service->id, role,
+                                     &request.allowed_regions))
+      continue;
     candidates.emplace_back(share.weight, service);
     total_weight += share.weight;
   }
@@ -324,9 +360,10 @@
     if (it != running_requests_.end())
       it->second->relay->OnCallerDisconnected();
   });
-  const bool forward = request.forwarded_by.empty() &&
-                       deps_->helpers->Advise(request.service.id) ==
-                           HelperExchange::Advice::kForward;
+  const bool forward =
+      request.forwarded_by.empty() &&
+      deps_->helpers->Advise(request.service.id, request.allowed_regions) ==
+          HelperExchange::Advice::kForward;
   StartRelay(serial, std::move(request), forward);
 }
 
--- a/serving/entry_frontend.h
+++ b/serving/entry_frontend.h
@@ -4,9 +4,9 @@
 // rate was checked before.
 //
 // Admission checks, in this order: configuration known, request well-formed,
-// route, key, service, prompt, rate limit. A request that fails one of them was
-// not sent to any back end. Each request ends in exactly one log line and is
-// counted once in the metrics.
+// route, key, service, prompt, regions, rate limit. A request that fails one of
+// them was not sent to any back end. Each request ends in exactly one log line
+// and is counted once in the metrics.
 #ifndef SERVING_ENTRY_FRONTEND_H_
 #define SERVING_ENTRY_FRONTEND_H_
 
@@ -32,8 +32,10 @@
   uint64_t forwarded = 0;          // Requests sent to other daemons.
   uint64_t forwarded_here = 0;     // Requests of other daemons admitted.
   uint64_t forwarded_refused = 0;  // Requests of other daemons turned away.
-  Histogram latency;               // Seconds to the end of a response.
-  Histogram time_to_first_event;   // Seconds to the head of a stream.
+  // Requests that no back end may run, by Barrier.
+  std::array<uint64_t, kBarrierCount> refused_by_barrier{};
+  Histogram latency;              // Seconds to the end of a response.
+  Histogram time_to_first_event;  // Seconds to the head of a stream.
 };
 
 class EntryFrontend : public HttpHandler {
@@ -69,6 +71,9 @@
   // sets the request's suspects and priority.
   bool AdmitForService(const SiteCustomer* customer, RelayRequest* request,
                        Refusal* refusal);
+  // Refuses a request that no back end of the service may run because of its
+  // regions and the evacuated failure domains.
+  bool AdmitWithinBoundaries(const RelayRequest& request, Refusal* refusal);
   // Returns why a forwarded request isn't admitted, or nullptr.
   const char* AdmitForwarded(const HttpExchange& exchange,
                              RelayRequest* request);
--- a/serving/forward_relay.cc
+++ b/serving/forward_relay.cc
@@ -128,7 +128,8 @@
     const MonoTime now = deps_.loop->Now();
     const auto helper =
         tried_.size() < kMaxHelpers
-            ? deps_.helpers->PickHelper(request_.service.id, tried_)
+            ? deps_.helpers->PickHelper(request_.service.id, tried_,
+                                        request_.allowed_regions)
             : std::nullopt;
     if (!helper) {
       const bool may_wait =
--- a/serving/helper_exchange.cc
+++ b/serving/helper_exchange.cc
@@ -11,10 +11,12 @@
 HelperExchange::HelperExchange(EventLoop* loop, const MemberList* members,
                                const ReachabilityMonitor* reachability,
                                RandomSource* random, RunningCount running_count,
-                               const Options& options)
+                               const Options& options,
+                               const TrafficBoundaries* boundaries)
     : loop_(loop),
       members_(members),
       reachability_(reachability),
+      boundaries_(boundaries),
       running_count_(std::move(running_count)),
       options_(options),
       choice_(FailureDomain(members->self().failure_domain()), random,
@@ -58,15 +60,26 @@
   }
 }
 
-HelperExchange::Advice HelperExchange::Advise(const ServiceId& service) const {
+HelperExchange::Advice HelperExchange::Advise(
+    const ServiceId& service, const AllowedRegions& allowed_regions) const {
   if (!reachability_->IsUnreachable(service)) return Advice::kServe;
-  if (PickHelper(service, {})) return Advice::kForward;
+  if (PickHelper(service, {}, allowed_regions)) return Advice::kForward;
   return IsUnreachableForAll(service) ? Advice::kRefuse : Advice::kServe;
 }
 
 std::optional<HelperExchange::Helper> HelperExchange::PickHelper(
-    const ServiceId& service, const std::set<std::string>& excluded) const {
-  const auto name = choice_.Pick(service, excluded, loop_->Now());
+    const ServiceId& service, const std::set<std::string>& excluded,
+    const AllowedRegions& allowed_regions) const {
+  std::set<std::string> outside = excluded;
+  if (boundaries_ != nullptr && allowed_regions.is_restricted()) {
+    const FailureDomain here(self().failure_domain());
+    for (const auto& [name, member] : members_->others()) {
+      if (!boundaries_->MayForward(here, FailureDomain(member.failure_domain()),
+                                   allowed_regions))
+        outside.insert(name);
+    }
+  }
+  const auto name = choice_.Pick(service, outside, loop_->Now());
   if (!name) return std::nullopt;
   const auto member = members_->others().find(*name);
   const auto address = members_->FindAddress(*name);
@@ -74,6 +87,16 @@
   return Helper{*name, RecipientOf(member->second), *address};
 }
 
+bool HelperExchange::MayReceive(const std::string& sender,
+                                const AllowedRegions& allowed_regions) const {
+  if (boundaries_ == nullptr || !allowed_regions.is_restricted()) return true;
+  const auto member = members_->others().find(sender);
+  return member != members_->others().end() &&
+         boundaries_->MayForward(FailureDomain(member->second.failure_domain()),
+                                 FailureDomain(self().failure_domain()),
+                                 allowed_regions);
+}
+
 bool HelperExchange::HasCertainHelper(const ServiceId& service) const {
   return choice_.HasCertainHelper(service, loop_->Now());
 }
--- a/serving/helper_exchange.h
+++ b/serving/helper_exchange.h
@@ -20,6 +20,7 @@
 
 #include "base/random.h"
 #include "decide/helper_choice.h"
+#include "decide/traffic_boundaries.h"
 #include "net/datagram.h"
 #include "net/event_loop.h"
 #include "serving/member_list.h"
@@ -51,9 +52,11 @@
     Endpoint address;
   };
 
+  // Without `boundaries`, allowed regions are ignored.
   HelperExchange(EventLoop* loop, const MemberList* members,
                  const ReachabilityMonitor* reachability, RandomSource* random,
-                 RunningCount running_count, const Options& options);
+                 RunningCount running_count, const Options& options,
+                 const TrafficBoundaries* boundaries = nullptr);
 
   // `socket` must outlive the exchange.
   void Start(DatagramSocket* socket) { socket_ = socket; }
@@ -63,11 +66,17 @@
   // This daemon helps no more.
   void BeginLeaving() { leaving_ = true; }
 
-  Advice Advise(const ServiceId& service) const;
+  Advice Advise(const ServiceId& service,
+                const AllowedRegions& allowed_regions) const;
   // Asks members about the service, unless it has just done so.
   void Inquire(const ServiceId& service);
+  // Picks a helper that may get a request of these regions.
   std::optional<Helper> PickHelper(const ServiceId& service,
-                                   const std::set<std::string>& excluded) const;
+                                   const std::set<std::string>& excluded,
+                                   const AllowedRegions& allowed_regions) const;
+  // Returns whether the member may send a request of these regions here.
+  bool MayReceive(const std::string& sender,
+                  const AllowedRegions& allowed_regions) const;
   // Returns whether a member is known to have had a recent contact with the
   // service.
   bool HasCertainHelper(const ServiceId& service) const;
@@ -92,6 +101,7 @@
   EventLoop* const loop_;
   const MemberList* const members_;
   const ReachabilityMonitor* const reachability_;
+  const TrafficBoundaries* const boundaries_;  // May be null.
   const RunningCount running_count_;
   const Options options_;
   HelperChoice choice_;
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -194,6 +194,7 @@
     SelectionQuery query;
     query.service = request_.service.id;
     query.preferred_zone = deps_.zone;
+    query.allowed_regions = &request_.allowed_regions;
     return query;
   }
 
@@ -307,6 +308,9 @@
     } else if (ReachedNoServer()) {
       result_.unreachable = true;
       Finish(0, "unreachable");
+    } else if (const Barrier barrier = deps_.selector->FindBarrier(MakeQuery());
+               barrier != Barrier::kNone) {
+      Refuse(BarrierName(barrier));
     } else {
       Refuse(rejections_ > 0 ? "back_ends_full" : "no_back_end");
     }
--- a/serving/reachability_monitor.cc
+++ b/serving/reachability_monitor.cc
@@ -10,14 +10,15 @@
                                          const RequestFormat* format,
                                          const BackEndList* back_ends,
                                          BackEndSelector* selector,
-                                         LineLog* log, const Options& options)
+                                         LineLog* log, const Options& options,
+                                         const TrafficBoundaries* boundaries)
     : loop_(loop),
       client_(client),
       format_(format),
       selector_(selector),
       log_(log),
       options_(options),
-      reachability_(back_ends, options.reachability) {}
+      reachability_(back_ends, options.reachability, boundaries) {}
 
 ReachabilityMonitor::~ReachabilityMonitor() = default;
 
@@ -28,6 +29,8 @@
 }
 
 void ReachabilityMonitor::RecordContact(const BackEndEntry& back_end) {
+  // Only its running requests are in contact.
+  if (selector_->IsEvacuated(back_end)) return;
   reachability_.RecordContact(back_end, loop_->Now());
   const auto doubt = doubts_.find(back_end.service);
   if (doubt == doubts_.end()) return;
@@ -37,6 +40,7 @@
 }
 
 void ReachabilityMonitor::RecordMiss(const BackEndEntry& back_end) {
+  if (selector_->IsEvacuated(back_end)) return;
   reachability_.RecordMiss(back_end, loop_->Now());
   RecordSilence(back_end);
 }
--- a/serving/reachability_monitor.h
+++ b/serving/reachability_monitor.h
@@ -45,10 +45,12 @@
   // Called when a service becomes unreachable or is reached again.
   using Observer = std::function<void(const ServiceId& service)>;
 
+  // `boundaries` may be null: no failure domain is ever evacuated.
   ReachabilityMonitor(EventLoop* loop, HttpClient* client,
                       const RequestFormat* format, const BackEndList* back_ends,
                       BackEndSelector* selector, LineLog* log,
-                      const Options& options);
+                      const Options& options,
+                      const TrafficBoundaries* boundaries = nullptr);
   ~ReachabilityMonitor();
 
   void SetServices(const std::vector<SiteService>& services);
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -15,6 +15,7 @@
 #include "decide/retry_budget.h"
 #include "decide/site.h"
 #include "decide/stage_meter.h"
+#include "decide/traffic_boundaries.h"
 #include "net/event_loop.h"
 #include "net/http.h"
 #include "serving/crash_guard.h"
@@ -74,6 +75,8 @@
   // The member that has forwarded the request; empty if a caller sent it.
   std::string forwarded_by;
   std::optional<int> priority;  // Sent to engines; 0 is served first.
+  // Those of its route and its customer.
+  AllowedRegions allowed_regions;
   RequestFingerprint fingerprint;
   // What would be at fault if the request crashed an engine.
   std::vector<CrashSuspectId> crash_suspects;
--- a/serving/role_controller.cc
+++ b/serving/role_controller.cc
@@ -175,6 +175,7 @@
     engine.zone = entry.zone;
     engine.role = entry.role;
     engine.accepts_work = !entry.draining && !selector_->IsLeaving(entry) &&
+                          !selector_->IsEvacuated(entry) &&
                           !listed.removal_pending && moves_.count(id) == 0;
     const auto open = load.open_work.find(id);
     if (open != load.open_work.end()) engine.open_calls = open->second.calls;
@@ -265,6 +266,10 @@
     return;
   }
   Order& order = it->second;
+  if (selector_->IsEvacuated(order.engine)) {
+    FinishOrder(id, "evacuated");
+    return;
+  }
   finished_calls_.push_back(std::move(order.call));
   order.call = Fetch(
       client_, CallOptionsFor(order.engine), format_->WriteReportRequest(id),
@@ -303,6 +308,10 @@
 
 void RoleController::SendOrder(const BackEndId& id, int64_t orders_accepted) {
   Order& order = orders_.at(id);
+  if (selector_->IsEvacuated(order.engine)) {
+    FinishOrder(id, "evacuated");
+    return;
+  }
   ++orders_sent_;
   finished_calls_.push_back(std::move(order.call));
   order.call = Fetch(
--- a/serving/site_format.h
+++ b/serving/site_format.h
@@ -40,6 +40,9 @@
   // Key of the configuration, and key prefix of the backend servers' entries.
   virtual const std::string& config_key() const = 0;
   virtual const std::string& back_end_prefix() const = 0;
+  // Prefix of the keys by which operators evacuate a failure domain, whose name
+  // follows. The values say nothing.
+  virtual const std::string& evacuation_prefix() const = 0;
 
   // Parse a record's value. Fail with SiteFormatError.
   virtual leaf::result<std::shared_ptr<const SiteConfig>> ReadConfig(
--- a/serving/site_sync.cc
+++ b/serving/site_sync.cc
@@ -49,9 +49,10 @@
   back_ends_->ReplaceAll(std::move(entries), loop_->Now());
   if (on_back_ends_) on_back_ends_();
   ScheduleExpiry();
+  ApplyListedEvacuations(result);
   // Applied after the servers, since some of these records refer to them.
   for (const KvRecord& record : result.records)
-    if (!is_back_end(record)) ApplyRecord(record);
+    if (!is_back_end(record) && !IsEvacuation(record.key)) ApplyRecord(record);
   listed_ = true;
   revision_ = result.revision;
   log_->WriteAlways(LogLine("site_listed")
@@ -126,6 +127,10 @@
 void SiteSync::ApplyRecord(const KvRecord& record) {
   if (record.key == format_->config_key()) {
     ApplyConfig(record);
+  } else if (IsEvacuation(record.key)) {
+    std::set<FailureDomain> evacuated = evacuated_;
+    evacuated.insert(EvacuatedDomain(record.key));
+    SetEvacuated(std::move(evacuated));
   } else if (StartsWith(record.key, format_->back_end_prefix())) {
     ApplyBackEnd(record);
   } else if (StartsWith(record.key, options_.record_prefix) && on_record_) {
@@ -142,11 +147,40 @@
                     .Add("back_end", id.value())
                     .Add("held", back_ends_->entries().count(id) != 0)
                     .Add("revision", revision_.count()));
+  } else if (IsEvacuation(key)) {
+    std::set<FailureDomain> evacuated = evacuated_;
+    evacuated.erase(EvacuatedDomain(key));
+    SetEvacuated(std::move(evacuated));
   } else if (StartsWith(key, options_.record_prefix) && on_record_) {
     on_record_(key.substr(options_.record_prefix.size()), nullptr);
   }
 }
 
+bool SiteSync::IsEvacuation(const std::string& key) const {
+  return StartsWith(key, format_->evacuation_prefix()) &&
+         key.size() > format_->evacuation_prefix().size();
+}
+
+FailureDomain SiteSync::EvacuatedDomain(const std::string& key) const {
+  return FailureDomain(key.substr(format_->evacuation_prefix().size()));
+}
+
+void SiteSync::ApplyListedEvacuations(const KvListResult& listing) {
+  std::set<FailureDomain> evacuated;
+  // An older copy of the records ends no evacuation; the watch that follows
+  // reports what has changed since.
+  if (listing.revision < revision_) evacuated = evacuated_;
+  for (const KvRecord& record : listing.records)
+    if (IsEvacuation(record.key)) evacuated.insert(EvacuatedDomain(record.key));
+  SetEvacuated(std::move(evacuated));
+}
+
+void SiteSync::SetEvacuated(std::set<FailureDomain> evacuated) {
+  if (evacuated == evacuated_) return;
+  evacuated_ = std::move(evacuated);
+  if (on_evacuation_) on_evacuation_(evacuated_);
+}
+
 void SiteSync::ApplyConfig(const KvRecord& record) {
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
--- a/serving/site_sync.h
+++ b/serving/site_sync.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "base/kv_store.h"
@@ -48,6 +49,10 @@
   using RecordObserver =
       std::function<void(const std::string& name, const KvRecord* record)>;
 
+  // Receives the failure domains that are to be evacuated from now on.
+  using EvacuationObserver =
+      std::function<void(const std::set<FailureDomain>& evacuated)>;
+
   SiteSync(EventLoop* loop, KvStore* store, const SiteFormat* format,
            RandomSource* random, LineLog* log, BackEndList* back_ends,
            const Options& options);
@@ -63,6 +68,10 @@
   void SetRecordObserver(RecordObserver observer) {
     on_record_ = std::move(observer);
   }
+  // Called after each change of the evacuated failure domains.
+  void SetEvacuationObserver(EvacuationObserver observer) {
+    on_evacuation_ = std::move(observer);
+  }
   void Start();
 
   std::shared_ptr<const SiteConfig> config() const { return config_; }
@@ -85,6 +94,11 @@
   void ApplyRemoval(const std::string& key);
   void ApplyConfig(const KvRecord& record);
   void ApplyBackEnd(const KvRecord& record);
+  bool IsEvacuation(const std::string& key) const;
+  // Returns the failure domain that an evacuation's key names.
+  FailureDomain EvacuatedDomain(const std::string& key) const;
+  void ApplyListedEvacuations(const KvListResult& listing);
+  void SetEvacuated(std::set<FailureDomain> evacuated);
   // Returns nullopt if the record is not a valid backend server entry.
   std::optional<BackEndEntry> ReadBackEnd(const KvRecord& record);
   void ScheduleExpiry();
@@ -99,8 +113,10 @@
   ConfigObserver on_config_;
   RecordObserver on_record_;
   std::function<void()> on_back_ends_;
+  EvacuationObserver on_evacuation_;
 
   std::shared_ptr<const SiteConfig> config_;
+  std::set<FailureDomain> evacuated_;
   bool listed_ = false;
   bool store_lost_ = false;
   MonoTime last_contact_{};
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -73,8 +73,9 @@
     const Duration time_left = request_.deadline - deps_.loop->Now();
     deadline_timer_ = deps_.loop->After(std::max(time_left, Duration::zero()),
                                         [this] { OnDeadline(); });
-    if (!deps_.selector->HasBackEnd(request_.service.id, EngineRole::kDecode)) {
-      Refuse("no_decode_engine");
+    if (!deps_.selector->HasBackEnd(request_.service.id, EngineRole::kDecode,
+                                    &request_.allowed_regions)) {
+      Refuse(ReasonWithoutEngine());
       return;
     }
     const CrashQuarantine::Decision decision =
@@ -314,6 +315,10 @@
       FinishUnanswered();
       return;
     }
+    if (!DropEvacuated()) {
+      StartStages();
+      return;
+    }
     if (kv_handle_ && reservation_ &&
         prefill_engine_->software_version !=
             reservation_->engine.software_version)
@@ -461,11 +466,26 @@
            now;
   }
 
+  // What is held at an engine that may not be called any more expires there.
   void ReleaseKvHandle() {
-    if (kv_handle_) deps_.releaser->ReleaseHandle(*kv_handle_);
+    if (kv_handle_ && MayStillCall(*prefill_engine_))
+      deps_.releaser->ReleaseHandle(*kv_handle_);
     kv_handle_.reset();
   }
 
+  bool MayStillCall(const BackEndEntry& engine) const {
+    return deps_.selector->MayStillCall(engine, request_.allowed_regions);
+  }
+
+  // Gives up what is held at engines whose failure domain has been evacuated
+  // since. Returns false if that was the reservation.
+  bool DropEvacuated() {
+    if (kv_handle_ && !MayStillCall(*prefill_engine_)) ReleaseKvHandle();
+    if (!reservation_ || MayStillCall(reservation_->engine)) return true;
+    ReleaseReservation();
+    return false;
+  }
+
   void ClearReservation() {
     if (!reservation_) return;
     deps_.selector->OnCallEnded(reservation_->engine, size_,
@@ -475,8 +495,11 @@
 
   void ReleaseReservation() {
     if (!reservation_) return;
-    deps_.releaser->ReleaseReservation(
-        {reservation_->engine.ip, reservation_->engine.port}, reservation_->id);
+    if (MayStillCall(reservation_->engine)) {
+      deps_.releaser->ReleaseReservation(
+          {reservation_->engine.ip, reservation_->engine.port},
+          reservation_->id);
+    }
     ClearReservation();
   }
 
@@ -489,6 +512,7 @@
     query.preferred_zone = preferred_zone;
     query.exclude = exclude;
     query.software_version = software_version_;
+    query.allowed_regions = &request_.allowed_regions;
     if (request_.service.engine)
       query.kv_memory = request_.service.engine->kv_memory;
     return query;
@@ -568,6 +592,10 @@
       FinishUnanswered();
       return;
     }
+    if (!DropEvacuated()) {
+      StartStages();
+      return;
+    }
     const MonoTime now = deps_.loop->Now();
     stage_ = Stage::kRun;
     if (kv_handle_ && KvHandleExpired(now)) kv_handle_.reset();
@@ -795,11 +823,18 @@
     } else if (MayHandOver()) {
       HandOver();
     } else {
-      Refuse(rejections_ > 0 || waited_for_reservation_ ? "engines_full"
-                                                        : "no_decode_engine");
+      Refuse(ReasonWithoutEngine());
     }
   }
 
+  const char* ReasonWithoutEngine() const {
+    const Barrier barrier = deps_.selector->FindBarrier(
+        MakeQuery(EngineRole::kDecode, deps_.zone, nullptr));
+    if (barrier != Barrier::kNone) return BarrierName(barrier);
+    return rejections_ > 0 || waited_for_reservation_ ? "engines_full"
+                                                      : "no_decode_engine";
+  }
+
   void Refuse(const char* reason) {
     const Duration retry_after =
         deps_.reservation_retry->RetryAfter(MakeWaitingRequest());
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/json.h"
 #include "platform/request_codec.h"
@@ -360,5 +361,41 @@
   CHECK((*body)["holder"] == "entry-1");
 }
 
+TEST_CASE("allowed regions of routes and customers are read") {
+  const PlatformSiteFormat format;
+  const auto config_with = [](const std::string& route,
+                              const std::string& tenant) {
+    return R"({"version":1,"routes":[{"host":"h","prefix":"/","kind":"streaming",)"
+           R"("service":"s")" +
+           route + R"(}],"tenants":[{"name":"t","api_keys":["k"])" + tenant +
+           "}]}";
+  };
+  const auto read =
+      format.ReadConfig(config_with(R"(,"allowed_regions":["north","east"])",
+                                    R"(,"allowed_regions":["east"])"));
+  REQUIRE(read);
+  CHECK((*read)->routes()[0].allowed_regions ==
+        std::vector<Region>{Region("north"), Region("east")});
+  CHECK((*read)->customers()[0].allowed_regions ==
+        std::vector<Region>{Region("east")});
+  const auto open = format.ReadConfig(
+      config_with(R"(,"allowed_regions":[])", R"(,"allowed_regions":null)"));
+  REQUIRE(open);
+  CHECK((*open)->routes()[0].allowed_regions.empty());
+  CHECK((*open)->customers()[0].allowed_regions.empty());
+  // Reading these as "anywhere" would let requests leave their regions.
+  for (const char* bad :
+       {R"("north")", "7", "{}", R"(["north",7])", R"([""])", "true"}) {
+    INFO(bad);
+    const std::string field = std::string(R"(,"allowed_regions":)") + bad;
+    for (const std::string& config :
+         {config_with(field, ""), config_with("", field)}) {
+      const auto error = ErrorOf([&] { return format.ReadConfig(config); });
+      REQUIRE(error);
+      CHECK(error->field == "allowed_regions");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace mimosa
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -170,6 +171,7 @@
       site_route.target_event_gap = milliseconds(100);
       site_route.max_attempts = attempts;
       site_route.traffic_split = {{ServiceId(service), 1}};
+      site_route.allowed_regions = route_regions;
       if (splits_notes && site_route.prefix == "/note/")
         site_route.traffic_split.push_back({ServiceId("llm2"), 1});
       return site_route;
@@ -189,6 +191,7 @@
     customer.keys = {"k"};
     customer.rate_per_second = rate;
     customer.burst = rate;
+    customer.allowed_regions = customer_regions;
     config = std::make_shared<SiteConfig>(
         1,
         std::vector<SiteRoute>{
@@ -207,9 +210,14 @@
     SetConfig();
   }
 
+  // Only these failure domains are evacuated from now on.
+  void Evacuate(const std::set<FailureDomain>& domains) {
+    boundaries.SetEvacuated(domains, loop->Now());
+  }
+
   void AddBackEnd(const std::string& id, const char* service, EngineRole role,
                   uint16_t port, const std::string& version = "v1",
-                  int64_t incarnation = 1) {
+                  int64_t incarnation = 1, const char* domain = "z") {
     BackEndEntry entry;
     entry.id = BackEndId(id);
     entry.service = ServiceId(service);
@@ -217,6 +225,7 @@
     entry.ip = "127.0.0.1";
     entry.port = port;
     entry.slots = 8;
+    entry.zone = FailureDomain(domain);
     entry.incarnation = incarnation;
     entry.software_version = SoftwareVersion(version);
     back_ends.Put(entry, loop->Now());
@@ -268,16 +277,21 @@
   UnresponsiveStore store;
   MemberList members{loop.get(), &store, &random, &log, {}, {}};
   PermitExchange permits{loop.get(), &members, &random, &log, {}};
+  TrafficBoundaries boundaries{{{FailureDomain("z"), Region("near")},
+                                {FailureDomain("y"), Region("near")},
+                                {FailureDomain("x"), Region("far")}}};
   BackEndSelector selector{&back_ends, &random, BackEndSelector::Options{},
-                           &permits};
-  ReachabilityMonitor reachability{
-      loop.get(), client.get(), &format, &back_ends, &selector, &log, {}};
+                           &permits, &boundaries};
+  ReachabilityMonitor reachability{loop.get(), client.get(), &format,
+                                   &back_ends, &selector,    &log,
+                                   {},         &boundaries};
   HelperExchange helpers{loop.get(),
                          &members,
                          &reachability,
                          &random,
                          [this] { return frontend->running_requests(); },
-                         {}};
+                         {},
+                         &boundaries};
   StreamOriginExchange origins{loop.get(),          &members, &back_ends, &log,
                                [] { return true; }, {}};
   CrashExchange prompt_crashes{loop.get(), &members, &store, &random, &log, {}};
@@ -292,6 +306,9 @@
   std::unique_ptr<HttpServer> server;
   double rate = 0;
   bool splits_notes = false;
+  // Taken over by SetConfig().
+  std::vector<Region> route_regions;
+  std::vector<Region> customer_regions;
   int serial = 0;
 };
 
--- a/tests/role_controller_test.cc
+++ b/tests/role_controller_test.cc
@@ -116,6 +116,7 @@
     entry.service = ServiceId("llm");
     entry.ip = "127.0.0.1";
     entry.port = engine.port();
+    entry.zone = FailureDomain("z");
     entry.role = role;
     entry.incarnation = incarnation;
     back_ends.Put(entry, loop->Now());
@@ -173,7 +174,9 @@
   SeededRandom random{3};
   LineLog log{STDERR_FILENO, loop.get(), testing::DisabledLogOptions()};
   BackEndList back_ends;
-  BackEndSelector selector{&back_ends, &random, BackEndSelector::Options{}};
+  TrafficBoundaries boundaries;
+  BackEndSelector selector{&back_ends, &random, BackEndSelector::Options{},
+                           nullptr, &boundaries};
   PlatformRequestFormat format;
   ScriptedStore store;
   FakeEngine engine{loop.get()};
@@ -349,5 +352,23 @@
   CHECK(engine.report_requests == 0);
 }
 
+TEST_CASE_METHOD(RoleControllerFixture,
+                 "an evacuated engine is neither proposed nor ordered") {
+  controller.Start();
+  SECTION("evacuated before the proposal") {
+    boundaries.SetEvacuated({FailureDomain("z")}, loop->Now());
+    AwaitEvaluations(30);
+    CHECK(store.writes.empty());
+  }
+  SECTION("evacuated between the announcement and the order") {
+    REQUIRE(AwaitWrite());
+    AcknowledgeWrite(41);
+    boundaries.SetEvacuated({FailureDomain("z")}, loop->Now());
+    RunFor(loop.get(), Options().propagation_delay + Options().order_window);
+  }
+  CHECK(engine.report_requests == 0);
+  CHECK(engine.orders.empty());
+}
+
 }  // namespace
 }  // namespace mimosa
--- a/tests/site_sync_test.cc
+++ b/tests/site_sync_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <deque>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -134,5 +135,75 @@
   CHECK_FALSE(sync.store_lost());
 }
 
+KvRecord MakeEvacuation(const std::string& domain, int64_t revision) {
+  return {"op/evacuate/" + domain, "{}", Revision(revision)};
+}
+
+struct EvacuationFixture : SyncFixture {
+  EvacuationFixture() {
+    sync.SetEvacuationObserver([this](const std::set<FailureDomain>& domains) {
+      std::string names;
+      for (const FailureDomain& domain : domains) names += domain.value() + " ";
+      seen.push_back(names);
+    });
+  }
+  std::vector<std::string> seen;
+};
+
+TEST_CASE_METHOD(EvacuationFixture,
+                 "evacuations begin and end with their keys") {
+  store.list_replies.push_back(
+      {KvStatus::kOk, Revision(9), {MakeEvacuation("a", 7)}, {}});
+  store.watch_replies.push_back({KvStatus::kOk,
+                                 Revision(12),
+                                 {MakeEvacuation("b", 11)},
+                                 {"op/evacuate/a"}});
+  // A key without a name evacuates nothing.
+  store.watch_replies.push_back(
+      {KvStatus::kOk, Revision(13), {MakeEvacuation("", 13)}, {}});
+  sync.Start();
+  REQUIRE(
+      RunUntil(loop.get(), [&] { return store.watched_after.size() == 3; }));
+  CHECK(seen == std::vector<std::string>{"a ", "a b ", "b "});
+}
+
+TEST_CASE_METHOD(EvacuationFixture,
+                 "a listing after a compaction ends evacuations unless it is "
+                 "an older copy") {
+  store.list_replies.push_back(
+      {KvStatus::kOk, Revision(9), {MakeEvacuation("a", 7)}, {}});
+  store.watch_replies.push_back({KvStatus::kCompacted, Revision(0), {}, {}});
+  const auto await_watches = [this](size_t count) {
+    REQUIRE(RunUntil(loop.get(),
+                     [&] { return store.watched_after.size() == count; }));
+  };
+  SECTION("a newer listing without the key") {
+    store.list_replies.push_back({KvStatus::kOk, Revision(30), {}, {}});
+    sync.Start();
+    await_watches(2);
+    CHECK(seen == std::vector<std::string>{"a ", ""});
+  }
+  SECTION("an older copy") {
+    store.list_replies.push_back(
+        {KvStatus::kOk, Revision(5), {MakeEvacuation("b", 4)}, {}});
+    // What has changed since follows.
+    store.watch_replies.push_back({KvStatus::kOk,
+                                   Revision(9),
+                                   {MakeEvacuation("a", 7)},
+                                   {"op/evacuate/b"}});
+    sync.Start();
+    await_watches(3);
+    CHECK(seen == std::vector<std::string>{"a ", "a b ", "a "});
+  }
+  SECTION("the store is away") {
+    store.list_replies.push_back({KvStatus::kNoReply, Revision(0), {}, {}});
+    store.list_replies.push_back(
+        {KvStatus::kOk, Revision(9), {MakeEvacuation("a", 7)}, {}});
+    sync.Start();
+    await_watches(2);
+    CHECK(seen == std::vector<std::string>{"a "});
+  }
+}
+
 }  // namespace
 }  // namespace mimosa
--- a/tools/mimosactl_explain.cc
+++ b/tools/mimosactl_explain.cc
@@ -112,6 +112,7 @@
          << StringMember(item, "service") << "  " << StringMember(item, "role")
          << "  " << IntMember(item, "open_calls") << "+"
          << IntMember(item, "calls_of_others") << " calls";
+    if (item["evacuated"].asBool()) text << ", evacuated";
     if (item["draining"].asBool()) text << ", draining";
     if (item["changes_role"].asBool()) text << ", changes its role";
     if (item["held"].asBool()) text << ", missing since a store outage";
