--- a/decide/traffic_boundaries_test.cc
+++ b/decide/traffic_boundaries_test.cc
@@ -15,9 +15,7 @@
 FailureDomain Domain(const std::string& name) { return FailureDomain(name); }
 
 std::vector<Region> Regions(const std::vector<std::string>& names) {
-  std::vector<Region> regions;
-  for (const std::string& name : names) regions.emplace_back(name);
-  return regions;
+  return {names.begin(), names.end()};
 }
 
 AllowedRegions Allow(const std::vector<std::string>& route,
