Engines that warm up get few requests from all daemons together

Cause: an engine that has just started takes some requests a second for a while and crashes well above that. Each daemon sends by its own view, in which an engine that comes back is empty and thus the first choice; nothing bounds what all daemons send together.

Change: decide/warm_up tells from entries, incarnations, responses and other daemons until when a back end warms up. Meanwhile a call needs a permit from the issuer that limits already have, at a share of the warm-up rate; who reaches no issuer has a small share of its own. The selection prefers warm engines and asks for a permit only if they have longer queues. Nothing changes for services whose configuration names no rate.

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -214,6 +214,10 @@
   // The caller will retry the reservation anyway, so an engine that has just
   // failed is not used as a fallback.
   if (best == nullptr && !query.require_free_memory) best = first_available;
+  // One that warms up is left alone while another has a shorter queue.
+  if (lacks_permit != nullptr && best_ms < lacks_permit_ms &&
+      permits_->IsWarmingUp(*lacks_permit, now))
+    lacks_permit = nullptr;
   if (lacks_permit != nullptr) permits_->Request(*lacks_permit);
   if (best != nullptr && permits_ != nullptr) permits_->Take(*best);
   return best;
@@ -259,7 +263,9 @@
   double ms = DecayedFailures(state, now) * options_.failure_penalty_ms;
   if (entry.zone != query.preferred_zone) ms += options_.other_zone_penalty_ms;
   if (listed.removal_pending) ms += kMissingRecordPenaltyMs;
-  if (now < listed.learned_at + entry.warm_up_time) ms += kColdStartPenaltyMs;
+  if (now < listed.learned_at + entry.warm_up_time ||
+      (permits_ != nullptr && permits_->IsWarmingUp(entry, now)))
+    ms += kColdStartPenaltyMs;
   const double calls = state.open_calls + peers.calls;
   switch (query.role) {
     case EngineRole::kPrefill: {
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -15,11 +15,13 @@
 // them.
 //
 // A back end that names a limit on the calls of all daemons is called with a
-// permit only; meanwhile, requests go to others.
+// permit only; meanwhile, requests go to others. So is one that warms up, but a
+// permit is only requested for it if the others have longer queues.
 //
 // Load patterns covered: a burst of twice the usual rate while a quarter of the
 // engines don't respond or respond slowly; engines that are full for a moment;
-// prefill engines whose results expire at once; a restart of many engines.
+// prefill engines whose results expire at once; a restart of many engines; a
+// failure domain whose engines come back slow during a burst.
 #ifndef DECIDE_BACK_END_SELECTOR_H_
 #define DECIDE_BACK_END_SELECTOR_H_
 
--- a/decide/serving_decisions_test.cc
+++ b/decide/serving_decisions_test.cc
@@ -57,6 +57,48 @@
   }
 };
 
+// One back end, "cold", warms up, and has permits or not.
+struct FakePermits : CallPermits {
+  bool IsAvailable(const BackEndEntry& back_end, MonoTime) const override {
+    return has_permit || back_end.id != BackEndId("cold");
+  }
+  MonoTime AvailableAt(const BackEndEntry&, MonoTime now) const override {
+    return now;
+  }
+  bool IsWarmingUp(const BackEndEntry& back_end, MonoTime) const override {
+    return back_end.id == BackEndId("cold");
+  }
+  void Take(const BackEndEntry&) override {}
+  void Request(const BackEndEntry&) override { ++requests; }
+
+  bool has_permit = false;
+  int requests = 0;
+};
+
+TEST_CASE("a back end that warms up is left alone while others have room") {
+  BackEndList list;
+  SeededRandom random(7);
+  FakePermits permits;
+  BackEndSelector selector(&list, &random, {}, &permits);
+  list.Put(Engine("cold", EngineRole::kDecode), At(0));
+  list.Put(Engine("warm", EngineRole::kDecode), At(0));
+  SelectionQuery query;
+  query.service = ServiceId("s");
+  query.role = EngineRole::kDecode;
+  for (const bool has_permit : {false, true}) {
+    permits.has_permit = has_permit;
+    CHECK(selector.SelectBackEnd(query, At(0))->id == BackEndId("warm"));
+  }
+  CHECK(permits.requests == 0);
+  // The warm one is full: the permit is used, or one is requested.
+  for (int i = 0; i < 48; ++i)
+    selector.OnCallStarted(Engine("warm", EngineRole::kDecode), WorkSize{});
+  CHECK(selector.SelectBackEnd(query, At(0))->id == BackEndId("cold"));
+  permits.has_permit = false;
+  CHECK(selector.SelectBackEnd(query, At(0))->id == BackEndId("warm"));
+  CHECK(permits.requests == 1);
+}
+
 TEST_CASE_METHOD(
     SelectorFixture,
     "draining back ends and other services or roles are not selected") {
--- a/decide/site.h
+++ b/decide/site.h
@@ -79,6 +79,11 @@
   std::string health_path;
   int max_connections = 0;           // Of one backend server, over all daemons.
   std::optional<EngineSpec> engine;  // Absent for a plain service.
+  // A backend server warms up for this long after its start, and then takes
+  // `warm_up_rate` requests a second from all daemons together; absent: as many
+  // as ever.
+  Duration warm_up_time{};
+  std::optional<double> warm_up_rate;
 };
 
 struct SiteCustomer {
@@ -165,6 +170,7 @@
   bool draining = false;
   // The server stays slow for this long after the entry was written.
   Duration warm_up_time{};
+  bool has_invalid_warm_up_time = false;  // It states one that can't be read.
   EngineRole role = EngineRole::kNone;
   int64_t incarnation = 0;           // Differs between two starts under one id.
   SoftwareVersion software_version;  // Empty if the server states none.
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -109,6 +109,7 @@
     deps_.reachability->RecordContact(back_end_);
     if (markers.leaving) RecordLeaving();
     deps_.permits->RecordLimit(back_end_, markers.limit, id_, started_);
+    deps_.permits->RecordWarmUp(back_end_, markers.warm_up_time);
   }
   if (markers.not_executed || status == kMisdirected ||
       (internal_call_ && PromisesNotRun(status))) {
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -330,6 +330,7 @@
     stream_origins_.SetStreamLifetime(LongestStream(config) + kTakeupMargin);
     role_controller_.SetServices(config.services());
     reachability_.SetServices(config.services());
+    permits_.SetServices(config.services());
     if (config.limits().idle_timeout > Duration::zero())
       caller_server_->SetIdleTimeout(config.limits().idle_timeout);
   }
@@ -426,6 +427,7 @@
       item["leaving"] = selector_.IsLeaving(back_end.entry);
       if (const auto limit = permits_.FindLimit(back_end.entry))
         item["limit"] = *limit;
+      item["warming_up"] = permits_.IsWarmingUp(back_end.entry, now);
       item["held"] = back_end.removal_pending;
       item["changes_role"] = state.changing_role;
       item["open_calls"] = state.open_calls;
@@ -573,6 +575,12 @@
   add_gauge("mimosa_back_end_limits",
             "Backend servers that name a limit on the requests of all daemons",
             [this] { return double(permits_.limit_count()); });
+  add_gauge("mimosa_back_ends_warming_up",
+            "Backend servers that take few requests for a while",
+            [this] { return double(permits_.warm_up_count()); });
+  add_gauge("mimosa_back_end_warm_up_times_invalid",
+            "Entries whose time to warm up could not be read",
+            [this] { return double(permits_.invalid_warm_up_times()); });
   for (const auto& [event, count] :
        {std::pair("requested", &PermitExchange::Counters::requests),
         std::pair("granted", &PermitExchange::Counters::granted),
--- a/serving/permit_exchange.cc
+++ b/serving/permit_exchange.cc
@@ -1,4 +1,4 @@
-// Requests, grants and notices about limits.
+// Requests, grants and notices about limits and warm-ups.
 #include "serving/permit_exchange.h"
 
 #include <algorithm>
@@ -17,6 +17,8 @@
     kPermitsPerDecodeCall * kMaxCallsPerRequest;
 // Members that issue the permits of a back end.
 constexpr size_t kIssuers = 2;
+// Members that tell the others that a back end has begun to warm up.
+constexpr size_t kWarmUpTellers = 3;
 // Estimated time of a request for permits.
 constexpr Duration kRequestTime = std::chrono::milliseconds(5);
 // Longest time for which a denial holds, since limits change.
@@ -46,7 +48,10 @@
       members_(members),
       random_(random),
       log_(log),
-      options_(options) {}
+      options_(options),
+      warm_up_requests_(1, loop->Now()) {
+  warm_up_requests_.SetRate(options.warm_up_requests_per_second, loop->Now());
+}
 
 // --- Limits ---------------------------------------------------------------
 
@@ -57,13 +62,26 @@
   const bool was_limited = limits_.Find(back_end).has_value();
   if (!limits_.Record(back_end, limit, call_started, loop_->Now())) return;
   LogLimit(back_end, request);
-  if (!limit) permits_.erase(back_end.id);
+  if (!NeedsPermit(back_end, loop_->Now())) permits_.erase(back_end.id);
   // Another rate spreads with the requests for permits.
-  if (was_limited != limit.has_value()) NotifyAll(back_end);
+  if (was_limited != limit.has_value()) NotifyAll(back_end, Duration::zero());
 }
 
 bool PermitExchange::MergeStatement(const BackEndEntry& back_end,
                                     const wire::LimitStatement& statement) {
+  if (statement.warm_up_ms() > 0) {
+    const auto begun = warm_ups_.Extend(
+        back_end.id, std::chrono::milliseconds(statement.warm_up_ms()),
+        WarmUpSource::kMember, loop_->Now());
+    if (begun) {
+      OnWarmUps({*begun});
+      // This daemon lacks a start that others have seen, so it hasn't told
+      // those that lack it, too.
+      if (begun->back_end.incarnation != back_end.incarnation &&
+          TellsWarmUps(back_end))
+        NotifyAll(back_end, begun->time);
+    }
+  }
   // An unknown limit isn't the same as none.
   if (!statement.is_known()) return true;
   BackEndLimits::Statement merged;
@@ -81,6 +99,8 @@
 wire::LimitStatement PermitExchange::StatementOf(
     const BackEndEntry& back_end) const {
   wire::LimitStatement statement;
+  statement.set_warm_up_ms(static_cast<uint32_t>(
+      ToMillis(warm_ups_.FirstHandTimeLeft(back_end.id, loop_->Now()))));
   const auto known = limits_.FindStatement(back_end);
   statement.set_is_known(known.has_value());
   if (!known) return statement;
@@ -101,12 +121,16 @@
                        limit ? std::to_string(*limit) : std::string("none")));
 }
 
-void PermitExchange::NotifyAll(const BackEndEntry& back_end) {
+void PermitExchange::NotifyAll(const BackEndEntry& back_end,
+                               Duration warm_up_time) {
   wire::UsageDatagram datagram;
   wire::LimitNotice* const notice = datagram.mutable_limit_notice();
   notice->set_back_end(back_end.id.value());
   notice->set_incarnation(back_end.incarnation);
   *notice->mutable_statement() = StatementOf(back_end);
+  if (warm_up_time > Duration::zero())
+    notice->mutable_statement()->set_warm_up_ms(
+        static_cast<uint32_t>(ToMillis(warm_up_time)));
   for (const auto& [name, member] : members_->others())
     SendToMember(name, datagram);
 }
@@ -115,15 +139,16 @@
   const BackEndEntry back_end =
       Identify(BackEndId(notice.back_end()), notice.incarnation());
   MergeStatement(back_end, notice.statement());
-  if (!limits_.Find(back_end)) permits_.erase(back_end.id);
+  if (!NeedsPermit(back_end, loop_->Now())) permits_.erase(back_end.id);
 }
 
 void PermitExchange::OnBackEndsChanged(const BackEndList& back_ends) {
   const MonoTime now = loop_->Now();
+  OnWarmUps(warm_ups_.Update(back_ends, now));
   limits_.ForgetUnlisted(back_ends);
   for (auto it = permits_.begin(); it != permits_.end();) {
     const bool is_limited =
-        limits_.Find(Identify(it->first, it->second.incarnation)).has_value();
+        NeedsPermit(Identify(it->first, it->second.incarnation), now);
     it = is_limited ? std::next(it) : permits_.erase(it);
   }
   for (auto it = issued_.begin(); it != issued_.end();)
@@ -132,6 +157,87 @@
              : std::next(it);
 }
 
+// --- Warm-ups -------------------------------------------------------------
+
+void PermitExchange::SetServices(const std::vector<SiteService>& services) {
+  OnWarmUps(warm_ups_.SetServices(services, loop_->Now()));
+}
+
+void PermitExchange::RecordWarmUp(const BackEndEntry& back_end, Duration time) {
+  const auto begun = warm_ups_.Extend(back_end.id, time,
+                                      WarmUpSource::kResponse, loop_->Now());
+  if (begun) OnWarmUps({*begun});
+}
+
+void PermitExchange::OnWarmUps(
+    const std::vector<WarmUpTracker::Change>& begun) {
+  for (const WarmUpTracker::Change& change : begun) {
+    const BackEndEntry& back_end = change.back_end;
+    log_->Write(LogLine("back_end_warming_up")
+                    .Add("back_end", back_end.id.value())
+                    .Add("incarnation", back_end.incarnation)
+                    .Add("zone", back_end.zone.value())
+                    .Add("source", WarmUpSourceName(change.source))
+                    .AddMillis("for_ms", change.time));
+    if (change.source == WarmUpSource::kMember) continue;
+    if (change.source == WarmUpSource::kResponse || TellsWarmUps(back_end))
+      NotifyAll(back_end, change.time);
+  }
+  if (!begun.empty()) ScheduleWarmUpEnd();
+}
+
+bool PermitExchange::TellsWarmUps(const BackEndEntry& back_end) const {
+  const std::vector<std::string> tellers =
+      members_->TopMembers(back_end.id.value(), kWarmUpTellers);
+  return std::find(tellers.begin(), tellers.end(), members_->self().name()) !=
+         tellers.end();
+}
+
+void PermitExchange::ScheduleWarmUpEnd() {
+  const auto next = warm_ups_.NextEnd();
+  if (!next) return;
+  const Duration wait = std::max(Duration::zero(), *next - loop_->Now());
+  warm_up_timer_ = loop_->After(wait, [this] {
+    for (const WarmUpTracker::Change& change :
+         warm_ups_.TakeEnded(loop_->Now())) {
+      log_->Write(LogLine("back_end_warmed_up")
+                      .Add("back_end", change.back_end.id.value())
+                      .Add("incarnation", change.back_end.incarnation));
+      if (!limits_.Find(change.back_end)) permits_.erase(change.back_end.id);
+    }
+    ScheduleWarmUpEnd();
+  });
+}
+
+bool PermitExchange::IsWarmingUp(const BackEndEntry& back_end,
+                                 MonoTime now) const {
+  return warm_ups_.FindRate(back_end.id, now).has_value();
+}
+
+double PermitExchange::IssueRate(const BackEndEntry& back_end,
+                                 Issuer issuer) const {
+  const std::optional<double> limit = limits_.Find(back_end);
+  const std::optional<double> warm_up_rate =
+      warm_ups_.FindRate(back_end.id, loop_->Now());
+  double share = 1;
+  double warm_up_share = options_.warm_up_share;
+  if (issuer == Issuer::kSecond) {
+    share = options_.backup_share;
+    warm_up_share = options_.warm_up_backup_share;
+  } else if (issuer == Issuer::kSelf) {
+    share = options_.isolated_share / members_->size();
+    warm_up_share = options_.warm_up_isolated_share / members_->size();
+  }
+  if (!warm_up_rate) return RateOf(limit.value_or(0)) * share;
+  const double rate = RateOf(*warm_up_rate) * warm_up_share;
+  return limit ? std::min(RateOf(*limit) * share, rate) : rate;
+}
+
+Duration PermitExchange::PermitLifetime(const BackEndEntry& back_end) const {
+  return IsWarmingUp(back_end, loop_->Now()) ? options_.warm_up_permit_lifetime
+                                             : options_.permit_lifetime;
+}
+
 // --- Permits of this daemon -----------------------------------------------
 
 int PermitExchange::PermitsPerCall(const BackEndEntry& back_end) {
@@ -158,7 +264,7 @@
 
 bool PermitExchange::IsAvailable(const BackEndEntry& back_end,
                                  MonoTime now) const {
-  if (!limits_.Find(back_end)) return true;
+  if (!NeedsPermit(back_end, now)) return true;
   const Permits* const permits = FindPermits(back_end);
   return permits != nullptr && permits->held >= PermitsPerCall(back_end) &&
          now < permits->held_until;
@@ -173,7 +279,7 @@
 }
 
 void PermitExchange::Take(const BackEndEntry& back_end) {
-  if (!limits_.Find(back_end)) return;
+  if (!NeedsPermit(back_end, loop_->Now())) return;
   Permits* const permits = PermitsOf(back_end);
   permits->held = std::max(0, permits->held - PermitsPerCall(back_end));
 }
@@ -183,6 +289,8 @@
   permits->wanted = std::min(permits->wanted + 1, kMaxCallsPerRequest);
   const MonoTime now = loop_->Now();
   if (permits->serial != 0 || now < permits->not_before) return;
+  if (IsWarmingUp(back_end, now) && warm_up_requests_.Issue(1, 1, now) == 0)
+    return;
   const bool first_is_reachable = now >= permits->first_unreachable_until;
   Ask(back_end, permits, first_is_reachable ? Issuer::kFirst : Issuer::kSecond);
 }
@@ -190,7 +298,6 @@
 void PermitExchange::Ask(const BackEndEntry& back_end, Permits* permits,
                          Issuer issuer) {
   const MonoTime now = loop_->Now();
-  const double limit = limits_.Find(back_end).value_or(0);
   const int per_call = PermitsPerCall(back_end);
   permits->asked = issuer;
   permits->asked_at = now;
@@ -202,10 +309,10 @@
     // together don't get their permits together.
     if (!permits->own_share)
       permits->own_share.emplace(random_->UniformDouble() * per_call, now);
-    permits->own_share->SetRate(
-        RateOf(limit) * options_.isolated_share / members_->size(), now);
+    permits->own_share->SetRate(IssueRate(back_end, Issuer::kSelf), now);
     const int count = permits->own_share->Issue(per_call, per_call, now);
-    OnGranted(permits, count, permits->own_share->TimeUntil(per_call, now));
+    OnGranted(back_end, permits, count,
+              permits->own_share->TimeUntil(per_call, now));
     return;
   }
   const std::vector<std::string> issuers =
@@ -220,7 +327,7 @@
     const int count = Issue(back_end, permits->asked_count, per_call, &wait);
     permits->missed_answers = 0;
     permits->own_share.reset();
-    OnGranted(permits, count, wait);
+    OnGranted(back_end, permits, count, wait);
     return;
   }
   permits->serial = ++last_serial_;
@@ -242,7 +349,7 @@
   Permits* const permits = PermitsOf(back_end);
   permits->serial = 0;
   ++counters_.unanswered;
-  if (!limits_.Find(back_end)) return;
+  if (!NeedsPermit(back_end, loop_->Now())) return;
   if (permits->asked == Issuer::kFirst &&
       ++permits->missed_answers >= options_.misses_until_unreachable)
     permits->first_unreachable_until = loop_->Now() + options_.unreachable_time;
@@ -250,13 +357,14 @@
       permits->asked == Issuer::kFirst ? Issuer::kSecond : Issuer::kSelf);
 }
 
-void PermitExchange::OnGranted(Permits* permits, int count, Duration wait) {
+void PermitExchange::OnGranted(const BackEndEntry& back_end, Permits* permits,
+                               int count, Duration wait) {
   const MonoTime now = loop_->Now();
   if (now >= permits->held_until) permits->held = 0;
   counters_.granted += static_cast<uint64_t>(count);
   if (count > 0) {
     permits->held += count;
-    permits->held_until = permits->asked_at + options_.permit_lifetime;
+    permits->held_until = permits->asked_at + PermitLifetime(back_end);
   } else {
     permits->not_before = now + std::min(wait, kMaxWait);
   }
@@ -287,9 +395,8 @@
   }
   Issued& issued = it->second;
   issued.last_asked = now;
-  issued.issuer.SetRate(RateOf(limits_.Find(back_end).value_or(0)) *
-                            (rank == 0 ? 1 : options_.backup_share),
-                        now);
+  issued.issuer.SetRate(
+      IssueRate(back_end, rank == 0 ? Issuer::kFirst : Issuer::kSecond), now);
   const int granted = issued.issuer.Issue(count, minimum, now);
   counters_.issued += static_cast<uint64_t>(granted);
   if (granted == 0) *wait = issued.issuer.TimeUntil(minimum, now);
@@ -328,10 +435,11 @@
     if (permits.asked == Issuer::kFirst) permits.missed_answers = 0;
     const int count = static_cast<int>(std::min<uint32_t>(
         grant.count(), static_cast<uint32_t>(permits.asked_count)));
-    OnGranted(&permits, count, std::chrono::milliseconds(grant.wait_ms()));
     const BackEndEntry back_end = Identify(id, permits.incarnation);
     MergeStatement(back_end, grant.statement());
-    if (!limits_.Find(back_end)) permits_.erase(back_end.id);
+    OnGranted(back_end, &permits, count,
+              std::chrono::milliseconds(grant.wait_ms()));
+    if (!NeedsPermit(back_end, loop_->Now())) permits_.erase(back_end.id);
     return;
   }
 }
--- a/serving/permit_exchange.h
+++ b/serving/permit_exchange.h
@@ -10,8 +10,16 @@
 // daemon that reaches neither uses a small share of the limit. A permit expires
 // soon, since an unused one adds to what is issued later.
 //
-// Cost: nothing while no back end names a limit; else two datagrams for each
-// permit or denial, and one to each member when a limit begins or ends.
+// A back end that warms up (decide/warm_up.h) has a limit by itself, which each
+// daemon derives from its entry. Its permits are fewer and expire sooner, since
+// it crashes under what an overloaded one merely rejects. Who learns of a
+// warm-up from a response tells all members; three of them also tell the others
+// of one that it has read from the entry, since some may not reach the store.
+//
+// Cost: nothing while no back end names a limit or warms up; else two datagrams
+// for each permit or denial, and one to each member when a limit begins or ends
+// and when a warm-up begins. A daemon asks for the permits of back ends that
+// warm up a limited number of times a second.
 #ifndef SERVING_PERMIT_EXCHANGE_H_
 #define SERVING_PERMIT_EXCHANGE_H_
 
@@ -27,6 +35,7 @@
 #include "decide/back_end_list.h"
 #include "decide/call_permits.h"
 #include "decide/permit_issuer.h"
+#include "decide/warm_up.h"
 #include "net/datagram.h"
 #include "net/event_loop.h"
 #include "serving/member_list.h"
@@ -49,6 +58,16 @@
     // Share of a limit that daemons which reach no issuer use together, if all
     // of them do.
     double isolated_share = 0.5;
+    // The same of the rate of a back end that warms up. Two daemons may take
+    // themselves for its first issuer for a moment, while the calls of a
+    // reservation arrive late.
+    double warm_up_share = 0.5;
+    double warm_up_backup_share = 0.15;
+    double warm_up_isolated_share = 0.15;
+    // Time from the request in which a permit for it has to be used.
+    Duration warm_up_permit_lifetime = std::chrono::milliseconds(200);
+    // Requests a second for permits of back ends that warm up.
+    double warm_up_requests_per_second = 20;
     // An issuer that was not asked for this long is dropped.
     Duration issuer_lifetime = std::chrono::seconds(60);
   };
@@ -67,6 +86,7 @@
   void OnDatagram(const Endpoint& from, const wire::UsageDatagram& datagram);
   // The list of backend servers has changed.
   void OnBackEndsChanged(const BackEndList& back_ends);
+  void SetServices(const std::vector<SiteService>& services);
 
   // `back_end` named `limit`, or none, in the response to a call for `request`
   // that was started at `call_started`.
@@ -75,15 +95,25 @@
   std::optional<double> FindLimit(const BackEndEntry& back_end) const {
     return limits_.Find(back_end);
   }
+  // A response of `back_end` said that it warms up for `time` from now; zero if
+  // it said nothing.
+  void RecordWarmUp(const BackEndEntry& back_end, Duration time);
 
   // CallPermits:
   bool IsAvailable(const BackEndEntry& back_end, MonoTime now) const override;
   MonoTime AvailableAt(const BackEndEntry& back_end,
                        MonoTime now) const override;
+  bool IsWarmingUp(const BackEndEntry& back_end, MonoTime now) const override;
   void Take(const BackEndEntry& back_end) override;
   void Request(const BackEndEntry& back_end) override;
 
   size_t limit_count() const { return limits_.size(); }
+  size_t warm_up_count() const {
+    return warm_ups_.CountWarmingUp(loop_->Now());
+  }
+  uint64_t invalid_warm_up_times() const {
+    return warm_ups_.invalid_statements();
+  }
   const Counters& counters() const { return counters_; }
 
  private:
@@ -116,13 +146,20 @@
     MonoTime last_asked{};
   };
 
+  bool NeedsPermit(const BackEndEntry& back_end, MonoTime now) const {
+    return limits_.Find(back_end) || IsWarmingUp(back_end, now);
+  }
+  // Returns the permits a second of which `issuer` issues its share.
+  double IssueRate(const BackEndEntry& back_end, Issuer issuer) const;
+  Duration PermitLifetime(const BackEndEntry& back_end) const;
   // Permits of a call to `back_end`.
   static int PermitsPerCall(const BackEndEntry& back_end);
   Permits* PermitsOf(const BackEndEntry& back_end);
   const Permits* FindPermits(const BackEndEntry& back_end) const;
   void Ask(const BackEndEntry& back_end, Permits* permits, Issuer issuer);
   void OnUnanswered(const BackEndEntry& back_end);
-  void OnGranted(Permits* permits, int count, Duration wait);
+  void OnGranted(const BackEndEntry& back_end, Permits* permits, int count,
+                 Duration wait);
   // Issues up to `count` permits as the first or second issuer, or none if
   // there are fewer than `minimum`. Sets `*wait` if there are none.
   int Issue(const BackEndEntry& back_end, int count, int minimum,
@@ -130,6 +167,8 @@
   void HandleRequest(const wire::PermitRequest& request, const Endpoint& from);
   void HandleGrant(const wire::PermitGrant& grant, const Endpoint& from);
   void HandleNotice(const wire::LimitNotice& notice);
+  void OnWarmUps(const std::vector<WarmUpTracker::Change>& begun);
+  void ScheduleWarmUpEnd();
   // Takes over what another member has heard, if it is newer. Returns false if
   // it is invalid.
   bool MergeStatement(const BackEndEntry& back_end,
@@ -139,7 +178,12 @@
   // `request` is the one whose response named the limit; empty if another
   // member told it.
   void LogLimit(const BackEndEntry& back_end, const RequestId& request);
-  void NotifyAll(const BackEndEntry& back_end);
+  // Tells all members what is known of the back end, and that it warms up for
+  // `warm_up_time` unless that is zero.
+  void NotifyAll(const BackEndEntry& back_end, Duration warm_up_time);
+  // Returns whether this daemon tells the others when it sees a start of the
+  // back end.
+  bool TellsWarmUps(const BackEndEntry& back_end) const;
   void SendToMember(const std::string& name,
                     const wire::UsageDatagram& datagram);
 
@@ -150,6 +194,10 @@
   const Options options_;
   DatagramSocket* socket_ = nullptr;
   BackEndLimits limits_;
+  WarmUpTracker warm_ups_;
+  TimerHandle warm_up_timer_;
+  // Requests for permits of back ends that warm up.
+  PermitIssuer warm_up_requests_;
   std::map<BackEndId, Permits> permits_;
   std::map<BackEndId, Issued> issued_;
   uint64_t last_serial_ = 0;
--- a/serving/request_format.h
+++ b/serving/request_format.h
@@ -81,6 +81,8 @@
   std::optional<double> limit;
   // For how long the back end asks to be sent nothing; zero if it doesn't.
   Duration retry_after{};
+  // For how long the back end still warms up; zero: it says nothing.
+  Duration warm_up_time{};
 };
 
 // An engine's report on its own state.
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -3,8 +3,10 @@
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "base/json.h"
+#include "decide/warm_up.h"
 #include "platform/request_codec.h"
 #include "platform/site_codec.h"
 
@@ -131,6 +133,62 @@
   CHECK(read->incarnation == 1773042786049);
 }
 
+TEST_CASE("the time that a back end warms up is read from its entry") {
+  const PlatformSiteFormat format;
+  const auto read = [&](const std::string& time) {
+    const auto entry = format.ReadBackEnd(
+        BackEndId("i"), R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+                        R"("slots":1,"state":"ready")" +
+                            time + "}");
+    REQUIRE(entry);
+    return std::pair(entry->warm_up_time, entry->has_invalid_warm_up_time);
+  };
+  const Duration none{};
+  CHECK(read("") == std::pair(none, false));
+  CHECK(read(R"(,"cold_remaining_ms":0)") == std::pair(none, false));
+  CHECK(read(R"(,"cold_remaining_ms":12.5)") ==
+        std::pair(Duration(std::chrono::microseconds(12500)), false));
+  CHECK(read(R"(,"cold_remaining_ms":1e300)") ==
+        std::pair(Duration(WarmUpTracker::kMaxWarmUpTime), false));
+  for (const char* time : {"-1", "-1e300", "\"3\"", "null", "[]", "true"})
+    CHECK(read(std::string(R"(,"cold_remaining_ms":)") + time) ==
+          std::pair(none, true));
+}
+
+TEST_CASE("the warm-up of a service is read") {
+  const PlatformSiteFormat format;
+  const auto read = [&](const std::string& fields) {
+    const auto config = format.ReadConfig(
+        R"({"version":1,"services":[{"name":"s")" + fields + "}]}");
+    REQUIRE(config);
+    return *(*config)->FindService(ServiceId("s"));
+  };
+  const SiteService service = read(R"(,"cold_start_s":3.5,"cold_per_s":12)");
+  CHECK(service.warm_up_time == milliseconds(3500));
+  CHECK(service.warm_up_rate == 12);
+  for (const char* rate : {"0", "-1", "\"12\"", "null", "{}"})
+    CHECK_FALSE(read(std::string(R"(,"cold_start_s":3,"cold_per_s":)") + rate)
+                    .warm_up_rate);
+  CHECK_FALSE(read("").warm_up_rate);
+  CHECK(read("").warm_up_time == Duration::zero());
+  CHECK(read(R"(,"cold_start_s":-3)").warm_up_time == Duration::zero());
+  CHECK(read(R"(,"cold_start_s":1e300)").warm_up_time ==
+        WarmUpTracker::kMaxWarmUpTime);
+}
+
+TEST_CASE("the warm-up time in a response is read") {
+  const PlatformRequestFormat format;
+  const auto read = [&](const char* value) {
+    HttpHeaders headers;
+    headers.Add("Mimosarouter-Cold-Ms", value);
+    return format.ReadResponseMarkers(headers).warm_up_time;
+  };
+  CHECK(read("250") == milliseconds(250));
+  CHECK(read("99999999999999999999") == WarmUpTracker::kMaxWarmUpTime);
+  for (const char* value : {"", "0", "-5", "soon", "nan", "5 ms"})
+    CHECK(read(value) == Duration::zero());
+}
+
 TEST_CASE("invalid entries of other writers are rejected") {
   const PlatformSiteFormat format;
   for (const char* text :
