--- a/serving/permit_exchange.cc
+++ b/serving/permit_exchange.cc
@@ -18,7 +18,7 @@
 // Members that issue the permits of a back end.
 constexpr size_t kIssuers = 2;
 // Members that tell the others that a back end has begun to warm up.
-constexpr size_t kWarmUpTellers = 3;
+constexpr size_t kWarmUpTellers = 6;
 // Estimated time of a request for permits.
 constexpr Duration kRequestTime = std::chrono::milliseconds(5);
 // Longest time for which a denial holds, since limits change.
--- a/serving/permit_exchange.h
+++ b/serving/permit_exchange.h
@@ -13,7 +13,7 @@
 // A back end that warms up (decide/warm_up.h) has a limit by itself, which each
 // daemon derives from its entry. Its permits are fewer and expire sooner, since
 // it crashes under what an overloaded one merely rejects. Who learns of a
-// warm-up from a response tells all members; three of them also tell the others
+// warm-up from a response tells all members; six of them also tell the others
 // of one that it has read from the entry, since some may not reach the store.
 //
 // Cost: nothing while no back end names a limit or warms up; else two datagrams
