Idle prefill engines move to a well used decode stage early

Cause: where the engines are started with far more prefill engines than the prompts keep busy, the balancer compares proportions with a tolerance of 0.15 of all engines and waits 8 s; 31 of 90 engines prefill where 8 are busy, and no engine moves although decode memory is short in bursts.

Change: prefill engines that stay idle even in a burst of twice the rate are given to decode at a smaller deviation and after 4 s of measured work; a decaying peak of the prefill work is kept as the forecast. The way back needs the usual deviation, so that swings and bursts move no engine back. Among equal engines a faster one goes to decode and a slower one to prefill.

Measured: role_balancer_test; its new cases of 31 of 90 engines and of fast engines fail before the change.

--- a/decide/role_balancer.cc
+++ b/decide/role_balancer.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <utility>
 
 namespace mimosa {
 namespace {
@@ -29,6 +30,18 @@
   decayed_sums_ += sums;
   decayed_seconds_ = decayed_seconds_ * decay + elapsed;
   last_sample_at_ = now;
+  if (elapsed > 0) UpdatePeak(sums, elapsed);
+}
+
+void RoleBalancer::UpdatePeak(const StageSums& sums, double elapsed) {
+  const double decay =
+      std::exp(-elapsed / ToSeconds(options_.peak_averaging_time));
+  recent_prefill_work_ =
+      decay * recent_prefill_work_ + (1 - decay) * sums.prefill_s / elapsed;
+  peak_prefill_work_ =
+      std::max(recent_prefill_work_,
+               peak_prefill_work_ *
+                   std::exp2(-elapsed / ToSeconds(options_.peak_half_life)));
 }
 
 double RoleBalancer::RequestRate() const {
@@ -60,9 +73,26 @@
   return std::clamp(wanted, min_engines, total - min_engines);
 }
 
+int RoleBalancer::IdlePrefillCount(int prefills, int total) const {
+  // The recent peak already is part of a burst, so it needs less headroom.
+  const double kept_for_bursts =
+      std::max(options_.burst_headroom * prefill_work(),
+               std::sqrt(options_.burst_headroom) * peak_prefill_work_);
+  const int kept =
+      std::max(static_cast<int>(std::ceil(kept_for_bursts)),
+               std::min(options_.min_engines_per_stage, total / 2));
+  const int idle = prefills - kept;
+  const double worth_moving =
+      std::max(static_cast<double>(options_.min_idle_moves),
+               options_.idle_tolerance * total);
+  return idle >= worth_moving ? idle : 0;
+}
+
 std::vector<RoleMove> RoleBalancer::ProposeMoves(
     const std::vector<Engine>& engines, MonoTime now) {
-  if (!has_sample_ || now - first_sample_at_ < options_.warm_up) return {};
+  if (!has_sample_) return {};
+  const Duration measured = now - first_sample_at_;
+  if (measured < std::min(options_.warm_up, options_.idle_warm_up)) return {};
   if (last_move_at_ != MonoTime{} && now - last_move_at_ < options_.cooldown)
     return {};
   std::vector<const Engine*> prefill;
@@ -74,31 +104,53 @@
   }
   const int prefills = static_cast<int>(prefill.size());
   const int decodes = static_cast<int>(decode.size());
-  if (std::max(Utilization(prefill_work(), prefills),
-               Utilization(decode_work(), decodes)) < options_.min_utilization)
-    return {};
-  const int surplus =
-      prefills - TargetPrefillCount(prefills, prefills + decodes);
-  if (surplus == 0) return {};
-  std::vector<const Engine*>& from = surplus > 0 ? prefill : decode;
-  const int max_moves =
-      std::max(1, static_cast<int>(options_.max_moved_share *
-                                   static_cast<double>(from.size())));
-  const int count = std::min(std::abs(surplus), max_moves);
-  const EngineRole new_role =
-      surplus > 0 ? EngineRole::kDecode : EngineRole::kPrefill;
+  const double prefill_use = Utilization(prefill_work(), prefills);
+  const double decode_use = Utilization(decode_work(), decodes);
+  if (std::max(prefill_use, decode_use) < options_.min_utilization) return {};
+  std::vector<RoleMove> moves;
+  const int idle = decode_use >= options_.min_utilization &&
+                           measured >= options_.idle_warm_up
+                       ? IdlePrefillCount(prefills, prefills + decodes)
+                       : 0;
+  if (idle > 0) {
+    const int max_moves =
+        std::max(1, static_cast<int>(options_.max_idle_moved_share * prefills));
+    moves = ChooseMoves(std::move(prefill), EngineRole::kDecode,
+                        std::min(idle, max_moves));
+  } else if (measured >= options_.warm_up) {
+    const int surplus =
+        prefills - TargetPrefillCount(prefills, prefills + decodes);
+    std::vector<const Engine*>& from = surplus > 0 ? prefill : decode;
+    const int max_moves =
+        std::max(1, static_cast<int>(options_.max_moved_share *
+                                     static_cast<double>(from.size())));
+    moves =
+        ChooseMoves(std::move(from),
+                    surplus > 0 ? EngineRole::kDecode : EngineRole::kPrefill,
+                    std::min(std::abs(surplus), max_moves));
+  }
+  if (!moves.empty()) last_move_at_ = now;
+  return moves;
+}
+
+std::vector<RoleMove> RoleBalancer::ChooseMoves(std::vector<const Engine*> from,
+                                                EngineRole new_role,
+                                                int count) const {
   // Engines left in the stage, by failure domain.
   std::map<FailureDomain, int> remaining;
   for (const Engine* engine : from) ++remaining[engine->zone];
   std::vector<RoleMove> moves;
   for (int i = 0; i < count; ++i) {
-    // Takes the engine with the fewest open calls in the failure domain that
-    // has the most engines left in the stage.
+    // Takes, in the failure domain that has the most engines left in the stage,
+    // the fastest engine for decode or the slowest one for prefill, and of
+    // equal ones that with the fewest open calls.
     const auto best = std::min_element(
         from.begin(), from.end(), [&](const auto* a, const auto* b) {
           const int remaining_a = remaining[a->zone];
           const int remaining_b = remaining[b->zone];
           if (remaining_a != remaining_b) return remaining_a > remaining_b;
+          if (a->speed != b->speed)
+            return (a->speed > b->speed) == (new_role == EngineRole::kDecode);
           if (a->open_calls != b->open_calls)
             return a->open_calls < b->open_calls;
           return a->id < b->id;
@@ -107,7 +159,6 @@
     moves.push_back({(*best)->id, new_role});
     from.erase(best);
   }
-  last_move_at_ = now;
   return moves;
 }
 
--- a/decide/role_balancer.h
+++ b/decide/role_balancer.h
@@ -10,10 +10,16 @@
 // right is left alone, and each batch of moves is followed by a cooldown, so
 // that a short shift of the traffic doesn't move engines back and forth.
 //
+// Prefill engines that stay idle even in a burst cost nothing when they leave.
+// They are therefore given to a well used decode stage earlier and at a smaller
+// deviation than others; the way back needs the usual deviation. The forecast
+// of the prefill work is the larger of its average and a decaying peak.
+//
 // Load patterns covered: a site whose engines were started in a proportion that
 // doesn't fit its requests (decode memory full, prefill engines idle); a
 // lasting shift between long prompts and long outputs; engines of one stage
-// lost for good.
+// lost for good; idle prefill engines beside decode memory that is short in
+// bursts only; failure domains whose demand swings out of step.
 #ifndef DECIDE_ROLE_BALANCER_H_
 #define DECIDE_ROLE_BALANCER_H_
 
@@ -56,6 +62,22 @@
     // Largest share of a stage's engines that may leave it in one batch; at
     // least one engine may.
     double max_moved_share = 0.34;
+    // Prefill engines kept per engine that the forecast work keeps busy: a
+    // burst doubles the rate, and a queue delays first events.
+    double burst_headroom = 2.2;
+    // Engines above burst_headroom move to decode if they are at least this
+    // share of all engines, and at least min_idle_moves.
+    double idle_tolerance = 0.05;
+    int min_idle_moves = 3;
+    // Time for which work is measured before idle engines move. Only short runs
+    // have ended by then, so decode work is rather underestimated.
+    Duration idle_warm_up = std::chrono::seconds(4);
+    // As max_moved_share, for idle prefill engines.
+    double max_idle_moved_share = 0.5;
+    // Time constant of the prefill rate whose peak is remembered, and the time
+    // in which the peak halves.
+    Duration peak_averaging_time = std::chrono::seconds(3);
+    Duration peak_half_life = std::chrono::seconds(20);
     // Minimum number of engines in each stage, so that one can fail.
     int min_engines_per_stage = 2;
   };
@@ -66,6 +88,9 @@
     EngineRole role = EngineRole::kNone;
     int open_calls = 0;
     bool accepts_work = true;
+    // Relative to the middle of the service. A faster engine occupies decode
+    // memory for a shorter time, while prefill engines mostly wait for work.
+    double speed = 1;
   };
 
   explicit RoleBalancer(const Options& options) : options_(options) {}
@@ -86,6 +111,13 @@
   // Returns how many of `total` engines prefill should have, given that it has
   // `prefills` now.
   int TargetPrefillCount(int prefills, int total) const;
+  // Returns how many of `prefills` engines stay idle even in a burst and are
+  // worth moving to decode.
+  int IdlePrefillCount(int prefills, int total) const;
+  // Returns the engines to move now, of the stage `from`.
+  std::vector<RoleMove> ChooseMoves(std::vector<const Engine*> from,
+                                    EngineRole new_role, int count) const;
+  void UpdatePeak(const StageSums& sums, double elapsed);
 
   const Options options_;
   // Requests per second that reach the engines.
@@ -100,6 +132,8 @@
   StageSums decayed_sums_;  // decayed with averaging_time
   // Time that decayed_sums_ covers, decayed as well.
   double decayed_seconds_ = 0;
+  double recent_prefill_work_ = 0;  // averaged over peak_averaging_time
+  double peak_prefill_work_ = 0;    // decaying maximum of recent_prefill_work_
 };
 
 }  // namespace mimosa
--- a/decide/role_balancer_test.cc
+++ b/decide/role_balancer_test.cc
@@ -167,6 +167,57 @@
     CHECK(fleet.PrefillsIn(zone) >= 1);
 }
 
+TEST_CASE("idle prefill engines move early if decode memory is well used") {
+  // 90 engines, 31 of them for prefill. Their work keeps 8 busy, and the runs
+  // hold the memory of 32 decode engines on average.
+  Fleet fleet(31, 59);
+  fleet.Run(8, 32, seconds(14));
+  CHECK(fleet.Count(EngineRole::kDecode) >= 70);
+  // A burst of twice the rate keeps 16 busy.
+  CHECK(fleet.Count(EngineRole::kPrefill) >= 17);
+  const int moves = fleet.moves();
+  fleet.Run(8, 32, seconds(120));
+  CHECK(fleet.moves() == moves);
+}
+
+TEST_CASE("bursts and swings of the load move no engine back") {
+  Fleet fleet(31, 59);
+  fleet.Run(7, 35, seconds(20));
+  const int moves = fleet.moves();
+  for (int i = 0; i < 12; ++i) {
+    fleet.Run(14, 60, seconds(3));  // a burst of all kinds
+    fleet.Run(5, 26, seconds(5));   // a trough
+    fleet.Run(12, 35, seconds(3));  // long prompts
+    fleet.Run(7, 35, seconds(5));
+    fleet.Run(7, 50, seconds(3));  // long outputs
+  }
+  CHECK(fleet.moves() == moves);
+}
+
+TEST_CASE("prefill keeps more engines than a recent burst has used") {
+  Fleet fleet(31, 59);
+  fleet.Run(18, 35, seconds(4));
+  fleet.Run(7, 35, seconds(8));
+  CHECK(fleet.Count(EngineRole::kPrefill) >= 22);
+}
+
+TEST_CASE("fast engines move to decode and slow ones to prefill") {
+  RoleBalancer balancer{RoleBalancer::Options{}};
+  std::vector<RoleBalancer::Engine> engines(20);
+  for (size_t i = 0; i < engines.size(); ++i) {
+    engines[i].id = BackEndId(std::to_string(i));
+    engines[i].role = i < 12 ? EngineRole::kPrefill : EngineRole::kDecode;
+    engines[i].speed = i % 3 == 0 ? 1.7 : 0.7;
+  }
+  MonoTime now = MonoTime(seconds(5));
+  for (const MonoTime end = now + seconds(8); now < end; now += kStep)
+    balancer.RecordWork(Sums(1.5, 6), kKvMemory, now);
+  const auto moves = balancer.ProposeMoves(engines, now);
+  REQUIRE(moves.size() >= 4);
+  for (const size_t i : {0U, 1U, 2U, 3U})
+    CHECK(std::stoi(moves[i].engine.value()) % 3 == 0);
+}
+
 // Checks that every proportion of work reaches a stable share, whatever the
 // initial share, and that each stage keeps an engine.
 TEST_CASE("all small fleets reach a stable share") {
