Speeds of engines are learned, shared and used by selection

Cause: engines of one service may differ in speed by more than a factor of two, and nobody measured it: selection counted open calls alone.

Selection divides the work by the speed where engines are unlike, and then compares four candidates drawn at random. The balancer moves faster engines to decode. /status shows speeds, a line logs each change of class, and implausible entries are counted.

Measured: engine_speeds_test (slow moments, lasting change, restart, lost and repeated reports, implausible values, 80 daemons with views 0.8 s old); serving_decisions, relay, role_controller and usage_exchange tests pass.

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <iterator>
 #include <limits>
+#include <utility>
 
 namespace mimosa {
 namespace {
@@ -14,6 +15,11 @@
 constexpr double kMemoryFullPenaltyMs = 600;
 // Slowdown caused by each open run on a decode engine.
 constexpr double kSlowdownPerRunMs = 1.5;
+// Weight of the time for which a run occupies the memory of a slower engine: an
+// engine of half the speed is worth this much more.
+constexpr double kLongerRunMs = 10;
+// Number of candidates compared if the engines are of unlike speed.
+constexpr size_t kSampleSize = 4;
 // Time that a plain server takes per call, multiplied by its open calls per
 // slot.
 constexpr double kPlainCallMs = 15;
@@ -180,6 +186,8 @@
   MonoTime first_available_at = kNever;
   const BackEndEntry* lacks_permit = nullptr;  // the best one that does
   double lacks_permit_ms = std::numeric_limits<double>::infinity();
+  std::vector<Candidate> candidates;
+  bool have_unlike_speeds = false;
   for (const auto& [id, listed] : list_->entries()) {
     const BackEndEntry& entry = listed.entry;
     if (!Matches(entry, query)) continue;
@@ -206,11 +214,14 @@
     }
     const double ms = ExpectedMillis(listed, state, query, now) +
                       random_->UniformDouble() * kTieBreakMs;
+    candidates.push_back({&entry, ms});
+    if (SpeedOf(entry, query.role) != 1) have_unlike_speeds = true;
     if (ms < best_ms) {
       best = &entry;
       best_ms = ms;
     }
   }
+  if (have_unlike_speeds) best = BestOfSample(std::move(candidates));
   // The caller will retry the reservation anyway, so an engine that has just
   // failed is not used as a fallback.
   if (best == nullptr && !query.require_free_memory) best = first_available;
@@ -219,6 +230,29 @@
   return best;
 }
 
+const BackEndEntry* BackEndSelector::BestOfSample(
+    std::vector<Candidate> candidates) {
+  const size_t count = std::min(kSampleSize, candidates.size());
+  const Candidate* best = nullptr;
+  for (size_t i = 0; i < count; ++i) {
+    const size_t left = candidates.size() - i;
+    const size_t drawn =
+        i + std::min(left - 1, static_cast<size_t>(random_->UniformDouble() *
+                                                   static_cast<double>(left)));
+    std::swap(candidates[i], candidates[drawn]);
+    if (best == nullptr || candidates[i].expected_ms < best->expected_ms)
+      best = &candidates[i];
+  }
+  return best == nullptr ? nullptr : best->entry;
+}
+
+double BackEndSelector::SpeedOf(const BackEndEntry& back_end,
+                                EngineRole role) const {
+  const EngineSpeed* speed = engine_speeds_.Find(back_end);
+  if (speed == nullptr || role == EngineRole::kNone) return 1;
+  return role == EngineRole::kPrefill ? speed->prefill : speed->decode;
+}
+
 OpenWork BackEndSelector::PeerLoadOf(const BackEndId& id) const {
   const auto load = peer_load_.find(id);
   return load == peer_load_.end() ? OpenWork{} : load->second;
@@ -261,15 +295,17 @@
   if (listed.removal_pending) ms += kMissingRecordPenaltyMs;
   if (now < listed.learned_at + entry.warm_up_time) ms += kColdStartPenaltyMs;
   const double calls = state.open_calls + peers.calls;
+  const double speed = SpeedOf(entry, query.role);
   switch (query.role) {
     case EngineRole::kPrefill: {
       const Tokens ahead = state.open_prompt + peers.tokens;
       ms += static_cast<double>((ahead + query.work.prompt).count()) /
-            options_.prefill_tokens_per_ms;
+            (options_.prefill_tokens_per_ms * speed);
       break;
     }
     case EngineRole::kDecode: {
-      ms += calls * kSlowdownPerRunMs;
+      ms += calls * kSlowdownPerRunMs / speed;
+      ms += (1 / speed - 1) * kLongerRunMs;
       if (ExceedsMemory(entry.id, state, query)) ms += kMemoryFullPenaltyMs;
       if (calls >= entry.slots) ms += kMemoryFullPenaltyMs;
       break;
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -17,9 +17,15 @@
 // A back end that names a limit on the calls of all daemons is called with a
 // permit only; meanwhile, requests go to others.
 //
+// Engines of unlike speed (decide/engine_speeds.h) are compared by what their
+// work takes them. Then only a few candidates, drawn at random, are compared:
+// otherwise all daemons would choose the same fast engine until they learn of
+// each other's calls.
+//
 // Load patterns covered: a burst of twice the usual rate while a quarter of the
 // engines don't respond or respond slowly; engines that are full for a moment;
-// prefill engines whose results expire at once; a restart of many engines.
+// prefill engines whose results expire at once; a restart of many engines;
+// engines of unlike speed in one service under many daemons with old views.
 #ifndef DECIDE_BACK_END_SELECTOR_H_
 #define DECIDE_BACK_END_SELECTOR_H_
 
@@ -34,6 +40,7 @@
 #include "base/random.h"
 #include "decide/back_end_list.h"
 #include "decide/call_permits.h"
+#include "decide/engine_speeds.h"
 #include "decide/open_work.h"
 #include "decide/site.h"
 
@@ -171,6 +178,13 @@
   // Returns the open work of this daemon, to be sent to its peers. Back ends
   // without open work are left out.
   OpenWorkByBackEnd LocalLoad() const;
+  // The speeds of the engines, to be kept up to date by the owner.
+  EngineSpeedView& engine_speeds() { return engine_speeds_; }
+  const EngineSpeedView& engine_speeds() const { return engine_speeds_; }
+  // Returns the speed of the engine in that role, relative to the middle of its
+  // service.
+  double SpeedOf(const BackEndEntry& back_end, EngineRole role) const;
+  const BackEndList& list() const { return *list_; }
   // Returns whether neither this daemon nor its peers are known to have open
   // calls at the back end.
   bool IsIdle(const BackEndId& id) const;
@@ -218,6 +232,13 @@
   double ExpectedMillis(const BackEndList::ListedBackEnd& listed,
                         const BackEndState& state, const SelectionQuery& query,
                         MonoTime now) const;
+  struct Candidate {
+    const BackEndEntry* entry = nullptr;
+    double expected_ms = 0;
+  };
+  // Returns the best of a few candidates drawn at random; nullptr if there are
+  // none.
+  const BackEndEntry* BestOfSample(std::vector<Candidate> candidates);
   void ApplyOutcome(BackEndState* state, CallOutcome outcome, MonoTime now);
 
   const BackEndList* const list_;
@@ -226,6 +247,7 @@
   CallPermits* const permits_;  // May be null.
   std::map<BackEndId, BackEndState> states_;
   OpenWorkByBackEnd peer_load_;
+  EngineSpeedView engine_speeds_;
   // The incarnations that have said that they are about to terminate, also
   // after their entries are gone: an entry may come back after an outage.
   std::map<BackEndId, int64_t> leaving_;
--- a/decide/stage_meter.h
+++ b/decide/stage_meter.h
@@ -16,6 +16,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "decide/engine_speeds.h"
 #include "decide/site.h"
 
 namespace mimosa {
@@ -65,6 +66,8 @@
   void RecordRun(const ServiceId& service, Tokens memory, Duration duration);
 
   const StageSumsByService& sums() const { return sums_; }
+  EngineSpeedMeter& engine_speeds() { return engine_speeds_; }
+  const EngineSpeedMeter& engine_speeds() const { return engine_speeds_; }
   // Returns the expected time of a prefill on an otherwise idle engine.
   Duration PrefillTime(const ServiceId& service, Tokens prompt) const;
 
@@ -76,6 +79,7 @@
   };
 
   StageSumsByService sums_;
+  EngineSpeedMeter engine_speeds_;
   std::map<ServiceId, Speed> speeds_;
 };
 
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -428,6 +428,12 @@
         item["limit"] = *limit;
       item["held"] = back_end.removal_pending;
       item["changes_role"] = state.changing_role;
+      if (const EngineSpeed* speed =
+              selector_.engine_speeds().Find(back_end.entry)) {
+        item["prefill_speed"] = speed->prefill;
+        item["decode_speed"] = speed->decode;
+        item["speed_age_ms"] = Json::Int64(ToMillis(now - speed->measured_at));
+      }
       item["open_calls"] = state.open_calls;
       item["calls_of_others"] = state.peer_calls;
       item["failures"] = state.failures;
@@ -615,6 +621,9 @@
             [this] { return double(counters_.reservations_refused); });
   add_gauge("mimosa_role_orders", "Orders to engines to change their role",
             [this] { return double(role_controller_.orders_sent()); });
+  add_gauge("mimosa_engine_speeds_dropped",
+            "Implausible entries on engines' speeds in datagrams",
+            [this] { return double(usage_exchange_.dropped_speeds()); });
   add_gauge("mimosa_repeats", "Requests sent to a backend server once more",
             [this] { return double(counters_.retries); });
   add_gauge("mimosa_repeats_refused", "Repeats given up for want of budget",
--- a/serving/role_controller.cc
+++ b/serving/role_controller.cc
@@ -174,6 +174,7 @@
     engine.id = id;
     engine.zone = entry.zone;
     engine.role = entry.role;
+    engine.speed = selector_->SpeedOf(entry, EngineRole::kDecode);
     engine.accepts_work = !entry.draining && !selector_->IsLeaving(entry) &&
                           !listed.removal_pending && moves_.count(id) == 0;
     const auto open = load.open_work.find(id);
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -113,6 +113,8 @@
     }
     is_event_stream_ = is_event_stream;
     events_before_run_ = event_splitter_.event_count();
+    first_event_at_ = MonoTime{};
+    reader_was_slow_ = false;
     kv_handle_.reset();  // The engine has taken it.
     ClearReservation();  // The run uses it.
     StartSilenceTimer();
@@ -167,6 +169,7 @@
     if (IsSuccess(response_.status)) {
       deps_.stage_meter->RecordRun(request_.service.id, size_.total,
                                    deps_.loop->Now() - stage_started_at_);
+      RecordRunSpeed(back_end);
       // At most a comment: the stream doesn't end inside an event.
       exchange_->Write(event_splitter_.partial_event());
       exchange_->Finish();
@@ -553,6 +556,9 @@
     deps_.stage_meter->RecordPrefill(request_.service.id, size_.prompt,
                                      kv_handle_created_at_ - stage_started_at_,
                                      prefill_engine_idle_);
+    deps_.stage_meter->engine_speeds().RecordPrefill(
+        engine, size_.prompt, kv_handle_created_at_ - stage_started_at_,
+        prefill_engine_idle_, kv_handle_created_at_);
     StartRun();
   }
 
@@ -645,11 +651,33 @@
 
   // Reports that the current run got beyond its first event, once.
   void RecordGenerated() {
+    if (EventsOfRun() > 0) {
+      last_event_at_ = deps_.loop->Now();
+      if (first_event_at_ == MonoTime{}) {
+        first_event_at_ = last_event_at_;
+        // Several events may have arrived at once.
+        events_at_first_ = EventsOfRun();
+      }
+    }
     if (generated_ || EventsOfRun() < kEventsUntilGenerated) return;
     generated_ = true;
     deps_.crash_guard->RecordSurvived(request_.crash_suspects);
   }
 
+  // Measures the engine by the events of a run that has ended.
+  void RecordRunSpeed(const BackEndEntry& engine) const {
+    if (reader_was_slow_ || !is_event_stream_) return;
+    const MonoTime now = deps_.loop->Now();
+    const BackEndSelector::ObservedState state =
+        deps_.selector->GetObservedState(engine.id, now);
+    deps_.stage_meter->engine_speeds().RecordRun(
+        engine,
+        event_splitter_.event_count() - events_before_run_ - events_at_first_ +
+            1,
+        last_event_at_ - first_event_at_, state.open_calls + state.peer_calls,
+        now);
+  }
+
   // Reports a call that the engine broke off when it was about to generate, or
   // while it read the prompt. What generation would make of the parts of a
   // prompt isn't known then.
@@ -756,6 +784,7 @@
   // Reads from the engine no faster than the caller reads.
   void ApplyBackpressure() {
     if (call_ == nullptr || !HasSlowReader(*exchange_)) return;
+    reader_was_slow_ = true;
     call_->Pause(true);
     exchange_->OnDrained([this] {
       exchange_->OnDrained(nullptr);
@@ -904,6 +933,14 @@
   SseEventSplitter event_splitter_;
   // event_splitter_'s count when the response of the current run began.
   int64_t events_before_run_ = 0;
+  // Of the current run: when its first and last events arrived, and how many
+  // came with the first.
+  MonoTime first_event_at_{};
+  MonoTime last_event_at_{};
+  int64_t events_at_first_ = 0;
+  // The current run was paused for its reader, so its time says nothing about
+  // the engine.
+  bool reader_was_slow_ = false;
   // Id of the last event that the caller has received.
   std::optional<int64_t> last_event_id_;
   int prefills_ = 0;
--- a/serving/usage_exchange.cc
+++ b/serving/usage_exchange.cc
@@ -2,6 +2,7 @@
 #include "serving/usage_exchange.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -11,6 +12,11 @@
 // Most engines named in one datagram, so that it stays within the size limit.
 constexpr size_t kMaxOpenEntries = 250;
 
+// Most engines whose times or speeds are in one datagram. The others follow in
+// the next ones.
+constexpr size_t kMaxEngineTimes = 32;
+constexpr size_t kMaxEngineSpeeds = 16;
+
 using OpenWorkList = google::protobuf::RepeatedPtrField<wire::OpenWork>;
 
 OpenWorkByBackEnd ParseOpenWork(const OpenWorkList& list) {
@@ -87,6 +93,60 @@
   }
 }
 
+void WriteEngineTimes(const EngineSpeedSumsByBackEnd& sums,
+                      wire::UsageReport* report) {
+  for (const auto& [id, engine] : sums) {
+    wire::EngineTimes* const times = report->add_engine_times();
+    times->set_back_end(id.value());
+    times->set_incarnation(engine.incarnation);
+    times->set_prefills(engine.prefill.samples);
+    times->set_prefill_log_sum(engine.prefill.log_sum);
+    times->set_runs(engine.decode.samples);
+    times->set_run_log_sum(engine.decode.log_sum);
+  }
+}
+
+// Counts the entries that can't have been measured in `dropped`.
+EngineSpeedSumsByBackEnd ParseEngineTimes(const wire::UsageReport& report,
+                                          uint64_t* dropped) {
+  EngineSpeedSumsByBackEnd sums;
+  for (const wire::EngineTimes& times : report.engine_times()) {
+    const EngineSpeedSums engine = {times.incarnation(),
+                                    {times.prefills(), times.prefill_log_sum()},
+                                    {times.runs(), times.run_log_sum()}};
+    if (IsPlausible(engine) && !times.back_end().empty()) {
+      sums[BackEndId(times.back_end())] = engine;
+    } else {
+      ++*dropped;
+    }
+  }
+  return sums;
+}
+
+uint32_t Percent(double speed) {
+  return static_cast<uint32_t>(std::lround(100 * speed));
+}
+
+// Writes the speeds whose turn it is.
+void WriteEngineSpeeds(const EngineSpeedsByBackEnd& speeds, uint64_t turn,
+                       MonoTime now, wire::UsageSummary* summary) {
+  std::vector<const EngineSpeedsByBackEnd::value_type*> unlike;
+  for (const auto& entry : speeds)
+    if (entry.second.was_unlike) unlike.push_back(&entry);
+  const size_t count = std::min(unlike.size(), kMaxEngineSpeeds);
+  for (size_t i = 0; i < count; ++i) {
+    const auto& [id, engine] =
+        *unlike[(turn * kMaxEngineSpeeds + i) % unlike.size()];
+    wire::EngineSpeed* const speed = summary->add_engine_speeds();
+    speed->set_back_end(id.value());
+    speed->set_incarnation(engine.incarnation);
+    speed->set_prefill_pct(Percent(engine.prefill));
+    speed->set_decode_pct(Percent(engine.decode));
+    speed->set_age_ms(
+        static_cast<uint32_t>(ToMillis(now - engine.measured_at)));
+  }
+}
+
 }  // namespace
 
 UsageExchange::UsageExchange(EventLoop* loop, const MemberList* members,
@@ -185,6 +245,9 @@
              report.mutable_admitted());
   WriteOpenWork(selector_->LocalLoad(), report.mutable_open());
   WriteStages(stage_meter_->sums(), report.mutable_stages());
+  WriteEngineTimes(stage_meter_->engine_speeds().RecentSums(
+                       report.serial(), kMaxEngineTimes, now),
+                   &report);
   return report;
 }
 
@@ -242,6 +305,56 @@
   open_work_.RemoveReportsBefore(
       now - std::max(options_.open_work_ttl, 3 * ReportInterval()));
   open_work_.SetReport(self.name(), selector_->LocalLoad(), now);
+  RecordEngineTimes(
+      self.name(), self.boot(), serial_,
+      stage_meter_->engine_speeds().RecentSums(serial_, kMaxEngineTimes, now));
+  UpdateEngineSpeeds();
+}
+
+void UsageExchange::RecordEngineTimes(const std::string& daemon, uint64_t boot,
+                                      uint64_t serial,
+                                      const EngineSpeedSumsByBackEnd& sums) {
+  speed_estimates_.AddReport(daemon, boot, serial, sums, loop_->Now());
+}
+
+void UsageExchange::UpdateEngineSpeeds() {
+  const MonoTime now = loop_->Now();
+  if (now - speeds_updated_at_ < options_.engine_speed_refresh) return;
+  speeds_updated_at_ = now;
+  std::vector<EngineSpeedEstimates::ClassChange> changes;
+  EngineSpeedView& view = selector_->engine_speeds();
+  for (const auto& [id, speed] :
+       speed_estimates_.Speeds(selector_->list(), now, &changes))
+    view.Merge(id, speed);
+  view.RemoveExpired(now);
+  for (const EngineSpeedEstimates::ClassChange& change : changes)
+    log_->Write(
+        LogLine("engine_speed_changed")
+            .Add("back_end", change.engine.value())
+            .Add("stage", change.stage)
+            .Add("class", change.speed_class)
+            .Add("speed_pct", static_cast<int64_t>(100 * change.speed)));
+}
+
+void UsageExchange::ApplyEngineSpeeds(const wire::UsageSummary& summary) {
+  const MonoTime now = loop_->Now();
+  EngineSpeedView& view = selector_->engine_speeds();
+  view.RemoveExpired(now);
+  const auto& listed = selector_->list().entries();
+  for (const wire::EngineSpeed& entry : summary.engine_speeds()) {
+    const BackEndId id(entry.back_end());
+    const EngineSpeed speed = {entry.incarnation(), entry.prefill_pct() / 100.0,
+                               entry.decode_pct() / 100.0,
+                               now - std::chrono::milliseconds(entry.age_ms())};
+    if (!IsPlausible(speed)) {
+      ++dropped_speeds_;
+      continue;
+    }
+    const auto found = listed.find(id);
+    if (found != listed.end() &&
+        found->second.entry.incarnation == speed.incarnation)
+      view.Merge(id, speed);
+  }
 }
 
 std::optional<UsageExchange::FleetLoad> UsageExchange::fleet_load() const {
@@ -258,6 +371,7 @@
   usage_totals_.OnMemberGone(name);
   open_work_.RemoveReport(name);
   peer_stage_totals_.RemoveReport(name);
+  speed_estimates_.RemoveReport(name);
 }
 
 void UsageExchange::HandleReport(const wire::UsageReport& report,
@@ -283,6 +397,8 @@
   open_work_.SetReport(report.name(), ParseOpenWork(report.open()), now);
   peer_stage_totals_.AddReport(report.name(), report.boot(), report.serial(),
                                ParseStages(report.stages()));
+  RecordEngineTimes(report.name(), report.boot(), report.serial(),
+                    ParseEngineTimes(report, &dropped_speeds_));
   rate_limiter_->SetUsedInWindow(ParseUsedInWindow(report.admitted()), now);
   if (now - own_usage_recorded_at_ >= options_.own_usage_refresh)
     RecordOwnUsage();
@@ -295,6 +411,8 @@
              summary->mutable_admitted_by_others());
   WriteOpenWork(open_work_.SumExcept(report.name()),
                 summary->mutable_open_of_others());
+  WriteEngineSpeeds(selector_->engine_speeds().speeds(), report.serial(), now,
+                    summary);
   Send(from, datagram);
 }
 
@@ -310,6 +428,7 @@
   choice_.OnResponse(summary.collector());
   if (summary.collector() != collector()) return;
   selector_->SetPeerLoad(ParseOpenWork(summary.open_of_others()));
+  ApplyEngineSpeeds(summary);
   ShareByCustomer shares;
   for (const wire::AdmittedCost& cost : summary.admitted_by_others())
     if (cost.isolated_share() > 0)
--- a/serving/usage_exchange.h
+++ b/serving/usage_exchange.h
@@ -21,6 +21,7 @@
 #include "base/line_log.h"
 #include "decide/back_end_selector.h"
 #include "decide/collector_choice.h"
+#include "decide/engine_speeds.h"
 #include "decide/replicated_rate_limiter.h"
 #include "decide/stage_meter.h"
 #include "decide/usage_totals.h"
@@ -46,6 +47,8 @@
     Duration own_usage_refresh = std::chrono::milliseconds(50);
     // Time between two reports of an idle daemon.
     Duration idle_report_interval = std::chrono::milliseconds(800);
+    // Time between two evaluations of the engines' speeds by the collector.
+    Duration engine_speed_refresh = std::chrono::milliseconds(500);
     CollectorChoice::Options collector_choice;
   };
 
@@ -70,6 +73,8 @@
   };
   // Returns nullopt if another daemon is the collector.
   std::optional<FleetLoad> fleet_load() const;
+  // Entries on engines' speeds that were dropped as implausible.
+  uint64_t dropped_speeds() const { return dropped_speeds_; }
 
  private:
   void ReportIfDue();
@@ -85,6 +90,12 @@
   void Send(const Endpoint& to, const wire::UsageDatagram& datagram);
   void HandleReport(const wire::UsageReport& report, const Endpoint& from);
   void HandleSummary(const wire::UsageSummary& summary);
+  // Adds times to the estimates of a collector.
+  void RecordEngineTimes(const std::string& daemon, uint64_t boot,
+                         uint64_t serial, const EngineSpeedSumsByBackEnd& sums);
+  // Moves the collector's estimates to the selector and logs changes.
+  void UpdateEngineSpeeds();
+  void ApplyEngineSpeeds(const wire::UsageSummary& summary);
   void ApplyPeerUsage(const std::string& collector, uint64_t boot,
                       uint64_t serial, const AdmittedByCustomer& sum,
                       bool starts_from_window);
@@ -110,8 +121,11 @@
   AdmittedByCustomer known_rates_;  // The rates that usage_totals_ has.
   UsageDelta usage_delta_;
   MonoTime own_usage_recorded_at_{};
-  OpenWorkSums open_work_;         // Of reports received as a collector.
-  StageTotals peer_stage_totals_;  // Of reports received as a collector.
+  OpenWorkSums open_work_;                // Of reports received as a collector.
+  StageTotals peer_stage_totals_;         // Of reports received as a collector.
+  EngineSpeedEstimates speed_estimates_;  // Of reports received as a collector.
+  MonoTime speeds_updated_at_{};
+  uint64_t dropped_speeds_ = 0;
   TimerHandle report_timer_;
 };
 
