--- a/tests/usage_exchange_test.cc
+++ b/tests/usage_exchange_test.cc
@@ -309,5 +309,50 @@
   }
 }
 
+TEST_CASE("engines' speeds reach all daemons, implausible ones are dropped",
+          "[speeds]") {
+  Fleet fleet(8, 5);
+  fleet.SendRequests(0.2, seconds(3));
+  std::vector<BackEndEntry> engines(6);
+  for (size_t i = 0; i < engines.size(); ++i) {
+    engines[i].id = BackEndId("e" + std::to_string(i));
+    engines[i].service = ServiceId("s");
+    engines[i].incarnation = 1;
+    for (int d = 0; d < fleet.size(); ++d)
+      fleet.daemon(d)->back_ends.Put(engines[i], fleet.daemon(d)->loop.Now());
+  }
+  // Each daemon alone measures too little. The last engine is slow.
+  for (int round = 0; round < 10; ++round) {
+    for (int d = 0; d < fleet.size(); ++d) {
+      Daemon& daemon = *fleet.daemon(d);
+      for (size_t i = 0; i < engines.size(); ++i)
+        daemon.stage_meter.engine_speeds().RecordPrefill(
+            engines[i], Tokens(3000), milliseconds(i == 5 ? 300 : 100), true,
+            daemon.loop.Now());
+    }
+    fleet.SendRequests(0.2, seconds(1));
+  }
+  wire::UsageDatagram forged;
+  forged.mutable_summary()->set_collector(
+      fleet.daemon(0)->exchange.collector());
+  wire::EngineSpeed* const speed =
+      forged.mutable_summary()->add_engine_speeds();
+  speed->set_back_end("e0");
+  speed->set_incarnation(1);
+  speed->set_prefill_pct(4000000000U);
+  for (int d = 0; d < fleet.size(); ++d) {
+    Daemon& daemon = *fleet.daemon(d);
+    INFO("daemon " << d);
+    daemon.exchange.OnDatagram(Endpoint{}, forged);
+    CHECK(daemon.exchange.dropped_speeds() == 1);
+    CHECK(daemon.selector.SpeedOf(engines[0], EngineRole::kPrefill) == 1);
+    CHECK(daemon.selector.SpeedOf(engines[5], EngineRole::kPrefill) ==
+          Approx(1.0 / 3).margin(0.05));
+    BackEndEntry restarted = engines[5];
+    restarted.incarnation = 2;
+    CHECK(daemon.selector.SpeedOf(restarted, EngineRole::kPrefill) == 1);
+  }
+}
+
 }  // namespace
 }  // namespace mimosa
