Speeds need ten measurements, at prefill a larger difference

Change: an estimate counts from 10 measurements on, and a prefill speed must differ by 35 %, since waits behind other daemons' prompts are part of it.

--- a/decide/engine_speeds.cc
+++ b/decide/engine_speeds.cc
@@ -20,7 +20,7 @@
 // Largest number of engines of which anything is kept.
 constexpr size_t kMaxEngines = 5000;
 // An estimate with fewer measurements is not used.
-constexpr int64_t kMinSamples = 6;
+constexpr int64_t kMinSamples = 10;
 // Most measurements of one report that count separately.
 constexpr int64_t kMaxSamplesPerReport = 4;
 constexpr int64_t kMaxFirstSamples = 2;
@@ -31,9 +31,14 @@
 // Without this many measured engines there is no middle to compare with.
 constexpr size_t kMinEngines = 4;
 // Deviation, as a logarithm, from which an engine counts as faster or slower
-// than the middle, and below which it no longer does.
-constexpr double kTolerance = 0.2;
-constexpr double kToleranceToReturn = 0.12;
+// than the middle, and below which it no longer does. Prefills that wait for
+// one that this daemon doesn't know of make their times less certain.
+struct Tolerance {
+  double to_leave = 0;
+  double to_return = 0;
+};
+constexpr Tolerance kPrefillTolerance = {0.3, 0.2};
+constexpr Tolerance kDecodeTolerance = {0.2, 0.12};
 // Bounds of what is measured and of speeds.
 constexpr double kMaxAbsLog = 12;
 constexpr double kMinSpeed = 0.1;
@@ -187,10 +192,12 @@
   return *middle;
 }
 
-double EngineSpeedEstimates::RelativeSpeed(double middle, Estimate* estimate) {
+double EngineSpeedEstimates::RelativeSpeed(double middle, bool is_prefill,
+                                           Estimate* estimate) {
+  const Tolerance tolerance = is_prefill ? kPrefillTolerance : kDecodeTolerance;
   const double faster_by = middle - estimate->log_ms;
   const double bound =
-      estimate->speed_class == 0 ? kTolerance : kToleranceToReturn;
+      estimate->speed_class == 0 ? tolerance.to_leave : tolerance.to_return;
   if (faster_by > bound) {
     estimate->speed_class = 1;
   } else if (faster_by < -bound) {
@@ -229,15 +236,16 @@
     const auto listed = list.entries().find(id);
     if (listed == list.entries().end()) continue;
     const ServiceId& service = listed->second.entry.service;
-    const auto speed_of = [&, &id = id](const char* stage, const auto& times,
-                                        Estimate* estimate) {
+    const auto speed_of = [&, &id = id, &engine = engine](const char* stage,
+                                                          const auto& times,
+                                                          Estimate* estimate) {
       const auto of_service = times.find(service);
       if (!IsMeasured(*estimate) || of_service == times.end() ||
           of_service->second.size() < kMinEngines)
         return 0.0;
       const int previous = estimate->speed_class;
-      const double speed =
-          RelativeSpeed(MiddleOf(of_service->second), estimate);
+      const double speed = RelativeSpeed(MiddleOf(of_service->second),
+                                         estimate == &engine.prefill, estimate);
       if (estimate->speed_class != previous)
         changes->push_back(
             {id, stage, ClassName(estimate->speed_class), speed});
--- a/decide/engine_speeds.h
+++ b/decide/engine_speeds.h
@@ -130,7 +130,8 @@
   static bool IsMeasured(const Estimate& estimate);
   static double MiddleOf(std::vector<double> values);
   // Returns the speed of `estimate` and updates its class.
-  static double RelativeSpeed(double middle, Estimate* estimate);
+  static double RelativeSpeed(double middle, bool is_prefill,
+                              Estimate* estimate);
 
   std::map<std::string, Report> reports_;  // newest sums of each daemon
   std::map<BackEndId, Engine> engines_;
