Ended runs of the stand-in server don't fire their timers

Cause: a run that ended, by a crash or because its caller left, was kept until a posted callback with its timer still set. The loop runs due timers before posted callbacks, so the timer found no run, made an empty one and wrote to its missing exchange: SIGSEGV. Change: the timer is cancelled when the run ends. Not built with sanitizers; the cause was found by reading.

--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -316,6 +316,8 @@
   reservations_.clear();
   for (auto& [serial, run] : running_) {
     BreakOff(run);
+    // Pending timers of ended runs must not fire before the posted callback.
+    run.timer.Cancel();
     // Kept until later, since the timer of one of them is on the stack.
     auto ended = std::make_shared<Run>(std::move(run));
     loop_->Post([ended] {});
@@ -365,6 +367,8 @@
   const auto run = running_.find(serial);
   if (run == running_.end()) return;
   used_tokens_ -= run->second.tokens;
+  // The timer may be due before the posted callback runs.
+  run->second.timer.Cancel();
   // This may run from the run's own timer, so the run is destroyed later.
   auto node = std::make_shared<Run>(std::move(run->second));
   running_.erase(run);
