An exception ends one connection

Cause: an exception in a callback of a socket, from a library or a fault of our own, passed through the C code of libwebsockets and ended the process with all its requests. Change: an event of a connection that throws closes this connection, and its handler hears of it like of any other end; a datagram that throws is dropped. Exceptions in timers and posted callbacks still end the process: they aren't the work of one sender.

--- a/net/datagram.cc
+++ b/net/datagram.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <exception>
 #include <utility>
 
 #include "net/raw_socket.h"
@@ -45,9 +46,15 @@
     socklen_t length = sizeof(storage);
     const ssize_t n = recvfrom(fd_, buffer.data(), buffer.size(), 0,
                                reinterpret_cast<sockaddr*>(&storage), &length);
-    if (n >= 0)
+    if (n < 0) return 0;
+    // An exception closes the socket of a connection, but this one serves all
+    // senders.
+    try {
       receive_(detail::FromSockaddr(storage),
                {buffer.data(), static_cast<size_t>(n)});
+    } catch (const std::exception& error) {
+      lwsl_err("dropped a datagram after an exception: %s\n", error.what());
+    }
     return 0;
   }
 
--- a/net/http.h
+++ b/net/http.h
@@ -187,6 +187,9 @@
   virtual void StopAccepting() = 0;
   // Number of requests whose response has not ended.
   virtual size_t open_exchanges() const = 0;
+  // Number of bytes that wait to be sent on all connections, also of responses
+  // that have ended. Takes time in proportion to the number of connections.
+  virtual size_t unsent_bytes() const = 0;
   // Makes all further responses carry "Connection: close". Connections are
   // still accepted, for a load balancer that has not yet noticed the shutdown.
   virtual void DisableKeepAlive() = 0;
--- a/net/lws_server.cc
+++ b/net/lws_server.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <charconv>
+#include <exception>
 #include <memory>
 #include <string>
 #include <system_error>
@@ -433,7 +434,14 @@
   reader_ = std::make_unique<RequestReader>(host_->options().max_body_bytes);
   exchange_ = exchange;
   host_->ChangeExchangeCount(1);
-  host_->handler()->OnRequest(exchange);
+  // One request must not end the process. Nothing says how far it got, so the
+  // connection closes without a response.
+  try {
+    host_->handler()->OnRequest(exchange);
+  } catch (const std::exception& error) {
+    lwsl_err("closing a connection after an exception: %s\n", error.what());
+    OnClosed();
+  }
 }
 
 void Connection::OnExchangeDone(bool keep_alive) {
@@ -573,6 +581,12 @@
   }
 
   size_t open_exchanges() const override { return open_exchanges_; }
+  size_t unsent_bytes() const override {
+    size_t sum = 0;
+    for (const auto& [key, connection] : connections_)
+      sum += connection->unsent();
+    return sum;
+  }
   void DisableKeepAlive() override { draining_ = true; }
   void SetIdleTimeout(Duration timeout) override {
     options_.idle_timeout = timeout;
--- a/net/net_test.cc
+++ b/net/net_test.cc
@@ -1,9 +1,11 @@
 // Tests Endpoint, HttpHeaders and the event loop.
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "net/datagram.h"
 #include "net/http.h"
 #include "net/test_peer.h"
 
@@ -115,5 +117,18 @@
   CHECK(signals == 2);
 }
 
+TEST_CASE("an exception for a datagram ends neither process nor socket") {
+  const auto loop = LwsLoop::Create();
+  int received = 0;
+  const auto receiver = DatagramSocket::Open(
+      loop.get(), {"127.0.0.1", 0}, [&](const Endpoint&, std::string_view) {
+        if (++received == 1) throw std::runtime_error("unexpected");
+      });
+  REQUIRE(receiver != nullptr);
+  const Endpoint to{"127.0.0.1", receiver->port()};
+  for (int i = 0; i < 2; ++i) REQUIRE(receiver->Send(to, "x"));
+  CHECK(RunUntil(loop.get(), [&] { return received == 2; }));
+}
+
 }  // namespace
 }  // namespace mimosa
--- a/net/raw_socket.cc
+++ b/net/raw_socket.cc
@@ -14,6 +14,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <exception>
 #include <utility>
 
 namespace mimosa::detail {
@@ -120,7 +121,15 @@
   }
   bool destroyed = false;
   destroyed_ = &destroyed;
-  const int result = OnEvent(reason, in, len);
+  int result = 0;
+  // An exception must not pass through the library's C code, and one message
+  // must not end the process.
+  try {
+    result = OnEvent(reason, in, len);
+  } catch (const std::exception& error) {
+    lwsl_err("closing a connection after an exception: %s\n", error.what());
+    result = -1;
+  }
   if (destroyed) return -1;
   destroyed_ = nullptr;
   return result;
--- a/net/server_test.cc
+++ b/net/server_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <ctime>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -738,5 +739,31 @@
   CHECK(exchange()->client().ip == "::1");
 }
 
+TEST_CASE_METHOD(ServerFixture,
+                 "an exception of a handler ends one connection only") {
+  Listen();
+  bool disconnected = false;
+  handler_.respond = [&](HttpExchange* exchange) {
+    if (exchange->request().target != "/throw") return Echo(exchange);
+    exchange->OnClientDisconnected([&] { disconnected = true; });
+    throw std::runtime_error("unexpected");
+  };
+  const auto other = SendRequest(kGet);
+  const auto peer =
+      SendRequest("GET /throw HTTP/1.1\r\nHost: h\r\n\r\n" + std::string(kGet));
+  CHECK(Until([&] { return peer->closed(); }));
+  CHECK(peer->received().empty());
+  CHECK(disconnected);
+  CHECK(server_->open_exchanges() == 0);
+  other->Send(kGet);
+  CHECK(Until(
+      [&] { return CountOccurrences(other->received(), "[GET / ]") == 2; }));
+  // The same for a pipelined request, which is dispatched by itself.
+  const auto pipelining =
+      SendRequest(std::string(kGet) + "GET /throw HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(Until([&] { return pipelining->closed(); }));
+  CHECK(CountOccurrences(pipelining->received(), "[GET / ]") == 1);
+}
+
 }  // namespace
 }  // namespace mimosa
--- a/net/test_peer.h
+++ b/net/test_peer.h
@@ -122,6 +122,12 @@
     }
     return received_;
   }
+  // Reads and discards up to `max_bytes`. Returns how many arrived.
+  size_t ReadSome(size_t max_bytes) {
+    std::string buffer(max_bytes, '\0');
+    const ssize_t n = recv(fd_, buffer.data(), buffer.size(), 0);
+    return n > 0 ? static_cast<size_t>(n) : 0;
+  }
   // True once the other end has closed; received() is complete then.
   bool closed() {
     received();
