No role order after its window

Cause: the loop reads sockets before it runs timers. A daemon that was paused while it polled found the report of an engine in its socket and sent the order, however long ago its right to send orders had run out. Change: the window is checked right before each order, on the clock that counts suspension.

--- a/serving/role_controller.cc
+++ b/serving/role_controller.cc
@@ -302,6 +302,11 @@
 }
 
 void RoleController::SendOrder(const BackEndId& id, int64_t orders_accepted) {
+  // The report may have waited in the socket while the process was paused.
+  if (loop_->Now() >= orders_until_) {
+    FinishOrder(id, "too_late");
+    return;
+  }
   Order& order = orders_.at(id);
   ++orders_sent_;
   finished_calls_.push_back(std::move(order.call));
--- a/tests/role_controller_test.cc
+++ b/tests/role_controller_test.cc
@@ -9,10 +9,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
 #include "base/json.h"
+#include "net/datagram.h"
 #include "net/test_peer.h"
 #include "platform/request_codec.h"
 #include "tests/serving_fakes.h"
@@ -209,6 +211,36 @@
   CHECK(store.writes.empty());
 }
 
+TEST_CASE_METHOD(RoleControllerFixture,
+                 "a process that was paused sends no order after its window") {
+  // A pause while the loop polls: on resumption the report in the socket is
+  // read before any timer runs. The loop reads this datagram first.
+  const auto pausing_socket = DatagramSocket::Open(
+      loop.get(), {"127.0.0.1", 0}, [](const Endpoint&, std::string_view) {
+        std::this_thread::sleep_for(Options().order_window + milliseconds(200));
+      });
+  RawListener raw_engine;
+  for (int i = 0; i < 8; ++i) {
+    BackEndEntry entry =
+        back_ends.entries().at(BackEndId("e" + std::to_string(i))).entry;
+    entry.port = raw_engine.port();
+    back_ends.Put(entry, loop->Now());
+  }
+  controller.Start();
+  REQUIRE(AwaitWrite());
+  AcknowledgeWrite(41);
+  std::unique_ptr<RawPeer> peer;
+  REQUIRE(RunUntil(loop.get(), [&] {
+    if (peer == nullptr) peer = raw_engine.Accept();
+    return peer != nullptr && !peer->received().empty();
+  }));
+  REQUIRE(pausing_socket->Send({"127.0.0.1", pausing_socket->port()}, "x"));
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+             std::to_string(engine.report.size()) + "\r\n\r\n" + engine.report);
+  RunFor(loop.get(), Options().order_window + milliseconds(400));
+  CHECK(controller.orders_sent() == 0);
+}
+
 TEST_CASE_METHOD(RoleControllerFixture,
                  "no order without a timely acknowledgement") {
   controller.Start();
