Comments don't hide a stalled stream

Cause: an engine that generates nothing but sends a comment now and then kept its stream until the deadline: each comment counted as progress, and ended the search for another engine. Change: only a complete event does. The comments still reach the caller. A second test shows that a late copy of a response on a connection in use again reaches no other caller; it passed before.

--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -123,7 +123,13 @@
   }
 
   void OnResponseBody(BackEndCall* call, std::string_view data) override {
-    if (call == silent_run_.get()) RestoreSilentRun();
+    if (call == silent_run_.get()) {
+      if (is_event_stream_ && IsSuccess(silent_response_.status)) {
+        OnSilentRunData(call, data);
+        return;
+      }
+      RestoreSilentRun();
+    }
     if (stage_ != Stage::kRun || !IsSuccess(response_.status)) {
       response_.body.append(data);
       if (response_.body.size() > kMaxBufferedBytes) call->Reject();
@@ -224,13 +230,15 @@
         deps_.stream_origins->Record(request_.caller.id, request_.service.id,
                                      call.back_end().software_version);
     }
+    // An engine that sends only comments is alive but generates nothing.
+    const bool progressed = event_splitter_.event_count() > result_.events;
     result_.events = event_splitter_.event_count();
     RecordGenerated();
     if (!software_version_)
       software_version_ = call.back_end().software_version;
     result_.software_version = *software_version_;
     exchange_->Write(events);
-    StartSilenceTimer();
+    if (progressed) StartSilenceTimer();
     ApplyBackpressure();
   }
 
@@ -732,6 +740,19 @@
     StartStages();
   }
 
+  // Comments show that the engine is alive, not that it generates, so only a
+  // complete event ends the search for another engine.
+  void OnSilentRunData(BackEndCall* call, std::string_view data) {
+    const std::string events = event_splitter_.Feed(data);
+    if (event_splitter_.event_count() > result_.events) {
+      RestoreSilentRun();
+      ForwardEvents(events, *call);
+    } else if (!events.empty()) {
+      exchange_->Write(events);
+    }
+    if (event_splitter_.event_too_long()) call->Reject();
+  }
+
   // Makes the silent run the current call again. Called when it has sent data
   // again or when no other engine is available.
   void RestoreSilentRun() {
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -60,6 +60,43 @@
 
 // --- Plain requests ----------------------------------------------------------
 
+TEST_CASE_METHOD(RelayFixture,
+                 "a late second copy of a response reaches no other caller") {
+  RawListener listener;
+  AddBackEnd("s", "desk", EngineRole::kNone, listener.port());
+  std::vector<std::unique_ptr<RawPeer>> peers;
+  size_t answered = 0;
+  const auto response_to = [](const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nMimosarouter-Request-Id: " + id +
+           "\r\nMimosarouter-Response-Seal: seal\r\nContent-Length: " +
+           std::to_string(id.size()) + "\r\n\r\n" + id;
+  };
+  std::string previous;
+  const std::function<void()> serve = [&] {
+    if (auto peer = listener.Accept()) peers.push_back(std::move(peer));
+    for (const auto& peer : peers) {
+      const std::string request = peer->received();
+      if (request.find("\r\n\r\nbody") == std::string::npos) continue;
+      peer->Clear();
+      ++answered;
+      const std::string response =
+          response_to(RawField(request, "Mimosarouter-Request-Id"));
+      peer->Send(previous + response);
+      previous = response;
+    }
+  };
+  TimerHandle timer;
+  std::function<void()> poll = [&] {
+    serve();
+    timer = loop->After(milliseconds(1), poll);
+  };
+  poll();
+  for (int i = 1; i <= 3; ++i)
+    CHECK(CallFrontend("/book/1").body == "r" + std::to_string(i));
+  CHECK(answered == 3);
+  CHECK(peers.size() == 1);
+}
+
 TEST_CASE_METHOD(RelayFixture, "a response is passed on unchanged") {
   FakeBackEnd desk(loop.get());
   desk.script = [](const auto& exchange) {
@@ -563,6 +600,40 @@
   CHECK(decode.runs + other.runs == 1);
 }
 
+TEST_CASE_METHOD(StreamFixture,
+                 "a resumable stream of comments alone moves to another "
+                 "engine") {
+  FakeEngine other(loop.get());
+  AddBackEnd("f", "llm", EngineRole::kDecode, other.back_end.port());
+  TimerHandle timer;
+  std::function<void(const FakeBackEnd::Exchange&)> send_comment =
+      [&](const FakeBackEnd::Exchange& exchange) {
+        exchange->Write(": wait\n\n");
+        timer = loop->After(milliseconds(20), [&send_comment, exchange] {
+          send_comment(exchange);
+        });
+      };
+  int run = 0;
+  const auto script = [&](const FakeBackEnd::Exchange& exchange) {
+    exchange->StartStream(200, MakeMarkers(exchange->request()));
+    if (++run == 1) {
+      exchange->Write(MakeEvent(1));
+      send_comment(exchange);
+      return;
+    }
+    CHECK(*Header(exchange->request(), "Last-Event-Id") == "1");
+    exchange->Write(MakeEvent(2) + MakeEvent(3));
+    exchange->Finish();
+  };
+  decode.on_run = script;
+  other.on_run = script;
+  const CallerResponse response = CallFrontend("/note/1");
+  CHECK(response.ok);
+  CHECK(run == 2);
+  CHECK(response.body.find(MakeEvent(1)) == 0);
+  CHECK(response.body.find(MakeEvent(2) + MakeEvent(3)) != std::string::npos);
+}
+
 TEST_CASE_METHOD(
     StreamFixture,
     "when a caller disconnects, memory and reservation are released") {
