Bounded buffers for slow readers

Cause: what a daemon holds for callers and back ends that read slowly was bounded for each connection only, while its VM's memory is small; a process that passes it is killed with all its requests. Change: a budget over all requests (decide/buffer_budget, serving/buffer_monitor, setting memory-mb; without it nothing changes): back pressure by the share of each response, then refusals of requests that have not run, then the end of responses whose callers have read nothing for 5 s, longest stalled first. Result: slow_reader_test: 20 stalled callers of 8 MB responses beside a slow one stay within a budget of 4 MB and one read each; 12 with large bodies pass it, and no more of them are ended than needed; the slow one gets everything.

--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -36,13 +36,6 @@
 // A request is refused after this many back ends rejected it as not executed.
 inline constexpr int kMaxRejections = 3;
 
-// Returns whether so much is unsent to the caller that the back end's response
-// should not be read on.
-inline bool HasSlowReader(const HttpExchange& exchange) {
-  constexpr size_t kMaxUnsentBytes = 256U << 10;
-  return exchange.UnsentBytes() > kMaxUnsentBytes;
-}
-
 // Takes one further call of a request from the fleet's retry budget. Returns
 // false if the budget is exhausted. Counts the retry or the denial in
 // deps.counters.
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -20,6 +20,7 @@
 #include "decide/replicated_rate_limiter.h"
 #include "decide/retry_budget.h"
 #include "net/datagram.h"
+#include "serving/buffer_monitor.h"
 #include "serving/crash_exchange.h"
 #include "serving/engine_memory_releaser.h"
 #include "serving/entry_frontend.h"
@@ -60,6 +61,9 @@
 // A caller may take a stream up for this much longer than a stream lasts, since
 // its time limit covers its waits between two requests, too.
 constexpr Duration kTakeupMargin = std::chrono::seconds(5);
+// Share of the VM's memory that may hold what callers and back ends haven't
+// read. The rest is left for the process itself and for the kernel's buffers.
+constexpr double kBufferMemoryShare = 0.4;
 // Longest time that a log line stays buffered.
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(250);
 
@@ -95,6 +99,14 @@
   return options;
 }
 
+BufferMonitor::Options BufferOptions(const wire::EntrySettings& settings) {
+  constexpr double kBytesPerMegabyte = 1 << 20;
+  BufferMonitor::Options options;
+  options.budget.limit_bytes = static_cast<size_t>(
+      settings.memory_mb() * kBytesPerMegabyte * kBufferMemoryShare);
+  return options;
+}
+
 LineLog::Options LogOptions(const wire::EntrySettings& settings) {
   LineLog::Options options;
   options.process = settings.name();
@@ -175,6 +187,7 @@
             StreamOriginExchange::Options{}),
         crash_exchange_(loop_.get(), &members_, store_.get(), &random_, &log_,
                         CrashOptions()),
+        buffers_(loop_.get(), &log_, BufferOptions(settings)),
         deps_{loop_.get(),
               client_.get(),
               platform.request_format,
@@ -191,7 +204,8 @@
               &permits_,
               &reachability_,
               &helpers_,
-              FailureDomain(settings.failure_domain())},
+              FailureDomain(settings.failure_domain()),
+              &buffers_},
         frontend_(&deps_, &rate_limiter_,
                   [this] { return site_sync_.config(); }),
         forwarded_handler_(&frontend_),
@@ -248,9 +262,11 @@
     stream_origins_.Start(peer_socket_.get());
     crash_exchange_.Start(peer_socket_.get());
     permits_.Start(peer_socket_.get());
+    buffers_.Start({caller_server_.get(), forward_server_.get()});
     role_controller_.Start();
     FlushLog();
     loop_->Run();
+    frontend_.LogCutRequests();
     log_.WriteAlways(
         LogLine("stopped").Add("running", frontend_.running_requests()));
     log_.Flush();
@@ -535,6 +551,7 @@
   SiteSync site_sync_;
   StreamOriginExchange stream_origins_;
   CrashExchange crash_exchange_;
+  BufferMonitor buffers_;
   const RelayDeps deps_;
   EntryFrontend frontend_;
   ForwardedHandler forwarded_handler_;
@@ -598,6 +615,19 @@
                         return double(frontend_.counters().*count);
                       });
   }
+  add_gauge("mimosa_buffered_bytes",
+            "Bytes held for callers and backend servers that read slowly",
+            [this] { return double(buffers_.held_bytes()); });
+  for (const auto& [event, count] :
+       {std::pair("refused", &BufferMonitor::Counters::refused),
+        std::pair("ended", &BufferMonitor::Counters::ended)}) {
+    metrics_.AddGauge("mimosa_buffers",
+                      "Requests refused for want of memory, and responses "
+                      "ended whose callers had stalled",
+                      {{"event", event}}, [this, count = count] {
+                        return double(buffers_.counters().*count);
+                      });
+  }
   add_gauge("mimosa_store_lost", "1 while the store doesn't answer",
             [this] { return site_sync_.store_lost() ? 1.0 : 0.0; });
   add_gauge("mimosa_running_requests", "Requests being served",
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -27,6 +27,9 @@
 // Retry-After of a request for a service that neither this daemon nor others
 // reach.
 constexpr Duration kUnreachableRetryAfter = std::chrono::milliseconds(400);
+// Retry-After of a request for which this daemon has no memory: other daemons
+// most likely have.
+constexpr Duration kNoMemoryRetryAfter = std::chrono::milliseconds(100);
 // Requests of other daemons that run here at once.
 constexpr size_t kMaxForwardedRequests = 256;
 // Engines define priorities from 0 to this, the lowest.
@@ -130,6 +133,10 @@
     return false;
   }
   request->route = *route;
+  if (!deps_->buffers->MayAdmit(caller.http)) {
+    *refusal = {kStatusUnavailable, kNoMemoryRetryAfter, "no_memory"};
+    return false;
+  }
   const SiteCustomer* customer =
       caller.key.empty() ? nullptr : config.FindCustomerByKey(caller.key);
   if (customer == nullptr && !route->allows_anonymous &&
@@ -217,6 +224,7 @@
       (customer == nullptr && !envelope->customer.empty()))
     return "other_configuration";
   if (running_forwarded_ >= kMaxForwardedRequests) return "full";
+  if (!deps_->buffers->MayAdmit(exchange.request())) return "no_memory";
   request->route = *route;
   request->service = *service;
   request->customer = envelope->customer;
@@ -324,6 +332,8 @@
     if (it != running_requests_.end())
       it->second->relay->OnCallerDisconnected();
   });
+  deps_->buffers->Add(serial, request.caller.id, exchange,
+                      [this, serial] { EndStalledReader(serial); });
   const bool forward = request.forwarded_by.empty() &&
                        deps_->helpers->Advise(request.service.id) ==
                            HelperExchange::Advice::kForward;
@@ -349,6 +359,33 @@
   running.relay->Start();
 }
 
+void EntryFrontend::LogCutRequests() {
+  const MonoTime now = deps_->loop->Now();
+  for (const auto& [serial, running] : running_requests_) {
+    const RelayRequest& request = running->request;
+    deps_->log->Write(
+        LogLine("request_cut")
+            .Add("request", request.caller.id.value())
+            .Add("route", request.route.id.value())
+            .Add("service", request.service.id.value())
+            .Add("started", running->exchange->response_started())
+            .Add("unsent_bytes", running->exchange->UnsentBytes())
+            .Add("likely_output",
+                 request.caller.token_counts.value_or(TokenCounts{})
+                     .expected_output.value_or(Tokens(0))
+                     .count())
+            .AddMillis("total_ms", now - request.arrived)
+            .AddMillis("left_ms", request.deadline - now));
+  }
+}
+
+void EntryFrontend::EndStalledReader(uint64_t serial) {
+  const auto it = running_requests_.find(serial);
+  if (it == running_requests_.end()) return;
+  it->second->exchange->Abort();
+  it->second->relay->OnCallerDisconnected();
+}
+
 void EntryFrontend::OnUnreachable(uint64_t serial) {
   const auto it = running_requests_.find(serial);
   // Destroys the relay later, since its functions are on the stack.
@@ -360,6 +397,7 @@
   }
   const std::shared_ptr<RunningRequest> running = std::move(it->second);
   running_requests_.erase(it);
+  deps_->buffers->Remove(serial);
   --running_forwarded_;
   RefuseForwarded(running->exchange.get(), running->request, "unreachable");
 }
@@ -372,6 +410,7 @@
   const auto it = running_requests_.find(serial);
   const std::shared_ptr<RunningRequest> running = std::move(it->second);
   running_requests_.erase(it);
+  deps_->buffers->Remove(serial);
   if (!running->request.forwarded_by.empty()) --running_forwarded_;
   // Destroys the relay later, since its functions are on the stack.
   deps_->loop->Post([running] {});
--- a/serving/entry_frontend.h
+++ b/serving/entry_frontend.h
@@ -53,6 +53,10 @@
   // truncate them.
   void BeginShutdown(MonoTime cutoff) { stream_cutoff_ = cutoff; }
 
+  // Writes a line for each running request, at the end of a shutdown that
+  // doesn't wait for them.
+  void LogCutRequests();
+
   size_t running_requests() const { return running_requests_.size(); }
   const EntryCounters& counters() const { return counters_; }
 
@@ -90,6 +94,8 @@
   // Starts a relay of a running request.
   void StartRelay(uint64_t serial, RelayRequest request, bool forward);
   void OnRelayDone(uint64_t serial, const RelayResult& result);
+  // Ends the response of a caller that holds memory and reads nothing.
+  void EndStalledReader(uint64_t serial);
   // The relay has reached no back end.
   void OnUnreachable(uint64_t serial);
 
--- a/serving/forward_relay.cc
+++ b/serving/forward_relay.cc
@@ -29,8 +29,6 @@
 // after the next inquiries.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(700);
-// Larger responses are streamed instead of buffered.
-constexpr size_t kMaxBufferedBytes = 1U << 20;
 
 class ForwardRelay : public Relay, public HttpCallHandler {
  public:
@@ -84,7 +82,8 @@
       return;
     }
     response_.body.append(data);
-    if (response_.body.size() > kMaxBufferedBytes) StartStream();
+    if (response_.body.size() > deps_.buffers->MaxBufferedResponse())
+      StartStream();
   }
 
   void OnDone(ResponseEnd end) override {
@@ -184,7 +183,7 @@
 
   // Reads from the helper no faster than the caller reads.
   void ApplyBackpressure() {
-    if (call_ == nullptr || !HasSlowReader(*exchange_)) return;
+    if (call_ == nullptr || !deps_.buffers->HasSlowReader(*exchange_)) return;
     call_->Pause(true);
     exchange_->OnDrained([this] {
       exchange_->OnDrained(nullptr);
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -23,8 +23,6 @@
 // A server that is silent for this multiple of the target latency is recorded
 // as failed.
 constexpr int kSilenceMultiple = 3;
-// Responses larger than this are streamed instead of buffered.
-constexpr size_t kMaxBufferedBytes = 1U << 20;
 // Minimum Retry-After of a refusal: the queue of a plain server drains in less.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(80);
 constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(170);
@@ -93,7 +91,7 @@
       return;
     }
     attempt->response.body.append(data);
-    if (attempt->response.body.size() > kMaxBufferedBytes &&
+    if (attempt->response.body.size() > deps_.buffers->MaxBufferedResponse() &&
         streaming_ == nullptr)
       StreamResponse(attempt);
   }
@@ -342,7 +340,8 @@
 
   // Reads from the server no faster than the caller reads.
   void ApplyBackpressure() {
-    if (streaming_ == nullptr || !HasSlowReader(*exchange_)) return;
+    if (streaming_ == nullptr || !deps_.buffers->HasSlowReader(*exchange_))
+      return;
     streaming_->call->Pause(true);
     exchange_->OnDrained([this] {
       exchange_->OnDrained(nullptr);
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -17,6 +17,7 @@
 #include "decide/stage_meter.h"
 #include "net/event_loop.h"
 #include "net/http.h"
+#include "serving/buffer_monitor.h"
 #include "serving/crash_guard.h"
 #include "serving/engine_memory_releaser.h"
 #include "serving/helper_exchange.h"
@@ -63,6 +64,7 @@
   ReachabilityMonitor* reachability;
   HelperExchange* helpers;
   FailureDomain zone;  // Zone of this daemon.
+  BufferMonitor* buffers;
 };
 
 // An admitted request.
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -776,7 +776,7 @@
 
   // Reads from the engine no faster than the caller reads.
   void ApplyBackpressure() {
-    if (call_ == nullptr || !HasSlowReader(*exchange_)) return;
+    if (call_ == nullptr || !deps_.buffers->HasSlowReader(*exchange_)) return;
     call_->Pause(true);
     exchange_->OnDrained([this] {
       exchange_->OnDrained(nullptr);
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -148,7 +148,8 @@
 };
 
 struct RelayFixture {
-  RelayFixture() {
+  explicit RelayFixture(BufferMonitor::Options buffers_in = {})
+      : buffer_options(buffers_in) {
     HttpServerOptions options;
     options.listen = {"127.0.0.1", 0};
     frontend = std::make_unique<EntryFrontend>(&deps, &rate_limiter,
@@ -165,7 +166,7 @@
       site_route.host = "h";
       site_route.prefix = prefix;
       site_route.retry_policy = retry_policy;
-      site_route.timeout = milliseconds(1500);
+      site_route.timeout = route_timeout;
       site_route.target_latency = milliseconds(100);
       site_route.target_event_gap = milliseconds(100);
       site_route.max_attempts = attempts;
@@ -201,6 +202,11 @@
     rate_limiter.SetCustomers(config->customers(), loop->Now());
   }
 
+  void SetTimeouts(Duration timeout) {
+    route_timeout = timeout;
+    SetConfig();
+  }
+
   // Half of the requests under /note/ go to the engines of "llm2" from now on.
   void SplitNotes() {
     splits_notes = true;
@@ -252,6 +258,7 @@
     return CallFrontend(MakeRequest(target));
   }
 
+  const BufferMonitor::Options buffer_options;  // No bound by default.
   std::unique_ptr<LwsLoop> loop = LwsLoop::Create();
   std::unique_ptr<HttpClient> client = MakeHttpClient(loop.get());
   SeededRandom random{5};
@@ -281,16 +288,30 @@
   StreamOriginExchange origins{loop.get(),          &members, &back_ends, &log,
                                [] { return true; }, {}};
   CrashExchange prompt_crashes{loop.get(), &members, &store, &random, &log, {}};
-  RelayDeps deps{
-      loop.get(),        client.get(),       &format,       &selector,
-      &budget,           &reservation_retry, &random,       &log,
-      &releaser,         &counters,          &meter,        &origins,
-      &prompt_crashes,   &permits,           &reachability, &helpers,
-      FailureDomain("z")};
+  BufferMonitor buffers{loop.get(), &log, buffer_options};
+  RelayDeps deps{loop.get(),
+                 client.get(),
+                 &format,
+                 &selector,
+                 &budget,
+                 &reservation_retry,
+                 &random,
+                 &log,
+                 &releaser,
+                 &counters,
+                 &meter,
+                 &origins,
+                 &prompt_crashes,
+                 &permits,
+                 &reachability,
+                 &helpers,
+                 FailureDomain("z"),
+                 &buffers};
   std::shared_ptr<const SiteConfig> config;
   std::unique_ptr<EntryFrontend> frontend;
   std::unique_ptr<HttpServer> server;
   double rate = 0;
+  Duration route_timeout = milliseconds(1500);
   bool splits_notes = false;
   int serial = 0;
 };
