--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -18,6 +18,7 @@
 #include "decide/traffic_boundaries.h"
 #include "net/event_loop.h"
 #include "net/http.h"
+#include "serving/buffer_monitor.h"
 #include "serving/crash_guard.h"
 #include "serving/engine_memory_releaser.h"
 #include "serving/helper_exchange.h"
@@ -64,6 +65,7 @@
   ReachabilityMonitor* reachability;
   HelperExchange* helpers;
   FailureDomain zone;  // Zone of this daemon.
+  BufferMonitor* buffers;
 };
 
 // An admitted request.
