--- a/decide/reservation_retry_policy.cc
+++ b/decide/reservation_retry_policy.cc
@@ -13,18 +13,23 @@
 
 }  // namespace
 
-std::optional<Duration> ReservationRetryPolicy::NextRetryDelay(
+Duration ReservationRetryPolicy::MaxFurtherWait(
     const WaitingRequest& request) const {
   const Duration total_time = request.waited + request.time_left;
-  if (request.time_left < request.time_to_first_event + request.run_time)
-    return std::nullopt;
-  if (request.waited > Scaled(total_time, options_.max_wait_share))
-    return std::nullopt;
-  if (request.first_event_timeout > Duration::zero() &&
-      request.waited + request.time_to_first_event >
-          Scaled(request.first_event_timeout,
-                 options_.first_event_timeout_share))
-    return std::nullopt;
+  Duration wait = std::min(
+      request.time_left - request.time_to_first_event - request.run_time,
+      Scaled(total_time, options_.max_wait_share) - request.waited);
+  if (request.first_event_timeout > Duration::zero()) {
+    wait = std::min(wait, Scaled(request.first_event_timeout,
+                                 options_.first_event_timeout_share) -
+                              request.waited - request.time_to_first_event);
+  }
+  return wait;
+}
+
+std::optional<Duration> ReservationRetryPolicy::NextRetryDelay(
+    const WaitingRequest& request) const {
+  if (MaxFurtherWait(request) < Duration::zero()) return std::nullopt;
   const Duration delay = CanMeetTarget(request) ? options_.in_time_retry_delay
                                                 : options_.late_retry_delay;
   // Spreads the delay by up to half in either direction, so that waiting
@@ -40,4 +45,11 @@
   return shortest + Scaled(longest - shortest, random_->UniformDouble());
 }
 
+Duration ReservationRetryPolicy::RetryAfter(const WaitingRequest& request,
+                                            Duration until_free) const {
+  const Duration longest = std::min(
+      kLongestRetryAfter, Scaled(request.time_left, kHonoredRetryAfterShare));
+  return until_free <= longest ? until_free : RetryAfter(request);
+}
+
 }  // namespace mimosa
--- a/decide/reservation_retry_policy.h
+++ b/decide/reservation_retry_policy.h
@@ -1,7 +1,8 @@
 // Decides how long a model request waits before it tries again to reserve
 // memory at a decode engine, and when it is rejected.
 //
-// Model: no daemon knows all waiting requests, so there is no central queue.
+// Model: no daemon knows all waiting requests, so there is no central queue,
+// except where a memory ledger is used (decide/memory_ledger.h).
 // Each waiting request retries its reservation after a delay. A request whose
 // first event can still meet its latency target retries often; one that is
 // already late retries seldom. In a burst, new requests therefore get the
@@ -53,6 +54,10 @@
   ReservationRetryPolicy(const Options& options, RandomSource* random)
       : options_(options), random_(random) {}
 
+  // Returns how much longer the request may wait for memory; negative if it
+  // should be rejected now.
+  Duration MaxFurtherWait(const WaitingRequest& request) const;
+
   // Returns the delay until the next attempt, or nullopt if the request should
   // be rejected.
   std::optional<Duration> NextRetryDelay(const WaitingRequest& request) const;
@@ -66,6 +71,9 @@
   // Returns when a rejected caller should retry: after a random part of its
   // remaining time, so that callers rejected together don't return together.
   Duration RetryAfter(const WaitingRequest& request) const;
+  // The same if it is known when memory will come free: then, unless the caller
+  // would not honor that.
+  Duration RetryAfter(const WaitingRequest& request, Duration until_free) const;
 
  private:
   const Options options_;
