Engine memory is asked for at the owner of a service's ledger; lost calls name their kind

Change: serving/memory_exchange asks the owner, keeps ledgers and renews; the stream relay holds a claim from the grant to the end of the run, with the engine's reservation as guard and polling as fallback. call_lost has kind.

--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -62,6 +62,7 @@
 void BackEndCall::Start(HttpRequest request, const Options& options) {
   started_ = deps_.loop->Now();
   internal_call_ = options.internal_call;
+  kind_ = options.kind;
   deps_.selector->OnCallStarted(back_end_, size_);
   counted_ = true;
   HttpCallOptions call_options;
@@ -225,6 +226,7 @@
   deps_.log->Write(LogLine("call_lost")
                        .Add("request", id_.value())
                        .Add("back_end", back_end_.id.value())
+                       .Add("kind", kind_)
                        .Add("loss", CallFailureName(failure))
                        .Add("status", refusal_status_)
                        .Add("head", response_started_)
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -69,6 +69,8 @@
   };
 
   struct Options {
+    // What the call is for, in log lines.
+    const char* kind = "plain";
     // Whether the request may be resent on a new connection if a kept-alive
     // connection turns out to be closed.
     bool retryable = false;
@@ -141,6 +143,7 @@
   const RequestId id_;
   Handler* const handler_;
   bool internal_call_ = false;
+  const char* kind_ = "";
   bool counted_ = false;  // Counts as open at the selector.
   bool response_started_ = false;
   bool connection_lost_ = false;
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -26,6 +26,7 @@
 #include "serving/helper_exchange.h"
 #include "serving/local_responses.h"
 #include "serving/member_list.h"
+#include "serving/memory_exchange.h"
 #include "serving/permit_exchange.h"
 #include "serving/reachability_monitor.h"
 #include "serving/role_controller.h"
@@ -160,6 +161,8 @@
             loop_.get(), &members_, &reachability_, &random_,
             [this] { return frontend_.running_requests(); },
             HelperExchange::Options{}),
+        memory_(loop_.get(), &members_, &back_ends_, &selector_, &random_,
+                &log_, MemoryOptions(settings)),
         usage_exchange_(loop_.get(), &members_, &rate_limiter_, &selector_,
                         &stage_meter_, &log_, UsageExchange::Options{}),
         role_controller_(
@@ -191,7 +194,8 @@
               &permits_,
               &reachability_,
               &helpers_,
-              FailureDomain(settings.failure_domain())},
+              FailureDomain(settings.failure_domain()),
+              &memory_},
         frontend_(&deps_, &rate_limiter_,
                   [this] { return site_sync_.config(); }),
         forwarded_handler_(&frontend_),
@@ -236,6 +240,7 @@
     site_sync_.SetBackEndsObserver([this] {
       stream_origins_.OnBackEndsChanged();
       permits_.OnBackEndsChanged(back_ends_);
+      memory_.OnBackEndsChanged();
       crash_exchange_.OnBackEndsChanged(back_ends_);
     });
     site_sync_.Start();
@@ -248,6 +253,7 @@
     stream_origins_.Start(peer_socket_.get());
     crash_exchange_.Start(peer_socket_.get());
     permits_.Start(peer_socket_.get());
+    memory_.Start(peer_socket_.get());
     role_controller_.Start();
     FlushLog();
     loop_->Run();
@@ -257,6 +263,14 @@
   }
 
  private:
+  static MemoryExchange::Options MemoryOptions(
+      const wire::EntrySettings& settings) {
+    MemoryExchange::Options options;
+    options.mode = ParseMemoryLedgerMode(settings.memory_ledger())
+                       .value_or(MemoryLedgerMode::kAuto);
+    return options;
+  }
+
   static wire::EntryMember MakeSelf(const wire::EntrySettings& settings) {
     wire::EntryMember self;
     self.set_name(settings.name());
@@ -264,6 +278,8 @@
     self.set_failure_domain(settings.failure_domain());
     self.set_boot(RandomSeed());
     self.set_link_mbps(settings.link_mbps());
+    self.set_memory_ledger(MemoryOptions(settings).mode !=
+                           MemoryLedgerMode::kOff);
     return self;
   }
 
@@ -306,6 +322,7 @@
     stream_origins_.OnDatagram(from, datagram);
     crash_exchange_.OnDatagram(from, datagram);
     permits_.OnDatagram(from, datagram);
+    memory_.OnDatagram(from, datagram);
   }
 
   // Changes may be missing from the list for as long as a silent watch goes
@@ -329,6 +346,7 @@
     rate_limiter_.SetCustomers(config.customers(), loop_->Now());
     stream_origins_.SetStreamLifetime(LongestStream(config) + kTakeupMargin);
     role_controller_.SetServices(config.services());
+    memory_.SetConfig(config);
     reachability_.SetServices(config.services());
     if (config.limits().idle_timeout > Duration::zero())
       caller_server_->SetIdleTimeout(config.limits().idle_timeout);
@@ -344,8 +362,12 @@
       members_.OnRecord(member, record == nullptr ? nullptr : &record->value);
       if (record == nullptr) {
         usage_exchange_.OnMemberGone(member);
+        memory_.OnMemberChanged(member, std::nullopt);
       } else {
         usage_exchange_.OnMembersChanged();
+        const auto known = members_.others().find(member);
+        if (known != members_.others().end())
+          memory_.OnMemberChanged(member, known->second.boot());
       }
       retry_budget_.SetMemberCount(members_.size());
     }
@@ -435,6 +457,7 @@
       item["last_failure"] = CallOutcomeName(state.last_failure);
       back_ends.append(item);
     }
+    AddMemoryLedgers(&status);
     Json::Value& customers = status["customers"] =
         Json::Value(Json::arrayValue);
     if (site_sync_.config() == nullptr) return status;
@@ -450,6 +473,32 @@
     return status;
   }
 
+  // Who owns the ledgers of engine memory, and those that this daemon owns.
+  void AddMemoryLedgers(Json::Value* status) const {
+    const MonoTime now = loop_->Now();
+    Json::Value& ledgers = (*status)["memory_ledgers"] =
+        Json::Value(Json::arrayValue);
+    for (const ServiceId& service : memory_.services()) {
+      Json::Value item(Json::objectValue);
+      item["service"] = service.value();
+      Json::Value& owners = item["owners"] = Json::Value(Json::arrayValue);
+      for (const std::string& owner : memory_.Issuers(service))
+        owners.append(owner);
+      if (const MemoryLedger* const ledger = memory_.FindLedger(service)) {
+        item["engines"] = Json::UInt64(ledger->engine_count());
+        item["grants"] = Json::UInt64(ledger->grant_count());
+        item["granted_tokens"] = Json::Int64(ledger->granted().count());
+        item["capacity_tokens"] = Json::Int64(ledger->capacity(now).count());
+        item["age_ms"] = Json::Int64(ToMillis(now - ledger->started_at()));
+        Json::Value& waiting = item["waiting_by_rank"] =
+            Json::Value(Json::objectValue);
+        for (const auto& [rank, count] : ledger->WaitingByRank())
+          waiting[std::to_string(rank)] = count;
+      }
+      ledgers.append(item);
+    }
+  }
+
   void AddMetrics();
 
   void FlushLog() {
@@ -530,6 +579,7 @@
   BackEndSelector selector_;
   ReachabilityMonitor reachability_;
   HelperExchange helpers_;
+  MemoryExchange memory_;
   UsageExchange usage_exchange_;
   RoleController role_controller_;
   SiteSync site_sync_;
@@ -613,6 +663,28 @@
             [this] { return double(counters_.reservations); });
   add_gauge("mimosa_rooms_refused", "Rooms that a decode engine had not",
             [this] { return double(counters_.reservations_refused); });
+  for (const auto& [event, count] :
+       {std::pair("requested", &MemoryExchange::Counters::requests),
+        std::pair("granted", &MemoryExchange::Counters::granted),
+        std::pair("waited", &MemoryExchange::Counters::waited),
+        std::pair("refused", &MemoryExchange::Counters::refused),
+        std::pair("unanswered", &MemoryExchange::Counters::unanswered),
+        std::pair("unavailable", &MemoryExchange::Counters::unavailable),
+        std::pair("engine_refused", &MemoryExchange::Counters::engine_refused),
+        std::pair("issued", &MemoryExchange::Counters::issued),
+        std::pair("dropped", &MemoryExchange::Counters::dropped)}) {
+    metrics_.AddGauge("mimosa_memory_requests",
+                      "Requests for engine memory at the owners of ledgers",
+                      {{"event", event}}, [this, count = count] {
+                        return double(memory_.counters().*count);
+                      });
+  }
+  add_gauge("mimosa_memory_waiting",
+            "Requests that wait in the ledgers that this daemon owns",
+            [this] { return double(memory_.waiting_count()); });
+  add_gauge("mimosa_memory_granted_tokens",
+            "Tokens granted by the ledgers that this daemon owns",
+            [this] { return double(memory_.granted_tokens()); });
   add_gauge("mimosa_role_orders", "Orders to engines to change their role",
             [this] { return double(role_controller_.orders_sent()); });
   add_gauge("mimosa_repeats", "Requests sent to a backend server once more",
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -20,6 +20,7 @@
 #include "serving/crash_guard.h"
 #include "serving/engine_memory_releaser.h"
 #include "serving/helper_exchange.h"
+#include "serving/memory_exchange.h"
 #include "serving/permit_exchange.h"
 #include "serving/reachability_monitor.h"
 #include "serving/request_format.h"
@@ -62,7 +63,8 @@
   PermitExchange* permits;
   ReachabilityMonitor* reachability;
   HelperExchange* helpers;
-  FailureDomain zone;  // Zone of this daemon.
+  FailureDomain zone;                // Zone of this daemon.
+  MemoryExchange* memory = nullptr;  // Null: engines are polled for memory.
 };
 
 // An admitted request.
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -185,6 +185,7 @@
 
   void OnCallFailed(BackEndCall* call, CallFailure failure) override {
     if (call == silent_run_.get()) {
+      silent_claim_.reset();
       finished_calls_.push_back(std::move(silent_run_));
       RecordFailedRun();
       // The search for another engine continues.
@@ -229,11 +230,21 @@
     if (!software_version_)
       software_version_ = call.back_end().software_version;
     result_.software_version = *software_version_;
+    ReportGrowth();
     exchange_->Write(events);
     StartSilenceTimer();
     ApplyBackpressure();
   }
 
+  // Reports memory that the run needs beyond what was expected.
+  void ReportGrowth() {
+    if (claim_ == nullptr || !request_.service.engine) return;
+    const Tokens generated(event_splitter_.event_count() *
+                           request_.service.engine->tokens_per_event);
+    if (size_.prompt + generated > size_.total)
+      claim_->Grow(size_.prompt + generated);
+  }
+
   void OnTrialClaimed(bool granted) {
     is_trial_ = granted;
     FindOriginAndStart();
@@ -300,6 +311,8 @@
   // decode run. Keeps a prefill result that exists already.
   void StartStages() {
     refusing_engines_.clear();
+    claim_.reset();
+    polls_engines_ = false;
     if (ReservationLifetime() > Duration::zero()) {
       TryReserve();
     } else {
@@ -335,6 +348,10 @@
     }
     const MonoTime now = deps_.loop->Now();
     stage_ = Stage::kReserve;
+    if (UsesLedger()) {
+      AskForMemory();
+      return;
+    }
     std::set<BackEndId> excluded = tried_decode_engines_;
     excluded.insert(refusing_engines_.begin(), refusing_engines_.end());
     SelectionQuery query =
@@ -356,8 +373,87 @@
       }
       return;
     }
-    const BackEndEntry engine = *selected;
+    Reserve(BackEndEntry(*selected));
+  }
+
+  // Whether memory is asked for at the owner of the service's ledger. Engines
+  // whose calls need a permit are polled for both.
+  bool UsesLedger() const {
+    return deps_.memory != nullptr && !polls_engines_ &&
+           deps_.memory->IsUsed(request_.service.id) &&
+           !deps_.selector->AwaitsPermit(
+               MakeQuery(EngineRole::kDecode, deps_.zone, nullptr),
+               deps_.loop->Now());
+  }
+
+  void AskForMemory() {
+    const MonoTime now = deps_.loop->Now();
+    const SelectionQuery query =
+        MakeQuery(EngineRole::kDecode, deps_.zone, &tried_decode_engines_);
+    if (!deps_.selector->HasCandidate(query)) {
+      FinishUnanswered();
+      return;
+    }
+    const WaitingRequest waiting = MakeWaitingRequest();
+    if (TimeToEndOfPauses() > Duration::zero()) {
+      ScheduleReserveRetry();
+      return;
+    }
+    MemoryDemand demand;
+    demand.max_wait = deps_.reservation_retry->MaxFurtherWait(waiting);
+    if (demand.max_wait < Duration::zero()) {
+      waited_for_reservation_ = true;
+      FinishUnanswered();
+      return;
+    }
+    demand.rank = request_.priority.value_or(request_.route.priority);
+    demand.customer = request_.customer;
+    demand.tokens = size_.total;
+    // A stream that has begun is late with each moment.
+    demand.target_wait = exchange_->response_started()
+                             ? demand.max_wait
+                             : waiting.target_latency - waiting.waited -
+                                   waiting.time_to_first_event;
+    demand.hold_time = waiting.time_to_first_event + waiting.run_time;
+    demand.excluded = deps_.selector->UnusableBackEnds(query, now);
+    demand.excluded.insert(tried_decode_engines_.begin(),
+                           tried_decode_engines_.end());
+    demand.excluded.insert(refusing_engines_.begin(), refusing_engines_.end());
+    demand.software_version = software_version_;
+    claim_ = deps_.memory->Ask(request_.service.id, request_.caller.id, demand,
+                               [this](const MemoryExchange::Answer& answer) {
+                                 OnMemoryAnswer(answer);
+                               });
+  }
+
+  void OnMemoryAnswer(const MemoryExchange::Answer& answer) {
+    waited_for_reservation_ = true;
+    switch (answer.result) {
+      case MemoryExchange::Result::kUnavailable:
+        polls_engines_ = true;
+        claim_.reset();
+        TryReserve();
+        return;
+      case MemoryExchange::Result::kRefused:
+        until_memory_free_ = answer.retry_after;
+        claim_.reset();
+        FinishUnanswered();
+        return;
+      case MemoryExchange::Result::kGranted:
+        break;
+    }
+    if (IsQuarantined()) {
+      FinishUnanswered();
+      return;
+    }
+    deps_.permits->Take(*answer.engine);
+    Reserve(*answer.engine);
+  }
+
+  // Reserves the memory at the engine itself.
+  void Reserve(const BackEndEntry& engine) {
     BackEndCall::Options options;
+    options.kind = "reserve";
     options.internal_call = true;
     options.retryable = true;
     options.head_timeout = kReserveTimeout;
@@ -408,12 +504,26 @@
     result_.time_to_reservation = deps_.loop->Now() - request_.arrived;
     reservation_ = Reservation{engine, *id};
     deps_.selector->OnCallStarted(engine, size_);
+    if (claim_ == nullptr && deps_.memory != nullptr &&
+        deps_.memory->IsUsed(request_.service.id)) {
+      const WaitingRequest waiting = MakeWaitingRequest();
+      claim_ = deps_.memory->Register(
+          request_.service.id, engine, size_.total,
+          waiting.time_to_first_event + waiting.run_time);
+    }
     StartPrefillOrRun();
   }
 
   void OnReserveFailed(const BackEndEntry& engine) {
     ++deps_.counters->reservations_refused;
     refusing_engines_.insert(engine.id);
+    if (claim_ != nullptr) {
+      claim_->ReportRefused();
+      claim_.reset();
+      // The ledger knows less than the engines.
+      if (refusing_engines_.size() >= kMaxReserveRefusals)
+        polls_engines_ = true;
+    }
     TryReserve();
   }
 
@@ -524,6 +634,7 @@
     BackEndCallParams params = MakeCallParams(engine);
     params.prefill_only = true;
     BackEndCall::Options options;
+    options.kind = "prefill";
     options.retryable = true;
     options.internal_call = true;
     options.head_timeout = std::min(
@@ -598,6 +709,7 @@
     params.last_event_id = last_event_id_;
     if (reservation_) params.reservation_id = reservation_->id;
     BackEndCall::Options options;
+    options.kind = "run";
     options.max_idle = kMaxIdleNonIdempotent;
     options.head_timeout = params.time_left;
     options.idle_timeout = params.time_left;
@@ -729,6 +841,7 @@
     call_->ReportSilence();
     silent_response_ = response_;
     silent_run_ = std::move(call_);
+    silent_claim_ = std::move(claim_);
     StartStages();
   }
 
@@ -739,6 +852,7 @@
     reservation_timer_.Cancel();
     ReleaseReservation();
     ReleaseKvHandle();
+    claim_ = std::move(silent_claim_);
     response_ = silent_response_;
     call_ = std::move(silent_run_);
     stage_ = Stage::kRun;
@@ -748,6 +862,7 @@
     if (silent_run_ == nullptr) return;
     RecordAbandoned(silent_run_.get());
     silent_run_->Cancel(CallOutcome::kFailed);
+    silent_claim_.reset();
     finished_calls_.push_back(std::move(silent_run_));
     RecordFailedRun();
     ++deps_.counters->streams_resumed;
@@ -801,8 +916,11 @@
   }
 
   void Refuse(const char* reason) {
+    const WaitingRequest waiting = MakeWaitingRequest();
     const Duration retry_after =
-        deps_.reservation_retry->RetryAfter(MakeWaitingRequest());
+        until_memory_free_
+            ? deps_.reservation_retry->RetryAfter(waiting, *until_memory_free_)
+            : deps_.reservation_retry->RetryAfter(waiting);
     Respond(RetryLaterResponse(kStatusUnavailable,
                                TimeToEndOfPauses() + retry_after),
             reason);
@@ -827,6 +945,8 @@
     reservation_timer_.Cancel();
     origin_lookup_.reset();
     trial_claim_.reset();
+    claim_.reset();
+    silent_claim_.reset();
     if (kv_handle_) ++deps_.counters->prefills_unused;
     result_.status = status;
     result_.reason = reason;
@@ -881,6 +1001,13 @@
   // Engines that refused a reservation since the last retry delay.
   std::set<BackEndId> refusing_engines_;
   TimerHandle reservation_timer_;
+  // Memory in the service's ledger: asked for, or held by call_.
+  std::unique_ptr<MemoryExchange::Claim> claim_;
+  // The same of silent_run_.
+  std::unique_ptr<MemoryExchange::Claim> silent_claim_;
+  bool polls_engines_ = false;  // The ledger was of no use to this attempt.
+  // When the ledger's owner expects memory, if it refused the request.
+  std::optional<Duration> until_memory_free_;
   std::unique_ptr<BackEndCall> call_;  // nullptr if none is in progress.
   // A run that became silent, while the relay looks for another engine.
   std::unique_ptr<BackEndCall> silent_run_;
