--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -31,6 +31,8 @@
 constexpr size_t kMaxBufferedBytes = 1U << 20;
 // Number of engines that may refuse a reservation before the retry delay.
 constexpr size_t kMaxReserveRefusals = 3;
+// Grants of a ledger that engines may refuse before they are polled.
+constexpr int kMaxRefusedGrants = 3;
 // Timeout of a reservation request. An engine that does not respond to such a
 // simple request in this time is in no state to run one.
 constexpr Duration kReserveTimeout = std::chrono::milliseconds(150);
@@ -313,6 +315,7 @@
     refusing_engines_.clear();
     claim_.reset();
     polls_engines_ = false;
+    refused_grants_ = 0;
     if (ReservationLifetime() > Duration::zero()) {
       TryReserve();
     } else {
@@ -395,11 +398,16 @@
       return;
     }
     const WaitingRequest waiting = MakeWaitingRequest();
-    if (TimeToEndOfPauses() > Duration::zero()) {
+    MemoryDemand demand;
+    demand.excluded = deps_.selector->UnusableBackEnds(query, now);
+    demand.excluded.insert(tried_decode_engines_.begin(),
+                           tried_decode_engines_.end());
+    if (!deps_.selector->HasCandidate(
+            MakeQuery(EngineRole::kDecode, deps_.zone, &demand.excluded))) {
+      // No engine could be called now, whatever its memory.
       ScheduleReserveRetry();
       return;
     }
-    MemoryDemand demand;
     demand.max_wait = deps_.reservation_retry->MaxFurtherWait(waiting);
     if (demand.max_wait < Duration::zero()) {
       waited_for_reservation_ = true;
@@ -415,10 +423,6 @@
                              : waiting.target_latency - waiting.waited -
                                    waiting.time_to_first_event;
     demand.hold_time = waiting.time_to_first_event + waiting.run_time;
-    demand.excluded = deps_.selector->UnusableBackEnds(query, now);
-    demand.excluded.insert(tried_decode_engines_.begin(),
-                           tried_decode_engines_.end());
-    demand.excluded.insert(refusing_engines_.begin(), refusing_engines_.end());
     demand.software_version = software_version_;
     claim_ = deps_.memory->Ask(request_.service.id, request_.caller.id, demand,
                                [this](const MemoryExchange::Answer& answer) {
@@ -516,13 +520,13 @@
 
   void OnReserveFailed(const BackEndEntry& engine) {
     ++deps_.counters->reservations_refused;
-    refusing_engines_.insert(engine.id);
     if (claim_ != nullptr) {
       claim_->ReportRefused();
       claim_.reset();
       // The ledger knows less than the engines.
-      if (refusing_engines_.size() >= kMaxReserveRefusals)
-        polls_engines_ = true;
+      if (++refused_grants_ >= kMaxRefusedGrants) polls_engines_ = true;
+    } else {
+      refusing_engines_.insert(engine.id);
     }
     TryReserve();
   }
@@ -1005,6 +1009,7 @@
   std::unique_ptr<MemoryExchange::Claim> claim_;
   // The same of silent_run_.
   std::unique_ptr<MemoryExchange::Claim> silent_claim_;
+  int refused_grants_ = 0;      // By engines, in this attempt.
   bool polls_engines_ = false;  // The ledger was of no use to this attempt.
   // When the ledger's owner expects memory, if it refused the request.
   std::optional<Duration> until_memory_free_;
--- a/tests/memory_exchange_test.cc
+++ b/tests/memory_exchange_test.cc
@@ -187,6 +187,11 @@
     ++served_[rank];
     ++granted_;
     const BackEndId engine = answer.engine->id;
+    // A daemon without contact answers to nobody but the engine.
+    if (!IsInTouch(index)) {
+      target->claims.erase(request);
+      return;
+    }
     runs_[request] = engine;
     used_[engine] += kRunTokens;
     if (used_[engine] > kEngineMemory) ++over_;
@@ -275,9 +280,12 @@
     CHECK(fleet.over_ == 0);
     CheckRanks(fleet);
     fleet.network().cut_off.clear();
+    // For a moment more, some of them ask the second owner.
+    fleet.SendFor(milliseconds(3500), 2);
     fleet.Reset();
     fleet.SendFor(seconds(4), 2);
     CHECK(fleet.over_ == 0);
+    CheckRanks(fleet);
   });
 }
 
