Engines out of reach are probed, and runs without a grant leave room

Polled runs count only what engines hold now, so they displace others. Change: a refusal says whether the engine was out of reach; such an engine gets one grant after a pause, and more once that stood. Refused grants lead to the retry delay and another question, not to polling. A run without a grant reserves an eighth of an engine more than it needs.

--- a/decide/memory_ledger.cc
+++ b/decide/memory_ledger.cc
@@ -319,6 +319,19 @@
   return best;
 }
 
+void MemoryLedger::RecordGrant(EngineState* state, MonoTime now) const {
+  if (!state->unreachable) return;
+  if (state->probe_granted_at == MonoTime{}) {
+    state->probe_granted_at = now;
+    state->paused_until = now + options_.probe_time;
+    return;
+  }
+  // The probe wasn't refused.
+  state->unreachable = false;
+  state->refusals = 0;
+  state->probe_granted_at = MonoTime{};
+}
+
 MemoryDecision MemoryLedger::GrantTo(const Waiter& waiter, EngineState* engine,
                                      MonoTime now) {
   Grant grant;
@@ -329,6 +342,7 @@
   grant.expires_at = now + std::max(options_.min_grant_lifetime,
                                     kLifetimeFactor * waiter.demand.hold_time);
   Enter(waiter.demand.id, grant);
+  RecordGrant(engine, now);
   MemoryDecision decision;
   decision.id = waiter.demand.id;
   decision.result = MemoryDecision::Result::kGranted;
@@ -472,16 +486,26 @@
 }
 
 MemoryDecisions MemoryLedger::OnEngineRefused(const MemoryClaimId& id,
-                                              MonoTime now) {
+                                              bool unreachable, MonoTime now) {
   last_used_ = now;
   const auto grant = grants_.find(id);
   if (grant == grants_.end()) return {};
   const auto engine = engines_.find(grant->second.engine);
   if (engine != engines_.end()) {
-    const int doublings = std::min(engine->second.refusals++, 6);
-    engine->second.paused_until =
-        now + std::min(options_.refusal_pause * (1 << doublings),
-                       options_.max_refusal_pause);
+    EngineState& state = engine->second;
+    // Grants that were made before the first refusal don't count again.
+    if (state.refusals == 0 || now >= state.paused_until ||
+        state.probe_granted_at != MonoTime{}) {
+      const int doublings = std::min(state.refusals++, 6);
+      const Duration pause =
+          unreachable ? std::min(options_.unreachable_pause * (1 << doublings),
+                                 options_.max_unreachable_pause)
+                      : std::min(options_.refusal_pause * (1 << doublings),
+                                 options_.max_refusal_pause);
+      state.paused_until = std::max(state.paused_until, now + pause);
+    }
+    state.unreachable = unreachable;
+    state.probe_granted_at = MonoTime{};
   }
   EraseGrant(grant);
   MemoryDecisions decisions;
--- a/decide/memory_ledger.h
+++ b/decide/memory_ledger.h
@@ -115,6 +115,11 @@
     // refusal in a row up to the maximum.
     Duration refusal_pause = std::chrono::milliseconds(100);
     Duration max_refusal_pause = std::chrono::milliseconds(800);
+    // The same for an engine that couldn't be reached. After the pause it gets
+    // one grant, and more if that isn't refused within probe_time.
+    Duration unreachable_pause = std::chrono::milliseconds(400);
+    Duration max_unreachable_pause = std::chrono::milliseconds(3200);
+    Duration probe_time = std::chrono::milliseconds(300);
     // Limits of the time after which a refused caller should return.
     Duration min_retry_after = std::chrono::milliseconds(1000);
     Duration max_retry_after = std::chrono::milliseconds(4500);
@@ -153,8 +158,9 @@
   MemoryDecisions Request(const MemoryDemand& demand, MonoTime now);
   // Ends a grant or withdraws a waiting request.
   MemoryDecisions Release(const MemoryClaimId& id, MonoTime now);
-  // The engine refused the granted run.
-  MemoryDecisions OnEngineRefused(const MemoryClaimId& id, MonoTime now);
+  // The engine refused the granted run, or couldn't be reached.
+  MemoryDecisions OnEngineRefused(const MemoryClaimId& id, bool unreachable,
+                                  MonoTime now);
   // Renews a grant, with its present size, or enters one that is not known
   // here.
   void Renew(const MemoryClaimId& id, const BackEndId& engine,
@@ -202,8 +208,10 @@
     Engine engine;
     int64_t granted = 0;  // sum over the grants there
     int runs = 0;
-    int refusals = 0;  // in a row
+    int refusals = 0;          // in a row
+    bool unreachable = false;  // when it refused last
     MonoTime paused_until{};
+    MonoTime probe_granted_at{};  // zero: none
     // The most that was granted at once in the current and previous period.
     int64_t peak = 0;
     int64_t previous_peak = 0;
@@ -233,6 +241,8 @@
   // Tokens by which the customer has had more than its share of its rank.
   double LeadOf(const MemoryDemand& demand) const;
   void CountServed(const Waiter& waiter);
+  // Starts a probe if the engine couldn't be reached.
+  void RecordGrant(EngineState* state, MonoTime now) const;
   EngineState* ChooseEngine(const Waiter& waiter,
                             const std::set<BackEndId>& claimed, MonoTime now);
   MemoryDecision GrantTo(const Waiter& waiter, EngineState* engine,
--- a/decide/memory_ledger_test.cc
+++ b/decide/memory_ledger_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -60,7 +61,11 @@
   void Record(const MemoryDecisions& decisions) {
     for (const MemoryDecision& decision : decisions) {
       const MemoryDemand& demand = asked.at(decision.id.serial);
-      if (decision.result == MemoryDecision::Result::kGranted) {
+      if (decision.result == MemoryDecision::Result::kGranted &&
+          dead.count(decision.engine) > 0) {
+        ++granted_at_dead;
+        Record(ledger.OnEngineRefused(decision.id, /*unreachable=*/true, now));
+      } else if (decision.result == MemoryDecision::Result::kGranted) {
         ends.emplace(now + kHold, decision.id);
         ++granted[demand.rank];
         ++granted_to[demand.customer.value()];
@@ -93,6 +98,8 @@
   std::vector<MemoryLedger::Engine> listed;
   MemoryLedger ledger;
   uint64_t serial = 0;
+  std::set<BackEndId> dead;  // engines that can't be reached
+  int granted_at_dead = 0;
   std::map<uint64_t, MemoryDemand> asked;
   std::multimap<MonoTime, MemoryClaimId> ends;
   std::map<int, int> granted;
@@ -290,13 +297,25 @@
   Load load(1);
   const MemoryDemand demand = load.MakeDemand(0);
   load.Ask(demand);
-  load.ledger.OnEngineRefused(demand.id, load.now);
+  load.ledger.OnEngineRefused(demand.id, /*unreachable=*/false, load.now);
   CHECK(load.Ask(load.MakeDemand(0)).result ==
         MemoryDecision::Result::kWaiting);
   load.Run(milliseconds(210));
   CHECK(load.ledger.grant_count() == 1);
 }
 
+TEST_CASE(
+    "an engine that can't be reached is probed by one request at a time") {
+  Load load(2);
+  load.dead.insert(BackEndId("e1"));  // It would be the emptier one.
+  for (int i = 0; i < 100; ++i) {
+    load.Ask(load.MakeDemand(0));
+    load.Run(milliseconds(50));
+  }
+  CHECK(load.granted_at_dead >= 3);
+  CHECK(load.granted_at_dead <= 6);
+}
+
 TEST_CASE("a ledger is used where requests have several ranks") {
   SiteService service;
   service.id = ServiceId("llm");
--- a/serving/memory_exchange.cc
+++ b/serving/memory_exchange.cc
@@ -57,13 +57,14 @@
 // --- Claims ------------------------------------------------------------------
 
 MemoryExchange::Claim::~Claim() {
-  exchange_->End(this, /*refused_by_engine=*/false);
+  exchange_->End(this, EndCause::kReleased);
   exchange_->claims_.erase(serial_);
 }
 
-void MemoryExchange::Claim::ReportRefused() {
+void MemoryExchange::Claim::ReportRefused(bool unreachable) {
   ++exchange_->counters_.engine_refused;
-  exchange_->End(this, /*refused_by_engine=*/true);
+  exchange_->End(this,
+                 unreachable ? EndCause::kUnreachable : EndCause::kRefused);
 }
 
 void MemoryExchange::Claim::Grow(Tokens tokens) {
@@ -246,7 +247,7 @@
   } else {
     // An owner that didn't respond may have granted it.
     if (answer.result == Result::kRefused) claim->told_.erase(claim->asked_);
-    End(claim, /*refused_by_engine=*/false);
+    End(claim, EndCause::kReleased);
   }
   const AnswerCallback callback = std::move(claim->callback_);
   claim->callback_ = nullptr;
@@ -321,17 +322,23 @@
                    [this, claim] { Renew(claim); });
 }
 
-void MemoryExchange::End(Claim* claim, bool refused_by_engine) {
+void MemoryExchange::End(Claim* claim, EndCause cause) {
   claim->timer_.Cancel();
   if (claim->state_ == Claim::State::kEnded) return;
   claim->state_ = Claim::State::kEnded;
   wire::MemoryUpdate update;
   update.set_boot(members_->self().boot());
   update.set_service(claim->service_.value());
-  if (refused_by_engine) {
-    update.add_refused(claim->serial_);
-  } else {
-    update.add_ended(claim->serial_);
+  switch (cause) {
+    case EndCause::kReleased:
+      update.add_ended(claim->serial_);
+      break;
+    case EndCause::kRefused:
+      update.add_refused(claim->serial_);
+      break;
+    case EndCause::kUnreachable:
+      update.add_unreachable(claim->serial_);
+      break;
   }
   for (const std::string& member : claim->told_) SendUpdate(member, update);
 }
@@ -621,7 +628,11 @@
                   FromWire(holding.hold_ms()), now);
   }
   for (const uint64_t serial : update.refused())
-    Deliver(service, ledger->OnEngineRefused(id_of(serial), now));
+    Deliver(service, ledger->OnEngineRefused(id_of(serial),
+                                             /*unreachable=*/false, now));
+  for (const uint64_t serial : update.unreachable())
+    Deliver(service, ledger->OnEngineRefused(id_of(serial),
+                                             /*unreachable=*/true, now));
   for (const uint64_t serial : update.ended())
     Deliver(service, ledger->Release(id_of(serial), now));
 }
--- a/serving/memory_exchange.h
+++ b/serving/memory_exchange.h
@@ -87,8 +87,9 @@
     ~Claim();
     Claim(const Claim&) = delete;
     Claim& operator=(const Claim&) = delete;
-    // The engine refused the run. The claim holds nothing any more.
-    void ReportRefused();
+    // The engine refused the run, or couldn't be reached. The claim holds
+    // nothing any more.
+    void ReportRefused(bool unreachable);
     // The run needs `tokens` in total. Does nothing if it holds as much.
     void Grow(Tokens tokens);
 
@@ -161,7 +162,8 @@
                const BackEndId& engine, int64_t incarnation, Duration wait);
   void Renew(Claim* claim);
   void ScheduleRenewal(Claim* claim);
-  void End(Claim* claim, bool refused_by_engine);
+  enum class EndCause { kReleased, kRefused, kUnreachable };
+  void End(Claim* claim, EndCause cause);
   wire::MemoryHolding HoldingOf(const Claim& claim) const;
   void SendHoldings(const ServiceId& service, const std::string& member);
   void SendUpdate(const std::string& member, const wire::MemoryUpdate& update);
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -31,8 +31,10 @@
 constexpr size_t kMaxBufferedBytes = 1U << 20;
 // Number of engines that may refuse a reservation before the retry delay.
 constexpr size_t kMaxReserveRefusals = 3;
-// Grants of a ledger that engines may refuse before they are polled.
+// Grants of a ledger that engines may refuse before the retry delay.
 constexpr int kMaxRefusedGrants = 3;
+// Part of an engine's memory that a run without a grant must leave free.
+constexpr int64_t kUnledgeredHeadroom = 8;
 // Timeout of a reservation request. An engine that does not respond to such a
 // simple request in this time is in no state to run one.
 constexpr Duration kReserveTimeout = std::chrono::milliseconds(150);
@@ -200,7 +202,8 @@
     const BackEndEntry back_end = call->back_end();
     RetireCall();
     if (stage_ == Stage::kReserve) {
-      OnReserveFailed(back_end);
+      OnReserveFailed(back_end,
+                      /*unreachable=*/failure != CallFailure::kNotExecuted);
       return;
     }
     if (stage_ == Stage::kPrefill) {
@@ -465,9 +468,16 @@
     ++result_.calls;
     call_ = std::make_unique<BackEndCall>(deps_, engine, size_,
                                           request_.caller.id, this);
-    call_->Start(deps_.format->WriteReserve(engine.id, size_.total,
-                                            ReservationLifetime()),
-                 options);
+    Tokens memory = size_.total;
+    // An engine counts what its runs hold now, not what they will. Where others
+    // rely on a ledger, a run that it doesn't know must leave room for that.
+    if (claim_ == nullptr && deps_.memory != nullptr &&
+        deps_.memory->IsUsed(request_.service.id))
+      memory += Tokens(request_.service.engine->kv_memory.count() /
+                       kUnledgeredHeadroom);
+    call_->Start(
+        deps_.format->WriteReserve(engine.id, memory, ReservationLifetime()),
+        options);
   }
 
   // Whether another daemon may serve the request, since this one reaches no
@@ -501,7 +511,7 @@
                         ? deps_.format->ReadReservation(response_.body)
                         : std::nullopt;
     if (!id) {
-      OnReserveFailed(engine);
+      OnReserveFailed(engine, /*unreachable=*/false);
       return;
     }
     ++deps_.counters->reservations;
@@ -518,13 +528,16 @@
     StartPrefillOrRun();
   }
 
-  void OnReserveFailed(const BackEndEntry& engine) {
+  void OnReserveFailed(const BackEndEntry& engine, bool unreachable) {
     ++deps_.counters->reservations_refused;
     if (claim_ != nullptr) {
-      claim_->ReportRefused();
+      claim_->ReportRefused(unreachable);
       claim_.reset();
-      // The ledger knows less than the engines.
-      if (++refused_grants_ >= kMaxRefusedGrants) polls_engines_ = true;
+      // The ledger knows less than the engines; it learns from refusals.
+      if (++refused_grants_ % kMaxRefusedGrants == 0) {
+        ScheduleReserveRetry();
+        return;
+      }
     } else {
       refusing_engines_.insert(engine.id);
     }
