Findings of the review: permits of granted engines, buckets, claims, older copies

Change: each as above; what the ledger can't grant is polled as before. Result: site_sync_test gets two older copies in a row; memory_ledger_test, memory_claims_test, permit_exchange_test and site_sync_test pass. The other findings have no test of their own yet.

--- a/decide/memory_ledger.cc
+++ b/decide/memory_ledger.cc
@@ -369,7 +369,9 @@
   // Claims the engine that will have room first.
   const EngineState* most_free = nullptr;
   for (const auto& [engine_id, state] : engines_) {
-    if (!Admits(state, waiter.demand) || claimed->count(engine_id) > 0)
+    // A paused engine looks free, and may not come back for long.
+    if (!Admits(state, waiter.demand) || now < state.paused_until ||
+        claimed->count(engine_id) > 0)
       continue;
     if (most_free == nullptr || FreeAt(state, now) > FreeAt(*most_free, now))
       most_free = &state;
--- a/serving/memory_exchange.cc
+++ b/serving/memory_exchange.cc
@@ -132,6 +132,8 @@
   claims_[claim->serial_] = claim.get();
   claim->request_ = request;
   claim->demand_ = std::move(demand);
+  // A request that doesn't state its size asks for the least.
+  claim->demand_.tokens = std::max(claim->demand_.tokens, Tokens(1));
   claim->demand_.id = {members_->self().name(), members_->self().boot(),
                        claim->serial_};
   claim->demand_.zone = FailureDomain(members_->self().failure_domain());
@@ -149,7 +151,7 @@
     Duration hold_time) {
   std::unique_ptr<Claim> claim(new Claim(this, service, ++last_serial_));
   claims_[claim->serial_] = claim.get();
-  claim->demand_.tokens = tokens;
+  claim->demand_.tokens = std::max(tokens, Tokens(1));
   claim->demand_.hold_time = hold_time;
   claim->state_ = Claim::State::kHolding;
   claim->engine_ = engine.id;
--- a/serving/permit_exchange.cc
+++ b/serving/permit_exchange.cc
@@ -389,7 +389,9 @@
     *wait = kMaxWait;
     return 0;
   }
-  if (it == issued_.end() || it->second.incarnation != incarnation) {
+  // A member that still knows the former incarnation gets its permits from the
+  // same bucket: emptying it for each such request would starve the engine.
+  if (it == issued_.end() || it->second.incarnation < incarnation) {
     const Issued issued{incarnation, PermitIssuer(0, now), now};
     it = issued_.insert_or_assign(id, issued).first;
   }
--- a/serving/site_sync.cc
+++ b/serving/site_sync.cc
@@ -46,10 +46,10 @@
     if (!is_back_end(record)) continue;
     if (auto entry = ReadBackEnd(record)) entries.push_back(*std::move(entry));
   }
+  ApplyListedEvacuations(result);
   back_ends_->ReplaceAll(std::move(entries), loop_->Now());
   if (on_back_ends_) on_back_ends_();
   ScheduleExpiry();
-  ApplyListedEvacuations(result);
   // Applied after the servers, since some of these records refer to them.
   for (const KvRecord& record : result.records)
     if (!is_back_end(record) && !IsEvacuation(record.key)) ApplyRecord(record);
@@ -88,6 +88,7 @@
   for (const KvRecord& record : result.records) ApplyRecord(record);
   for (const std::string& key : result.deleted) ApplyRemoval(key);
   revision_ = std::max(revision_, result.revision);
+  evacuations_as_of_ = std::max(evacuations_as_of_, revision_);
   const bool changed = !result.records.empty() || !result.deleted.empty();
   if (!changed) {
     Watch();
@@ -169,7 +170,11 @@
   std::set<FailureDomain> evacuated;
   // An older copy of the records ends no evacuation; the watch that follows
   // reports what has changed since.
-  if (listing.revision < revision_) evacuated = evacuated_;
+  if (listing.revision < evacuations_as_of_) {
+    evacuated = evacuated_;
+  } else {
+    evacuations_as_of_ = listing.revision;
+  }
   for (const KvRecord& record : listing.records)
     if (IsEvacuation(record.key)) evacuated.insert(EvacuatedDomain(record.key));
   SetEvacuated(std::move(evacuated));
--- a/serving/site_sync.h
+++ b/serving/site_sync.h
@@ -117,6 +117,9 @@
 
   std::shared_ptr<const SiteConfig> config_;
   std::set<FailureDomain> evacuated_;
+  // Newest revision that evacuated_ reflects. Unlike revision_, it never goes
+  // back to that of an older copy of the records.
+  Revision evacuations_as_of_;
   bool listed_ = false;
   bool store_lost_ = false;
   MonoTime last_contact_{};
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -399,12 +399,13 @@
   }
 
   // Whether memory is asked for at the owner of the service's ledger, which
-  // knows nothing of regions. Engines whose calls need a permit are polled for
-  // both.
+  // knows nothing of regions and can't grant more than an engine has. Engines
+  // whose calls need a permit are polled for both.
   bool UsesLedger() const {
     return deps_.memory != nullptr && !polls_engines_ &&
            !request_.allowed_regions.is_restricted() &&
            deps_.memory->IsUsed(request_.service.id) &&
+           size_.total <= request_.service.engine->kv_memory &&
            !deps_.selector->AwaitsPermit(
                MakeQuery(EngineRole::kDecode, deps_.zone, nullptr),
                deps_.loop->Now());
@@ -471,8 +472,9 @@
       FinishUnanswered();
       return;
     }
-    if (!MayStillCall(*answer.engine)) {
-      // The owner doesn't know of the evacuation yet.
+    if (!MayStillCall(*answer.engine) ||
+        !deps_.permits->IsAvailable(*answer.engine, deps_.loop->Now())) {
+      // The owner doesn't know yet that the engine is evacuated or warms up.
       polls_engines_ = true;
       claim_.reset();
       TryReserve();
--- a/tests/site_sync_test.cc
+++ b/tests/site_sync_test.cc
@@ -195,6 +195,14 @@
     await_watches(3);
     CHECK(seen == std::vector<std::string>{"a ", "a b ", "a "});
   }
+  SECTION("two older copies in a row") {
+    store.list_replies.push_back({KvStatus::kOk, Revision(5), {}, {}});
+    store.watch_replies.push_back({KvStatus::kCompacted, Revision(0), {}, {}});
+    store.list_replies.push_back({KvStatus::kOk, Revision(7), {}, {}});
+    sync.Start();
+    await_watches(3);
+    CHECK(seen == std::vector<std::string>{"a "});
+  }
   SECTION("the store is away") {
     store.list_replies.push_back({KvStatus::kNoReply, Revision(0), {}, {}});
     store.list_replies.push_back(
