--- a/tests/memory_exchange_test.cc
+++ b/tests/memory_exchange_test.cc
@@ -112,7 +112,7 @@
   void SendFor(Duration duration, double load) {
     const MonoTime end = simulator_.now() + duration;
     const double per_second = load * static_cast<double>(engines_.size()) *
-                              static_cast<double>(kEngineMemory / kRunTokens) /
+                              static_cast<double>(kEngineMemory) / kRunTokens /
                               ToSeconds(kHold);
     while (simulator_.now() < end) {
       const int target =
