Engines of unlike speed keep to the preferred failure domain

Cause: once one engine's measured speed differed, the best of four random candidates was taken, so that in four failure domains a third of the selections met no near engine.

Change: four candidates are drawn in the preferred failure domain and four elsewhere.

Result: engine_speeds_test replays an idle service in three domains; it fails without the change and passes with it.

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -269,7 +269,8 @@
       best_ms = ms;
     }
   }
-  if (have_unlike_speeds) best = BestOfSample(std::move(candidates));
+  if (have_unlike_speeds)
+    best = BestOfSample(std::move(candidates), query.preferred_zone);
   // The caller will retry the reservation anyway, so an engine that has just
   // failed is not used as a fallback.
   if (best == nullptr && !query.require_free_memory) best = first_available;
@@ -283,18 +284,25 @@
 }
 
 const BackEndEntry* BackEndSelector::BestOfSample(
-    std::vector<Candidate> candidates) {
-  const size_t count = std::min(kSampleSize, candidates.size());
+    std::vector<Candidate> candidates, const FailureDomain& preferred_zone) {
+  const auto others = std::partition(
+      candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
+        return candidate.entry->zone == preferred_zone;
+      });
   const Candidate* best = nullptr;
-  for (size_t i = 0; i < count; ++i) {
-    const size_t left = candidates.size() - i;
-    const size_t drawn =
-        i + std::min(left - 1, static_cast<size_t>(random_->UniformDouble() *
-                                                   static_cast<double>(left)));
-    std::swap(candidates[i], candidates[drawn]);
-    if (best == nullptr || candidates[i].expected_ms < best->expected_ms)
-      best = &candidates[i];
-  }
+  const auto draw = [&](auto begin, auto end) {
+    for (size_t i = 0; i < kSampleSize && begin != end; ++i, ++begin) {
+      const auto left = end - begin;
+      const auto drawn = std::min(
+          left - 1, static_cast<std::ptrdiff_t>(random_->UniformDouble() *
+                                                static_cast<double>(left)));
+      std::iter_swap(begin, begin + drawn);
+      if (best == nullptr || begin->expected_ms < best->expected_ms)
+        best = &*begin;
+    }
+  };
+  draw(candidates.begin(), others);
+  draw(others, candidates.end());
   return best == nullptr ? nullptr : best->entry;
 }
 
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -281,9 +281,10 @@
     const BackEndEntry* entry = nullptr;
     double expected_ms = 0;
   };
-  // Returns the best of a few candidates drawn at random; nullptr if there are
-  // none.
-  const BackEndEntry* BestOfSample(std::vector<Candidate> candidates);
+  // Returns the best of a few candidates drawn at random in the preferred
+  // failure domain and as many elsewhere; nullptr if there are none.
+  const BackEndEntry* BestOfSample(std::vector<Candidate> candidates,
+                                   const FailureDomain& preferred_zone);
   void ApplyOutcome(BackEndState* state, CallOutcome outcome, MonoTime now);
 
   const BackEndList* const list_;
--- a/decide/engine_speeds_test.cc
+++ b/decide/engine_speeds_test.cc
@@ -245,6 +245,32 @@
   return times;
 }
 
+// The load of a quiet day, on which traffic between failure domains is paid for
+// nothing.
+TEST_CASE("unlike speeds don't send idle traffic to other failure domains") {
+  SeededRandom random{12};
+  BackEndList list;
+  const MonoTime now(seconds(1000));
+  for (int i = 0; i < 60; ++i) {
+    BackEndEntry engine = Engine(i);
+    engine.role = EngineRole::kDecode;
+    engine.zone = FailureDomain(std::string(1, static_cast<char>('a' + i % 3)));
+    list.Put(engine, now);
+  }
+  BackEndSelector selector(&list, &random, BackEndSelector::Options{});
+  selector.engine_speeds().Merge(Engine(1).id, {1, 1, 1.3, now});
+  SelectionQuery query;
+  query.service = ServiceId("s");
+  query.role = EngineRole::kDecode;
+  query.preferred_zone = FailureDomain("a");
+  query.work = {Tokens(3000), Tokens(4000)};
+  for (int i = 0; i < 300; ++i) {
+    const BackEndEntry* const selected = selector.SelectBackEnd(query, now);
+    REQUIRE(selected != nullptr);
+    REQUIRE(selected->zone == query.preferred_zone);
+  }
+}
+
 TEST_CASE("prompts are read sooner if the speeds are known, without a herd") {
   for (const int fast : {2, 6, 12}) {
     INFO(fast << " fast engines");
