Requests that wait when their daemon ends get a response

What callers saw: a request that waited for memory when its daemon ended got a closed connection, although it had run nowhere ("ran -" in the record). Cause: at the end of the grace time the daemon logged the open requests and destroyed them. The class: a shutdown that treats all open requests alike, whatever is known of them. Change: relays learn that the daemon ends (Relay::OnShutdown) and send what is true then: 503 "not run" with a short Retry-After, 502 where the request may have run, an aborted response where it has started. A request that waits for memory counts on the daemon only until it ends, so it is refused early enough for another daemon to run it. request_cut is now the line of a truncated response only, with the fields of request_failed; both name the stage.

--- /dev/null
+++ b/decide/shutdown_policy.h
@@ -0,0 +1,45 @@
+// Decides which streams a daemon that shuts down still admits, and until when
+// its requests may count on it.
+//
+// Model: the load balancer sends new connections until it has noticed the
+// shutdown, and a caller that is refused reaches another daemon at its next
+// attempt. A stream is admitted only if most streams like it would end before
+// the daemon does: its caller loses some hundred milliseconds by a refusal and
+// the whole response by a truncation.
+//
+// Load pattern covered: daemons that are stopped one after the other while
+// engines are short of memory, so that streams last as long as the grace time.
+#ifndef DECIDE_SHUTDOWN_POLICY_H_
+#define DECIDE_SHUTDOWN_POLICY_H_
+
+#include <optional>
+
+#include "base/clock.h"
+
+namespace mimosa {
+
+class ShutdownPolicy {
+ public:
+  // The daemon admits no stream after `stream_cutoff` and ends its remaining
+  // requests at `ends_at`.
+  void Begin(MonoTime stream_cutoff, MonoTime ends_at);
+  // Ends the requests earlier. A later time than the current one is ignored.
+  void EndBy(MonoTime ends_at);
+
+  bool has_begun() const { return ends_at_ != kNever; }
+  // When the daemon ends its remaining requests; kNever before the shutdown.
+  MonoTime ends_at() const { return ends_at_; }
+
+  // `expected_duration`: that most streams like this one stay below; absent if
+  // unknown.
+  bool AdmitsStream(MonoTime now,
+                    std::optional<Duration> expected_duration) const;
+
+ private:
+  MonoTime stream_cutoff_ = kNever;
+  MonoTime ends_at_ = kNever;
+};
+
+}  // namespace mimosa
+
+#endif  // DECIDE_SHUTDOWN_POLICY_H_
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -46,7 +46,7 @@
 // two failed probes, and a second is added as margin.
 constexpr Duration kBalancerRemovalTime = std::chrono::milliseconds(3200);
 // A leaving daemon admits new streams for this long, in which most callers have
-// switched to another daemon. Later streams could outlast the daemon.
+// switched to another daemon.
 constexpr Duration kStreamAdmissionTime = std::chrono::milliseconds(2300);
 // A leaving daemon aborts the remaining requests this long before SIGKILL is
 // due.
@@ -215,7 +215,8 @@
               &reachability_,
               &helpers_,
               FailureDomain(settings.failure_domain()),
-              &buffers_},
+              &buffers_,
+              &shutdown_},
         frontend_(&deps_, &rate_limiter_,
                   [this] { return site_sync_.config(); }),
         forwarded_handler_(&frontend_),
@@ -282,7 +283,7 @@
     role_controller_.Start();
     FlushLog();
     loop_->Run();
-    frontend_.LogCutRequests();
+    frontend_.EndRunningRequests();
     log_.WriteAlways(
         LogLine("stopped").Add("running", frontend_.running_requests()));
     log_.Flush();
@@ -562,7 +563,7 @@
     accept_until_ = now + kBalancerRemovalTime;
     abort_at_ =
         now + std::chrono::milliseconds(settings_.grace_ms()) - kAbortMargin;
-    frontend_.BeginShutdown(now + kStreamAdmissionTime);
+    shutdown_.Begin(now + kStreamAdmissionTime, abort_at_);
     caller_server_->DisableKeepAlive();
     forward_server_->DisableKeepAlive();
     helpers_.BeginLeaving();
@@ -619,6 +620,7 @@
   StreamOriginExchange stream_origins_;
   CrashExchange crash_exchange_;
   BufferMonitor buffers_;
+  ShutdownPolicy shutdown_;
   const RelayDeps deps_;
   EntryFrontend frontend_;
   ForwardedHandler forwarded_handler_;
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -21,9 +21,6 @@
 constexpr Duration kNoConfigRetryAfter = std::chrono::milliseconds(700);
 constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(300);
 
-// Retry-After while the daemon shuts down: the caller can reach another daemon
-// at once.
-constexpr Duration kShutdownRetryAfter = std::chrono::milliseconds(50);
 // Retry-After of a request for a service that neither this daemon nor others
 // reach.
 constexpr Duration kUnreachableRetryAfter = std::chrono::milliseconds(400);
@@ -90,6 +87,12 @@
   return regions;
 }
 
+// Returns the name of the log line of a request that has ended.
+const char* EndEventName(const RelayResult& result) {
+  if (result.truncated_by_shutdown) return "request_cut";
+  return IsSuccess(result.status) ? "request_answered" : "request_failed";
+}
+
 }  // namespace
 
 struct EntryFrontend::RunningRequest {
@@ -181,8 +184,8 @@
 
 bool EntryFrontend::AdmitForService(const SiteCustomer* customer,
                                     RelayRequest* request, Refusal* refusal) {
-  if (request->service.engine && request->arrived > stream_cutoff_) {
-    *refusal = {kStatusUnavailable, kShutdownRetryAfter, "leaving"};
+  if (request->service.engine && !AdmitsStream(*request)) {
+    *refusal = {kStatusUnavailable, kShutdownRetryAfter, kShutdownReason};
     return false;
   }
   request->priority = PriorityOf(request->route, customer);
@@ -198,6 +201,10 @@
   return AdmitWithinBoundaries(*request, refusal);
 }
 
+bool EntryFrontend::AdmitsStream(const RelayRequest& request) const {
+  return deps_->shutdown->AdmitsStream(request.arrived, std::nullopt);
+}
+
 bool EntryFrontend::AdmitWithinBoundaries(const RelayRequest& request,
                                           Refusal* refusal) {
   SelectionQuery query;
@@ -396,23 +403,13 @@
   running.relay->Start();
 }
 
-void EntryFrontend::LogCutRequests() {
-  const MonoTime now = deps_->loop->Now();
-  for (const auto& [serial, running] : running_requests_) {
-    const RelayRequest& request = running->request;
-    deps_->log->Write(
-        LogLine("request_cut")
-            .Add("request", request.caller.id.value())
-            .Add("route", request.route.id.value())
-            .Add("service", request.service.id.value())
-            .Add("started", running->exchange->response_started())
-            .Add("unsent_bytes", running->exchange->UnsentBytes())
-            .Add("likely_output",
-                 request.caller.token_counts.value_or(TokenCounts{})
-                     .expected_output.value_or(Tokens(0))
-                     .count())
-            .AddMillis("total_ms", now - request.arrived)
-            .AddMillis("left_ms", request.deadline - now));
+void EntryFrontend::EndRunningRequests() {
+  std::vector<uint64_t> serials;
+  for (const auto& [serial, running] : running_requests_)
+    serials.push_back(serial);
+  for (const uint64_t serial : serials) {
+    const auto it = running_requests_.find(serial);
+    if (it != running_requests_.end()) it->second->relay->OnShutdown();
   }
 }
 
@@ -459,10 +456,9 @@
     ++counters_.by_status[static_cast<size_t>(result.status)];
     counters_.latency.Observe(ToSeconds(total));
   }
-  const bool success = IsSuccess(result.status);
   const TokenCounts counts =
       request.caller.token_counts.value_or(TokenCounts{});
-  LogLine line(success ? "request_answered" : "request_failed");
+  LogLine line(EndEventName(result));
   line.Add("request", request.caller.id.value())
       .Add("route", request.route.id.value())
       .Add("customer", request.customer.value())
@@ -473,6 +469,8 @@
       .Add("forwarded_by", request.forwarded_by)
       .Add("status", result.status)
       .Add("why", result.reason)
+      .Add("stage", result.stage)
+      .Add("unsent_bytes", result.unsent_bytes)
       .Add("calls", result.calls)
       .Add("prompt", counts.prompt.count())
       .Add("max_output", counts.max_output.count())
--- a/serving/entry_frontend.h
+++ b/serving/entry_frontend.h
@@ -51,13 +51,9 @@
   // A request arrived at the members' port.
   void OnForwardedRequest(const std::shared_ptr<HttpExchange>& exchange);
 
-  // Refuses streams that arrive after `cutoff`: the daemon's shutdown could
-  // truncate them.
-  void BeginShutdown(MonoTime cutoff) { stream_cutoff_ = cutoff; }
-
-  // Writes a line for each running request, at the end of a shutdown that
-  // doesn't wait for them.
-  void LogCutRequests();
+  // Ends all running requests, at the end of a shutdown: those that no back end
+  // has got are refused, and responses that have started are aborted.
+  void EndRunningRequests();
 
   size_t running_requests() const { return running_requests_.size(); }
   const EntryCounters& counters() const { return counters_; }
@@ -75,6 +71,9 @@
   // sets the request's suspects and priority.
   bool AdmitForService(const SiteCustomer* customer, RelayRequest* request,
                        Refusal* refusal);
+  // Returns whether the request ends, by what is known, before a daemon that
+  // shuts down does.
+  bool AdmitsStream(const RelayRequest& request) const;
   // Refuses a request that no back end of the service may run because of its
   // regions and the evacuated failure domains.
   bool AdmitWithinBoundaries(const RelayRequest& request, Refusal* refusal);
@@ -108,7 +107,6 @@
   ReplicatedRateLimiter* const rate_limiter_;
   const ConfigSource config_;
   EntryCounters counters_;
-  MonoTime stream_cutoff_ = kNever;
   uint64_t next_serial_ = 1;
   size_t running_forwarded_ = 0;  // Of other daemons.
   std::unordered_map<uint64_t, std::unique_ptr<RunningRequest>>
--- a/serving/forward_relay.cc
+++ b/serving/forward_relay.cc
@@ -54,6 +54,12 @@
     Finish(0, "caller_gone");
   }
 
+  void OnShutdown() override {
+    result_.truncated_by_shutdown = streaming_;
+    result_.unsent_bytes = exchange_->UnsentBytes();
+    EndUnfinished(kStatusBadGateway, kShutdownReason);
+  }
+
   RelayRequest TakeRequest() override { return std::move(request_); }
 
   // HttpCallHandler:
@@ -192,15 +198,19 @@
     });
   }
 
-  void OnDeadline() {
+  void OnDeadline() { EndUnfinished(kStatusGatewayTimeout, "timeout"); }
+
+  // Ends a request that may still be running. `status` says that nothing is
+  // known about the run.
+  void EndUnfinished(int status, const char* reason) {
     const bool may_have_run = attempts_ > 0 || (helper_ && !refused_);
     if (streaming_) {
       exchange_->Abort();
-      Finish(0, "timeout");
+      Finish(0, reason);
     } else if (may_have_run) {
-      Respond(EmptyResponse(kStatusGatewayTimeout), "timeout");
+      Respond(EmptyResponse(status), reason);
     } else {
-      Refuse("timeout");
+      Refuse(reason);
     }
   }
 
--- a/serving/local_responses.cc
+++ b/serving/local_responses.cc
@@ -5,6 +5,11 @@
 #include <cstdio>
 
 namespace mimosa {
+namespace {
+
+constexpr Duration kMaxShutdownSpread = std::chrono::milliseconds(300);
+
+}  // namespace
 
 HttpResponse RetryLaterResponse(int status, Duration retry_after) {
   HttpResponse response;
@@ -15,6 +20,11 @@
   return response;
 }
 
+Duration ShutdownRetryAfter(RandomSource* random) {
+  return kShutdownRetryAfter +
+         Scaled(kMaxShutdownSpread, random->UniformDouble());
+}
+
 HttpResponse EmptyResponse(int status) {
   HttpResponse response;
   response.status = status;
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -67,6 +67,12 @@
     Finish(0, "caller_gone");
   }
 
+  void OnShutdown() override {
+    result_.truncated_by_shutdown = streaming_ != nullptr;
+    result_.unsent_bytes = exchange_->UnsentBytes();
+    EndUnfinished(kStatusBadGateway, kShutdownReason);
+  }
+
   RelayRequest TakeRequest() override { return std::move(request_); }
 
   // BackEndCall::Handler:
@@ -277,18 +283,22 @@
     if (!call->response_started()) call->ReportSilence();
   }
 
-  void OnDeadline() {
+  void OnDeadline() { EndUnfinished(kStatusGatewayTimeout, "timeout"); }
+
+  // Ends a request that may still be running. `status` says that nothing is
+  // known about the run.
+  void EndUnfinished(int status, const char* reason) {
     const bool attempted = !attempts_.empty();
     CancelAttempts();
     if (streaming_ != nullptr) {
       exchange_->Abort();
-      Finish(0, "timeout");
+      Finish(0, reason);
     } else if (error_response_ != nullptr) {
       Respond(std::move(*error_response_), "answered");
     } else if (attempted || may_have_run_ > 0) {
-      Respond(EmptyResponse(kStatusGatewayTimeout), "timeout");
+      Respond(EmptyResponse(status), reason);
     } else {
-      Refuse("timeout");
+      Refuse(reason);
     }
   }
 
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -13,6 +13,7 @@
 #include "decide/back_end_selector.h"
 #include "decide/reservation_retry_policy.h"
 #include "decide/retry_budget.h"
+#include "decide/shutdown_policy.h"
 #include "decide/site.h"
 #include "decide/stage_meter.h"
 #include "decide/traffic_boundaries.h"
@@ -66,6 +67,7 @@
   HelperExchange* helpers;
   FailureDomain zone;  // Zone of this daemon.
   BufferMonitor* buffers;
+  const ShutdownPolicy* shutdown;
 };
 
 // An admitted request.
@@ -105,6 +107,10 @@
   Duration time_to_prefill{};      // The last prefill was complete.
   Duration time_to_first_event{};
   Duration longest_gap{};  // Between two events of the stream.
+  // What the request waited for or did when it ended.
+  const char* stage = "";
+  size_t unsent_bytes = 0;  // Of a response that the shutdown truncated.
+  bool truncated_by_shutdown = false;
   bool caller_disconnected = false;
   // No back end could be reached: the request has run nowhere, and the caller
   // has no response yet.
@@ -120,6 +126,9 @@
   virtual void Start() = 0;
   // The caller has closed its connection.
   virtual void OnCallerDisconnected() = 0;
+  // The daemon ends now. Sends the response that is true at this moment, or
+  // aborts the response if it has started.
+  virtual void OnShutdown() = 0;
   // Returns the request of a relay that has ended as unreachable.
   virtual RelayRequest TakeRequest() = 0;
 };
--- a/serving/request_format.h
+++ b/serving/request_format.h
@@ -28,6 +28,9 @@
   std::optional<Tokens> expected_output;
 };
 
+// Returns the output that a request most likely generates.
+Tokens LikelyOutput(const TokenCounts& counts);
+
 // A caller's request in parsed form. `http` is the request to forward, without
 // the caller's API key and without header fields that only the daemon may set.
 struct CallerRequest {
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -34,9 +34,6 @@
 // Timeout of a reservation request. An engine that does not respond to such a
 // simple request in this time is in no state to run one.
 constexpr Duration kReserveTimeout = std::chrono::milliseconds(150);
-// Factor on the caller's estimate of the output: estimates match the median,
-// and the mean is higher.
-constexpr double kOutputEstimateFactor = 1.2;
 // Share of an engine's memory up to which a request that is already late may
 // reserve, so that it does not take memory from requests that can still meet
 // their target.
@@ -63,7 +60,7 @@
         last_event_id_(request_.caller.last_event_id) {
     const TokenCounts counts =
         request_.caller.token_counts.value_or(TokenCounts{});
-    expected_output_ = ExpectedOutput(counts);
+    expected_output_ = LikelyOutput(counts);
     size_.prompt = counts.prompt;
     size_.total = counts.prompt + expected_output_;
   }
@@ -99,6 +96,12 @@
     Finish(0, "caller_gone");
   }
 
+  void OnShutdown() override {
+    result_.truncated_by_shutdown = exchange_->response_started();
+    result_.unsent_bytes = exchange_->UnsentBytes();
+    EndUnfinished(kStatusBadGateway, kShutdownReason);
+  }
+
   RelayRequest TakeRequest() override { return std::move(request_); }
 
   // BackEndCall::Handler:
@@ -292,6 +295,18 @@
 
   enum class Stage { kReserve, kPrefill, kRun };
 
+  static const char* StageName(Stage stage) {
+    switch (stage) {
+      case Stage::kReserve:
+        return "reservation";
+      case Stage::kPrefill:
+        return "prefill";
+      case Stage::kRun:
+        return "run";
+    }
+    return "?";
+  }
+
   // A reservation at a decode engine. It counts as an open call there until the
   // run uses it.
   struct Reservation {
@@ -299,14 +314,6 @@
     std::string id;
   };
 
-  static Tokens ExpectedOutput(const TokenCounts& counts) {
-    if (!counts.expected_output) return counts.max_output;
-    const auto estimate = static_cast<int64_t>(
-        kOutputEstimateFactor *
-        static_cast<double>(counts.expected_output->count()));
-    return std::min(counts.max_output, Tokens(estimate));
-  }
-
   Duration ReservationLifetime() const {
     return request_.service.engine
                ? request_.service.engine->reservation_lifetime
@@ -446,7 +453,7 @@
     const MonoTime now = deps_.loop->Now() + in;
     WaitingRequest waiting;
     waiting.waited = now - request_.arrived;
-    waiting.time_left = request_.deadline - now;
+    waiting.time_left = EndOfWait() - now;
     waiting.target_latency = request_.route.target_latency;
     waiting.first_event_timeout = request_.route.first_event_timeout;
     waiting.time_to_first_event = kFirstEventOverhead + EstimatedPrefillTime();
@@ -455,6 +462,22 @@
     return waiting;
   }
 
+  // A response that hasn't started must end before the daemon does. One that
+  // has started goes on for as long as it can.
+  MonoTime EndOfWait() const {
+    return exchange_->response_started()
+               ? request_.deadline
+               : std::min(request_.deadline, deps_.shutdown->ends_at());
+  }
+
+  // Whether the request would wait for longer if the daemon didn't shut down.
+  bool IsLimitedByShutdown() const {
+    if (EndOfWait() == request_.deadline) return false;
+    WaitingRequest waiting = MakeWaitingRequest();
+    waiting.time_left = request_.deadline - deps_.loop->Now();
+    return deps_.reservation_retry->MaxFurtherWait(waiting) >= Duration::zero();
+  }
+
   // Whether the caller has events of the stream, from this response or from one
   // that it takes up.
   bool HasBegun() const {
@@ -883,18 +906,22 @@
     });
   }
 
-  void OnDeadline() {
+  void OnDeadline() { EndUnfinished(kStatusGatewayTimeout, "timeout"); }
+
+  // Ends a request that may still be running. `status` says that nothing is
+  // known about the run.
+  void EndUnfinished(int status, const char* reason) {
     const bool run_in_progress = call_ != nullptr && stage_ == Stage::kRun;
     CancelSilentRun();
     CancelCall(run_in_progress && !call_->response_started()
                    ? CallOutcome::kFailed
                    : CallOutcome::kUnknown);
     if (exchange_->response_started()) {
-      AbortStream("timeout");
+      AbortStream(reason);
     } else if (run_in_progress || may_have_run_ > 0) {
-      Respond(EmptyResponse(kStatusGatewayTimeout), "timeout");
+      Respond(EmptyResponse(status), reason);
     } else {
-      Refuse("timeout");
+      Refuse(reason);
     }
   }
 
@@ -928,6 +955,13 @@
   }
 
   void Refuse(const char* reason) {
+    if (IsLimitedByShutdown()) {
+      // Another daemon can go on with it at once.
+      Respond(RetryLaterResponse(kStatusUnavailable,
+                                 ShutdownRetryAfter(deps_.random)),
+              kShutdownReason);
+      return;
+    }
     const Duration retry_after =
         deps_.reservation_retry->RetryAfter(MakeWaitingRequest());
     Respond(RetryLaterResponse(kStatusUnavailable,
@@ -957,6 +991,7 @@
     if (kv_handle_) ++deps_.counters->prefills_unused;
     result_.status = status;
     result_.reason = reason;
+    result_.stage = StageName(stage_);
     const RelayDoneCallback done = std::move(done_);
     done(result_);
   }
--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -427,6 +427,8 @@
   event_interval_ = MillisMember(*body, "gap_ms", event_interval_);
   response_delay_ = MillisMember(*body, "delay_ms", response_delay_);
   events_per_run_ = IntMember(*body, "events", events_per_run_);
+  options_.memory_tokens =
+      IntMember(*body, "memory_tokens", options_.memory_tokens);
   runs_to_abort_ = IntMember(*body, "abort_runs", runs_to_abort_);
   unresponsive_ = BoolMember(*body, "silent", unresponsive_);
   draining_ = BoolMember(*body, "draining", draining_);
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -115,7 +115,7 @@
   HttpHeaders ResponseHeaders(const HttpRequest& request) const;
 
   LwsLoop* const loop_;
-  const SiteServerOptions options_;
+  SiteServerOptions options_;
   const std::unique_ptr<HttpClient> client_;
   std::string stage_;
   bool changing_stage_ = false;  // true while a stage change is in progress
--- a/tests/entry_process_test.cc
+++ b/tests/entry_process_test.cc
@@ -694,6 +694,43 @@
   CHECK(site.MaxRuns() == 1);
 }
 
+// Sets the grace time of the first daemon, which `Site` starts with 8 s.
+void SetGraceTime(Site* site, int grace_ms) {
+  site->WriteSettings(site->entry(0), "entry-0", grace_ms);
+  site->entry(0).process->Signal(SIGHUP);
+  const std::string reloaded = R"("grace_ms":)" + std::to_string(grace_ms);
+  REQUIRE(Eventually([&] {
+    return site->entry(0).process->Output().find(reloaded) != std::string::npos;
+  }));
+}
+
+TEST_CASE(
+    "a request that waits for memory when its daemon ends is refused, not "
+    "closed",
+    "[shutdown]") {
+  Site site;
+  SetGraceTime(&site, 5000);
+  // Callers wait 8 s for the first event.
+  REQUIRE(PutRecord(site.store().port(), "op/config",
+                    WriteJson(MakeSiteConfig(2, "key-one", {30000, 2000, 300})))
+              .status == 200);
+  REQUIRE(Eventually([&] {
+    return GetJson(site.entry(0).settings.control_port(),
+                   "/status")["configuration_version"] == 2;
+  }));
+  for (const char* id : {"d1", "d2"})
+    site.SetBehavior(id, MakeObject("memory_tokens", 0));
+  Connection caller(site.entry(0).settings.listen_port());
+  REQUIRE(caller.Send(
+      MakeSiteRequest("/note/waits", "waits", "key-one", "body", 30000)));
+  site.entry(0).process->Terminate();
+  const Reply reply = caller.ReadReply();
+  CHECK(reply.complete);
+  CHECK(reply.status == 503);
+  CHECK(reply.Header("Retry-After") != "");
+  CHECK(site.entry(0).process->Wait() == 0);
+}
+
 TEST_CASE(
     "callers of a killed daemon can use another, and it serves after a "
     "restart") {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -303,6 +303,7 @@
                                [] { return true; }, {}};
   CrashExchange prompt_crashes{loop.get(), &members, &store, &random, &log, {}};
   BufferMonitor buffers{loop.get(), &log, buffer_options};
+  ShutdownPolicy shutdown;
   RelayDeps deps{loop.get(),
                  client.get(),
                  &format,
@@ -320,7 +321,8 @@
                  &reachability,
                  &helpers,
                  FailureDomain("z"),
-                 &buffers};
+                 &buffers,
+                 &shutdown};
   std::shared_ptr<const SiteConfig> config;
   std::unique_ptr<EntryFrontend> frontend;
   std::unique_ptr<HttpServer> server;
