A daemon that shuts down admits only streams that it can end

What callers saw: streams that a daemon admitted in the first 2.3 s after SIGTERM were truncated 7.6 s after it. Cause: admission went by the time since SIGTERM alone, whatever a stream was expected to take. The class: work is accepted without asking whether what it needs will be there until its end. Change: decide/stream_durations estimates how long a stream lasts, from the hint of its request and from streams that ended lately; decide/shutdown_policy refuses at once, as not run, what would outlast the daemon. Evidence: entry_process_test [shutdown], "a stream admitted during a shutdown isn't truncated at its end": 6 of 6 streams truncated on, 6 of 6 refused as not run now. Limits: hints are off by a factor of about two, so some streams are refused that would have ended, and a few still outlast the daemon.

--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -216,7 +216,8 @@
               &helpers_,
               FailureDomain(settings.failure_domain()),
               &buffers_,
-              &shutdown_},
+              &shutdown_,
+              &stream_durations_},
         frontend_(&deps_, &rate_limiter_,
                   [this] { return site_sync_.config(); }),
         forwarded_handler_(&frontend_),
@@ -621,6 +622,7 @@
   CrashExchange crash_exchange_;
   BufferMonitor buffers_;
   ShutdownPolicy shutdown_;
+  StreamDurations stream_durations_;
   const RelayDeps deps_;
   EntryFrontend frontend_;
   ForwardedHandler forwarded_handler_;
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -202,7 +202,12 @@
 }
 
 bool EntryFrontend::AdmitsStream(const RelayRequest& request) const {
-  return deps_->shutdown->AdmitsStream(request.arrived, std::nullopt);
+  const auto estimate = deps_->stream_durations->Find(
+      request.service.id,
+      LikelyOutput(request.caller.token_counts.value_or(TokenCounts{})));
+  return deps_->shutdown->AdmitsStream(
+      request.arrived,
+      estimate ? std::optional(estimate->total()) : std::nullopt);
 }
 
 bool EntryFrontend::AdmitWithinBoundaries(const RelayRequest& request,
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -16,6 +16,7 @@
 #include "decide/shutdown_policy.h"
 #include "decide/site.h"
 #include "decide/stage_meter.h"
+#include "decide/stream_durations.h"
 #include "decide/traffic_boundaries.h"
 #include "net/event_loop.h"
 #include "net/http.h"
@@ -68,6 +69,7 @@
   FailureDomain zone;  // Zone of this daemon.
   BufferMonitor* buffers;
   const ShutdownPolicy* shutdown;
+  StreamDurations* stream_durations;
 };
 
 // An admitted request.
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -457,7 +457,7 @@
     waiting.target_latency = request_.route.target_latency;
     waiting.first_event_timeout = request_.route.first_event_timeout;
     waiting.time_to_first_event = kFirstEventOverhead + EstimatedPrefillTime();
-    waiting.run_time = kTimePerToken * RemainingOutput().count();
+    waiting.run_time = ExpectedRunTime();
     waiting.has_begun = HasBegun();
     return waiting;
   }
@@ -478,6 +478,14 @@
     return deps_.reservation_retry->MaxFurtherWait(waiting) >= Duration::zero();
   }
 
+  Duration ExpectedRunTime() const {
+    const Duration unloaded = kTimePerToken * RemainingOutput().count();
+    if (!deps_.shutdown->has_begun()) return unloaded;
+    const auto estimate =
+        deps_.stream_durations->Find(request_.service.id, RemainingOutput());
+    return estimate ? std::max(unloaded, estimate->generation) : unloaded;
+  }
+
   // Whether the caller has events of the stream, from this response or from one
   // that it takes up.
   bool HasBegun() const {
@@ -992,10 +1000,23 @@
     result_.status = status;
     result_.reason = reason;
     result_.stage = StageName(stage_);
+    RecordDuration();
     const RelayDoneCallback done = std::move(done_);
     done(result_);
   }
 
+  // Measures how long streams last. Those that began elsewhere, or whose
+  // duration the caller determined, say nothing.
+  void RecordDuration() const {
+    if (result_.events == 0 || !is_event_stream_ || reader_was_slow_ ||
+        result_.caller_disconnected || request_.caller.last_event_id)
+      return;
+    const Duration total = deps_.loop->Now() - request_.arrived;
+    deps_.stream_durations->Record(request_.service.id, expected_output_,
+                                   result_.time_to_first_event,
+                                   total - result_.time_to_first_event);
+  }
+
   BackEndCallParams MakeCallParams(const BackEndEntry& engine) const {
     BackEndCallParams params;
     params.expected_back_end = engine.id;
--- a/tests/entry_process_test.cc
+++ b/tests/entry_process_test.cc
@@ -694,6 +694,20 @@
   CHECK(site.MaxRuns() == 1);
 }
 
+// Sends `count` requests at the same time and returns their replies.
+std::vector<Reply> SendTogether(Site* site, const std::string& target,
+                                int count) {
+  std::vector<std::unique_ptr<Connection>> callers;
+  for (int i = 0; i < count; ++i) {
+    callers.push_back(
+        std::make_unique<Connection>(site->entry(0).settings.listen_port()));
+    REQUIRE(callers.back()->Send(site->MakeRequest(target)));
+  }
+  std::vector<Reply> replies;
+  for (const auto& caller : callers) replies.push_back(caller->ReadReply());
+  return replies;
+}
+
 // Sets the grace time of the first daemon, which `Site` starts with 8 s.
 void SetGraceTime(Site* site, int grace_ms) {
   site->WriteSettings(site->entry(0), "entry-0", grace_ms);
@@ -704,6 +718,28 @@
   }));
 }
 
+TEST_CASE("a stream admitted during a shutdown isn't truncated at its end",
+          "[shutdown]") {
+  Site site;
+  for (const char* id : {"d1", "d2"})
+    site.SetBehavior(id, MakeObject("gap_ms", 1200));
+  for (const Reply& reply : SendTogether(&site, "/letter/long", 6))
+    REQUIRE(reply.complete);
+  // Streams last 4.8 s and more, requests end 4.6 s after SIGTERM.
+  SetGraceTime(&site, 5000);
+  site.entry(0).process->Terminate();
+  REQUIRE(Eventually([&] {
+    return Get(site.entry(0).settings.ready_port(), kReadyPath).status == 503;
+  }));
+  for (const Reply& reply : SendTogether(&site, "/letter/late", 6)) {
+    CHECK(reply.complete);
+    CHECK(reply.status == 503);
+    CHECK(reply.Header("Retry-After") != "");
+  }
+  CHECK(site.SendRequest(1, "/letter/late").body == StreamEvents(1, 5));
+  CHECK(site.entry(0).process->Wait() == 0);
+}
+
 TEST_CASE(
     "a request that waits for memory when its daemon ends is refused, not "
     "closed",
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -304,6 +304,7 @@
   CrashExchange prompt_crashes{loop.get(), &members, &store, &random, &log, {}};
   BufferMonitor buffers{loop.get(), &log, buffer_options};
   ShutdownPolicy shutdown;
+  StreamDurations stream_durations;
   RelayDeps deps{loop.get(),
                  client.get(),
                  &format,
@@ -322,7 +323,8 @@
                  &helpers,
                  FailureDomain("z"),
                  &buffers,
-                 &shutdown};
+                 &shutdown,
+                 &stream_durations};
   std::shared_ptr<const SiteConfig> config;
   std::unique_ptr<EntryFrontend> frontend;
   std::unique_ptr<HttpServer> server;
