Log tells that a run fell silent and what became of it

A stream that the daemon ended showed as request_failed with stream_lost, alike for an engine that broke off and for a run that the daemon itself had cancelled because it was silent; nothing said that it had. Two lines do: run_silent and run_silence_ended with its outcome.

Test: 'the log tells that a run fell silent and how that ended'; it failed before (no line; 1 == 0). The log of the relay fixture goes to a temporary file that tests read.

--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -199,6 +199,7 @@
 
   void OnCallFailed(BackEndCall* call, CallFailure failure) override {
     if (call == silent_run_.get()) {
+      LogSilenceEnd("failed");
       finished_calls_.push_back(std::move(silent_run_));
       RecordFailedRun();
       // The search for another engine continues.
@@ -833,11 +834,36 @@
         (!is_event_stream_ || !event_splitter_.last_id()))
       return;
     call_->ReportSilence();
+    LogSilence();
     silent_response_ = response_;
     silent_run_ = std::move(call_);
     StartStages();
   }
 
+  void LogSilence() const {
+    deps_.log->Write(LogLine("run_silent")
+                         .Add("request", request_.caller.id.value())
+                         .Add("back_end", call_->back_end().id.value())
+                         .Add("events", result_.events)
+                         .AddMillis("silent_ms", SilentTime(*call_)));
+  }
+
+  // Logs what became of the silent run.
+  void LogSilenceEnd(const char* outcome) const {
+    deps_.log->Write(LogLine("run_silence_ended")
+                         .Add("request", request_.caller.id.value())
+                         .Add("back_end", silent_run_->back_end().id.value())
+                         .Add("outcome", outcome)
+                         .Add("events", result_.events)
+                         .AddMillis("silent_ms", SilentTime(*silent_run_)));
+  }
+
+  // Time since the last event of the stream, or since the start of `run` if
+  // that was later.
+  Duration SilentTime(const BackEndCall& run) const {
+    return deps_.loop->Now() - std::max(last_progress_at_, run.started());
+  }
+
   // Comments show that the engine is alive, not that it generates, so only a
   // complete event ends the search for another engine.
   void OnSilentRunData(BackEndCall* call, std::string_view data) {
@@ -854,6 +880,7 @@
   // Makes the silent run the current call again. Called when it has sent data
   // again or when no other engine is available.
   void RestoreSilentRun() {
+    LogSilenceEnd("restored");
     CancelCall(CallOutcome::kUnknown);
     reservation_timer_.Cancel();
     ReleaseReservation();
@@ -865,6 +892,7 @@
 
   void CancelSilentRun() {
     if (silent_run_ == nullptr) return;
+    LogSilenceEnd("given_up");
     RecordAbandoned(silent_run_.get());
     silent_run_->Cancel(CallOutcome::kFailed);
     finished_calls_.push_back(std::move(silent_run_));
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -6,11 +6,13 @@
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <cstdio>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -148,6 +150,39 @@
   HttpHeaders headers;
 };
 
+// A temporary file that a test's log is written to.
+class LogFile {
+ public:
+  LogFile() : file_(std::tmpfile()) { REQUIRE(file_ != nullptr); }
+  ~LogFile() { std::fclose(file_); }
+  LogFile(const LogFile&) = delete;
+  LogFile& operator=(const LogFile&) = delete;
+
+  int fd() const { return fileno(file_); }
+  static LineLog::Options LogOptions() {
+    LineLog::Options options;
+    options.burst = 1000;
+    return options;
+  }
+  // Returns the lines of `event`.
+  std::vector<std::string> ReadLines(LineLog* log,
+                                     const std::string& event) const {
+    log->Flush();
+    std::string text(1U << 20, '\0');
+    const ssize_t size = pread(fd(), text.data(), text.size(), 0);
+    REQUIRE(size >= 0);
+    std::istringstream stream(text.substr(0, static_cast<size_t>(size)));
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(stream, line);)
+      if (line.find("\"event\":\"" + event + "\"") != std::string::npos)
+        lines.push_back(line);
+    return lines;
+  }
+
+ private:
+  std::FILE* const file_;
+};
+
 struct RelayFixture {
   explicit RelayFixture(BufferMonitor::Options buffers_in = {})
       : buffer_options(buffers_in) {
@@ -168,6 +203,7 @@
       site_route.prefix = prefix;
       site_route.retry_policy = retry_policy;
       site_route.timeout = route_timeout;
+      site_route.first_event_timeout = first_event_timeout;
       site_route.target_latency = milliseconds(100);
       site_route.target_event_gap = milliseconds(100);
       site_route.max_attempts = attempts;
@@ -271,7 +307,8 @@
   std::unique_ptr<LwsLoop> loop = LwsLoop::Create();
   std::unique_ptr<HttpClient> client = MakeHttpClient(loop.get());
   SeededRandom random{5};
-  LineLog log{STDERR_FILENO, loop.get(), DisabledLogOptions()};
+  LogFile log_file;
+  LineLog log{log_file.fd(), loop.get(), LogFile::LogOptions()};
   BackEndList back_ends;
   RetryBudget budget{RetryBudget::Options{}};
   ReservationRetryPolicy reservation_retry{ReservationRetryPolicy::Options{},
@@ -326,6 +363,7 @@
   std::unique_ptr<HttpServer> server;
   double rate = 0;
   Duration route_timeout = milliseconds(1500);
+  Duration first_event_timeout{};
   bool splits_notes = false;
   // Taken over by SetConfig().
   std::vector<Region> route_regions;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -600,6 +600,52 @@
   CHECK(decode.runs + other.runs == 1);
 }
 
+TEST_CASE_METHOD(StreamFixture,
+                 "the log tells that a run fell silent and how that ended") {
+  FakeEngine other(loop.get());
+  AddBackEnd("f", "llm", EngineRole::kDecode, other.back_end.port());
+  TimerHandle later;
+  int runs = 0;
+  const auto script = [&](const FakeBackEnd::Exchange& exchange) {
+    exchange->StartStream(200, MakeMarkers(exchange->request()));
+    if (++runs == 1) {
+      exchange->Write(MakeEvent(1));
+      return;
+    }
+    exchange->Write(MakeEvent(2) + MakeEvent(3));
+    exchange->Finish();
+  };
+  decode.on_run = script;
+  other.on_run = script;
+  CHECK(CallFrontend("/note/1").body == complete_stream);
+  REQUIRE(log_file.ReadLines(&log, "run_silent").size() == 1);
+  const std::string line = log_file.ReadLines(&log, "run_silent").front();
+  CHECK(line.find(R"("request":"r1")") != std::string::npos);
+  CHECK(line.find(R"("events":1)") != std::string::npos);
+  REQUIRE(log_file.ReadLines(&log, "run_silence_ended").size() == 1);
+  CHECK(log_file.ReadLines(&log, "run_silence_ended")
+            .front()
+            .find(R"("outcome":"given_up")") != std::string::npos);
+  // Without another engine it is restored.
+  back_ends.Remove(BackEndId("f"), loop->Now());
+  runs = 0;
+  const auto stalled = [&](const FakeBackEnd::Exchange& exchange) {
+    exchange->StartStream(200, MakeMarkers(exchange->request()));
+    exchange->Write(MakeEvent(1));
+    later = loop->After(milliseconds(400), [exchange] {
+      exchange->Write(MakeEvent(2) + MakeEvent(3));
+      exchange->Finish();
+    });
+  };
+  decode.on_run = stalled;
+  other.on_run = stalled;
+  CHECK(CallFrontend("/note/2").body == complete_stream);
+  REQUIRE(log_file.ReadLines(&log, "run_silence_ended").size() == 2);
+  CHECK(log_file.ReadLines(&log, "run_silence_ended")
+            .back()
+            .find(R"("outcome":"restored")") != std::string::npos);
+}
+
 TEST_CASE_METHOD(StreamFixture,
                  "a resumable stream of comments alone moves to another "
                  "engine") {
