A silent run stays until another engine has accepted its stream

When a run was silent for twice the target gap, the daemon cancelled it at the moment at which it sent the stream to another engine. When that one then rejected it (503, not executed; after 500 to 700 ms in the users' record), failed or answered with an error, nothing was left: the daemon searched on without a run and at last ended the stream as stream_lost, while the silent run may only have been preempted.

Now the silent run is given up when the success head of the other run arrives, at once, so that the former engine doesn't work on beside the new one. If the silent run sends first, the other run is cancelled and counts as a run of the request, so that max_attempts holds. If the other run is rejected, fails or answers with an error before that, the search goes on and ends with the silent run restored. While the silent run lives, its partial event, is_event_stream_ and events_before_run_ stay its own. The time of a restored run is measured from its own start, and request_answered names its engine.

Tests (relay_test), before: 'a silent run outlives the rejection of the run that was to replace it' 4 checks failed of 7; 'a silent run outlives the failure ...' 4 of 6; 'a silent run that sends an event wins against a run that has not been accepted' 3 of 8. After: all of relay_test pass (40 cases). The three others ('is cancelled as soon as another is accepted', 'whose silent run breaks off', 'at the deadline') passed before and guard what must stay.

--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -116,6 +116,7 @@
       call->Reject();  // It can't continue the events that the caller has.
       return;
     }
+    GiveUpSilentRun();
     is_event_stream_ = is_event_stream;
     events_before_run_ = event_splitter_.event_count();
     first_event_at_ = MonoTime{};
@@ -179,7 +180,7 @@
     result_.response_end = call->response_end();
     if (IsSuccess(response_.status)) {
       deps_.stage_meter->RecordRun(request_.service.id, size_.total,
-                                   deps_.loop->Now() - stage_started_at_);
+                                   deps_.loop->Now() - call->started());
       RecordRunSpeed(back_end);
       // At most a comment: the stream doesn't end inside an event.
       exchange_->Write(event_splitter_.partial_event());
@@ -188,6 +189,10 @@
       return;
     }
     ++may_have_run_;
+    if (silent_run_ != nullptr) {
+      SearchOn();
+      return;
+    }
     // The stream was resumed at this engine, which failed.
     if (exchange_->response_started()) {
       AbortStream("engine_failed");
@@ -202,7 +207,7 @@
       LogSilenceEnd("failed");
       finished_calls_.push_back(std::move(silent_run_));
       RecordFailedRun();
-      // The search for another engine continues.
+      // The search for another engine, or the run there, continues.
       return;
     }
     silence_timer_.Cancel();
@@ -600,7 +605,7 @@
         kPrefillBaseTimeout + kPrefillTimeoutFactor * EstimatedPrefillTime());
     options.idle_timeout = options.head_timeout;
     prefill_engine_idle_ = deps_.selector->IsIdle(engine.id);
-    stage_started_at_ = now;
+    prefill_started_at_ = now;
     StartCall(engine, params, options);
     return true;
   }
@@ -619,11 +624,11 @@
     prefill_engine_ = engine;
     kv_handle_created_at_ = deps_.loop->Now();
     result_.time_to_prefill = kv_handle_created_at_ - request_.arrived;
-    deps_.stage_meter->RecordPrefill(request_.service.id, size_.prompt,
-                                     kv_handle_created_at_ - stage_started_at_,
-                                     prefill_engine_idle_);
+    deps_.stage_meter->RecordPrefill(
+        request_.service.id, size_.prompt,
+        kv_handle_created_at_ - prefill_started_at_, prefill_engine_idle_);
     deps_.stage_meter->engine_speeds().RecordPrefill(
-        engine, size_.prompt, kv_handle_created_at_ - stage_started_at_,
+        engine, size_.prompt, kv_handle_created_at_ - prefill_started_at_,
         prefill_engine_idle_, kv_handle_created_at_);
     StartRun();
   }
@@ -666,7 +671,6 @@
       return;
     }
     const BackEndEntry engine = *selected;
-    CancelSilentRun();
     tried_decode_engines_.insert(engine.id);
     ++sent_runs_;
     BackEndCallParams params = MakeCallParams(engine);
@@ -678,7 +682,6 @@
     options.max_idle = kMaxIdleNonIdempotent;
     options.head_timeout = params.time_left;
     options.idle_timeout = params.time_left;
-    stage_started_at_ = now;
     StartCall(engine, params, options);
     // From now on the call counts as open at the engine instead of the
     // reservation.
@@ -787,20 +790,36 @@
     return deps_.crash_guard->CountCrashes(request_.crash_suspects) <= 1;
   }
 
+  // Records the end of the run whose events the caller has.
   void RecordFailedRun() {
     ++may_have_run_;
     result_.partial_event_bytes = event_splitter_.partial_event().size();
     event_splitter_.DropPartialEvent();
+    UpdateLastEventId();
+  }
+
+  void UpdateLastEventId() {
     if (event_splitter_.last_id()) last_event_id_ = event_splitter_.last_id();
   }
 
   void OnRunFailed() {
-    RecordFailedRun();
+    if (silent_run_ != nullptr) {
+      ++may_have_run_;  // It has sent no events; the partial one is not its.
+    } else {
+      RecordFailedRun();
+    }
+    SearchOn();
+  }
+
+  // Looks for another engine after a run has failed, if one may get the
+  // request.
+  void SearchOn() {
     kv_handle_.reset();
+    const int silent_runs = silent_run_ != nullptr ? 1 : 0;
     const bool may_resume =
         !is_trial_ && MayRetryAfterCrash() &&
         request_.route.retry_policy == RetryPolicy::kResumableStream &&
-        may_have_run_ < request_.route.max_attempts &&
+        may_have_run_ + silent_runs < request_.route.max_attempts &&
         (!exchange_->response_started() ||
          (is_event_stream_ && last_event_id_));
     if (!may_resume) {
@@ -823,12 +842,15 @@
     silence_timer_ = deps_.loop->After(timeout, [this] { OnSilence(); });
   }
 
-  // Looks for another engine. The silent run is cancelled only when the other
-  // engine can start, since it may only have been preempted.
+  // Looks for another engine. The silent run is given up only when the other
+  // engine has accepted the request, since it may only have been preempted.
   void OnSilence() {
     silence_timer_.Cancel();
-    if (call_ == nullptr || stage_ != Stage::kRun || silent_run_ != nullptr)
+    if (call_ == nullptr || stage_ != Stage::kRun) return;
+    if (silent_run_ != nullptr) {
+      OnReplacementSilent();
       return;
+    }
     if (may_have_run_ + 1 >= request_.route.max_attempts) return;
     if (exchange_->response_started() &&
         (!is_event_stream_ || !event_splitter_.last_id()))
@@ -837,9 +859,33 @@
     LogSilence();
     silent_response_ = response_;
     silent_run_ = std::move(call_);
+    UpdateLastEventId();
     StartStages();
   }
 
+  // Tries another engine, if one more may get the request, in place of the one
+  // that was to replace the silent run and doesn't respond either.
+  void OnReplacementSilent() {
+    constexpr int kRunsInProgress = 2;
+    if (may_have_run_ + kRunsInProgress >= request_.route.max_attempts) return;
+    call_->ReportSilence();
+    CancelReplacement();
+    ReleaseKvHandle();
+    StartStages();
+  }
+
+  // Cancels what the relay does to replace the silent run.
+  void CancelReplacement() {
+    if (call_ != nullptr && stage_ == Stage::kRun) {
+      if (call_->is_unanswered() || call_->response_started()) {
+        ++may_have_run_;
+      } else {
+        --sent_runs_;
+      }
+    }
+    CancelCall(CallOutcome::kUnknown);
+  }
+
   void LogSilence() const {
     deps_.log->Write(LogLine("run_silent")
                          .Add("request", request_.caller.id.value())
@@ -878,18 +924,26 @@
   }
 
   // Makes the silent run the current call again. Called when it has sent data
-  // again or when no other engine is available.
+  // again, or when no other engine takes the request.
   void RestoreSilentRun() {
     LogSilenceEnd("restored");
-    CancelCall(CallOutcome::kUnknown);
+    CancelReplacement();
     reservation_timer_.Cancel();
     ReleaseReservation();
     ReleaseKvHandle();
     response_ = silent_response_;
     call_ = std::move(silent_run_);
+    result_.back_end = call_->back_end().id;
     stage_ = Stage::kRun;
   }
 
+  // The request goes on at another engine.
+  void GiveUpSilentRun() {
+    if (silent_run_ == nullptr) return;
+    CancelSilentRun();
+    ++deps_.counters->streams_resumed;
+  }
+
   void CancelSilentRun() {
     if (silent_run_ == nullptr) return;
     LogSilenceEnd("given_up");
@@ -897,7 +951,6 @@
     silent_run_->Cancel(CallOutcome::kFailed);
     finished_calls_.push_back(std::move(silent_run_));
     RecordFailedRun();
-    ++deps_.counters->streams_resumed;
   }
 
   // Reads from the engine no faster than the caller reads.
@@ -1037,7 +1090,9 @@
   std::set<BackEndId> refusing_engines_;
   TimerHandle reservation_timer_;
   std::unique_ptr<BackEndCall> call_;  // nullptr if none is in progress.
-  // A run that became silent, while the relay looks for another engine.
+  // A run that became silent, while the relay looks for another engine and
+  // until that has accepted the request. Until then is_event_stream_,
+  // events_before_run_ and the partial event of event_splitter_ are its.
   std::unique_ptr<BackEndCall> silent_run_;
   HttpResponse silent_response_;  // Response of silent_run_, received so far.
   std::vector<std::unique_ptr<BackEndCall>> finished_calls_;
@@ -1051,7 +1106,7 @@
   // generated the events that the caller has. Absent before the first event.
   std::optional<SoftwareVersion> software_version_;
   MonoTime kv_handle_created_at_{};
-  MonoTime stage_started_at_{};       // When the prefill or run was sent.
+  MonoTime prefill_started_at_{};     // When the last prefill was sent.
   bool prefill_engine_idle_ = false;  // The prefill engine had no other work.
   // The response of the run is an event stream; otherwise it is passed on as it
   // is.
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -600,6 +600,163 @@
   CHECK(decode.runs + other.runs == 1);
 }
 
+// Two engines, of which the first that gets a run sends one event and then
+// nothing, until the test says so.
+struct SilentRunFixture : StreamFixture {
+  SilentRunFixture() {
+    AddBackEnd("f", "llm", EngineRole::kDecode, other.back_end.port());
+    const auto script = [this](const FakeBackEnd::Exchange& exchange) {
+      if (silent != nullptr) {
+        on_second_run(exchange);
+        return;
+      }
+      silent = exchange;
+      exchange->OnClientDisconnected([this] { silent_cancelled = true; });
+      exchange->StartStream(200, MakeMarkers(exchange->request()));
+      exchange->Write(MakeEvent(1) + partial);
+    };
+    decode.on_run = script;
+    other.on_run = script;
+  }
+  void FinishSilentRun() const {
+    if (silent_cancelled) return;
+    silent->Write((MakeEvent(2) + MakeEvent(3)).substr(partial.size()));
+    silent->Finish();
+  }
+  // The second run ends, or `then` happens, after about two round trips.
+  TimerHandle Later(std::function<void()> then) {
+    return loop->After(milliseconds(30), std::move(then));
+  }
+
+  FakeEngine other{loop.get()};
+  FakeBackEnd::Exchange silent;
+  bool silent_cancelled = false;
+  std::string partial = "id: 2\nda";
+  FakeBackEnd::Script on_second_run;
+  TimerHandle timer;
+};
+
+TEST_CASE_METHOD(SilentRunFixture,
+                 "a silent run outlives the rejection of the run that was to "
+                 "replace it") {
+  on_second_run = [this](const FakeBackEnd::Exchange& exchange) {
+    CHECK_FALSE(silent_cancelled);
+    timer = Later([this, exchange] {
+      CHECK_FALSE(silent_cancelled);
+      SendNotExecuted(exchange);
+      timer = loop->After(milliseconds(200), [this] { FinishSilentRun(); });
+    });
+  };
+  const CallerResponse response = CallFrontend("/note/1");
+  CHECK(response.ok);
+  CHECK(response.body == complete_stream);
+  CHECK_FALSE(silent_cancelled);
+}
+
+TEST_CASE_METHOD(SilentRunFixture,
+                 "a silent run outlives the failure of the run that was to "
+                 "replace it") {
+  const std::vector<FakeBackEnd::Script> failures = {
+      [](const FakeBackEnd::Exchange& exchange) { exchange->Abort(); },
+      [](const FakeBackEnd::Exchange& exchange) {
+        SendResponse(exchange, 500, "error");
+      },
+      // It can't continue an event stream.
+      [](const FakeBackEnd::Exchange& exchange) {
+        HttpHeaders headers = MakeMarkers(exchange->request());
+        headers.Add("Content-Type", "text/plain");
+        exchange->Respond({200, headers, "text"});
+      }};
+  for (const FakeBackEnd::Script& failure : failures) {
+    INFO("failure " << serial);
+    silent = nullptr;
+    silent_cancelled = false;
+    on_second_run = [this, failure](const FakeBackEnd::Exchange& exchange) {
+      failure(exchange);
+      timer = loop->After(milliseconds(200), [this] { FinishSilentRun(); });
+    };
+    const CallerResponse response =
+        CallFrontend("/note/" + std::to_string(serial));
+    CHECK(response.ok);
+    CHECK(response.body == complete_stream);
+    CHECK_FALSE(silent_cancelled);
+  }
+}
+
+TEST_CASE_METHOD(SilentRunFixture,
+                 "a silent run that sends an event wins against a run that "
+                 "has not been accepted") {
+  int second_cancelled = 0;
+  on_second_run = [&](const FakeBackEnd::Exchange& exchange) {
+    CHECK(*Header(exchange->request(), "Last-Event-Id") == "1");
+    exchange->OnClientDisconnected([&] { ++second_cancelled; });
+    timer = Later([this] {
+      silent->Write(MakeEvent(2).substr(partial.size()));
+      // Two engines have it, which is all that the route allows. A third run
+      // would be one too many.
+      timer = loop->After(milliseconds(350), [this] {
+        silent->Write(MakeEvent(3));
+        silent->Finish();
+      });
+    });
+  };
+  FakeEngine third(loop.get());
+  AddBackEnd("g", "llm", EngineRole::kDecode, third.back_end.port());
+  third.on_run = decode.on_run;
+  const CallerResponse response = CallFrontend("/note/1");
+  CHECK(response.ok);
+  CHECK(response.body == complete_stream);
+  CHECK_FALSE(silent_cancelled);
+  CHECK(RunUntil(loop.get(), [&] { return second_cancelled == 1; }));
+  CHECK(decode.runs + other.runs + third.runs == 2);
+}
+
+TEST_CASE_METHOD(SilentRunFixture,
+                 "a silent run is cancelled as soon as another is accepted") {
+  on_second_run = [this](const FakeBackEnd::Exchange& exchange) {
+    CHECK_FALSE(silent_cancelled);
+    CHECK(*Header(exchange->request(), "Last-Event-Id") == "1");
+    exchange->StartStream(200, MakeMarkers(exchange->request()));
+    timer = Later([this, exchange] {
+      CHECK(silent_cancelled);
+      exchange->Write(MakeEvent(2) + MakeEvent(3));
+      exchange->Finish();
+    });
+  };
+  const CallerResponse response = CallFrontend("/note/1");
+  CHECK(response.ok);
+  CHECK(response.body == complete_stream);
+}
+
+TEST_CASE_METHOD(SilentRunFixture,
+                 "a stream whose silent run breaks off goes on at the run that "
+                 "was to replace it") {
+  on_second_run = [this](const FakeBackEnd::Exchange& exchange) {
+    silent->Abort();
+    timer = Later([exchange] {
+      exchange->StartStream(200, MakeMarkers(exchange->request()));
+      exchange->Write(MakeEvent(2) + MakeEvent(3));
+      exchange->Finish();
+    });
+  };
+  const CallerResponse response = CallFrontend("/note/1");
+  CHECK(response.ok);
+  CHECK(response.body == complete_stream);
+}
+
+TEST_CASE_METHOD(SilentRunFixture,
+                 "at the deadline a silent run and its replacement end") {
+  int second_cancelled = 0;
+  on_second_run = [&](const FakeBackEnd::Exchange& exchange) {
+    exchange->OnClientDisconnected([&] { ++second_cancelled; });
+  };
+  HttpRequest request = MakeRequest("/note/1");
+  request.headers.Set("Mimosarouter-Deadline-Ms", "600");
+  CHECK_FALSE(CallFrontend(request).ok);
+  CHECK(RunUntil(loop.get(),
+                 [&] { return silent_cancelled && second_cancelled == 1; }));
+}
+
 TEST_CASE_METHOD(StreamFixture,
                  "the log tells that a run fell silent and how that ended") {
   FakeEngine other(loop.get());
