A stream whose response has started waits for memory until its deadline

A begun stream older than 0.9 x first_event_timeout (about 3.2 s), or than 0.4 of its time, that lost its engine got one round of reservations: the bounds of a first event, counted from the request's arrival, were applied to it too.

What bounds its wait now is the time left less the time to the next event: it can't be refused any more, and its caller leaves by itself. A stream that its caller takes up, whose response hasn't started, can still be refused as not run and keeps its bounds; WaitingRequest tells the two apart (response_started, resumes_stream).

--- a/decide/reservation_retry_policy.cc
+++ b/decide/reservation_retry_policy.cc
@@ -15,6 +15,8 @@
 
 Duration ReservationRetryPolicy::MaxFurtherWait(
     const WaitingRequest& request) const {
+  if (request.response_started)
+    return request.time_left - request.time_to_first_event;
   const Duration total_time = request.waited + request.time_left;
   Duration wait = std::min(
       request.time_left - request.time_to_first_event - request.run_time,
--- a/decide/reservation_retry_policy.h
+++ b/decide/reservation_retry_policy.h
@@ -10,6 +10,9 @@
 // is rejected before its caller gives up waiting for the first event, or if the
 // complete response can't be finished in time; a rejection with a Retry-After
 // is more useful to the caller.
+// A stream whose response has started waits for as long as an event may still
+// arrive in time: it can't be rejected any more, and its caller leaves by
+// itself.
 //
 // Load pattern covered: bursts of about twice what the engines' memory holds,
 // for a few seconds.
@@ -30,13 +33,15 @@
   // How long the caller waits for the first event, from the request's arrival;
   // zero if as long as for the complete response.
   Duration first_event_timeout{};
-  // Expected time from the reservation to the first event: prefill and
+  // Expected time from the reservation to the next event: prefill and
   // transfer.
   Duration time_to_first_event{};
   Duration run_time{};  // expected time from the first event to the last
-  // The caller has events of the stream already, so that each moment of waiting
-  // is a gap in it.
-  bool has_begun = false;
+  // The caller has the begin of the response, so it can't be refused any more,
+  // and each moment of waiting is a gap in it.
+  bool response_started = false;
+  // The caller takes up a stream of which it has events from another response.
+  bool resumes_stream = false;
 };
 
 class ReservationRetryPolicy {
@@ -58,11 +63,11 @@
       : options_(options), random_(random) {}
 
   // Returns how much longer the request may wait for memory; negative if it
-  // should be rejected now.
+  // should be given up now.
   Duration MaxFurtherWait(const WaitingRequest& request) const;
 
   // Returns the delay until the next attempt, or nullopt if the request should
-  // be rejected.
+  // be given up.
   std::optional<Duration> NextRetryDelay(const WaitingRequest& request) const;
 
   // Returns whether the first event can still meet its latency target.
@@ -74,7 +79,8 @@
   // Returns whether waiting costs the request its target: it can still meet it,
   // or its stream stands still.
   static bool IsUrgent(const WaitingRequest& request) {
-    return request.has_begun || CanMeetTarget(request);
+    return request.response_started || request.resumes_stream ||
+           CanMeetTarget(request);
   }
 
   // Returns when a rejected caller should retry: after a random part of its
--- a/decide/serving_decisions_test.cc
+++ b/decide/serving_decisions_test.cc
@@ -392,9 +392,12 @@
     REQUIRE(in_time);
     REQUIRE(late);
     CHECK(*in_time < *late);
-    WaitingRequest begun = Waiting(1000, 13000);
-    begun.has_begun = true;
-    CHECK(*policy.NextRetryDelay(begun) < *late);
+    WaitingRequest started = Waiting(1000, 13000);
+    started.response_started = true;
+    CHECK(*policy.NextRetryDelay(started) < *late);
+    WaitingRequest taken_up = Waiting(1000, 13000);
+    taken_up.resumes_stream = true;
+    CHECK(*policy.NextRetryDelay(taken_up) < *late);
   }
 }
 
@@ -419,6 +422,28 @@
   CHECK_FALSE(policy.NextRetryDelay(waiting));
 }
 
+// Guards against streams that were ended, with time left, because their engine
+// failed later than a first event would have been due.
+TEST_CASE("a stream whose response has started waits until its deadline") {
+  SeededRandom random(1);
+  const ReservationRetryPolicy policy(ReservationRetryPolicy::Options{},
+                                      &random);
+  for (const int waited : {3100, 5700, 13000}) {
+    WaitingRequest waiting = Waiting(waited, 14000 - waited);
+    waiting.first_event_timeout = milliseconds(3600);
+    REQUIRE_FALSE(policy.NextRetryDelay(waiting));
+    // A stream that its caller takes up can still be refused as not run.
+    waiting.resumes_stream = true;
+    CHECK_FALSE(policy.NextRetryDelay(waiting));
+    waiting.response_started = true;
+    CHECK(policy.NextRetryDelay(waiting));
+  }
+  // No event would reach its caller any more: 200 ms to the next one.
+  WaitingRequest ending = Waiting(13850, 150);
+  ending.response_started = true;
+  CHECK_FALSE(policy.NextRetryDelay(ending));
+}
+
 TEST_CASE("requests rejected together get different Retry-After times") {
   SeededRandom random(1);
   const ReservationRetryPolicy policy(ReservationRetryPolicy::Options{},
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -457,16 +457,11 @@
     waiting.first_event_timeout = request_.route.first_event_timeout;
     waiting.time_to_first_event = kFirstEventOverhead + EstimatedPrefillTime();
     waiting.run_time = kTimePerToken * RemainingOutput().count();
-    waiting.has_begun = HasBegun();
+    waiting.response_started = exchange_->response_started();
+    waiting.resumes_stream = request_.caller.last_event_id.has_value();
     return waiting;
   }
 
-  // Whether the caller has events of the stream, from this response or from one
-  // that it takes up.
-  bool HasBegun() const {
-    return exchange_->response_started() || last_event_id_.has_value();
-  }
-
   Tokens MaxOutput() const {
     return request_.caller.token_counts.value_or(TokenCounts{}).max_output;
   }
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -600,6 +600,36 @@
   CHECK(decode.runs + other.runs == 1);
 }
 
+TEST_CASE_METHOD(StreamFixture,
+                 "a stream that has begun waits for memory after its engine "
+                 "has failed, however old it is") {
+  FakeEngine other(loop.get());
+  AddBackEnd("f", "llm", EngineRole::kDecode, other.back_end.port());
+  first_event_timeout = milliseconds(100);
+  SetConfig();
+  TimerHandle timer;
+  int run = 0;
+  const auto script = [&](const FakeBackEnd::Exchange& exchange) {
+    exchange->StartStream(200, MakeMarkers(exchange->request()));
+    if (++run == 1) {
+      exchange->Write(MakeEvent(1));
+      decode.has_capacity = other.has_capacity = false;
+      exchange->OnDrained([exchange] { exchange->Abort(); });
+      timer = loop->After(milliseconds(300), [&] {
+        decode.has_capacity = other.has_capacity = true;
+      });
+      return;
+    }
+    exchange->Write(MakeEvent(2) + MakeEvent(3));
+    exchange->Finish();
+  };
+  decode.on_run = script;
+  other.on_run = script;
+  const CallerResponse response = CallFrontend("/note/1");
+  CHECK(response.ok);
+  CHECK(response.body == complete_stream);
+}
+
 // Two engines, of which the first that gets a run sends one event and then
 // nothing, until the test says so.
 struct SilentRunFixture : StreamFixture {
