stopped line: unsent bytes and connections that a planned stop cut

HttpServer::busy_connections() counts connections with a request that is being read, waits or is answered, or with bytes or a FIN that the client has not taken; the stopped line gets it and unsent_bytes. Nothing waits for it yet.

The stand-in's plain service learns body_bytes, for large answers.

--- a/net/http.h
+++ b/net/http.h
@@ -190,6 +190,11 @@
   virtual void StopAccepting() = 0;
   // Number of requests whose response has not ended.
   virtual size_t open_exchanges() const = 0;
+  // Number of connections with a request that is being read, waits or is being
+  // answered, or with bytes or a FIN that the client hasn't taken. Idle
+  // connections don't count. Takes time in proportion to the number of
+  // connections.
+  virtual size_t busy_connections() const = 0;
   // Number of bytes that wait to be sent on all connections, also of responses
   // that have ended. Takes time in proportion to the number of connections.
   virtual size_t unsent_bytes() const = 0;
--- a/net/lws_server.cc
+++ b/net/lws_server.cc
@@ -161,6 +161,11 @@
 
   void Send(std::string_view data);
   LwsLoop* loop() { return host_->loop(); }
+  // True unless the connection is closed, or is idle and has sent everything.
+  bool busy() const {
+    return phase_ != Phase::kClosed &&
+           (phase_ != Phase::kIdle || !input_.empty() || unsent() > 0);
+  }
   uint64_t sent() const { return socket_ ? socket_->bytes_written() : 0; }
   size_t unsent() const { return socket_ ? socket_->unsent_bytes() : 0; }
   // True if the connection may stay open after the response.
@@ -587,6 +592,12 @@
   }
 
   size_t open_exchanges() const override { return open_exchanges_; }
+  size_t busy_connections() const override {
+    size_t count = 0;
+    for (const auto& [key, connection] : connections_)
+      count += connection->busy() ? 1 : 0;
+    return count;
+  }
   size_t unsent_bytes() const override {
     size_t sum = 0;
     for (const auto& [key, connection] : connections_)
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -283,8 +283,11 @@
     FlushLog();
     loop_->Run();
     frontend_.LogCutRequests();
-    log_.WriteAlways(
-        LogLine("stopped").Add("running", frontend_.running_requests()));
+    log_.WriteAlways(LogLine("stopped")
+                         .Add("running", frontend_.running_requests())
+                         .Add("unsent_bytes", caller_server_->unsent_bytes() +
+                                                  forward_server_->unsent_bytes())
+                         .Add("connections", BusyConnections()));
     log_.Flush();
   }
 
@@ -575,6 +578,12 @@
     });
   }
 
+  // Of callers and of other members.
+  size_t BusyConnections() const {
+    return caller_server_->busy_connections() +
+           forward_server_->busy_connections();
+  }
+
   void AwaitRequests() {
     const MonoTime now = loop_->Now();
     const bool within_grace = now < accept_until_ + kIdleConnectionGrace;
--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -1,6 +1,7 @@
 // Implements registration, stages and runs of the stand-in backend server.
 #include "standins/site_server.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <ctime>
 #include <iterator>
@@ -399,6 +400,8 @@
     response.headers = ResponseHeaders(request);
     response.body = request.target + " " + request.body + " for " +
                     HeaderField(request, "Mimosarouter-Tenant");
+    response.body.resize(
+        std::max(response.body.size(), static_cast<size_t>(body_bytes_)), '.');
     exchange->Respond(std::move(response));
   });
 }
@@ -427,6 +430,7 @@
   event_interval_ = MillisMember(*body, "gap_ms", event_interval_);
   response_delay_ = MillisMember(*body, "delay_ms", response_delay_);
   events_per_run_ = IntMember(*body, "events", events_per_run_);
+  body_bytes_ = IntMember(*body, "body_bytes", body_bytes_);
   runs_to_abort_ = IntMember(*body, "abort_runs", runs_to_abort_);
   unresponsive_ = BoolMember(*body, "silent", unresponsive_);
   draining_ = BoolMember(*body, "draining", draining_);
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -9,6 +9,7 @@
 //   POST /debug/behave   any of {"gap_ms", "events", "delay_ms",
 //                        "abort_runs", "draining": bool, "silent": bool,
 //                        "unframed": bool, "says_leaving": bool, "pause_ms",
+//                        "body_bytes",
 //                        "crash_part": part of a prompt,
 //                        "crash_target": path and query of a request,
 //                        "crash_silently": bool,
@@ -24,6 +25,7 @@
 //       "says_leaving": responses to requests have the field that announces the
 //       end of the server, whatever its entry says
 //       "pause_ms": rejects all requests for so long and asks for that pause
+//       "body_bytes": responses of plain services have at least so many bytes
 //       "unframed": streams have neither a length nor chunks, and an aborted
 //       one ends with an orderly close
 //   GET  /debug/journal  {"runs": {id: count}, "foreign": requests that carried
@@ -144,6 +146,7 @@
   int64_t requests_served_ = 0;
   bool unframed_ = false;  // streams end with their connection
   int64_t events_per_run_ = 5;
+  int64_t body_bytes_ = 0;  // lowest size of the body of a plain response
   int64_t runs_to_abort_ = 0;  // this many next runs are aborted after an event
   Duration event_interval_ = std::chrono::milliseconds(10);
   Duration response_delay_{};
