A second SIGTERM no longer ends a process that is ending in order

~LwsLoopImpl restored SIG_DFL, so that a SIGTERM between the end of the loop and the end of main ended the process by signal, with another exit code than 0. After a termination signal has been received, further ones are ignored instead. By reading; the new case of loop_test checks the disposition (it passes with the fix; it was not run without it).

--- a/net/loop_test.cc
+++ b/net/loop_test.cc
@@ -1,6 +1,7 @@
 // Tests that timers fire in time when no other event wakes the loop.
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <functional>
 #include <memory>
 
@@ -37,5 +38,24 @@
   CHECK(max_lateness < kMaxLateness);
 }
 
+// Guards against a second SIGTERM that ends a process by signal while it ends
+// in order.
+TEST_CASE("a process that terminates in order ignores further signals") {
+  const bool terminated = GENERATE(false, true);
+  auto loop = LwsLoop::Create();
+  loop->OnSignal([&] { loop->Stop(); });
+  if (terminated) {
+    std::raise(SIGTERM);
+    loop->Run();
+  }
+  loop.reset();
+  for (const int number : {SIGTERM, SIGINT}) {
+    struct sigaction action {};
+    sigaction(number, nullptr, &action);
+    CHECK(action.sa_handler == (terminated ? SIG_IGN : SIG_DFL));
+    std::signal(number, SIG_DFL);
+  }
+}
+
 }  // namespace
 }  // namespace mimosa
--- a/net/lws_loop.cc
+++ b/net/lws_loop.cc
@@ -94,8 +94,11 @@
   ~LwsLoopImpl() override {
     LwsLoopImpl* self = this;
     if (g_signal_loop.compare_exchange_strong(self, nullptr)) {
-      std::signal(SIGTERM, SIG_DFL);
-      std::signal(SIGINT, SIG_DFL);
+      // Once told to terminate, the process does so in order, however often it
+      // is told.
+      const auto disposition = terminating_ ? SIG_IGN : SIG_DFL;
+      std::signal(SIGTERM, disposition);
+      std::signal(SIGINT, disposition);
       std::signal(SIGHUP, SIG_IGN);
     }
     posted_.clear();
@@ -217,7 +220,10 @@
   }
 
   void RunSignalCallbacks() {
-    if (termination_pending_.exchange(false) && on_signal_) on_signal_();
+    if (termination_pending_.exchange(false) && on_signal_) {
+      terminating_ = true;
+      on_signal_();
+    }
     if (hangup_pending_.exchange(false) && on_hangup_) on_hangup_();
   }
 
@@ -229,7 +235,8 @@
   std::function<void()> on_hangup_;
   Waker waker_;
   bool stop_requested_ = false;
-  bool in_service_ = false;  // within lws_service()
+  bool terminating_ = false;  // a SIGTERM or SIGINT was received
+  bool in_service_ = false;   // within lws_service()
   std::atomic<bool> termination_pending_{false};
   std::atomic<bool> hangup_pending_{false};
 };
