A planned stop of mimosa-entry waits for callers, not for exchanges

Callers saw: requests whose last bytes arrived 5.5 s after SIGTERM got no answer; a caller that goes on sending got its answer cut by a reset; a grace time shorter than 3.2 s ended in SIGKILL's place, and one that SIGHUP shortened during a stop was ignored. Cause: AwaitRequests counted open exchanges only, and the stop timer and abort_at_ were set once. Now ContinueLeaving polls busy_connections(), bounded by abort_at_, which a reload may move to earlier. EndRemainingRequests() aborts what is left with its written bytes sent first, refuses requests that are being read with 503 (they were passed to nobody), and gives callers 0.2 s to read. A response that announced a kept connection no longer closes it at once when the server drains meanwhile: a pipelined request was dropped. Signal handlers are set before listening.

--- a/net/http.h
+++ b/net/http.h
@@ -184,10 +184,14 @@
   virtual uint16_t port() const = 0;
   // Stops accepting connections and closes those that stay idle for one second
   // (a request may be in transit). Open exchanges continue, and their responses
-  // carry "Connection: close". To truncate no response, wait for that second,
-  // then until open_exchanges() is zero, and then until the clients have read
-  // the responses (two seconds at most).
+  // carry "Connection: close". To truncate no response, wait for that second
+  // and then until busy_connections() is zero.
   virtual void StopAccepting() = 0;
+  // Ends what is left of a graceful shutdown. Requests that are being read, and
+  // those that arrive from now on, get status 503. Open exchanges end as by
+  // Abort() and without a callback, but bytes that wait to be sent are sent
+  // first. Afterwards, wait until busy_connections() is zero.
+  virtual void EndExchanges() = 0;
   // Number of requests whose response has not ended.
   virtual size_t open_exchanges() const = 0;
   // Number of connections with a request that is being read, waits or is being
--- a/net/lws_server.cc
+++ b/net/lws_server.cc
@@ -40,6 +40,9 @@
 // are in transit already.
 constexpr Duration kDrainIdleTimeout = std::chrono::seconds(1);
 
+// Status of requests that aren't dispatched because the server ends.
+constexpr int kEndingStatus = 503;
+
 // Maximum size of a streamed response to an HTTP/1.0 client. HTTP/1.0 has no
 // chunks, so the response is buffered until its length is known.
 constexpr size_t kMaxBufferedResponseBytes = 8U << 20;
@@ -68,6 +71,8 @@
   virtual LwsLoop* loop() = 0;
   virtual HttpHandler* handler() = 0;
   virtual bool draining() const = 0;
+  // True once no further request may be dispatched.
+  virtual bool ending() const = 0;
   // Adds `change` to the number of open exchanges.
   virtual void ChangeExchangeCount(int change) = 0;
   // Removes a connection that has closed.
@@ -180,6 +185,8 @@
 
   // Called by the server when it stops accepting connections.
   void Drain();
+  // Called by the server when it ends all exchanges.
+  void End();
 
   void OnRead(std::string_view data) override;
   void OnDrained() override;
@@ -413,6 +420,10 @@
       RefuseRequest(reader_->refusal_status());
       return false;
     case RequestReader::State::kComplete:
+      if (host_->ending()) {
+        RefuseRequest(kEndingStatus);
+        return false;
+      }
       DispatchRequest();
       return true;
     default:
@@ -459,12 +470,15 @@
   exchange_->Detach();
   exchange_.reset();
   host_->ChangeExchangeCount(-1);
-  if (!keep_alive || !MayKeepAlive()) {
+  // Once a response has announced that the connection stays open, a request may
+  // be in transit even if the server drains by now.
+  if (!keep_alive || !keep_alive_ || dropped_input_) {
     CloseAfterFlush();
     return;
   }
   phase_ = Phase::kIdle;
-  ArmTimer(host_->options().idle_timeout);
+  ArmTimer(host_->draining() ? kDrainIdleTimeout
+                             : host_->options().idle_timeout);
   if (input_.empty() || processing_) return;
   // The next request must not be dispatched within the handler's call.
   host_->loop()->Post([weak = weak_from_this()] {
@@ -536,6 +550,24 @@
   if (phase_ == Phase::kIdle) ArmTimer(kDrainIdleTimeout);
 }
 
+void Connection::End() {
+  const auto self = shared_from_this();
+  switch (phase_) {
+    case Phase::kHead:
+    case Phase::kBody:
+      RefuseRequest(kEndingStatus);
+      return;
+    case Phase::kResponse:
+      exchange_->Detach();
+      exchange_.reset();
+      host_->ChangeExchangeCount(-1);
+      CloseAfterFlush();
+      return;
+    default:
+      return;
+  }
+}
+
 void Connection::ArmTimer(Duration delay) {
   timer_ = host_->loop()->After(delay, [this] { OnTimer(); });
 }
@@ -591,6 +623,13 @@
     for (const auto& [key, connection] : connections_) connection->Drain();
   }
 
+  void EndExchanges() override {
+    ending_ = true;
+    draining_ = true;
+    const auto connections = connections_;
+    for (const auto& [key, connection] : connections) connection->End();
+  }
+
   size_t open_exchanges() const override { return open_exchanges_; }
   size_t busy_connections() const override {
     size_t count = 0;
@@ -613,6 +652,7 @@
   LwsLoop* loop() override { return loop_; }
   HttpHandler* handler() override { return handler_; }
   bool draining() const override { return draining_; }
+  bool ending() const override { return ending_; }
   void ChangeExchangeCount(int change) override {
     open_exchanges_ += static_cast<size_t>(change);
   }
@@ -639,6 +679,7 @@
   HttpHandler* const handler_;
   uint16_t port_ = 0;
   bool draining_ = false;
+  bool ending_ = false;
   size_t open_exchanges_ = 0;
   std::unordered_map<Connection*, std::shared_ptr<Connection>> connections_;
   std::unique_ptr<detail::Listener> listener_;  // nullptr once stopped
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -51,10 +52,13 @@
 // A leaving daemon aborts the remaining requests this long before SIGKILL is
 // due.
 constexpr Duration kAbortMargin = std::chrono::milliseconds(400);
+// Then the callers have this long to take what has been written for them.
+constexpr Duration kFlushTime = kAbortMargin / 2;
 // After it stops accepting, the server keeps idle connections for another
 // second, for requests in flight; this covers it.
 constexpr Duration kIdleConnectionGrace = std::chrono::milliseconds(1100);
 constexpr Duration kShutdownPollInterval = std::chrono::milliseconds(50);
+constexpr Duration kFlushPollInterval = std::chrono::milliseconds(10);
 // A watch ends this long before the settle time is over, which leaves time for
 // its response and for a listing.
 constexpr Duration kSettleMargin = std::chrono::milliseconds(500);
@@ -227,6 +231,9 @@
   }
 
   leaf::result<void> Listen() {
+    // Before the first connection. The callbacks run once the loop does.
+    loop_->OnSignal([this] { BeginLeaving(); });
+    loop_->OnHangup([this] { ReloadSettings(); });
     caller_server_ = MakeServer(settings_.listen(), &frontend_);
     if (!caller_server_) return leaf::new_error(EntryError::kCallerPort);
     ready_server_ = MakeServer(settings_.ready_listen(), &ready_handler_);
@@ -251,8 +258,6 @@
                          .Add("store", settings_.store()));
     for (const std::string& item : unreadable_regions_)
       log_.WriteAlways(LogLine("region_unreadable").Add("item", item));
-    loop_->OnSignal([this] { BeginLeaving(); });
-    loop_->OnHangup([this] { ReloadSettings(); });
     site_sync_.SetConfigObserver(
         [this](const SiteConfig& config) { OnConfig(config); });
     site_sync_.SetRecordObserver(
@@ -282,12 +287,12 @@
     role_controller_.Start();
     FlushLog();
     loop_->Run();
-    frontend_.LogCutRequests();
-    log_.WriteAlways(LogLine("stopped")
-                         .Add("running", frontend_.running_requests())
-                         .Add("unsent_bytes", caller_server_->unsent_bytes() +
-                                                  forward_server_->unsent_bytes())
-                         .Add("connections", BusyConnections()));
+    log_.WriteAlways(
+        LogLine("stopped")
+            .Add("running", frontend_.running_requests())
+            .Add("unsent_bytes", caller_server_->unsent_bytes() +
+                                     forward_server_->unsent_bytes())
+            .Add("connections", BusyConnections()));
     log_.Flush();
   }
 
@@ -551,6 +556,8 @@
     settings_.set_retry_budget_slack(settings->retry_budget_slack());
     settings_.set_retry_budget_window_s(settings->retry_budget_window_s());
     retry_budget_.SetOptions(RetryBudgetOptions(settings_));
+    // Whoever sends SIGKILL may go by either of the two.
+    if (leaving_) abort_at_ = std::min(abort_at_, AbortTime());
     log_.WriteAlways(LogLine("reloaded").Add("grace_ms", settings_.grace_ms()));
   }
 
@@ -562,39 +569,69 @@
     log_.WriteAlways(
         LogLine("leaving").Add("running", frontend_.running_requests()));
     const MonoTime now = loop_->Now();
-    accept_until_ = now + kBalancerRemovalTime;
-    abort_at_ =
-        now + std::chrono::milliseconds(settings_.grace_ms()) - kAbortMargin;
-    frontend_.BeginShutdown(now + kStreamAdmissionTime);
+    leaving_since_ = now;
+    abort_at_ = AbortTime();
+    frontend_.BeginShutdown(std::min(now + kStreamAdmissionTime, abort_at_));
     caller_server_->DisableKeepAlive();
     forward_server_->DisableKeepAlive();
     helpers_.BeginLeaving();
     members_.Deregister();
     role_controller_.Stop();
-    shutdown_timer_ = loop_->After(kBalancerRemovalTime, [this] {
+    ContinueLeaving();
+  }
+
+  MonoTime AbortTime() const {
+    return leaving_since_ + std::chrono::milliseconds(settings_.grace_ms()) -
+           kAbortMargin;
+  }
+
+  // Runs until all connections have ended or abort_at_, which a reload of the
+  // settings may move.
+  void ContinueLeaving() {
+    const MonoTime now = loop_->Now();
+    if (!stopped_accepting_ &&
+        now >= std::min(leaving_since_ + kBalancerRemovalTime, abort_at_)) {
+      stopped_accepting_ = now;
       caller_server_->StopAccepting();
       forward_server_->StopAccepting();
-      AwaitRequests();
-    });
+    }
+    if (now >= abort_at_) {
+      EndRemainingRequests();
+      return;
+    }
+    if (stopped_accepting_ &&
+        now >= *stopped_accepting_ + kIdleConnectionGrace &&
+        BusyConnections() == 0) {
+      loop_->Stop();
+      return;
+    }
+    shutdown_timer_ =
+        loop_->After(std::min(kShutdownPollInterval, abort_at_ - now),
+                     [this] { ContinueLeaving(); });
   }
 
-  // Of callers and of other members.
-  size_t BusyConnections() const {
-    return caller_server_->busy_connections() +
-           forward_server_->busy_connections();
+  // Ends what is left when the grace time is nearly over, and then the loop.
+  void EndRemainingRequests() {
+    frontend_.LogCutRequests();
+    caller_server_->EndExchanges();
+    forward_server_->EndExchanges();
+    flush_until_ = loop_->Now() + kFlushTime;
+    AwaitFlush();
   }
 
-  void AwaitRequests() {
-    const MonoTime now = loop_->Now();
-    const bool within_grace = now < accept_until_ + kIdleConnectionGrace;
-    const bool busy = caller_server_->open_exchanges() > 0 ||
-                      forward_server_->open_exchanges() > 0;
-    if ((within_grace || busy) && now < abort_at_) {
-      shutdown_timer_ =
-          loop_->After(kShutdownPollInterval, [this] { AwaitRequests(); });
+  void AwaitFlush() {
+    if (BusyConnections() == 0 || loop_->Now() >= flush_until_) {
+      loop_->Stop();
       return;
     }
-    loop_->Stop();
+    shutdown_timer_ =
+        loop_->After(kFlushPollInterval, [this] { AwaitFlush(); });
+  }
+
+  // Of callers and of other members.
+  size_t BusyConnections() const {
+    return caller_server_->busy_connections() +
+           forward_server_->busy_connections();
   }
 
   wire::EntrySettings settings_;
@@ -639,8 +676,11 @@
   std::unique_ptr<HttpServer> forward_server_;
   std::unique_ptr<DatagramSocket> peer_socket_;
   bool leaving_ = false;
-  MonoTime accept_until_{};
+  // The following are set while leaving_.
+  MonoTime leaving_since_{};
+  std::optional<MonoTime> stopped_accepting_;
   MonoTime abort_at_{};
+  MonoTime flush_until_{};
   TimerHandle shutdown_timer_;
   TimerHandle log_timer_;
 };
