--- a/router/daemon.cc
+++ b/router/daemon.cc
@@ -40,6 +40,10 @@
 // Interval at which a leaving daemon checks whether its last request has ended.
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
 
+// After it stops accepting, the server keeps idle connections for another
+// second, for requests in flight; this covers it.
+constexpr Duration kIdleConnectionGrace = std::chrono::milliseconds(1100);
+
 // The mechanisms that tests may turn off with the setting "disable"
 // (docs/DEVELOPING.md).
 constexpr std::array<std::string_view, 15> kMechanisms = {"term",
@@ -369,14 +373,15 @@
     shutdown_timer_ =
         loop_->After(std::chrono::milliseconds(settings_.drain_ms()), [this] {
           caller_server_->StopAccepting();
+          idle_until_ = loop_->Now() + kIdleConnectionGrace;
           FinishRequests();
         });
   }
 
   void FinishRequests() {
-    const bool busy = caller_server_->open_exchanges() > 0 ||
-                      frontend_->running_count() > 0 ||
-                      canceller_->pending_count() > 0;
+    const bool busy =
+        loop_->Now() < idle_until_ || caller_server_->busy_connections() > 0 ||
+        frontend_->running_count() > 0 || canceller_->pending_count() > 0;
     if (busy) {
       shutdown_timer_ =
           loop_->After(kDrainPollInterval, [this] { FinishRequests(); });
@@ -413,6 +418,7 @@
   std::unique_ptr<HttpServer> operator_server_;
   std::unique_ptr<HttpServer> caller_server_;
   bool leaving_ = false;
+  MonoTime idle_until_{};  // meaningful once the server has stopped accepting
   TimerHandle shutdown_timer_;
 };
 
