--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -1,6 +1,7 @@
 // Implements registration, stages and runs of the stand-in backend server.
 #include "standins/site_server.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <ctime>
 #include <iterator>
@@ -399,6 +400,8 @@
     response.headers = ResponseHeaders(request);
     response.body = request.target + " " + request.body + " for " +
                     HeaderField(request, "Mimosarouter-Tenant");
+    response.body.resize(
+        std::max(response.body.size(), static_cast<size_t>(body_bytes_)), '.');
     exchange->Respond(std::move(response));
   });
 }
@@ -429,6 +432,7 @@
   events_per_run_ = IntMember(*body, "events", events_per_run_);
   options_.memory_tokens =
       IntMember(*body, "memory_tokens", options_.memory_tokens);
+  body_bytes_ = IntMember(*body, "body_bytes", body_bytes_);
   runs_to_abort_ = IntMember(*body, "abort_runs", runs_to_abort_);
   unresponsive_ = BoolMember(*body, "silent", unresponsive_);
   draining_ = BoolMember(*body, "draining", draining_);
