--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -276,6 +276,10 @@
   used_tokens_ += tokens;
   const std::string last = HeaderField(request, "Last-Event-Id");
   if (!last.empty()) run.next_event = std::atoll(last.c_str()) + 1;
+  const std::string hint = HeaderField(request, "Mimosarouter-Length-Hint");
+  run.events = options_.follows_length_hints && !hint.empty()
+                   ? std::atoll(hint.c_str())
+                   : events_per_run_;
   HttpHeaders headers = ResponseHeaders(request);
   headers.Add("Content-Type", "text/event-stream");
   exchange->StartStream(
@@ -338,7 +342,7 @@
 
 void SiteServer::SendNextEvent(uint64_t serial) {
   Run& run = running_[serial];
-  if (run.next_event > events_per_run_) {  // resumed after its last event
+  if (run.next_event > run.events) {  // resumed after its last event
     run.exchange->Finish();
     EndRun(serial);
     return;
@@ -354,7 +358,7 @@
     EndRun(serial);
     return;
   }
-  if (run.next_event++ >= events_per_run_) {
+  if (run.next_event++ >= run.events) {
     run.exchange->Finish();
     EndRun(serial);
     return;
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -64,6 +64,8 @@
   int64_t memory_tokens = 36000;
   std::string software_version =
       "v1";  // another one than "v1" marks its events
+  // A stream has as many events as its request's length hint says.
+  bool follows_length_hints = false;
 };
 
 class SiteServer : public HttpHandler {
@@ -78,6 +80,7 @@
     ExchangePtr exchange;
     int64_t tokens = 0;
     int64_t next_event = 1;
+    int64_t events = 0;            // number of the last event
     bool ends_with_close = false;  // the response has no framing
     TimerHandle timer;
   };
--- a/standins/site_server_main.cc
+++ b/standins/site_server_main.cc
@@ -26,6 +26,9 @@
   TCLAP::ValueArg<std::string> version("", "software-version",
                                        "version of the software to register",
                                        false, "v1", "version", cmd);
+  TCLAP::SwitchArg hints("", "follow-length-hints",
+                         "give a stream as many events as its length hint says",
+                         cmd);
   cmd.parse(argc, argv);
 
   mimosa::standins::SiteServerOptions options;
@@ -34,6 +37,7 @@
   options.stage = stage.getValue();
   options.address = address.getValue();
   options.software_version = version.getValue();
+  options.follows_length_hints = hints.getValue();
   if (!mimosa::Endpoint::Parse(listen.getValue(), &options.listen) ||
       !mimosa::Endpoint::Parse(store.getValue(), &options.store))
     return 1;
