Soak: overlapping stops, long streams and open connections

The soak passed with the fault of planned stops in place: streams lasted at most a second, and each stop waited until the daemon was ready again.

Callers' streams now last up to 6.5 s at a grace time of 5 s; callers reuse connections until they are closed, pipeline, pause, read slowly, and take cut streams up. Stops don't block the plan: several at a time, SIGTERM twice and during start or reload, SIGHUP while leaving, new configurations meanwhile, the store away. A stopped daemon must end with code 0 within its grace time.

With planned maintenance only, a request that ran is still answered completely. The one exception is the target's own: a stream sent no later than 3 s after SIGTERM of the daemon that took it, with an event received in the last sixth of the grace time and events outstanding; computed from the caller's record. It is needed because streams now may be longer than the grace time. New: a request that ran nowhere must not end unanswered later than 200 ms after it was sent, unless an earlier response on its connection announced the end or was cut; cut streams that may be resumed go on (not checked where the store was away). The plan no longer waits for a daemon to be ready after a stop, since that wait kept stops from overlapping.

--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -13,10 +13,20 @@
 namespace mimosa::soak {
 namespace {
 
-// Number of events in a complete stream of the stand-in server.
-constexpr int kEventsPerStream = 5;
-// Longer than the deadline that callers give the daemon.
-constexpr testing::Seconds kReplyTimeout{8};
+using std::chrono::milliseconds;
+
+// Events of usual streams, and of those that may outlast a leaving daemon.
+constexpr int kMinEvents = 2;
+constexpr int kMaxEvents = 12;
+constexpr auto kMinLongEvents =
+    static_cast<int>((kGraceTime - milliseconds(1500)) / kEventInterval);
+constexpr auto kMaxLongEvents =
+    static_cast<int>((kGraceTime + milliseconds(1500)) / kEventInterval);
+constexpr testing::Seconds kReplyTimeout =
+    kCallerTimeLimit + std::chrono::seconds(2);
+
+// Seeds the generator of what callers do with their connections.
+constexpr uint64_t kHabitsSeedOffset = 1U << 21;
 
 bool IsStream(const std::string& kind) {
   return kind == "letter" || kind == "note";
@@ -34,13 +44,13 @@
 // Returns why the stream violates the protocol, or an empty string if it
 // doesn't.
 std::string FindStreamViolation(const testing::Reply& reply, int first_event,
-                                const std::string& version) {
+                                int last_event, const std::string& version) {
   std::string actual_version = VersionOf(reply.body);
   if (!version.empty() && !actual_version.empty() && actual_version != version)
     return "a stream taken up at another software version:\n" + reply.body;
   if (actual_version.empty()) actual_version = version.empty() ? "v1" : version;
   const std::string expected =
-      testing::StreamEvents(first_event, kEventsPerStream, actual_version);
+      testing::StreamEvents(first_event, last_event, actual_version);
   if (reply.complete)
     return reply.body == expected
                ? ""
@@ -72,13 +82,19 @@
   if (reply.Header("Mimosarouter-Request-Id") != outcome.id)
     return "the response to another request";
   if (IsStream(outcome.kind))
-    return FindStreamViolation(reply, first_event, version);
+    return FindStreamViolation(reply, first_event, outcome.events, version);
   if (!reply.complete) return "";
   const std::string expected =
       "/" + outcome.kind + "/" + outcome.id + " " + body + " for guild";
   return reply.body == expected ? "" : "wrong response body";
 }
 
+// The header that tells the stand-in how many events a stream has.
+void AddLengthHint(int events, testing::Request* request) {
+  request->headers.emplace_back("Mimosarouter-Length-Hint",
+                                std::to_string(events));
+}
+
 // All prompts share their first part.
 void AddPromptParts(bool crashing, testing::Request* request) {
   std::string parts = "a1:200,";
@@ -100,47 +116,117 @@
   threads_.clear();
 }
 
-void Callers::RunCaller(uint64_t seed, int number) {
+Callers::Sent Callers::DrawRequest(const std::string& id, int number,
+                                   RandomSource* random, RandomSource* habits) {
   constexpr std::array<const char*, 4> kKinds = {"book", "look", "letter",
                                                  "note"};
+  // One of so many model requests has the part that may crash engines.
+  constexpr uint64_t kCrashingShare = 20;
+  Sent sent;
+  sent.outcome.kind = kKinds[random->UniformInt(kKinds.size())];
+  sent.outcome.id = id;
+  sent.body = "body of " + id;
+  sent.request = MakeRequest(sent.outcome.kind, id, sent.body);
+  if (!IsStream(sent.outcome.kind)) return sent;
+  AddPromptParts(random->UniformInt(kCrashingShare) == 0, &sent.request);
+  const bool is_long = number % 2 == 1 && habits->UniformInt(2) == 0;
+  const int min = is_long ? kMinLongEvents : kMinEvents;
+  const int max = is_long ? kMaxLongEvents : kMaxEvents;
+  sent.outcome.events =
+      min + static_cast<int>(habits->UniformInt(max - min + 1));
+  AddLengthHint(sent.outcome.events, &sent.request);
+  return sent;
+}
+
+testing::Reply Callers::AwaitResponse(Sent* sent,
+                                      testing::Connection* connection,
+                                      milliseconds reading_pause,
+                                      int first_event,
+                                      const std::string& version) {
+  testing::Reply reply;
+  size_t received = 0;
+  for (;;) {
+    reply = connection->ReadAtLeast(received + 1, kReplyTimeout);
+    if (reply.body.size() == received) break;
+    received = reply.body.size();
+    sent->outcome.last_data = Clock::now();
+    if (reply.complete) break;
+    std::this_thread::sleep_for(reading_pause);
+  }
+  sent->outcome.end = Clock::now();
+  RecordOutcome(sent->outcome, reply, sent->body, first_event, version);
+  return reply;
+}
+
+void Callers::RunCaller(uint64_t seed, int number) {
   constexpr int kRequestsPerConnection = 20;
-  // One of so many model requests has the part that may crash engines, and one
-  // of so many requests is followed by the one that may crash plain servers.
+  // One of so many requests is followed by the one that may crash plain
+  // servers.
   constexpr uint64_t kCrashingShare = 20;
+  const bool ends_connections = number % 4 == 0;
+  const bool pipelines = number % 4 == 1;
+  const bool reads_slowly = number % 4 == 2;
+  const bool ignores_announced_end = number % 8 == 3;
+  const bool pauses = number % 8 == 4;
   SeededRandom repeat_random(~seed * 1000 + static_cast<uint64_t>(number));
   SeededRandom random(seed * 1000 + static_cast<uint64_t>(number));
+  SeededRandom habits((seed + kHabitsSeedOffset) * 1000 +
+                      static_cast<uint64_t>(number));
   std::unique_ptr<testing::Connection> connection;
+  uint16_t port = 0;
   int requests_left = 0;  // requests that this connection may still send
+  bool behind_end = false;
   for (int i = 0; !stop_; ++i) {
-    std::this_thread::sleep_for(
-        std::chrono::milliseconds(random.UniformInt(25)));
-    if (connection == nullptr || requests_left == 0) {
-      connection = std::make_unique<testing::Connection>(
-          ports_[random.UniformInt(ports_.size())]);
+    std::this_thread::sleep_for(milliseconds(random.UniformInt(25)));
+    if (pauses && habits.UniformInt(10) == 0)
+      std::this_thread::sleep_for(milliseconds(habits.UniformInt(1500)));
+    if (connection == nullptr || (ends_connections && requests_left <= 0)) {
+      port = ports_[random.UniformInt(ports_.size())];
+      connection = std::make_unique<testing::Connection>(port);
       requests_left = kRequestsPerConnection;
+      behind_end = false;
     }
-    --requests_left;
-    Outcome outcome;
-    outcome.kind = kKinds[random.UniformInt(kKinds.size())];
-    outcome.id = "s" + std::to_string(seed) + "-" + std::to_string(number) +
-                 "-" + std::to_string(i);
-    const std::string body = "body of " + outcome.id;
-    testing::Request request = MakeRequest(outcome.kind, outcome.id, body);
-    if (IsStream(outcome.kind))
-      AddPromptParts(random.UniformInt(kCrashingShare) == 0, &request);
-    if (!connection->Send(request)) {
-      connection.reset();  // the daemon is down
-      continue;
+    std::vector<Sent> requests;
+    const int count = pipelines && habits.UniformInt(3) == 0 ? 2 : 1;
+    for (int j = 0; j < count; ++j) {
+      --requests_left;
+      const std::string id = "s" + std::to_string(seed) + "-" +
+                             std::to_string(number) + "-" + std::to_string(i) +
+                             (j == 0 ? "" : "p");
+      Sent sent = DrawRequest(id, number, &random, &habits);
+      sent.outcome.port = port;
+      if (!connection->Send(sent.request)) break;
+      sent.outcome.sent = Clock::now();
+      requests.push_back(std::move(sent));
     }
-    const testing::Reply reply = connection->ReadReply(kReplyTimeout);
-    RecordOutcome(outcome, reply, body, /*first_event=*/1, /*version=*/"");
-    if (outcome.kind == "note" && reply.status == 200 && !reply.complete)
-      TakeUp(outcome, reply, &random);
-    if (!reply.complete || reply.Header("Connection") == "close")
+    bool keeps_connection = static_cast<int>(requests.size()) == count;
+    for (Sent& sent : requests) {
+      sent.outcome.behind_end = behind_end;
+      const milliseconds reading_pause(reads_slowly ? habits.UniformInt(200)
+                                                    : 0);
+      if (!keeps_connection && behind_end) {
+        // The connection has ended.
+        sent.outcome.end = Clock::now();
+        RecordOutcome(sent.outcome, {}, sent.body, 1, "");
+        continue;
+      }
+      const testing::Reply reply =
+          AwaitResponse(&sent, connection.get(), reading_pause,
+                        /*first_event=*/1, /*version=*/"");
+      if (!reply.complete || reply.Header("Connection") == "close")
+        behind_end = true;
+      if (!reply.complete ||
+          (behind_end && !ignores_announced_end && requests.size() == 1))
+        keeps_connection = false;
+      if (sent.outcome.kind == "note" && reply.status == 200 && !reply.complete)
+        TakeUp(sent.outcome, reply, &random);
+    }
+    if (!keeps_connection) {
       connection.reset();
-    if (connection != nullptr &&
-        repeat_random.UniformInt(kCrashingShare) == 0 &&
-        !RepeatCrashingRequest(outcome.id, connection.get()))
+      continue;
+    }
+    if (repeat_random.UniformInt(kCrashingShare) == 0 &&
+        !RepeatCrashingRequest(requests.back().outcome.id, connection.get()))
       connection.reset();
   }
 }
@@ -156,28 +242,47 @@
 
 void Callers::TakeUp(const Outcome& begun, const testing::Reply& reply,
                      RandomSource* random) {
-  constexpr int kMaxTakeups = 3;
+  // A stream that goes on nowhere for so long is lost.
+  constexpr std::chrono::seconds kPatience{6};
+  constexpr milliseconds kRetryInterval{200};
   const std::string version = VersionOf(reply.body);
+  if (version.empty()) return;
   std::string received = reply.body;
-  for (int i = 0; i < kMaxTakeups && !version.empty() && !stop_; ++i) {
+  std::string attempts;
+  Clock::time_point give_up = Clock::now() + kPatience;
+  for (int i = 0; Clock::now() < give_up; ++i) {
     int events = 0;
     while (StartsWith(received, testing::StreamEvents(1, events + 1, version)))
       ++events;
-    Outcome outcome;
+    Sent sent;
+    Outcome& outcome = sent.outcome;
     outcome.kind = begun.kind;
     outcome.id = begun.id + "-again" + std::to_string(i);
-    const std::string body = "body of " + outcome.id;
-    testing::Request request = MakeRequest(outcome.kind, outcome.id, body);
-    request.headers.emplace_back("Last-Event-Id", std::to_string(events));
-    request.headers.emplace_back("Resumes", begun.id);
-    const testing::Reply rest = testing::Call(
-        ports_[random->UniformInt(ports_.size())], request, kReplyTimeout);
-    RecordOutcome(outcome, rest, body, events + 1, version);
-    if (rest.status == 200) {
-      if (rest.complete) return;
-      received += rest.body;
+    outcome.events = begun.events;
+    outcome.port = ports_[random->UniformInt(ports_.size())];
+    sent.body = "body of " + outcome.id;
+    sent.request = MakeRequest(outcome.kind, outcome.id, sent.body);
+    sent.request.headers.emplace_back("Last-Event-Id", std::to_string(events));
+    sent.request.headers.emplace_back("Resumes", begun.id);
+    AddLengthHint(begun.events, &sent.request);
+    testing::Connection connection(outcome.port);
+    if (connection.Send(sent.request)) {
+      outcome.sent = Clock::now();
+      const testing::Reply rest = AwaitResponse(
+          &sent, &connection, milliseconds(0), events + 1, version);
+      if (rest.status == 200 && rest.complete) return;
+      attempts += " " + std::to_string(rest.status);
+      if (rest.status == 200 && !rest.body.empty()) {
+        received += rest.body;
+        give_up = Clock::now() + kPatience;
+      }
+    } else {
+      attempts += " -";
     }
+    std::this_thread::sleep_for(kRetryInterval);
   }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  lost_streams_.push_back(begun.id + ":" + attempts);
 }
 
 void Callers::RecordOutcome(const Outcome& request, const testing::Reply& reply,
@@ -187,6 +292,10 @@
   outcome.status = reply.status;
   outcome.complete = reply.complete;
   outcome.has_seal = !reply.Header("Mimosarouter-Response-Seal").empty();
+  outcome.has_all_events =
+      IsStream(outcome.kind) && !outcome.complete &&
+      reply.body.find("id: " + std::to_string(outcome.events) + "\n") !=
+          std::string::npos;
   const std::string violation =
       FindViolation(outcome, reply, body, first_event, version);
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -1,6 +1,8 @@
 // Callers of the fault soak test: threads that send requests over kept-alive
-// connections and check each response by itself. Checks that need the servers'
-// journals run at the end on the recorded outcomes.
+// connections and check each response by itself. Some let streams last longer
+// than the grace time of the daemons, send a second request before the first
+// response ends, read slowly, or use a connection until it is closed. Checks
+// that need the servers' journals run at the end on the recorded outcomes.
 #ifndef SOAK_SOAK_CALLERS_H_
 #define SOAK_SOAK_CALLERS_H_
 
@@ -12,6 +14,7 @@
 #include <vector>
 
 #include "base/random.h"
+#include "soak/soak_fleet.h"
 #include "tests/client.h"
 
 namespace mimosa::soak {
@@ -23,6 +26,15 @@
   int status = 0;  // 0 if no response head was received
   bool complete = false;
   bool has_seal = false;  // the response comes from a backend server
+  uint16_t port = 0;      // of the daemon
+  int events = 0;         // number of the last event of the stream
+  // Whether an earlier response announced the end of the connection, or was
+  // cut, so that the daemon need not have read the request.
+  bool behind_end = false;
+  Clock::time_point sent;
+  Clock::time_point last_data;  // when the last part of the body was received
+  Clock::time_point end;        // of the response
+  bool has_all_events = false;
 };
 
 // `count` threads that send random requests to random daemons on `ports`, drawn
@@ -39,11 +51,27 @@
   const std::vector<std::string>& invalid_responses() const {
     return invalid_responses_;
   }
+  // Truncated streams that could not be taken up. Valid after Stop().
+  const std::vector<std::string>& lost_streams() const { return lost_streams_; }
 
  private:
+  // A request and what its caller records of it.
+  struct Sent {
+    Outcome outcome;
+    std::string body;
+    testing::Request request;
+  };
+
+  // `random` draws what a caller sends, `habits` how.
   void RunCaller(uint64_t seed, int number);
-  // `first_event` is the one that the body of a stream must begin with, and
-  // `version` its software version; empty: any.
+  static Sent DrawRequest(const std::string& id, int number,
+                          RandomSource* random, RandomSource* habits);
+  // Reads the response, with pauses of up to `reading_pause` between its parts,
+  // and records the outcome. `first_event` is the one that the body of a stream
+  // must begin with, and `version` its software version; empty: any.
+  testing::Reply AwaitResponse(Sent* sent, testing::Connection* connection,
+                               std::chrono::milliseconds reading_pause,
+                               int first_event, const std::string& version);
   void RecordOutcome(const Outcome& outcome, const testing::Reply& reply,
                      const std::string& body, int first_event,
                      const std::string& version);
@@ -51,7 +79,8 @@
   // Returns whether the connection can be used again.
   static bool RepeatCrashingRequest(const std::string& after,
                                     testing::Connection* connection);
-  // Takes a truncated stream up again, up to a few times, at random daemons.
+  // Takes a truncated stream up again at random daemons until it is complete or
+  // doesn't go on for long.
   void TakeUp(const Outcome& begun, const testing::Reply& reply,
               RandomSource* random);
 
@@ -60,6 +89,7 @@
   std::mutex mutex_;
   std::vector<Outcome> outcomes_;
   std::vector<std::string> invalid_responses_;
+  std::vector<std::string> lost_streams_;
   std::vector<std::thread> threads_;
 };
 
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -1,6 +1,8 @@
 // Starts and controls the processes of the soak test's fleet.
 #include "soak/soak_fleet.h"
 
+#include <signal.h>
+
 #include <catch2/catch.hpp>
 #include <utility>
 
@@ -25,6 +27,7 @@
   std::vector<std::string> args =
       testing::SiteServerArgs(id, service, stage, port, store_port, version);
   args.push_back("--address=" + address);
+  args.emplace_back("--follow-length-hints");
   return args;
 }
 
@@ -76,7 +79,8 @@
 
 std::vector<std::string> EntryProcess::WriteSettings(
     const std::string& name) const {
-  settings_.Write(name, store_proxy_.address());
+  settings_.Write(name, store_proxy_.address(),
+                  static_cast<int>(kGraceTime.count()));
   return settings_.args();
 }
 
@@ -84,6 +88,73 @@
   return Get(settings_.ready_port(), testing::kReadyPath).status == 200;
 }
 
+void EntryProcess::Start() {
+  process_.Start();
+  started_ = Clock::now();
+  stopping_ = false;
+  paused_ = false;
+  may_outlast_ = false;
+}
+
+void EntryProcess::Stop() {
+  if (!running()) return;
+  if (!stopping_) {
+    stopping_ = true;
+    stops_.push_back(Clock::now());
+    may_outlast_ = paused_;
+  }
+  process_.Terminate();
+}
+
+void EntryProcess::StopAgainAfterStart(std::chrono::milliseconds delay) {
+  if (!running()) return;
+  Stop();
+  stops_after_start_ = true;
+  stop_delay_ = delay;
+}
+
+void EntryProcess::Reload() { process_.Signal(SIGHUP); }
+
+void EntryProcess::Kill() {
+  process_.Kill();
+  stopping_ = false;
+  stops_after_start_ = false;
+}
+
+void EntryProcess::Pause() {
+  process_.Pause();
+  paused_ = true;
+  may_outlast_ = true;
+}
+
+void EntryProcess::Resume() {
+  process_.Resume();
+  paused_ = false;
+}
+
+void EntryProcess::StartIfDown() {
+  if (!running()) Start();
+}
+
+void EntryProcess::Supervise() {
+  if (stopping_ && running()) {
+    if (Clock::now() - stops_.back() <= kGraceTime) return;
+    if (!may_outlast_) failed_stops_.emplace_back("outlasts the grace time");
+    process_.Kill();
+    Start();
+  } else if (stopping_) {
+    const int code = Wait();
+    if (code != 0)
+      failed_stops_.push_back("ended with code " + std::to_string(code));
+    Start();
+  }
+  if (stops_after_start_ && !stopping_ &&
+      Clock::now() - started_ >= stop_delay_) {
+    stops_after_start_ = false;
+    Stop();
+  }
+}
+
 // --- Fleet ------------------------------------------------------------------
 
 Fleet::Fleet(int scale, bool mixed_versions) : store_("standin-platform", {}) {
@@ -104,11 +175,13 @@
     entry_processes_.push_back(std::make_unique<EntryProcess>(
         "entry-" + std::to_string(i), store_.port()));
   REQUIRE(testing::Eventually([this] { return ServesAllKinds(); }));
+  for (auto& server : servers_)
+    server->SetBehavior("gap_ms", Json::Int64(kEventInterval.count()));
 }
 
 void Fleet::WriteConfig() {
   const Json::Value config =
-      testing::MakeSiteConfig(++config_version_, kApiKey, {6000, 600, 200});
+      testing::MakeSiteConfig(++config_version_, kApiKey, {14000, 600, 200});
   REQUIRE(testing::PutRecord(store_.port(), "op/config", WriteJson(config))
               .status == 200);
 }
@@ -132,15 +205,16 @@
     if (!server->process().running()) server->Start();
   }
   for (auto& entry : entry_processes_) {
-    entry->process().Resume();
+    entry->Resume();
     entry->store_proxy().SendCommand("reset");
-    if (!entry->process().running()) entry->process().Start();
+    entry->StartIfDown();
   }
   for (auto& server : servers_) {
     server->SetBehavior("draining", false);
     server->SetBehavior("abort_runs", 0);
     server->SetBehavior("delay_ms", 0);
     server->SetBehavior("unframed", false);
+    server->SetBehavior("gap_ms", Json::Int64(kEventInterval.count()));
   }
 }
 
@@ -160,7 +234,7 @@
 Request MakeRequest(const std::string& kind, const std::string& id,
                     const std::string& body) {
   return testing::MakeSiteRequest("/" + kind + "/" + id, id, kApiKey, body,
-                                  4000);
+                                  static_cast<int>(kCallerTimeLimit.count()));
 }
 
 }  // namespace mimosa::soak
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -4,6 +4,7 @@
 #ifndef SOAK_SOAK_FLEET_H_
 #define SOAK_SOAK_FLEET_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -15,6 +16,13 @@
 
 namespace mimosa::soak {
 
+using Clock = std::chrono::steady_clock;
+
+// Time from SIGTERM to SIGKILL of a daemon.
+inline constexpr std::chrono::milliseconds kGraceTime{5000};
+// Time limit that callers give the daemon, beyond their longest streams.
+inline constexpr std::chrono::milliseconds kCallerTimeLimit{12000};
+
 inline constexpr char kApiKey[] = "key-one";
 // The part of some callers' prompts that crashes engines, once told to.
 inline constexpr char kCrashingPart[] = "bad";
@@ -59,23 +67,57 @@
   int64_t requests_with_api_key_ = 0;
 };
 
-// An entry daemon process. It reaches the store through a fault proxy.
+// An entry daemon process and its supervisor. It reaches the store through a
+// fault proxy.
 class EntryProcess {
  public:
   EntryProcess(const std::string& name, uint16_t store_port);
 
   uint16_t port() const { return settings_.listen_port(); }
   bool IsReady() const;
-  testing::Process& process() { return process_; }
+  bool running() const { return process_.running(); }
   testing::Proxy& store_proxy() { return store_proxy_; }
 
+  // Sends SIGTERM, again if the daemon is already leaving. Once it has ended,
+  // Supervise() starts it again.
+  void Stop();
+  // The same, and sends SIGTERM once more, `delay` after the new start.
+  void StopAgainAfterStart(std::chrono::milliseconds delay);
+  void Reload();
+  void Kill();
+  void Pause();
+  void Resume();
+  void StartIfDown();
+  // Restarts a daemon that a stop has ended. Kills it first if it outlasts the
+  // grace time. Must be called often.
+  void Supervise();
+  bool stopping() const { return stopping_ || stops_after_start_; }
+  // Waits for the exit and returns the exit code.
+  int Wait() { return process_.Wait().value_or(0); }
+
+  // Times of the first SIGTERM of each stop.
+  const std::vector<Clock::time_point>& stops() const { return stops_; }
+  // Descriptions of stops that didn't end with code 0 within the grace time.
+  const std::vector<std::string>& failed_stops() const { return failed_stops_; }
+  std::string Output() const { return process_.Output(); }
+
  private:
   // Writes the daemon's settings file and returns its command line arguments.
   std::vector<std::string> WriteSettings(const std::string& name) const;
+  void Start();
 
   const testing::EntrySettingsFile settings_;
   testing::Proxy store_proxy_;
   testing::Process process_;
+  bool stopping_ = false;
+  bool paused_ = false;
+  // Whether it was paused during the present stop, and so may outlast it.
+  bool may_outlast_ = false;
+  bool stops_after_start_ = false;
+  std::chrono::milliseconds stop_delay_{};  // after the next start
+  Clock::time_point started_;
+  std::vector<Clock::time_point> stops_;
+  std::vector<std::string> failed_stops_;
 };
 
 class Fleet {
@@ -88,6 +130,9 @@
   std::vector<std::unique_ptr<EntryProcess>>& entry_processes() {
     return entry_processes_;
   }
+  const std::vector<std::unique_ptr<EntryProcess>>& entry_processes() const {
+    return entry_processes_;
+  }
   std::vector<std::unique_ptr<Server>>& servers() { return servers_; }
   testing::StandIn& store() { return store_; }
   // Writes the next version of the configuration, which behaves the same for
@@ -107,6 +152,9 @@
   int probe_count_ = 0;
 };
 
+// Time between two events of a stream.
+inline constexpr std::chrono::milliseconds kEventInterval{50};
+
 // Returns a caller's request of kind "book", "look", "letter" or "note".
 testing::Request MakeRequest(const std::string& kind, const std::string& id,
                              const std::string& body);
