--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -149,7 +149,7 @@
   int64_t requests_served_ = 0;
   bool unframed_ = false;  // streams end with their connection
   int64_t events_per_run_ = 5;
-  int64_t body_bytes_ = 0;  // lowest size of the body of a plain response
+  int64_t body_bytes_ = 0;     // lowest size of the body of a plain response
   int64_t runs_to_abort_ = 0;  // this many next runs are aborted after an event
   Duration event_interval_ = std::chrono::milliseconds(10);
   Duration response_delay_{};
