The fault proxy lets no connection go on after it discarded its data

Cause: by reading, the proxy discarded data of established connections and then passed the rest on; TCP delivers no data with a gap. Events that arrive one by one left the framing valid. Change: a connection that lost data stays silent, and its end is a reset.

--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -32,7 +32,7 @@
         down_(&target_, &client_, proxy->io_) {}
 
   void Start() {
-    if (proxy_->mode_ == ProxyMode::kBlackhole) {
+    if (IsBlackhole()) {
       ReadNext(&up_);  // Deliver() discards the data
       return;
     }
@@ -98,7 +98,8 @@
 
   // Forwards an orderly end of stream; closes both connections on an error.
   void OnReadEnd(Direction* direction, error_code ec) {
-    if (ec != asio::error::eof || proxy_->mode_ == ProxyMode::kBlackhole) {
+    if (ec != asio::error::eof || IsBlackhole()) {
+      if (discards_) Reset();
       Close();
       return;
     }
@@ -129,8 +130,20 @@
     });
   }
 
+  bool IsBlackhole() const {
+    return discards_ || proxy_->mode_ == ProxyMode::kBlackhole;
+  }
+
+  // Makes Close() reset both connections.
+  void Reset() {
+    error_code ignored;
+    client_.set_option(asio::socket_base::linger(true, 0), ignored);
+    target_.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
+
   void Deliver(Direction* direction) {
-    if (proxy_->mode_ == ProxyMode::kBlackhole) {
+    if (IsBlackhole()) {
+      discards_ = true;
       ReadNext(direction);
       return;
     }
@@ -231,6 +244,9 @@
   FaultProxy* const proxy_;
   Tcp::socket client_;
   Tcp::socket target_;
+  // Data was discarded. The rest is, too, and no end looks orderly, since TCP
+  // delivers no data with a gap.
+  bool discards_ = false;
   const bool byte_faults_enabled_;  // byte-count faults apply to this session
   Direction up_;
   Direction down_;
