--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -594,6 +594,10 @@
   // A run was aborted after its last event, and the stand-in that resumed the
   // run sent one event too many.
   RunSeed(2);
+  // A request that was read behind another one got no answer after SIGTERM.
+  RunSeed(4);
+  // The fault proxy passed data on behind a gap.
+  RunSeed(70021);
 }
 
 TEST_CASE("newly drawn seeds keep all guarantees") {
--- a/tests/entry_process_test.cc
+++ b/tests/entry_process_test.cc
@@ -704,6 +704,7 @@
     REQUIRE(callers.back()->Send(site->MakeRequest(target)));
   }
   std::vector<Reply> replies;
+  replies.reserve(callers.size());
   for (const auto& caller : callers) replies.push_back(caller->ReadReply());
   return replies;
 }
