A run paused for its reader doesn't count as silent

What callers would see: a slow reader's stream moves to another engine, or hangs to its deadline: the paused run became the silent one, and nothing resumed it. Cause: found in review, by reading. The silence timer went on while the daemon itself didn't read. Change: a paused run isn't silent; the timer starts again with reading. Evidence: relay_test and slow_reader_test pass; no test of its own yet.

--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -872,7 +872,8 @@
   // engine has accepted the request, since it may only have been preempted.
   void OnSilence() {
     silence_timer_.Cancel();
-    if (call_ == nullptr || stage_ != Stage::kRun) return;
+    // A run that isn't read says nothing; the timer starts again with reading.
+    if (call_ == nullptr || stage_ != Stage::kRun || paused_for_reader_) return;
     if (silent_run_ != nullptr) {
       OnReplacementSilent();
       return;
@@ -984,9 +985,13 @@
     if (call_ == nullptr || !deps_.buffers->HasSlowReader(*exchange_)) return;
     reader_was_slow_ = true;
     call_->Pause(true);
+    paused_for_reader_ = true;
     exchange_->OnDrained([this] {
       exchange_->OnDrained(nullptr);
-      if (call_ != nullptr) call_->Pause(false);
+      paused_for_reader_ = false;
+      if (call_ == nullptr) return;
+      call_->Pause(false);
+      StartSilenceTimer();
     });
   }
 
@@ -1105,6 +1110,7 @@
   void StartCall(const BackEndEntry& engine, const BackEndCallParams& params,
                  const BackEndCall::Options& options) {
     ++result_.calls;
+    paused_for_reader_ = false;
     result_.back_end = engine.id;
     call_ = std::make_unique<BackEndCall>(deps_, engine, size_,
                                           request_.caller.id, this);
@@ -1175,6 +1181,7 @@
   // The current run was paused for its reader, so its time says nothing about
   // the engine.
   bool reader_was_slow_ = false;
+  bool paused_for_reader_ = false;  // call_ is paused.
   // Id of the last event that the caller has received.
   std::optional<int64_t> last_event_id_;
   int prefills_ = 0;
