A store from an older copy is told of versions again

What callers saw (in virtual time only): the store came back from a copy made before a release, or empty. If all daemons ended later, and the engines of one version went meanwhile, streams went on at the other version.

Cause: a record of versions with a lower revision than the known one was taken for a late watch and ignored, and no listing reports a record that is missing. So what the copy lacked was not written again.

Fix: a lower revision is applied as well. If it lacks a version, the record is written, and the revision that the write replaces tells a late watch from an older copy: the write conflicts in the first case. The three members that rank first read the record each 5 s, which finds one that is missing. A record that hasn't changed is no sighting of its versions; without that, a version that had left counted for ever (28 failures of stream_origin_exchange_test in a trial).

Tests, in 27 fleets of 6 to 389 daemons each, before the fix: - "a version that an older copy of the store lacks is written again": 300 of 300 streams went on at the wrong version, in all fleets. - "versions are written again to a store that came back empty": likewise. Now none. stream_origin_exchange_test: all 17 cases pass, in 138 s on a busy machine. Also run, all passed: entry_process_test, platform_outage_test, site_sync_test, software_version_test, origin_journal_test, stream_origins_test.

Open: origins that the copy lacks are not written again; their streams are refused as unknown after an end of all daemons.

--- a/serving/stream_origin_journal.cc
+++ b/serving/stream_origin_journal.cc
@@ -17,12 +17,8 @@
 constexpr Duration kRemovalInterval = std::chrono::milliseconds(200);
 // Time between two looks for expired records while there are records.
 constexpr Duration kSweepInterval = std::chrono::seconds(5);
-
-// Returns whether some service has several versions.
-bool HasMixedService(const VersionsByService& versions) {
-  return std::any_of(versions.begin(), versions.end(),
-                     [](const auto& item) { return item.second.size() > 1; });
-}
+// Time between two looks at the record of versions.
+constexpr Duration kVersionsCheckInterval = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -222,9 +218,10 @@
 // --- The record of versions -----------------------------------------------
 
 void StreamOriginJournal::OnVersionsRecord(const KvRecord* record) {
-  // The watch may be behind a write of this daemon.
-  if (record == nullptr || record->revision >= versions_revision_)
-    ApplyVersionsRecord(record);
+  // A lower revision is that of a watch which is behind a write of this daemon,
+  // or of a store that has come back from an older copy. If a version is
+  // missing, the write that follows tells which: it fails in the first case.
+  ApplyVersionsRecord(record);
 }
 
 void StreamOriginJournal::ApplyVersionsRecord(const KvRecord* record) {
@@ -251,13 +248,37 @@
   const auto current = reader_->CurrentVersions();
   if (current && *current != recorded_versions_) {
     ScheduleVersionsWrite(Duration::zero());
-  } else if (!current || HasMixedService(*current)) {
+  } else {
     // A version ceases to count some time after its last engine has left.
     recheck_timer_ =
-        loop_->After(kSweepInterval, [this] { OnVersionsChanged(); });
+        loop_->After(kVersionsCheckInterval, [this] { CheckVersions(); });
   }
 }
 
+// The first members read the record, since no watch reports that a store which
+// has come back from an older copy lacks it.
+void StreamOriginJournal::CheckVersions() {
+  recheck_timer_.Cancel();
+  if (!reader_->CurrentVersions() ||
+      Rank() >= options_.unconfirmed.max_attempts) {
+    OnVersionsChanged();
+    return;
+  }
+  versions_call_ =
+      store_->Get(options_.versions_key, [this](const KvResult& result) {
+        finished_call_ = std::move(versions_call_);
+        if (result.status == KvStatus::kNotFound) {
+          ApplyVersionsRecord(nullptr);
+        } else if (result.status == KvStatus::kOk &&
+                   result.record.revision != versions_revision_) {
+          ApplyVersionsRecord(&result.record);
+        } else {
+          // An unchanged record doesn't show that its versions still count.
+          OnVersionsChanged();
+        }
+      });
+}
+
 void StreamOriginJournal::ScheduleVersionsWrite(Duration min_delay) {
   Duration delay = min_delay +
                    options_.versions_turn * static_cast<int64_t>(Rank()) +
--- a/serving/stream_origin_journal.h
+++ b/serving/stream_origin_journal.h
@@ -7,10 +7,11 @@
 // on the store, and after a start through its first listing, before it serves.
 // The record of versions is written when a service's versions change, by the
 // first of the members that the store answers; the revision that it replaces
-// settles races.
+// settles races. The first members read it again from time to time, so that a
+// store which has come back from an older copy is told what it lacks.
 //
-// Cost: nothing while the versions stay the same; else a few writes a second
-// and one datagram a stream, whatever the fleet's size.
+// Cost: three reads in 5 s while the versions stay the same; else a few writes
+// a second and one datagram a stream, whatever the fleet's size.
 #ifndef SERVING_STREAM_ORIGIN_JOURNAL_H_
 #define SERVING_STREAM_ORIGIN_JOURNAL_H_
 
@@ -106,6 +107,7 @@
   void ScheduleSweep();
   void Sweep();
   void ApplyVersionsRecord(const KvRecord* record);
+  void CheckVersions();
   void ScheduleVersionsWrite(Duration min_delay);
   void WriteVersions();
   // Number of members that rank before this one as the journal's writer, up to
--- a/tests/stream_origin_exchange_test.cc
+++ b/tests/stream_origin_exchange_test.cc
@@ -55,6 +55,14 @@
     on_change_(key);
     return result;
   }
+  KvResult Get(const std::string& key) const {
+    if (is_away) return {};
+    const KvRecord* const present = Find(key);
+    KvResult result;
+    result.status = present == nullptr ? KvStatus::kNotFound : KvStatus::kOk;
+    if (present != nullptr) result.record = *present;
+    return result;
+  }
   KvResult Delete(const std::string& key, Revision expect) {
     if (is_away) return {};
     KvResult result = Check(key, expect);
@@ -68,6 +76,17 @@
   }
   const std::map<std::string, KvRecord>& records() const { return records_; }
 
+  // A copy of the records, from which the store can come back.
+  struct Copy {
+    std::map<std::string, KvRecord> records;
+    int64_t revision = 0;
+  };
+  Copy MakeCopy() const { return {records_, revision_}; }
+  void ComeBackFrom(const Copy& copy) {
+    records_ = copy.records;
+    revision_ = copy.revision;
+  }
+
   bool is_away = false;
 
  private:
@@ -91,6 +110,9 @@
   FleetStoreClient(FleetStore* store, EventLoop* loop)
       : store_(store), loop_(loop) {}
 
+  CallPtr Get(const std::string& key, DoneCallback done) override {
+    return Call([this, key] { return store_->Get(key); }, done);
+  }
   CallPtr Put(const std::string& key, std::string value, Revision expect,
               const std::string&, DoneCallback done) override {
     return Call(
@@ -248,6 +270,13 @@
     simulator_.RunUntil(simulator_.now() + duration);
   }
 
+  // The store comes back from a copy, and all daemons list it again.
+  void ComeBackFrom(const FleetStore::Copy& copy) {
+    store_.ComeBackFrom(copy);
+    for (const auto& daemon : daemons_)
+      if (daemon != nullptr) daemon->ListAll(engines_);
+  }
+
   // All daemons that run and hear the store learn of the engines.
   void SetEngines(std::vector<BackEndEntry> engines) {
     engines_ = std::move(engines);
@@ -505,6 +534,45 @@
   });
 }
 
+// The store comes back from a copy made before the release.
+TEST_CASE("a version that an older copy of the store lacks is written again") {
+  ForEachFleet([](Fleet& fleet) {
+    fleet.Run(seconds(5));
+    const FleetStore::Copy copy = fleet.store().MakeCopy();
+    CHECK(copy.records.size() == 1);  // The versions.
+    fleet.SetEngines(kMixedEngines);
+    fleet.Run(seconds(5));
+    const auto streams = fleet.BeginStreams(kStreams, {kNew});
+    fleet.Run(seconds(2));  // All origins are in the store.
+    fleet.ComeBackFrom(copy);
+    fleet.Run(seconds(8));
+    // The release is taken back while no daemon runs.
+    fleet.KillAll();
+    fleet.SetEngines({Engine("a", kOld), Engine("b", kOld)});
+    fleet.StartAll();
+    const auto takeups = fleet.TakeUp(streams, IsAny);
+    CHECK(takeups.at_wrong_version == 0);
+    CHECK(fleet.TakeUp(streams, IsAny, /*name_request=*/false).went_on == 0);
+  });
+}
+
+TEST_CASE("versions are written again to a store that came back empty") {
+  ForEachFleet([](Fleet& fleet) {
+    const FleetStore::Copy copy = fleet.store().MakeCopy();
+    CHECK(copy.records.empty());
+    fleet.Run(seconds(5));
+    CHECK(fleet.store().records().size() == 1);
+    const auto streams = fleet.BeginStreams(kStreams, {kOld});
+    // No daemon hears of it.
+    fleet.store().ComeBackFrom(copy);
+    fleet.Run(seconds(12));
+    fleet.KillAll();
+    fleet.SetEngines(kNewEngines);
+    fleet.StartAll();
+    CHECK(fleet.TakeUp(streams, IsAny).went_on == 0);
+  });
+}
+
 TEST_CASE("the journal's records are few and are removed after a release") {
   ForEachFleet([](Fleet& fleet) {
     fleet.SetEngines(kMixedEngines);
