--- a/serving/entry_frontend.h
+++ b/serving/entry_frontend.h
@@ -52,7 +52,8 @@
   void OnForwardedRequest(const std::shared_ptr<HttpExchange>& exchange);
 
   // Ends all running requests, at the end of a shutdown: those that no back end
-  // has got are refused, and responses that have started are aborted.
+  // has got are refused, those that may have run fail, and responses that have
+  // started are aborted.
   void EndRunningRequests();
 
   size_t running_requests() const { return running_requests_.size(); }
