--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -19,6 +19,8 @@
 // from the crash to the restart.
 constexpr Duration kCrashDelay = std::chrono::milliseconds(20);
 constexpr Duration kRestartTime = std::chrono::milliseconds(500);
+// Of the paths that callers' requests don't have.
+constexpr std::string_view kOwnPathPrefix = "/mimosarouter/";
 constexpr Duration kHandleLifetime = std::chrono::milliseconds(500);
 // Duration of a stage change.
 constexpr Duration kStageChangeTime = std::chrono::milliseconds(500);
@@ -105,6 +107,26 @@
   return true;
 }
 
+void SiteServer::RecordArrival(const HttpRequest& request) {
+  arrivals_.push_back(
+      {HeaderField(request, "Mimosarouter-Request-Id"), loop_->Now()});
+}
+
+bool SiteServer::RejectShare(const ExchangePtr& exchange) {
+  constexpr int64_t kWhole = 100;
+  reject_due_ += reject_percent_;
+  reset_due_ += reset_percent_;
+  if (reset_due_ >= kWhole) {
+    reset_due_ -= kWhole;
+    exchange->Abort();
+    return true;
+  }
+  if (reject_due_ < kWhole) return false;
+  reject_due_ -= kWhole;
+  RespondNotExecuted(exchange, 503);
+  return true;
+}
+
 void SiteServer::RespondNotExecuted(const ExchangePtr& exchange, int status) {
   HttpResponse response;
   response.status = status;
@@ -119,6 +141,9 @@
     HandleDebug(exchange, path);
     return;
   }
+  const bool is_of_caller =
+      request.method != "DELETE" && !StartsWith(path, kOwnPathPrefix);
+  if (is_of_caller) RecordArrival(request);
   if (unresponsive_) return;
   if (crashed_) {
     if (!crashes_silently_) exchange->Abort();
@@ -132,6 +157,7 @@
   }
   if (!HeaderField(request, "X-Api-Key").empty()) ++requests_with_api_key_;
   if (request.method != "DELETE" && RejectInPause(exchange)) return;
+  if (is_of_caller && RejectShare(exchange)) return;
   ++requests_served_;
   if (CrashesServer(request))
     crash_requests_.insert(HeaderField(request, "Mimosarouter-Request-Id"));
@@ -222,6 +248,7 @@
 }
 
 void SiteServer::HandlePrefill(const ExchangePtr& exchange) {
+  arrivals_.back().accepted_prefill = true;
   delayed_tasks_.RunAfter(response_delay_, [this, exchange] {
     const std::string id = "kv" + std::to_string(++last_serial_);
     handles_[id] =
@@ -437,6 +464,8 @@
   options_.memory_tokens =
       IntMember(*body, "memory_tokens", options_.memory_tokens);
   body_bytes_ = IntMember(*body, "body_bytes", body_bytes_);
+  reject_percent_ = IntMember(*body, "reject_percent", reject_percent_);
+  reset_percent_ = IntMember(*body, "reset_percent", reset_percent_);
   runs_to_abort_ = IntMember(*body, "abort_runs", runs_to_abort_);
   unresponsive_ = BoolMember(*body, "silent", unresponsive_);
   draining_ = BoolMember(*body, "draining", draining_);
@@ -470,6 +499,14 @@
   journal["crash_requests"] = Json::Value(Json::arrayValue);
   for (const std::string& id : crash_requests_)
     journal["crash_requests"].append(id);
+  journal["arrivals"] = Json::Value(Json::arrayValue);
+  for (const Arrival& arrival : arrivals_) {
+    Json::Value item;
+    item["id"] = arrival.id;
+    item["ms"] = Json::Int64(ToMillis(arrival.at.time_since_epoch()));
+    item["prefill"] = arrival.accepted_prefill;
+    journal["arrivals"].append(item);
+  }
   journal["used"] = Json::Int64(used_tokens_);
   journal["handles"] = Json::UInt64(handles_.size());
   journal["rooms"] = Json::UInt64(reservations_.size());
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -9,7 +9,7 @@
 //   POST /debug/behave   any of {"gap_ms", "events", "delay_ms",
 //                        "abort_runs", "draining": bool, "silent": bool,
 //                        "unframed": bool, "says_leaving": bool, "pause_ms",
-//                        "body_bytes",
+//                        "body_bytes", "reject_percent", "reset_percent",
 //                        "crash_part": part of a prompt,
 //                        "crash_target": path and query of a request,
 //                        "crash_silently": bool,
@@ -26,6 +26,8 @@
 //       end of the server, whatever its entry says
 //       "pause_ms": rejects all requests for so long and asks for that pause
 //       "body_bytes": responses of plain services have at least so many bytes
+//       "reject_percent", "reset_percent": this share of the requests is
+//       rejected as not executed, or has its connection closed
 //       "unframed": streams have neither a length nor chunks, and an aborted
 //       one ends with an orderly close
 //   GET  /debug/journal  {"runs": {id: count}, "foreign": requests that carried
@@ -34,7 +36,10 @@
 //                        "in_pause": requests later than half a second into a
 //                        pause, "served": requests that were not rejected,
 //                        "crashes": n, "crash_requests": [ids of the requests
-//                        that crash the server and have reached it]}
+//                        that crash the server and have reached it],
+//                        "arrivals": [{"id": request, "ms": monotonic time,
+//                        "prefill": whether it is a prefill that was accepted}
+//                        for each request of a caller, also a rejected one]}
 //   POST /debug/take/HANDLE  claims a prefill result; 404 if it has expired
 #ifndef STANDINS_SITE_SERVER_H_
 #define STANDINS_SITE_SERVER_H_
@@ -47,6 +52,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "net/event_loop.h"
 #include "net/http.h"
@@ -87,8 +93,18 @@
     TimerHandle timer;
   };
 
+  // A request of a caller that has reached the server.
+  struct Arrival {
+    std::string id;
+    MonoTime at;
+    bool accepted_prefill = false;
+  };
+
   void Register();
   std::string RegistrationJson() const;
+  void RecordArrival(const HttpRequest& request);
+  // Rejects or resets a share of the requests. Returns false for the others.
+  bool RejectShare(const ExchangePtr& exchange);
   void HandleDebug(const ExchangePtr& exchange, const std::string& path);
   void HandleBehave(const ExchangePtr& exchange);
   Json::Value JournalJson() const;
@@ -147,6 +163,12 @@
   MonoTime pause_until_{};
   int64_t requests_in_pause_ = 0;
   int64_t requests_served_ = 0;
+  std::vector<Arrival> arrivals_;
+  int64_t reject_percent_ = 0;
+  int64_t reset_percent_ = 0;
+  // Percents of a request that are due to be rejected, or reset.
+  int64_t reject_due_ = 0;
+  int64_t reset_due_ = 0;
   bool unframed_ = false;  // streams end with their connection
   int64_t events_per_run_ = 5;
   int64_t body_bytes_ = 0;     // lowest size of the body of a plain response
--- a/tests/entry_site.cc
+++ b/tests/entry_site.cc
@@ -27,7 +27,7 @@
 }  // namespace
 
 void EntrySettingsFile::Write(const std::string& name, const std::string& store,
-                              int grace_ms) const {
+                              int grace_ms, const std::string& more) const {
   std::ofstream(path_) << "# settings of a test\n"
                        << "MIMOSA_NAME=" << name
                        << "\nMIMOSA_FAILURE_DOMAIN=z\n"
@@ -36,7 +36,8 @@
                        << "\nMIMOSA_CONTROL_LISTEN=" << Loopback(control_port_)
                        << "\nMIMOSA_PEER_LISTEN=" << Loopback(peer_port_)
                        << "\nMIMOSA_STORE=" << store
-                       << "\nMIMOSA_GRACE_MS=" << grace_ms << "\n";
+                       << "\nMIMOSA_GRACE_MS=" << grace_ms << "\n"
+                       << more;
 }
 
 std::vector<std::string> SiteServerArgs(const std::string& id,
--- a/tests/entry_site.h
+++ b/tests/entry_site.h
@@ -31,9 +31,10 @@
   EntrySettingsFile(const EntrySettingsFile&) = delete;
   EntrySettingsFile& operator=(const EntrySettingsFile&) = delete;
 
-  // Writes the file. `store` is the address of the store.
+  // Writes the file. `store` is the address of the store, `more` further
+  // lines.
   void Write(const std::string& name, const std::string& store,
-             int grace_ms = 8000) const;
+             int grace_ms = 8000, const std::string& more = "") const;
 
   uint16_t listen_port() const { return listen_port_; }
   uint16_t ready_port() const { return ready_port_; }
