Log lines and status fields of the retry budget

Cause: no log line said which call was charged, what was left of the budget or by how many members its slack was divided. Change: retry_charged and retry_denied name the request, the service, what the call is for, the counts of the window and the divisor; retry_members says that the divisor has changed; the status page shows each budget. A retry can be given back, which nothing uses yet. Result: serving_decisions_test passes; no decision changes.

--- a/decide/retry_budget.cc
+++ b/decide/retry_budget.cc
@@ -10,8 +10,7 @@
 }
 
 RetryBudget::Bucket* RetryBudget::BucketAt(const ServiceId& service,
-                                           MonoTime now) {
-  const int64_t number = BucketNumber(now);
+                                           int64_t number) {
   Buckets& buckets = buckets_by_service_[service];
   Bucket& bucket = buckets[static_cast<size_t>(number) % buckets.size()];
   if (bucket.number != number) {
@@ -22,26 +21,49 @@
 }
 
 void RetryBudget::RecordRequest(const ServiceId& service, MonoTime now) {
-  BucketAt(service, now)->requests += 1;
+  BucketAt(service, BucketNumber(now))->requests += 1;
 }
 
-bool RetryBudget::TryAcquireRetry(const ServiceId& service, MonoTime now) {
-  Bucket* const current = BucketAt(service, now);
+RetryBudget::State RetryBudget::GetState(const ServiceId& service,
+                                         MonoTime now) const {
   const int64_t oldest =
-      current->number - static_cast<int64_t>(kBucketsPerWindow);
-  double requests = 0;
-  double retries = 0;
-  for (const Bucket& bucket : buckets_by_service_[service]) {
-    if (bucket.number < oldest) continue;
-    retries += bucket.retries;
-    if (bucket.number > oldest) requests += bucket.requests;
+      BucketNumber(now) - static_cast<int64_t>(kBucketsPerWindow);
+  State state;
+  state.members = member_count_;
+  const auto found = buckets_by_service_.find(service);
+  if (found != buckets_by_service_.end()) {
+    for (const Bucket& bucket : found->second) {
+      if (bucket.number < oldest) continue;
+      state.retries += bucket.retries;
+      if (bucket.number > oldest) state.requests += bucket.requests;
+    }
   }
-  const double allowed =
-      options_.usable_share *
-      (options_.ratio * requests + options_.slack / std::max(1, member_count_));
-  if (retries + 1 > allowed) return false;
-  current->retries += 1;
-  return true;
+  state.allowed =
+      options_.usable_share * (options_.ratio * state.requests +
+                               options_.slack / std::max(1, member_count_));
+  return state;
+}
+
+std::vector<ServiceId> RetryBudget::Services() const {
+  std::vector<ServiceId> services;
+  for (const auto& [service, buckets] : buckets_by_service_)
+    services.push_back(service);
+  return services;
+}
+
+std::optional<RetryBudget::Charge> RetryBudget::TryAcquireRetry(
+    const ServiceId& service, MonoTime now) {
+  const State state = GetState(service, now);
+  if (state.retries + 1 > state.allowed) return std::nullopt;
+  const int64_t number = BucketNumber(now);
+  BucketAt(service, number)->retries += 1;
+  return Charge{number};
+}
+
+void RetryBudget::Refund(const ServiceId& service, const Charge& charge) {
+  Buckets& buckets = buckets_by_service_[service];
+  Bucket& bucket = buckets[static_cast<size_t>(charge.bucket) % buckets.size()];
+  if (bucket.number == charge.bucket) bucket.retries -= 1;
 }
 
 }  // namespace mimosa
--- a/decide/retry_budget.h
+++ b/decide/retry_budget.h
@@ -15,6 +15,8 @@
 
 #include <array>
 #include <map>
+#include <optional>
+#include <vector>
 
 #include "base/clock.h"
 #include "decide/site.h"
@@ -41,8 +43,26 @@
 
   // Records that a caller's request for the service arrived.
   void RecordRequest(const ServiceId& service, MonoTime now);
-  // Takes one retry from the budget. Returns false if none is left.
-  bool TryAcquireRetry(const ServiceId& service, MonoTime now);
+  // A retry that was taken from the budget.
+  struct Charge {
+    int64_t bucket = 0;
+  };
+  // Takes one retry from the budget. Returns nullopt if none is left.
+  std::optional<Charge> TryAcquireRetry(const ServiceId& service, MonoTime now);
+  // Puts a retry back that was not sent.
+  void Refund(const ServiceId& service, const Charge& charge);
+
+  // The budget of a service in the window that ends now, for log lines and
+  // status pages.
+  struct State {
+    double requests = 0;
+    double retries = 0;
+    double allowed = 0;  // retries
+    int members = 1;     // that share the slack
+  };
+  State GetState(const ServiceId& service, MonoTime now) const;
+  // The services with requests or retries so far.
+  std::vector<ServiceId> Services() const;
 
  private:
   // A window is counted in buckets. The retries in the current bucket and the
@@ -56,7 +76,7 @@
   };
   using Buckets = std::array<Bucket, kBucketsPerWindow + 1>;
 
-  Bucket* BucketAt(const ServiceId& service, MonoTime now);
+  Bucket* BucketAt(const ServiceId& service, int64_t number);
   int64_t BucketNumber(MonoTime now) const;
 
   Options options_;
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -41,10 +41,22 @@
   return "?";
 }
 
-bool TryAcquireRetry(const RelayDeps& deps, const ServiceId& service) {
+bool TryAcquireRetry(const RelayDeps& deps, const ServiceId& service,
+                     const RequestId& id, const char* kind) {
   const bool acquired =
-      deps.retry_budget->TryAcquireRetry(service, deps.loop->Now());
+      deps.retry_budget->TryAcquireRetry(service, deps.loop->Now()).has_value();
   ++(acquired ? deps.counters->retries : deps.counters->retries_denied);
+  const RetryBudget::State state =
+      deps.retry_budget->GetState(service, deps.loop->Now());
+  deps.log->Write(
+      LogLine(acquired ? "retry_charged" : "retry_denied")
+          .Add("request", id.value())
+          .Add("service", service.value())
+          .Add("kind", kind)
+          .Add("requests", static_cast<int64_t>(state.requests))
+          .Add("retries", static_cast<int64_t>(state.retries))
+          .Add("allowed_pct", static_cast<int64_t>(100 * state.allowed))
+          .Add("members", state.members));
   return acquired;
 }
 
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -37,9 +37,10 @@
 inline constexpr int kMaxRejections = 3;
 
 // Takes one further call of a request from the fleet's retry budget. Returns
-// false if the budget is exhausted. Counts the retry or the denial in
-// deps.counters.
-bool TryAcquireRetry(const RelayDeps& deps, const ServiceId& service);
+// false if the budget is exhausted. Counts and logs the retry or the denial;
+// `kind` says what the call is for.
+bool TryAcquireRetry(const RelayDeps& deps, const ServiceId& service,
+                     const RequestId& id, const char* kind);
 
 class BackEndCall : public HttpCallHandler {
  public:
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -418,10 +418,19 @@
       } else {
         usage_exchange_.OnMembersChanged();
       }
-      retry_budget_.SetMemberCount(members_.size());
+      SetRetryMembers(members_.size());
     }
   }
 
+  void SetRetryMembers(int members) {
+    if (members != retry_members_)
+      log_.Write(LogLine("retry_members")
+                     .Add("members", members)
+                     .Add("previous", retry_members_));
+    retry_members_ = members;
+    retry_budget_.SetMemberCount(members);
+  }
+
   // Returns nullopt while the store is unreachable, so that no orders are sent:
   // without the store the daemon knows neither the current engines nor whether
   // another daemon sends orders.
@@ -474,6 +483,20 @@
     return response;
   }
 
+  void AddRetryBudgets(MonoTime now, Json::Value* list) const {
+    *list = Json::Value(Json::arrayValue);
+    for (const ServiceId& service : retry_budget_.Services()) {
+      const RetryBudget::State state = retry_budget_.GetState(service, now);
+      Json::Value item(Json::objectValue);
+      item["service"] = service.value();
+      item["requests"] = state.requests;
+      item["retries"] = state.retries;
+      item["allowed"] = state.allowed;
+      item["members"] = state.members;
+      list->append(item);
+    }
+  }
+
   Json::Value StatusPage() {
     const MonoTime now = loop_->Now();
     Json::Value status(Json::objectValue);
@@ -534,6 +557,7 @@
       item["level"] = rate_limiter_.BucketLevel(customer.id, now);
       customers.append(item);
     }
+    AddRetryBudgets(now, &status["retry_budgets"]);
     status["usage_age_ms"] =
         Json::Int64(ToMillis(rate_limiter_.ReportAge(now)));
     return status;
@@ -650,6 +674,7 @@
   const std::unique_ptr<KvStore> store_;
   BackEndList back_ends_;
   RetryBudget retry_budget_;
+  int retry_members_ = 1;  // That share the slack of retry_budget_.
   ReservationRetryPolicy reservation_retry_;
   ReplicatedRateLimiter rate_limiter_;
   EngineMemoryReleaser releaser_;
--- a/serving/forward_relay.cc
+++ b/serving/forward_relay.cc
@@ -115,7 +115,8 @@
     const bool may_repeat =
         !sent || (request_.route.retry_policy == RetryPolicy::kIdempotent &&
                   attempts < request_.route.max_attempts &&
-                  TryAcquireRetry(deps_, request_.service.id));
+                  TryAcquireRetry(deps_, request_.service.id,
+                                  request_.caller.id, "forward"));
     // Later, since the call is on the stack.
     if (may_repeat) {
       refusal_timer_ = deps_.loop->After(Duration::zero(), [this] {
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -211,7 +211,8 @@
     query.exclude = &tried_back_ends_;
     const BackEndEntry* selected = deps_.selector->SelectBackEnd(query, now);
     if (selected == nullptr) return false;
-    if (sent_calls_ > 0 && !TryAcquireRetry(deps_, request_.service.id)) {
+    if (sent_calls_ > 0 && !TryAcquireRetry(deps_, request_.service.id,
+                                            request_.caller.id, "plain")) {
       budget_exhausted_ = true;
       return false;
     }
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -596,7 +596,9 @@
   // Acquires one call to an engine. Returns false if it is a retry and the
   // retry budget is exhausted; the first call needs no budget.
   bool TryAcquireCall(bool is_retry) {
-    if (!is_retry || TryAcquireRetry(deps_, request_.service.id)) return true;
+    if (!is_retry || TryAcquireRetry(deps_, request_.service.id,
+                                     request_.caller.id, StageName(stage_)))
+      return true;
     budget_exhausted_ = true;
     return false;
   }
