Stand-in servers don't count health checks as arrivals

Cause: a daemon that misses responses probes back ends; the stand-in listed these calls, which have no request id, as arrivals of one request. Change: they are left out.

--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -501,6 +501,7 @@
     journal["crash_requests"].append(id);
   journal["arrivals"] = Json::Value(Json::arrayValue);
   for (const Arrival& arrival : arrivals_) {
+    if (arrival.id.empty()) continue;  // A health check.
     Json::Value item;
     item["id"] = arrival.id;
     item["ms"] = Json::Int64(ToMillis(arrival.at.time_since_epoch()));
