Each call to a back end takes a right: free once, else charged

What callers' services saw: where most engines reject or reset requests, more retries than the budget allows (211 where 87 were allowed). Cause: each relay decided by its own counters whether a call was a retry. Change: BackEndCall takes a CallRight to start, and only CallRights makes them (decide/call_rights). A request has one free call; the first prefill that an engine accepts, and a call that was not sent, give their right back; everything else is charged before it is sent. net/ asks before it sends a request again. A forwarded request carries the right to one call, which the sender pays if its own is used up, and goes back only if untouched. Why it works: no call starts without a right, and rights exist only for a request's first arrival, an accepted prefill's run, or a charge.

--- a/net/http.h
+++ b/net/http.h
@@ -251,6 +251,9 @@
   // one turns out to be closed before any byte of the response. Must be false
   // for requests that are not idempotent.
   bool retry_on_fresh_connection = true;
+  // Asked before that second write; it isn't made if this returns false. If
+  // empty, it is always made.
+  std::function<bool()> may_resend;
   // Whether a response without length or chunks is complete at an orderly close
   // of its connection.
   bool accept_close_delimited = false;
--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -385,8 +385,6 @@
 void CallState::OnClosed() {
   const auto self = shared_from_this();
   const State state = state_;
-  const bool retry =
-      pooled_ && !response_started_ && options_.retry_on_fresh_connection;
   const bool complete =
       state == State::kBody && options_.accept_close_delimited &&
       connection_->socket()->received_eof() && reader_->is_close_delimited();
@@ -394,6 +392,9 @@
     Complete(ResponseEnd::kClose, /*keep_connection=*/false);
     return;
   }
+  const bool retry = pooled_ && !response_started_ &&
+                     options_.retry_on_fresh_connection &&
+                     (!options_.may_resend || options_.may_resend());
   CloseConnection();
   if (retry) {
     // The back end may close a keep-alive connection at any time.
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -41,15 +41,19 @@
   return "?";
 }
 
-bool TryAcquireRetry(const RelayDeps& deps, const ServiceId& service,
-                     const RequestId& id, const char* kind) {
-  const bool acquired =
-      deps.retry_budget->TryAcquireRetry(service, deps.loop->Now()).has_value();
-  ++(acquired ? deps.counters->retries : deps.counters->retries_denied);
+namespace {
+
+// Counts and logs what was decided on a call that may be a retry.
+void RecordDecision(const RelayDeps& deps,
+                    const std::optional<CallRight>& right,
+                    const ServiceId& service, const RequestId& id,
+                    const char* kind) {
+  if (right && !right->is_charged()) return;
+  ++(right ? deps.counters->retries : deps.counters->retries_denied);
   const RetryBudget::State state =
       deps.retry_budget->GetState(service, deps.loop->Now());
   deps.log->Write(
-      LogLine(acquired ? "retry_charged" : "retry_denied")
+      LogLine(right ? "retry_charged" : "retry_denied")
           .Add("request", id.value())
           .Add("service", service.value())
           .Add("kind", kind)
@@ -57,7 +61,16 @@
           .Add("retries", static_cast<int64_t>(state.retries))
           .Add("allowed_pct", static_cast<int64_t>(100 * state.allowed))
           .Add("members", state.members));
-  return acquired;
+}
+
+}  // namespace
+
+std::optional<CallRight> AcquireCall(const RelayDeps& deps,
+                                     const RelayRequest& request,
+                                     const char* kind) {
+  auto right = request.rights->Acquire(deps.loop->Now());
+  RecordDecision(deps, right, request.service.id, request.caller.id, kind);
+  return right;
 }
 
 BackEndCall::BackEndCall(const RelayDeps& deps, const BackEndEntry& back_end,
@@ -71,8 +84,10 @@
 
 BackEndCall::~BackEndCall() { ReportOutcome(CallOutcome::kUnknown); }
 
-void BackEndCall::Start(HttpRequest request, const Options& options) {
+void BackEndCall::Start(HttpRequest request, const Options& options,
+                        CallRight right) {
   started_ = deps_.loop->Now();
+  right_ = std::move(right);
   internal_call_ = options.internal_call;
   kind_ = options.kind;
   deps_.selector->OnCallStarted(back_end_, size_);
@@ -85,6 +100,7 @@
   call_options.reuse_connection = true;
   call_options.max_idle = options.max_idle;
   call_options.retry_on_fresh_connection = options.retryable;
+  call_options.may_resend = [this] { return AcquireResend(); };
   call_options.accept_close_delimited = true;
   if (options.internal_call) {
     call_options.total_timeout = options.head_timeout;
@@ -104,10 +120,19 @@
   if (call_ != nullptr && outcome == CallOutcome::kFailed && !response_started_)
     deps_.reachability->RecordMiss(back_end_);
   silence_timer_.Cancel();
+  if (call_ != nullptr && !call_->sent()) right_->GiveBack();
   call_.reset();
   ReportOutcome(outcome);
 }
 
+bool BackEndCall::AcquireResend() {
+  auto right = right_->AcquireAnother(deps_.loop->Now());
+  RecordDecision(deps_, right, back_end_.service, id_, "resend");
+  if (!right) return false;
+  right_ = std::move(right);
+  return true;
+}
+
 void BackEndCall::ReportSilence() {
   deps_.selector->RecordOutcome(back_end_, CallOutcome::kFailed,
                                 deps_.loop->Now());
@@ -199,6 +224,7 @@
       failure == HttpFailure::kMalformed || failure == HttpFailure::kTooLarge;
   if (!is_invalid) deps_.reachability->RecordMiss(back_end_);
   if (!sent) {
+    right_->GiveBack();
     Fail(CallFailure::kNotSent, CallOutcome::kUnreachable);
   } else if (response_started_) {
     Fail(CallFailure::kTruncated, CallOutcome::kFailed);
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -8,10 +8,12 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "decide/back_end_selector.h"
+#include "decide/call_rights.h"
 #include "net/http.h"
 #include "serving/relay_deps.h"
 
@@ -36,11 +38,12 @@
 // A request is refused after this many back ends rejected it as not executed.
 inline constexpr int kMaxRejections = 3;
 
-// Takes one further call of a request from the fleet's retry budget. Returns
-// false if the budget is exhausted. Counts and logs the retry or the denial;
-// `kind` says what the call is for.
-bool TryAcquireRetry(const RelayDeps& deps, const ServiceId& service,
-                     const RequestId& id, const char* kind);
+// Returns the right to one more call of the request; nullopt if that is a retry
+// and the retry budget is exhausted. `kind` says what the call is for. Counts
+// and logs a retry or its denial.
+std::optional<CallRight> AcquireCall(const RelayDeps& deps,
+                                     const RelayRequest& request,
+                                     const char* kind);
 
 class BackEndCall : public HttpCallHandler {
  public:
@@ -65,8 +68,8 @@
   struct Options {
     // What the call is for, in log lines.
     const char* kind = "plain";
-    // Whether the request may be resent on a new connection if a kept-alive
-    // connection turns out to be closed.
+    // Whether the request may be resent on a new connection, as a retry, if a
+    // kept-alive connection turns out to be closed.
     bool retryable = false;
     // Longest idle time of a kept-alive connection that the call may use.
     Duration max_idle = std::chrono::seconds(4);
@@ -85,13 +88,16 @@
               const WorkSize& size, const RequestId& id, Handler* handler);
   ~BackEndCall() override;
 
-  void Start(HttpRequest request, const Options& options);
+  // `right` is given back if the call ends without having been sent.
+  void Start(HttpRequest request, const Options& options, CallRight right);
   // Ends the call and reports `outcome` for its back end, unless an outcome was
   // already reported. A call destroyed without it reports kUnknown.
   void Cancel(CallOutcome outcome);
 
   // Reports that a response is overdue. The call goes on.
   void ReportSilence();
+  // The response shows that the engine has accepted a prefill.
+  void MarkPrefillAccepted() { right_->OnPrefillAccepted(); }
   // Ends the call because of a response that is no use. The handler gets
   // OnCallFailed().
   void Reject();
@@ -123,6 +129,8 @@
   void RecordLeaving();
   // The back end asks to be sent nothing for `pause`; zero if it doesn't.
   void RecordPause(Duration pause);
+  // Returns whether the call may be sent once more.
+  bool AcquireResend();
   // Stops to read the body of a refusal.
   void EndRefusal();
   void FailRefused();
@@ -149,6 +157,7 @@
   TimerHandle silence_timer_;
   ResponseEnd response_end_ = ResponseEnd::kFraming;
   MonoTime started_{};
+  std::optional<CallRight> right_;  // Set by Start().
   std::unique_ptr<HttpCall> call_;
 };
 
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -178,6 +178,7 @@
     timeout = std::min(timeout, route->timeout);
   request->deadline = request->arrived + timeout;
   deps_->retry_budget->RecordRequest(service->id, request->arrived);
+  request->rights = CallRights::Create(deps_->retry_budget, service->id);
   if (request->customer.empty()) return true;
   return ChargeRateLimit(*customer, request, refusal);
 }
@@ -274,6 +275,8 @@
   request->route = *route;
   request->service = *service;
   request->customer = envelope->customer;
+  request->rights = CallRights::Create(deps_->retry_budget, service->id,
+                                       envelope->prefill_accepted);
   request->deadline = request->arrived + envelope->time_left;
   Refusal refusal;
   return AdmitForService(customer, request, &refusal) ? nullptr
--- a/serving/forward_relay.cc
+++ b/serving/forward_relay.cc
@@ -68,6 +68,7 @@
       const HelperExchange::Helper refusing = *helper_;
       // Later, since the call is on the stack.
       refusal_timer_ = deps_.loop->After(Duration::zero(), [this, refusing] {
+        right_->GiveBack();
         EndCall();
         deps_.helpers->RecordRefusal(request_.service.id, refusing);
         TryHelper();
@@ -107,6 +108,7 @@
     if (refused_) return;
     deps_.helpers->RecordFailure(*helper_);
     const int attempts = sent ? ++attempts_ : attempts_;
+    if (!sent) right_->GiveBack();
     if (streaming_) {
       exchange_->Abort();
       Finish(0, "answer_cut");
@@ -114,9 +116,7 @@
     }
     const bool may_repeat =
         !sent || (request_.route.retry_policy == RetryPolicy::kIdempotent &&
-                  attempts < request_.route.max_attempts &&
-                  TryAcquireRetry(deps_, request_.service.id,
-                                  request_.caller.id, "forward"));
+                  attempts < request_.route.max_attempts);
     // Later, since the call is on the stack.
     if (may_repeat) {
       refusal_timer_ = deps_.loop->After(Duration::zero(), [this] {
@@ -150,6 +150,12 @@
           deps_.loop->After(kHelperPollInterval, [this] { TryHelper(); });
       return;
     }
+    right_ = AcquireCall(deps_, request_, "forward");
+    if (!right_) {
+      budget_exhausted_ = true;
+      FinishUnanswered();
+      return;
+    }
     tried_.insert(helper->name);
     ++result_.calls;
     result_.helper = helper->name;
@@ -159,6 +165,7 @@
     envelope.customer = request_.customer;
     envelope.service = request_.service.id;
     envelope.time_left = request_.deadline - now;
+    envelope.prefill_accepted = request_.rights->prefill_accepted();
     HttpRequest http = request_.caller.http;
     WriteForwardEnvelope(envelope, &http.headers);
     HttpCallOptions options;
@@ -170,6 +177,10 @@
     options.max_idle = kMaxIdle;
     options.retry_on_fresh_connection =
         request_.route.retry_policy == RetryPolicy::kIdempotent;
+    options.may_resend = [this] {
+      right_ = AcquireCall(deps_, request_, "forward");
+      return right_.has_value();
+    };
     helper_ = helper;
     deps_.helpers->OnRequestStarted(*helper);
     call_ = deps_.client->Start(options, std::move(http), this);
@@ -219,7 +230,7 @@
     if (attempts_ > 0) {
       Respond(EmptyResponse(kStatusBadGateway), "lost");
     } else {
-      Refuse("no_back_end");
+      Refuse(budget_exhausted_ ? "retry_budget" : "no_back_end");
     }
   }
 
@@ -259,7 +270,9 @@
   HttpResponse response_;  // Received so far.
   bool streaming_ = false;
   bool refused_ = false;  // By the current helper.
-  int attempts_ = 0;      // Ended calls whose request may have run.
+  bool budget_exhausted_ = false;
+  std::optional<CallRight> right_;  // Of the last call.
+  int attempts_ = 0;                // Ended calls whose request may have run.
   MonoTime wait_until_{};
   TimerHandle deadline_timer_;
   TimerHandle wait_timer_;
--- a/serving/forwarded_request.cc
+++ b/serving/forwarded_request.cc
@@ -14,6 +14,7 @@
 constexpr char kCustomer[] = "Mimosa-Forward-Customer";
 constexpr char kService[] = "Mimosa-Forward-Service";
 constexpr char kTimeLeft[] = "Mimosa-Forward-Time-Left-Ms";
+constexpr char kPrefillAccepted[] = "Mimosa-Forward-Prefill-Accepted";
 constexpr char kRefused[] = "Mimosa-Forward-Refused";
 
 // Removes the field. Returns its value, empty if there is none.
@@ -37,6 +38,8 @@
   headers->Set(kCustomer, envelope.customer.value());
   headers->Set(kService, envelope.service.value());
   headers->Set(kTimeLeft, std::to_string(ToMillis(envelope.time_left)));
+  // Also when it is unset: a caller may have sent the field.
+  headers->Set(kPrefillAccepted, envelope.prefill_accepted ? "1" : "0");
 }
 
 std::optional<ForwardEnvelope> TakeForwardEnvelope(HttpHeaders* headers) {
@@ -45,6 +48,7 @@
   envelope.recipient = TakeField(kRecipient, headers);
   envelope.customer = CustomerId(TakeField(kCustomer, headers));
   envelope.service = ServiceId(TakeField(kService, headers));
+  envelope.prefill_accepted = TakeField(kPrefillAccepted, headers) == "1";
   const std::string time_left = TakeField(kTimeLeft, headers);
   int64_t millis = 0;
   const char* const end = time_left.data() + time_left.size();
--- a/serving/forwarded_request.h
+++ b/serving/forwarded_request.h
@@ -25,6 +25,9 @@
   CustomerId customer;    // Empty on a route without authentication.
   ServiceId service;
   Duration time_left{};
+  // The request has had its free prefill. One call of it is free in any case:
+  // the sender has paid for it.
+  bool prefill_accepted = false;
 };
 
 // Returns what identifies one start of a member.
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -145,11 +145,9 @@
       Finish(0, "answer_cut");
       return;
     }
-    if (failure == CallFailure::kNotSent) {
-      --sent_calls_;
-    } else if (failure == CallFailure::kNotExecuted) {
+    if (failure == CallFailure::kNotExecuted) {
       ++rejections_;
-    } else {
+    } else if (failure != CallFailure::kNotSent) {
       ++may_have_run_;
     }
     if (!attempts_.empty()) return;
@@ -211,14 +209,14 @@
     query.exclude = &tried_back_ends_;
     const BackEndEntry* selected = deps_.selector->SelectBackEnd(query, now);
     if (selected == nullptr) return false;
-    if (sent_calls_ > 0 && !TryAcquireRetry(deps_, request_.service.id,
-                                            request_.caller.id, "plain")) {
+    auto right =
+        AcquireCall(deps_, request_, attempts_.empty() ? "run" : "hedge");
+    if (!right) {
       budget_exhausted_ = true;
       return false;
     }
     const BackEndEntry back_end = *selected;
     tried_back_ends_.insert(back_end.id);
-    ++sent_calls_;
     ++result_.calls;
     auto attempt = std::make_unique<Attempt>();
     attempt->call = std::make_unique<BackEndCall>(deps_, back_end, WorkSize{},
@@ -235,7 +233,8 @@
     options.idle_timeout = params.time_left;
     BackEndCall* const call = attempt->call.get();
     attempts_.push_back(std::move(attempt));
-    call->Start(deps_.format->WriteCall(request_.caller, params), options);
+    call->Start(deps_.format->WriteCall(request_.caller, params), options,
+                *std::move(right));
     return true;
   }
 
@@ -430,7 +429,6 @@
   Attempt* streaming_ = nullptr;  // Its response is streamed to the caller.
   // A server error, sent if no retry succeeds.
   std::unique_ptr<HttpResponse> error_response_;
-  int sent_calls_ = 0;  // Calls of which a byte was sent.
   int rejections_ = 0;
   int may_have_run_ = 0;  // Finished calls whose request may have run.
   bool budget_exhausted_ = false;
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -11,6 +11,7 @@
 #include "base/line_log.h"
 #include "base/random.h"
 #include "decide/back_end_selector.h"
+#include "decide/call_rights.h"
 #include "decide/reservation_retry_policy.h"
 #include "decide/retry_budget.h"
 #include "decide/shutdown_policy.h"
@@ -86,6 +87,8 @@
   RequestFingerprint fingerprint;
   // What would be at fault if the request crashed an engine.
   std::vector<CrashSuspectId> crash_suspects;
+  // Shared with the calls in progress.
+  std::shared_ptr<CallRights> rights;
   MonoTime arrived{};
   MonoTime deadline{};  // A later response is of no use to the caller.
 };
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -177,7 +177,7 @@
       return;
     }
     if (stage_ == Stage::kPrefill) {
-      OnPrefillResponse(back_end);
+      OnPrefillResponse(call);
       return;
     }
     result_.response_end = call->response_end();
@@ -228,7 +228,6 @@
       return;
     }
     if (failure == CallFailure::kNotSent) {
-      --sent_runs_;
       ReleaseReservation();
       StartStages();
     } else if (failure == CallFailure::kNotExecuted) {
@@ -404,13 +403,17 @@
                                           request_.caller.id, this);
     call_->Start(deps_.format->WriteReserve(engine.id, size_.total,
                                             ReservationLifetime()),
-                 options);
+                 options, CallRight::ForControlCall());
   }
 
   // Whether another daemon may serve the request, since this one reaches no
-  // engine and the request has run nowhere.
+  // engine and the request has run nowhere. A forwarded one goes back only if
+  // no engine has got it.
   bool MayHandOver() {
-    return IsCutOff() && !exchange_->response_started() && may_have_run_ == 0 &&
+    const bool is_untouched =
+        request_.rights->has_free_call() && prefills_ == 0;
+    return (request_.forwarded_by.empty() || is_untouched) && IsCutOff() &&
+           !exchange_->response_started() && may_have_run_ == 0 &&
            silent_run_ == nullptr && !is_trial_;
   }
 
@@ -593,16 +596,6 @@
     return query;
   }
 
-  // Acquires one call to an engine. Returns false if it is a retry and the
-  // retry budget is exhausted; the first call needs no budget.
-  bool TryAcquireCall(bool is_retry) {
-    if (!is_retry || TryAcquireRetry(deps_, request_.service.id,
-                                     request_.caller.id, StageName(stage_)))
-      return true;
-    budget_exhausted_ = true;
-    return false;
-  }
-
   // Returns false if no healthy prefill engine is available or the retry budget
   // is exhausted.
   bool TryPrefill() {
@@ -616,7 +609,9 @@
       query.software_version = reservation_->engine.software_version;
     if (!deps_.selector->HasHealthyCandidate(query, now)) return false;
     const BackEndEntry* selected = deps_.selector->SelectBackEnd(query, now);
-    if (selected == nullptr || !TryAcquireCall(prefills_ > 0)) return false;
+    if (selected == nullptr) return false;
+    auto right = AcquireCall(deps_, request_, "prefill");
+    if (!right) return false;
     const BackEndEntry engine = *selected;
     tried_prefill_engines_.insert(engine.id);
     stage_ = Stage::kPrefill;
@@ -634,11 +629,13 @@
     options.idle_timeout = options.head_timeout;
     prefill_engine_idle_ = deps_.selector->IsIdle(engine.id);
     prefill_started_at_ = now;
-    StartCall(engine, params, options);
+    StartCall(engine, params, options, *std::move(right));
     return true;
   }
 
-  void OnPrefillResponse(const BackEndEntry& engine) {
+  // `call` has ended.
+  void OnPrefillResponse(BackEndCall* call) {
+    const BackEndEntry& engine = call->back_end();
     if (IsSuccess(response_.status)) {
       kv_handle_ = deps_.format->ReadPrefillResponse({engine.ip, engine.port},
                                                      response_.body);
@@ -649,6 +646,7 @@
       OnPrefillFailed();
       return;
     }
+    call->MarkPrefillAccepted();
     prefill_engine_ = engine;
     kv_handle_created_at_ = deps_.loop->Now();
     result_.time_to_prefill = kv_handle_created_at_ - request_.arrived;
@@ -694,13 +692,18 @@
     const BackEndEntry* selected =
         reservation_ ? &reservation_->engine
                      : deps_.selector->SelectBackEnd(query, now);
-    if (selected == nullptr || !TryAcquireCall(sent_runs_ > 0)) {
+    if (selected == nullptr) {
+      FinishUnanswered();
+      return;
+    }
+    auto right = AcquireCall(deps_, request_, "run");
+    if (!right) {
+      budget_exhausted_ = true;
       FinishUnanswered();
       return;
     }
     const BackEndEntry engine = *selected;
     tried_decode_engines_.insert(engine.id);
-    ++sent_runs_;
     BackEndCallParams params = MakeCallParams(engine);
     params.kv_handle = kv_handle_;
     params.last_event_id = last_event_id_;
@@ -710,7 +713,7 @@
     options.max_idle = kMaxIdleNonIdempotent;
     options.head_timeout = params.time_left;
     options.idle_timeout = params.time_left;
-    StartCall(engine, params, options);
+    StartCall(engine, params, options, *std::move(right));
     // From now on the call counts as open at the engine instead of the
     // reservation.
     ClearReservation();
@@ -906,11 +909,7 @@
   // Cancels what the relay does to replace the silent run.
   void CancelReplacement() {
     if (call_ != nullptr && stage_ == Stage::kRun) {
-      if (call_->is_unanswered() || call_->response_started()) {
-        ++may_have_run_;
-      } else {
-        --sent_runs_;
-      }
+      if (call_->is_unanswered() || call_->response_started()) ++may_have_run_;
     }
     CancelCall(CallOutcome::kUnknown);
   }
@@ -1110,13 +1109,14 @@
   }
 
   void StartCall(const BackEndEntry& engine, const BackEndCallParams& params,
-                 const BackEndCall::Options& options) {
+                 const BackEndCall::Options& options, CallRight right) {
     ++result_.calls;
     paused_for_reader_ = false;
     result_.back_end = engine.id;
     call_ = std::make_unique<BackEndCall>(deps_, engine, size_,
                                           request_.caller.id, this);
-    call_->Start(deps_.format->WriteCall(request_.caller, params), options);
+    call_->Start(deps_.format->WriteCall(request_.caller, params), options,
+                 std::move(right));
   }
 
   void CancelCall(CallOutcome outcome) {
@@ -1187,7 +1187,6 @@
   // Id of the last event that the caller has received.
   std::optional<int64_t> last_event_id_;
   int prefills_ = 0;
-  int sent_runs_ = 0;     // Runs of which a byte was sent.
   int rejections_ = 0;    // Rejected runs.
   int may_have_run_ = 0;  // Finished calls whose request may have run.
   bool budget_exhausted_ = false;
