A restarted daemon doesn't spend the retry budget again

What callers' services saw: more retries than the budget allows while daemons restart (230 where 84 were allowed; at the plain service 255 / 220). Cause: a process had its whole share of the slack as soon as it started, and earned retries from its first request, although what its predecessor had spent still counted in the window. Change: a process has no share of the slack until a window, and the time in which the others learn of it, have passed since its record was listed (decide/even_share). Until its predecessor's retries have left the window it uses, of what its requests earn, only the part that daemons leave unused otherwise (RetryBudget::SetStart). Why it works: what the requests of two or more processes earn in one window is at most the used part once and the unused part once. Result: serving_decisions_test passes with restarts each 2 to 12 s.

--- a/decide/retry_budget.cc
+++ b/decide/retry_budget.cc
@@ -1,8 +1,6 @@
 // Counts requests and retries in buckets of a sliding window.
 #include "decide/retry_budget.h"
 
-#include <algorithm>
-
 namespace mimosa {
 
 int64_t RetryBudget::BucketNumber(MonoTime now) const {
@@ -24,12 +22,17 @@
   BucketAt(service, BucketNumber(now))->requests += 1;
 }
 
+bool RetryBudget::MayHavePredecessor(MonoTime now) const {
+  constexpr int kBuckets = static_cast<int>(kBucketsPerWindow);
+  return started_at_ &&
+         now < *started_at_ + options_.window + options_.window / kBuckets;
+}
+
 RetryBudget::State RetryBudget::GetState(const ServiceId& service,
                                          MonoTime now) const {
   const int64_t oldest =
       BucketNumber(now) - static_cast<int64_t>(kBucketsPerWindow);
   State state;
-  state.members = member_count_;
   const auto found = buckets_by_service_.find(service);
   if (found != buckets_by_service_.end()) {
     for (const Bucket& bucket : found->second) {
@@ -38,9 +41,13 @@
       if (bucket.number > oldest) state.requests += bucket.requests;
     }
   }
-  state.allowed =
-      options_.usable_share * (options_.ratio * state.requests +
-                               options_.slack / std::max(1, member_count_));
+  double usable_share = options_.usable_share;
+  if (MayHavePredecessor(now)) {
+    usable_share = 1 - options_.usable_share;
+  } else {
+    state.slack = usable_share * options_.slack * (share_ ? share_(now) : 1.0);
+  }
+  state.allowed = usable_share * options_.ratio * state.requests + state.slack;
   return state;
 }
 
--- a/decide/retry_budget.h
+++ b/decide/retry_budget.h
@@ -3,10 +3,14 @@
 // Model: within any window the retries of the fleet to a service are limited to
 // `ratio` times the callers' requests for it, plus a fixed slack. The first
 // attempt of each request doesn't count. Each daemon earns the ratio from its
-// own callers' requests and gets an equal share of the slack. This needs no
-// communication, and the sum over the daemons stays within the limit whatever
-// they know of each other. A share of the limit is left unused for members that
-// join and leave within one window.
+// own callers' requests and gets an equal share of the slack (see
+// decide/even_share.h). This needs no communication, and the sum over the
+// daemons stays within the limit whatever they know of each other. A part of
+// the limit is left unused, since calls arrive later than they are charged.
+//
+// A process doesn't know what its predecessor has spent. Until that has left
+// the window it uses no slack, and of what its requests earn only the part that
+// the predecessor has left unused.
 //
 // Load pattern covered: engines that reject or fail requests for seconds during
 // a burst. Without a limit, the retries would keep them overloaded.
@@ -14,8 +18,10 @@
 #define DECIDE_RETRY_BUDGET_H_
 
 #include <array>
+#include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -29,17 +35,21 @@
     double ratio = 0.2;
     double slack = 50;  // retries of the whole fleet, per window
     Duration window = std::chrono::seconds(10);
-    // Share of the limit that is used. The rest is left for daemons that are
-    // replaced within a window.
+    // Part of the limit that is used. The rest covers the time between charge
+    // and arrival, and members that join.
     double usable_share = 0.8;
   };
 
-  explicit RetryBudget(const Options& options) : options_(options) {}
+  // Returns this daemon's share of the slack at that time, from 0 to 1.
+  using ShareSource = std::function<double(MonoTime now)>;
+
+  // Without `share`, the daemon has the whole slack.
+  explicit RetryBudget(const Options& options, ShareSource share = {})
+      : options_(options), share_(std::move(share)) {}
 
   void SetOptions(const Options& options) { options_ = options; }
-  // Sets the number of daemons that share the slack, including this one. At
-  // least 1.
-  void SetMemberCount(int members) { member_count_ = members; }
+  // The process has started at that time, and may have a predecessor.
+  void SetStart(MonoTime started_at) { started_at_ = started_at; }
 
   // Records that a caller's request for the service arrived.
   void RecordRequest(const ServiceId& service, MonoTime now);
@@ -58,7 +68,7 @@
     double requests = 0;
     double retries = 0;
     double allowed = 0;  // retries
-    int members = 1;     // that share the slack
+    double slack = 0;    // part of `allowed` that needs no requests
   };
   State GetState(const ServiceId& service, MonoTime now) const;
   // The services with requests or retries so far.
@@ -79,8 +89,11 @@
   Bucket* BucketAt(const ServiceId& service, int64_t number);
   int64_t BucketNumber(MonoTime now) const;
 
+  bool MayHavePredecessor(MonoTime now) const;
+
   Options options_;
-  int member_count_ = 1;
+  ShareSource share_;  // May be empty.
+  std::optional<MonoTime> started_at_;
   std::map<ServiceId, Buckets> buckets_by_service_;
 };
 
--- a/decide/serving_decisions_test.cc
+++ b/decide/serving_decisions_test.cc
@@ -337,8 +337,9 @@
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     SeededRandom random(seed);
     constexpr int kDaemons = 4;
-    std::vector<RetryBudget> fleet(kDaemons, RetryBudget(options));
-    for (RetryBudget& budget : fleet) budget.SetMemberCount(kDaemons);
+    std::vector<RetryBudget> fleet(
+        kDaemons,
+        RetryBudget(options, [](MonoTime /*now*/) { return 1.0 / kDaemons; }));
     std::vector<int> requests;
     std::vector<int> retries;
     for (int ms = 0; ms < 40000; ++ms) {
@@ -369,6 +370,37 @@
   }
 }
 
+// Each process spends all it may; requests come evenly, and all retries at the
+// end of each second.
+TEST_CASE("the retries of restarted processes stay within the limit") {
+  RetryBudget::Options options;
+  options.ratio = 0.2;
+  options.slack = 40;
+  options.window = seconds(10);
+  const ServiceId service("s");
+  for (const int gap_s : {2, 5, 9, 12}) {
+    RetryBudget budget(options);  // Established.
+    std::vector<int> retries;
+    for (int s = 0; s < 60; ++s) {
+      const bool restarts = s >= 20 && (s - 20) % gap_s == 0 && s < 45;
+      if (restarts) {
+        budget = RetryBudget(options);
+        budget.SetStart(At(s * 1000));
+      }
+      for (int i = 0; i < 100; ++i) budget.RecordRequest(service, At(s * 1000));
+      while (s >= 19 && budget.TryAcquireRetry(service, At(s * 1000 + 999)))
+        retries.push_back(s);
+    }
+    for (int from = 0; from <= 50; ++from) {
+      const auto within =
+          std::count_if(retries.begin(), retries.end(),
+                        [from](int s) { return s >= from && s < from + 10; });
+      INFO("restarts each " << gap_s << " s, window from " << from);
+      CHECK(within <= 0.2 * 1000 + 40);
+    }
+  }
+}
+
 // --- Reservation retries ----------------------------------------------------
 
 WaitingRequest Waiting(int waited_ms, int left_ms) {
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -60,7 +60,7 @@
           .Add("requests", static_cast<int64_t>(state.requests))
           .Add("retries", static_cast<int64_t>(state.retries))
           .Add("allowed_pct", static_cast<int64_t>(100 * state.allowed))
-          .Add("members", state.members));
+          .Add("slack_pct", static_cast<int64_t>(100 * state.slack)));
 }
 
 }  // namespace
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -20,6 +20,7 @@
 #include "base/text.h"
 #include "decide/back_end_list.h"
 #include "decide/back_end_selector.h"
+#include "decide/even_share.h"
 #include "decide/replicated_rate_limiter.h"
 #include "decide/retry_budget.h"
 #include "decide/traffic_boundaries.h"
@@ -94,11 +95,21 @@
   return longest;
 }
 
+Duration RetryBudgetWindow(const wire::EntrySettings& settings) {
+  return FromSeconds(std::max(1.0, settings.retry_budget_window_s()));
+}
+
 RetryBudget::Options RetryBudgetOptions(const wire::EntrySettings& settings) {
   RetryBudget::Options options;
   options.ratio = settings.retry_budget_ratio();
   options.slack = settings.retry_budget_slack();
-  options.window = FromSeconds(std::max(1.0, settings.retry_budget_window_s()));
+  options.window = RetryBudgetWindow(settings);
+  return options;
+}
+
+EvenShare::Options RetryShareOptions(const wire::EntrySettings& settings) {
+  EvenShare::Options options;
+  options.window = RetryBudgetWindow(settings);
   return options;
 }
 
@@ -166,7 +177,9 @@
         store_(platform.open_store(client_.get(),
                                    ParseEndpointOrDefault(settings.store()),
                                    &metrics_)),
-        retry_budget_(RetryBudgetOptions(settings)),
+        retry_share_(settings.name(), RetryShareOptions(settings)),
+        retry_budget_(RetryBudgetOptions(settings),
+                      [this](MonoTime now) { return retry_share_.Get(now); }),
         reservation_retry_(ReservationRetryPolicy::Options{}, &random_),
         rate_limiter_(RateLimiterOptions(settings), &random_),
         releaser_(loop_.get(), client_.get(), platform.request_format),
@@ -229,6 +242,7 @@
             [this](const std::string& path) { return ReadyResponse(path); }),
         control_handler_(
             [this](const std::string& path) { return ControlResponse(path); }) {
+    retry_budget_.SetStart(loop_->Now());
     AddMetrics();
   }
 
@@ -418,17 +432,23 @@
       } else {
         usage_exchange_.OnMembersChanged();
       }
-      SetRetryMembers(members_.size());
+      UpdateRetryShare(member, record != nullptr);
     }
   }
 
-  void SetRetryMembers(int members) {
-    if (members != retry_members_)
-      log_.Write(LogLine("retry_members")
-                     .Add("members", members)
-                     .Add("previous", retry_members_));
-    retry_members_ = members;
-    retry_budget_.SetMemberCount(members);
+  void UpdateRetryShare(const std::string& member, bool is_listed) {
+    const MonoTime now = loop_->Now();
+    const int previous = retry_share_.CountMembers();
+    if (is_listed) {
+      retry_share_.OnMember(member, now);
+    } else {
+      retry_share_.OnMemberGone(member);
+    }
+    const int members = retry_share_.CountMembers();
+    if (members == previous) return;
+    log_.Write(LogLine("retry_members")
+                   .Add("members", members)
+                   .Add("previous", previous));
   }
 
   // Returns nullopt while the store is unreachable, so that no orders are sent:
@@ -492,7 +512,7 @@
       item["requests"] = state.requests;
       item["retries"] = state.retries;
       item["allowed"] = state.allowed;
-      item["members"] = state.members;
+      item["slack"] = state.slack;
       list->append(item);
     }
   }
@@ -557,6 +577,8 @@
       item["level"] = rate_limiter_.BucketLevel(customer.id, now);
       customers.append(item);
     }
+    status["retry_members"] = retry_share_.CountMembers();
+    status["retry_share"] = retry_share_.Get(now);
     AddRetryBudgets(now, &status["retry_budgets"]);
     status["usage_age_ms"] =
         Json::Int64(ToMillis(rate_limiter_.ReportAge(now)));
@@ -582,6 +604,7 @@
     settings_.set_retry_budget_slack(settings->retry_budget_slack());
     settings_.set_retry_budget_window_s(settings->retry_budget_window_s());
     retry_budget_.SetOptions(RetryBudgetOptions(settings_));
+    retry_share_.SetWindow(RetryBudgetWindow(settings_));
     // Whoever sends SIGKILL may go by either of the two.
     if (leaving_) {
       abort_at_ = std::min(abort_at_, AbortTime());
@@ -673,8 +696,8 @@
   const std::unique_ptr<HttpClient> client_;
   const std::unique_ptr<KvStore> store_;
   BackEndList back_ends_;
+  EvenShare retry_share_;  // Of the slack of retry_budget_.
   RetryBudget retry_budget_;
-  int retry_members_ = 1;  // That share the slack of retry_budget_.
   ReservationRetryPolicy reservation_retry_;
   ReplicatedRateLimiter rate_limiter_;
   EngineMemoryReleaser releaser_;
--- a/tests/retry_budget_process_test.cc
+++ b/tests/retry_budget_process_test.cc
@@ -104,6 +104,7 @@
     for (int i = 0; i < kDaemons; ++i) AddDaemon("entry-" + std::to_string(i));
     for (size_t i = 0; i < kDaemons; ++i) AwaitReady(i);
     AwaitMembers();
+    AwaitSlack();
   }
   ~BudgetSite() { StopCallers(); }
 
@@ -232,6 +233,20 @@
     daemons_.push_back(std::move(daemon));
   }
 
+  // Waits until all daemons may use their shares of the slack.
+  void AwaitSlack() {
+    REQUIRE(Eventually(
+        [&] {
+          return std::all_of(daemons_.begin(), daemons_.end(),
+                             [](const auto& daemon) {
+                               return GetJson(daemon->settings.control_port(),
+                                              "/status")["retry_share"]
+                                          .asDouble() > 0;
+                             });
+        },
+        Seconds(60)));
+  }
+
   // Waits until all daemons know one another.
   void AwaitMembers() {
     REQUIRE(Eventually([&] {
