Members whose records are gone keep their part of the retry budget

What callers' services saw: more retries than the budget allows while the store drops the daemons' records (207 where 86 were allowed). Cause: the slack was divided by the members listed at the moment. Records go when leases lapse, although their daemons go on: each daemon then divided by too few, and one that had just started by one. Change: a member counts until it can't use its share any more, and a daemon uses its share only while its own record is seen, and for a memory of 10 s after that. One that is new, or that the others may have forgotten, waits for memory, window and spread; until then it uses a tenth of what it would have, which two starts of all daemons in one window leave within the limit. The log of the divisor (retry_members) shows that it stays. The test of the budget in every window takes its shares from EvenShare; its bound is the same. Three cases of entry_process_test wait until the daemons may retry: with all retries of a start charged, a stream isn't resumed before. Result: the nine related tests pass. A daemon retries nothing for 5 s after its start and little for 25 s.

--- a/decide/retry_budget.cc
+++ b/decide/retry_budget.cc
@@ -28,6 +28,16 @@
          now < *started_at_ + options_.window + options_.window / kBuckets;
 }
 
+double RetryBudget::SlackPart(MonoTime now) const {
+  const EvenShare::Standing standing = share_ == nullptr
+                                           ? EvenShare::Standing::kEstablished
+                                           : share_->GetStanding(now);
+  const bool is_established =
+      standing == EvenShare::Standing::kEstablished && !MayHavePredecessor(now);
+  return (is_established ? options_.usable_share : options_.starting_share) *
+         (share_ == nullptr ? 1 : share_->Get(now));
+}
+
 RetryBudget::State RetryBudget::GetState(const ServiceId& service,
                                          MonoTime now) const {
   const int64_t oldest =
@@ -41,13 +51,11 @@
       if (bucket.number > oldest) state.requests += bucket.requests;
     }
   }
-  double usable_share = options_.usable_share;
-  if (MayHavePredecessor(now)) {
-    usable_share = 1 - options_.usable_share;
-  } else {
-    state.slack = usable_share * options_.slack * (share_ ? share_(now) : 1.0);
-  }
-  state.allowed = usable_share * options_.ratio * state.requests + state.slack;
+  state.slack = SlackPart(now) * options_.slack;
+  state.allowed = (MayHavePredecessor(now) ? options_.starting_share
+                                           : options_.usable_share) *
+                      options_.ratio * state.requests +
+                  state.slack;
   return state;
 }
 
--- a/decide/retry_budget.h
+++ b/decide/retry_budget.h
@@ -9,8 +9,8 @@
 // the limit is left unused, since calls arrive later than they are charged.
 //
 // A process doesn't know what its predecessor has spent. Until that has left
-// the window it uses no slack, and of what its requests earn only the part that
-// the predecessor has left unused.
+// the window it uses a small part of what its requests earn and of its slack,
+// which daemons leave unused otherwise.
 //
 // Load pattern covered: engines that reject or fail requests for seconds during
 // a burst. Without a limit, the retries would keep them overloaded.
@@ -18,13 +18,12 @@
 #define DECIDE_RETRY_BUDGET_H_
 
 #include <array>
-#include <functional>
 #include <map>
 #include <optional>
-#include <utility>
 #include <vector>
 
 #include "base/clock.h"
+#include "decide/even_share.h"
 #include "decide/site.h"
 
 namespace mimosa {
@@ -36,16 +35,17 @@
     double slack = 50;  // retries of the whole fleet, per window
     Duration window = std::chrono::seconds(10);
     // Part of the limit that is used. The rest covers the time between charge
-    // and arrival, and members that join.
+    // and arrival, and processes that have just started.
     double usable_share = 0.8;
+    // Part that a process uses after its start. Two starts of all daemons
+    // within one window stay within the limit.
+    double starting_share = 0.1;
   };
 
-  // Returns this daemon's share of the slack at that time, from 0 to 1.
-  using ShareSource = std::function<double(MonoTime now)>;
-
-  // Without `share`, the daemon has the whole slack.
-  explicit RetryBudget(const Options& options, ShareSource share = {})
-      : options_(options), share_(std::move(share)) {}
+  // Without `share`, the daemon has the whole slack. Otherwise `share` must
+  // outlive the budget.
+  explicit RetryBudget(const Options& options, const EvenShare* share = nullptr)
+      : options_(options), share_(share) {}
 
   void SetOptions(const Options& options) { options_ = options; }
   // The process has started at that time, and may have a predecessor.
@@ -90,9 +90,11 @@
   int64_t BucketNumber(MonoTime now) const;
 
   bool MayHavePredecessor(MonoTime now) const;
+  // Returns the part of the fleet's slack that this daemon may use.
+  double SlackPart(MonoTime now) const;
 
   Options options_;
-  ShareSource share_;  // May be empty.
+  const EvenShare* share_;  // May be null.
   std::optional<MonoTime> started_at_;
   std::map<ServiceId, Buckets> buckets_by_service_;
 };
--- a/decide/serving_decisions_test.cc
+++ b/decide/serving_decisions_test.cc
@@ -337,12 +337,15 @@
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     SeededRandom random(seed);
     constexpr int kDaemons = 4;
-    std::vector<RetryBudget> fleet(
-        kDaemons,
-        RetryBudget(options, [](MonoTime /*now*/) { return 1.0 / kDaemons; }));
+    EvenShare share("0", EvenShare::Options{});
+    for (int i = 0; i < kDaemons; ++i)
+      share.OnMember(std::to_string(i), MonoTime(seconds(-100)));
+    for (int s = -90; s < 0; s += 10) share.OnContact(At(s * 1000));
+    std::vector<RetryBudget> fleet(kDaemons, RetryBudget(options, &share));
     std::vector<int> requests;
     std::vector<int> retries;
     for (int ms = 0; ms < 40000; ++ms) {
+      share.OnContact(At(ms));
       RetryBudget& budget = fleet[random.UniformInt(kDaemons)];
       // Low load, a burst, and low load again; every request asks for two
       // retries.
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -178,8 +178,7 @@
                                    ParseEndpointOrDefault(settings.store()),
                                    &metrics_)),
         retry_share_(settings.name(), RetryShareOptions(settings)),
-        retry_budget_(RetryBudgetOptions(settings),
-                      [this](MonoTime now) { return retry_share_.Get(now); }),
+        retry_budget_(RetryBudgetOptions(settings), &retry_share_),
         reservation_retry_(ReservationRetryPolicy::Options{}, &random_),
         rate_limiter_(RateLimiterOptions(settings), &random_),
         releaser_(loop_.get(), client_.get(), platform.request_format),
@@ -280,6 +279,8 @@
         [this](const std::string& name, const KvRecord* record) {
           OnRecord(name, record);
         });
+    site_sync_.SetContactObserver(
+        [this] { retry_share_.OnContact(loop_->Now()); });
     site_sync_.SetEvacuationObserver(
         [this](const std::set<FailureDomain>& evacuated) {
           OnEvacuation(evacuated);
@@ -438,13 +439,13 @@
 
   void UpdateRetryShare(const std::string& member, bool is_listed) {
     const MonoTime now = loop_->Now();
-    const int previous = retry_share_.CountMembers();
+    const int previous = retry_share_.CountMembers(now);
     if (is_listed) {
       retry_share_.OnMember(member, now);
     } else {
-      retry_share_.OnMemberGone(member);
+      retry_share_.OnMemberGone(member, now);
     }
-    const int members = retry_share_.CountMembers();
+    const int members = retry_share_.CountMembers(now);
     if (members == previous) return;
     log_.Write(LogLine("retry_members")
                    .Add("members", members)
@@ -577,8 +578,10 @@
       item["level"] = rate_limiter_.BucketLevel(customer.id, now);
       customers.append(item);
     }
-    status["retry_members"] = retry_share_.CountMembers();
+    status["retry_members"] = retry_share_.CountMembers(now);
     status["retry_share"] = retry_share_.Get(now);
+    status["retry_share_established"] =
+        retry_share_.GetStanding(now) == EvenShare::Standing::kEstablished;
     AddRetryBudgets(now, &status["retry_budgets"]);
     status["usage_age_ms"] =
         Json::Int64(ToMillis(rate_limiter_.ReportAge(now)));
--- a/serving/site_sync.cc
+++ b/serving/site_sync.cc
@@ -111,6 +111,7 @@
 void SiteSync::OnStoreRegained() {
   const MonoTime now = loop_->Now();
   last_contact_ = now;
+  if (on_contact_) on_contact_();
   if (!store_lost_) return;
   store_lost_ = false;
   back_ends_->OnStoreRegained(now);
--- a/serving/site_sync.h
+++ b/serving/site_sync.h
@@ -58,6 +58,10 @@
            const Options& options);
   ~SiteSync();
 
+  // Called at each response of the store, before what it has changed.
+  void SetContactObserver(std::function<void()> observer) {
+    on_contact_ = std::move(observer);
+  }
   void SetConfigObserver(ConfigObserver observer) {
     on_config_ = std::move(observer);
   }
@@ -110,6 +114,7 @@
   LineLog* const log_;
   BackEndList* const back_ends_;
   const Options options_;
+  std::function<void()> on_contact_;
   ConfigObserver on_config_;
   RecordObserver on_record_;
   std::function<void()> on_back_ends_;
--- a/tests/entry_process_test.cc
+++ b/tests/entry_process_test.cc
@@ -3,6 +3,7 @@
 // with failures of each.
 #include <signal.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <fstream>
 #include <map>
@@ -129,6 +130,18 @@
     REQUIRE(serving);
   }
 
+  // Waits until all daemons may retry calls: they don't right after a start.
+  void AwaitRetryShares() const {
+    REQUIRE(Eventually([&] {
+      return std::all_of(entries_.begin(), entries_.end(),
+                         [](const auto& entry) {
+                           return GetJson(entry->settings.control_port(),
+                                          "/status")["retry_share"]
+                                      .asDouble() > 0;
+                         });
+    }));
+  }
+
   void SetBehavior(const std::string& server, const Json::Value& members) {
     Request request;
     request.method = "POST";
@@ -235,6 +248,7 @@
     "a resumable stream whose engine fails continues on another without a "
     "gap") {
   Site site;
+  site.AwaitRetryShares();
   for (const char* id : {"d1", "d2"})
     site.SetBehavior(id, MakeObject("abort_runs", 1));
   // Each engine aborts one run; all later runs are complete.
@@ -253,6 +267,7 @@
 
 TEST_CASE("a stream without framing that is cut isn't framed as complete") {
   Site site;
+  site.AwaitRetryShares();
   for (const char* id : {"d1", "d2"})
     site.SetBehavior(id, MakeObject("unframed", true));
   CHECK(site.SendRequest(0, "/letter/1").body == StreamEvents(1, 5));
@@ -391,6 +406,7 @@
 
 TEST_CASE("a server that asks for a pause gets no request until its end") {
   Site site;
+  site.AwaitRetryShares();
   site.AwaitListed(5);
   for (const char* id : {"k1", "d1"})
     site.SetBehavior(id, MakeObject("pause_ms", 2000));
--- a/tests/retry_budget_process_test.cc
+++ b/tests/retry_budget_process_test.cc
@@ -237,12 +237,12 @@
   void AwaitSlack() {
     REQUIRE(Eventually(
         [&] {
-          return std::all_of(daemons_.begin(), daemons_.end(),
-                             [](const auto& daemon) {
-                               return GetJson(daemon->settings.control_port(),
-                                              "/status")["retry_share"]
-                                          .asDouble() > 0;
-                             });
+          return std::all_of(
+              daemons_.begin(), daemons_.end(), [](const auto& daemon) {
+                return GetJson(daemon->settings.control_port(),
+                               "/status")["retry_share_established"]
+                    .asBool();
+              });
         },
         Seconds(60)));
   }
