Fractions of a retry are rounded at random, not down

Cause: in a large fleet each daemon may use one or two retries in a window. Rounded down, the fleet uses much less than its budget: at 90 daemons, 0.6 requests a second each and a slack of 220, two of 2.9. Change: each daemon draws the fraction from which it rounds up. Result: the sum over many daemons is what they may use, within the part that is left unused.

--- a/decide/retry_budget.cc
+++ b/decide/retry_budget.cc
@@ -69,7 +69,7 @@
 std::optional<RetryBudget::Charge> RetryBudget::TryAcquireRetry(
     const ServiceId& service, MonoTime now) {
   const State state = GetState(service, now);
-  if (state.retries + 1 > state.allowed) return std::nullopt;
+  if (state.retries + options_.rounding > state.allowed) return std::nullopt;
   const int64_t number = BucketNumber(now);
   BucketAt(service, number)->retries += 1;
   return Charge{number};
--- a/decide/retry_budget.h
+++ b/decide/retry_budget.h
@@ -40,6 +40,10 @@
     // Part that a process uses after its start. Two starts of all daemons
     // within one window stay within the limit.
     double starting_share = 0.1;
+    // A fraction of a retry that is left is rounded up if it is at least this.
+    // Drawn at random for each daemon, so that many daemons that each may use a
+    // fraction use together what they may.
+    double rounding = 1;
   };
 
   // Without `share`, the daemon has the whole slack. Otherwise `share` must
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -99,8 +99,10 @@
   return FromSeconds(std::max(1.0, settings.retry_budget_window_s()));
 }
 
-RetryBudget::Options RetryBudgetOptions(const wire::EntrySettings& settings) {
+RetryBudget::Options RetryBudgetOptions(const wire::EntrySettings& settings,
+                                        double rounding) {
   RetryBudget::Options options;
+  options.rounding = rounding;
   options.ratio = settings.retry_budget_ratio();
   options.slack = settings.retry_budget_slack();
   options.window = RetryBudgetWindow(settings);
@@ -178,7 +180,9 @@
                                    ParseEndpointOrDefault(settings.store()),
                                    &metrics_)),
         retry_share_(settings.name(), RetryShareOptions(settings)),
-        retry_budget_(RetryBudgetOptions(settings), &retry_share_),
+        retry_rounding_(1 - random_.UniformDouble()),
+        retry_budget_(RetryBudgetOptions(settings, retry_rounding_),
+                      &retry_share_),
         reservation_retry_(ReservationRetryPolicy::Options{}, &random_),
         rate_limiter_(RateLimiterOptions(settings), &random_),
         releaser_(loop_.get(), client_.get(), platform.request_format),
@@ -606,7 +610,7 @@
     settings_.set_retry_budget_ratio(settings->retry_budget_ratio());
     settings_.set_retry_budget_slack(settings->retry_budget_slack());
     settings_.set_retry_budget_window_s(settings->retry_budget_window_s());
-    retry_budget_.SetOptions(RetryBudgetOptions(settings_));
+    retry_budget_.SetOptions(RetryBudgetOptions(settings_, retry_rounding_));
     retry_share_.SetWindow(RetryBudgetWindow(settings_));
     // Whoever sends SIGKILL may go by either of the two.
     if (leaving_) {
@@ -700,6 +704,7 @@
   const std::unique_ptr<KvStore> store_;
   BackEndList back_ends_;
   EvenShare retry_share_;  // Of the slack of retry_budget_.
+  const double retry_rounding_;
   RetryBudget retry_budget_;
   ReservationRetryPolicy reservation_retry_;
   ReplicatedRateLimiter rate_limiter_;
