Engines that reject most calls get few

Load pattern: most engines reject most requests for seconds. The budget for retries binds, so first calls that are rejected cost callers most. Cause: a rejection kept an engine out of the selection for 100 ms and left no other trace. Change: the backoff doubles with each rejection in a row, up to 1.6 s, and the share of rejected calls adds to the expected time; both end when the engine works on a request, the share also with time. Reservations say nothing about that: an engine without memory for one is not one that rejects.

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -43,6 +43,8 @@
       return "none";
     case CallOutcome::kFull:
       return "full";
+    case CallOutcome::kRejected:
+      return "rejected";
     case CallOutcome::kFailed:
       return "failed";
     case CallOutcome::kUnreachable:
@@ -351,6 +353,7 @@
   const BackEndEntry& entry = listed.entry;
   const OpenWork peers = PeerLoadOf(entry.id);
   double ms = DecayedFailures(state, now) * options_.failure_penalty_ms;
+  ms += DecayedRejectionShare(state, now) * options_.rejection_penalty_ms;
   if (entry.zone != query.preferred_zone) ms += options_.other_zone_penalty_ms;
   if (listed.removal_pending) ms += kMissingRecordPenaltyMs;
   if (now < listed.learned_at + entry.warm_up_time ||
@@ -381,10 +384,19 @@
 
 double BackEndSelector::DecayedFailures(const BackEndState& state,
                                         MonoTime now) const {
-  if (state.failures == 0) return 0;
-  const double half_lives = ToSeconds(now - state.failures_at) /
-                            ToSeconds(options_.failure_half_life);
-  return state.failures * std::exp2(-half_lives);
+  return state.failures == 0 ? 0
+                             : state.failures * Decay(now - state.failures_at);
+}
+
+double BackEndSelector::DecayedRejectionShare(const BackEndState& state,
+                                              MonoTime now) const {
+  return state.rejection_share == 0
+             ? 0
+             : state.rejection_share * Decay(now - state.rejections_at);
+}
+
+double BackEndSelector::Decay(Duration age) const {
+  return std::exp2(-ToSeconds(age) / ToSeconds(options_.failure_half_life));
 }
 
 BackEndSelector::BackEndState& BackEndSelector::StateOf(
@@ -446,6 +458,19 @@
       state->backoff_until =
           std::max(state->backoff_until, now + options_.full_backoff);
       return;
+    case CallOutcome::kRejected: {
+      const int doublings = std::min(state->consecutive_rejections, 4);
+      ++state->consecutive_rejections;
+      state->rejection_share =
+          options_.rejection_weight +
+          (1 - options_.rejection_weight) * DecayedRejectionShare(*state, now);
+      state->rejections_at = now;
+      const Duration backoff =
+          std::min(options_.full_backoff * (1 << doublings),
+                   options_.max_rejection_backoff);
+      state->backoff_until = std::max(state->backoff_until, now + backoff);
+      return;
+    }
     case CallOutcome::kFailed:
     case CallOutcome::kUnreachable:
     case CallOutcome::kAddressReused:
@@ -462,6 +487,26 @@
   state->probe_only = true;
 }
 
+void BackEndSelector::RecordAcceptance(const BackEndEntry& back_end,
+                                       MonoTime now) {
+  const auto it = states_.find(back_end.id);
+  if (it == states_.end() || it->second.incarnation != back_end.incarnation)
+    return;
+  BackEndState& state = it->second;
+  state.consecutive_rejections = 0;
+  state.rejection_share =
+      (1 - options_.rejection_weight) * DecayedRejectionShare(state, now);
+  state.rejections_at = now;
+}
+
+bool BackEndSelector::RejectsMany(const BackEndEntry& back_end) const {
+  constexpr int kMany = 2;
+  const auto it = states_.find(back_end.id);
+  return it != states_.end() &&
+         it->second.incarnation == back_end.incarnation &&
+         it->second.consecutive_rejections >= kMany;
+}
+
 void BackEndSelector::ForgetFailures(const ServiceId& service) {
   for (const auto& [id, listed] : list_->entries()) {
     if (listed.entry.service != service) continue;
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -8,7 +8,7 @@
 // extra cost of crossing failure domains, and a penalty for recent failures.
 // After a failure a back end gets no requests for a backoff that grows with
 // each consecutive failure; after that it gets one request at a time until one
-// succeeds.
+// succeeds. The backoff after a rejection is shorter and grows likewise.
 //
 // A back end that says that it is about to terminate gets nothing new from the
 // daemon that it told; the others learn it from its entry or its responses to
@@ -23,11 +23,12 @@
 // otherwise all daemons would choose the same fast engine until they learn of
 // each other's calls.
 //
-// Load patterns covered: a burst of twice the usual rate while a quarter of the
-// engines don't respond or respond slowly; engines that are full for a moment;
-// prefill engines whose results expire at once; a restart of many engines; a
-// failure domain whose engines come back slow during a burst; engines of unlike
-// speed in one service under many daemons with old views.
+// Load patterns covered: engines that reject most requests for seconds; a burst
+// of twice the usual rate while a quarter of the engines don't respond or
+// respond slowly; engines that are full for a moment; prefill engines whose
+// results expire at once; a restart of many engines; a failure domain whose
+// engines come back slow during a burst; engines of unlike speed in one service
+// under many daemons with old views.
 #ifndef DECIDE_BACK_END_SELECTOR_H_
 #define DECIDE_BACK_END_SELECTOR_H_
 
@@ -54,8 +55,10 @@
 enum class CallOutcome {
   // The back end responded, whatever the status code.
   kSuccess,
-  // The back end reported that it did not run the request for lack of capacity.
+  // The back end refused a reservation for lack of capacity.
   kFull,
+  // The back end stated that it did not run the request.
+  kRejected,
   // There was no response, or it broke off or could not be parsed.
   kFailed,
   // The connection could not be established.
@@ -124,9 +127,16 @@
     Duration initial_backoff = std::chrono::milliseconds(300);
     Duration max_backoff = std::chrono::seconds(6);
     // Backoff after kFull: the time in which some of the engine's requests end.
+    // After kRejected it doubles with each rejection in a row, up to the
+    // maximum.
     Duration full_backoff = std::chrono::milliseconds(100);
-    // The failure count halves in this time.
+    Duration max_rejection_backoff = std::chrono::milliseconds(1600);
+    // The failure count, and the share of rejections, halve in this time.
     Duration failure_half_life = std::chrono::seconds(8);
+    // Expected time added if a back end rejects all calls, in milliseconds.
+    double rejection_penalty_ms = 400;
+    // Weight of the last call in the share of rejections.
+    double rejection_weight = 0.3;
   };
 
   // Without `permits`, limits that back ends name are ignored; without
@@ -185,6 +195,13 @@
   void RecordOutcome(const BackEndEntry& back_end, CallOutcome outcome,
                      MonoTime now);
 
+  // The back end has begun to work on a request. A reservation says nothing
+  // about that.
+  void RecordAcceptance(const BackEndEntry& back_end, MonoTime now);
+  // Returns whether the back end has rejected several calls in a row, so that a
+  // rejection says nothing about the request.
+  bool RejectsMany(const BackEndEntry& back_end) const;
+
   // The failures of the service's back ends so far say nothing about them: the
   // daemon could not reach any.
   void ForgetFailures(const ServiceId& service);
@@ -241,6 +258,9 @@
     Tokens open_prompt;
     Tokens open_total;
     int consecutive_failures = 0;
+    int consecutive_rejections = 0;
+    double rejection_share = 0;  // as of rejections_at
+    MonoTime rejections_at{};
     double failures = 0;  // as of failures_at
     MonoTime failures_at{};
     MonoTime backoff_until{};
@@ -259,6 +279,9 @@
   void RemoveUnlistedLeaving();
   bool IsInBackoff(const BackEndState& state, MonoTime now) const;
   double DecayedFailures(const BackEndState& state, MonoTime now) const;
+  double DecayedRejectionShare(const BackEndState& state, MonoTime now) const;
+  // Returns what is left of a value after `age`.
+  double Decay(Duration age) const;
   OpenWork PeerLoadOf(const BackEndId& id) const;
   // Returns whether the open runs at an engine, together with this one, exceed
   // the share of its memory that the query allows.
--- a/decide/serving_decisions_test.cc
+++ b/decide/serving_decisions_test.cc
@@ -134,6 +134,50 @@
   CHECK(SelectId(EngineRole::kDecode, At(3)) == "d");
 }
 
+TEST_CASE_METHOD(SelectorFixture,
+                 "an engine that rejects calls in a row is passed over") {
+  const BackEndEntry engine = Engine("d", EngineRole::kDecode);
+  Add(engine);
+  const SelectionQuery query = Query(EngineRole::kDecode);
+  const auto reject = [&](int64_t ms) {
+    selector.OnCallStarted(engine, {});
+    selector.OnCallEnded(engine, {}, CallOutcome::kRejected, At(ms));
+  };
+  reject(0);
+  CHECK_FALSE(selector.RejectsMany(engine));
+  CHECK_FALSE(selector.HasHealthyCandidate(query, At(99)));
+  CHECK(selector.HasHealthyCandidate(query, At(100)));
+  for (const int64_t ms : {1000, 2000, 3000, 4000, 5000, 10000}) reject(ms);
+  CHECK(selector.RejectsMany(engine));
+  CHECK_FALSE(selector.HasHealthyCandidate(query, At(11599)));
+  CHECK(selector.HasHealthyCandidate(query, At(11600)));
+  // As the only one it is still called.
+  CHECK(SelectId(EngineRole::kDecode, At(11599)) == "d");
+  selector.RecordAcceptance(engine, At(11600));
+  CHECK_FALSE(selector.RejectsMany(engine));
+  reject(12000);
+  CHECK(selector.HasHealthyCandidate(query, At(12100)));
+}
+
+TEST_CASE_METHOD(SelectorFixture,
+                 "calls go to engines that reject few, until the others are "
+                 "forgiven") {
+  const BackEndEntry rejecting = Engine("a", EngineRole::kDecode);
+  const BackEndEntry accepting = Engine("b", EngineRole::kDecode);
+  Add(rejecting);
+  Add(accepting);
+  // The other one is busier, though not as much as rejections cost.
+  for (int i = 0; i < 10; ++i) selector.OnCallStarted(accepting, {});
+  CHECK(SelectId(EngineRole::kDecode, At(0)) == "a");
+  for (int i = 0; i < 9; ++i) {
+    selector.OnCallStarted(rejecting, {});
+    selector.OnCallEnded(rejecting, {}, CallOutcome::kRejected, At(0));
+  }
+  selector.RecordAcceptance(rejecting, At(0));
+  CHECK(SelectId(EngineRole::kDecode, At(2000)) == "b");
+  CHECK(SelectId(EngineRole::kDecode, At(60000)) == "a");
+}
+
 TEST_CASE_METHOD(
     SelectorFixture,
     "a back end in the pause that it asked for is never selected") {
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -89,6 +89,7 @@
   started_ = deps_.loop->Now();
   right_ = std::move(right);
   internal_call_ = options.internal_call;
+  is_reservation_ = options.is_reservation;
   kind_ = options.kind;
   deps_.selector->OnCallStarted(back_end_, size_);
   counted_ = true;
@@ -167,6 +168,8 @@
     return;
   }
   response_started_ = true;
+  if (!is_reservation_)
+    deps_.selector->RecordAcceptance(back_end_, deps_.loop->Now());
   handler_->OnResponseHead(this, status, headers);
 }
 
@@ -189,7 +192,8 @@
   refusal_timer_.Cancel();
   Fail(CallFailure::kNotExecuted, refusal_status_ == kMisdirected
                                       ? CallOutcome::kAddressReused
-                                      : CallOutcome::kFull);
+                                  : is_reservation_ ? CallOutcome::kFull
+                                                    : CallOutcome::kRejected);
 }
 
 void BackEndCall::Reject() {
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -78,6 +78,8 @@
     // end, and a rejection without the not-executed marker means that the back
     // end is full.
     bool internal_call = false;
+    // Whether the call makes a reservation.
+    bool is_reservation = false;
     // Longest wait for the response head.
     Duration head_timeout{};
     // Longest wait between two parts of the response.
@@ -145,6 +147,7 @@
   const RequestId id_;
   Handler* const handler_;
   bool internal_call_ = false;
+  bool is_reservation_ = false;
   const char* kind_ = "";
   bool counted_ = false;  // Counts as open at the selector.
   bool response_started_ = false;
