A prefill's result is kept when an engine rejects the run like any other

Cause: a rejected run was put down to a lost prefill result, so that the request cost another prefill and another retry, also where the engine rejected everything. Change: if the engine has rejected several calls in a row, the result goes to the next engine, once. Result: the case in relay_test failed first: without the record of rejections the second engine got no result.

--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -394,6 +394,7 @@
   void Reserve(const BackEndEntry& engine) {
     BackEndCall::Options options;
     options.kind = "reserve";
+    options.is_reservation = true;
     options.internal_call = true;
     options.retryable = true;
     options.head_timeout = kReserveTimeout;
@@ -647,6 +648,7 @@
       return;
     }
     call->MarkPrefillAccepted();
+    kept_handle_ = false;
     prefill_engine_ = engine;
     kv_handle_created_at_ = deps_.loop->Now();
     result_.time_to_prefill = kv_handle_created_at_ - request_.arrived;
@@ -732,7 +734,14 @@
   // result is lost.
   void OnRunRejected(const BackEndEntry& engine) {
     ++rejections_;
-    if (kv_handle_ && prefill_engine_) {
+    // An engine that rejects other calls, too, has not looked for the prefill
+    // result.
+    const bool may_keep_handle = !kept_handle_ &&
+                                 deps_.selector->RejectsMany(engine) &&
+                                 rejections_ < kMaxRejections;
+    if (kv_handle_ && may_keep_handle) {
+      kept_handle_ = true;
+    } else if (kv_handle_ && prefill_engine_) {
       deps_.selector->RecordOutcome(
           *prefill_engine_, CallOutcome::kPrefillResultLost, deps_.loop->Now());
       kv_handle_.reset();
@@ -1189,6 +1198,8 @@
   int prefills_ = 0;
   int rejections_ = 0;    // Rejected runs.
   int may_have_run_ = 0;  // Finished calls whose request may have run.
+  // A run with kv_handle_ was rejected, and not because that was lost.
+  bool kept_handle_ = false;
   bool budget_exhausted_ = false;
   bool is_trial_ = false;   // Runs although a part of its prompt is suspect.
   bool generated_ = false;  // A run got beyond its first event.
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -533,6 +533,28 @@
   CHECK(decode.runs == 2);
 }
 
+// The second engine takes the prefill's result, so that the request costs one
+// retry and no second prefill.
+TEST_CASE_METHOD(StreamFixture,
+                 "a prefill was repeated after a run at an engine that rejects "
+                 "all") {
+  const BackEndEntry rejecting = back_ends.entries().at(BackEndId("e")).entry;
+  selector.OnCallStarted(rejecting, {});
+  selector.OnCallEnded(rejecting, {}, CallOutcome::kRejected,
+                       loop->Now() - std::chrono::seconds(1));
+  FakeEngine other(loop.get());
+  decode.on_run = [&](const FakeBackEnd::Exchange& exchange) {
+    AddBackEnd("f", "llm", EngineRole::kDecode, other.back_end.port());
+    SendNotExecuted(exchange);
+  };
+  CHECK(CallFrontend("/letter/x").body == complete_stream);
+  CHECK(decode.runs == 1);
+  CHECK(other.runs == 1);
+  CHECK(other.back_end.CountRequestsWith("Mimosarouter-Kv-Source") == 1);
+  CHECK(prefill.prefills == 1);
+  CHECK(counters.retries == 1);
+}
+
 TEST_CASE_METHOD(StreamFixture, "a lost run isn't retried") {
   FakeEngine other(loop.get());
   AddBackEnd("f", "llm", EngineRole::kDecode, other.back_end.port());
