--- a/decide/serving_decisions_test.cc
+++ b/decide/serving_decisions_test.cc
@@ -384,7 +384,7 @@
     EvenShare share("0", EvenShare::Options{});
     for (int i = 0; i < kDaemons; ++i)
       share.OnMember(std::to_string(i), MonoTime(seconds(-100)));
-    for (int s = -90; s < 0; s += 10) share.OnContact(At(s * 1000));
+    for (int64_t s = -90; s < 0; s += 10) share.OnContact(At(s * 1000));
     std::vector<RetryBudget> fleet(kDaemons, RetryBudget(options, &share));
     std::vector<int> requests;
     std::vector<int> retries;
@@ -428,7 +428,7 @@
   for (const int gap_s : {2, 5, 9, 12}) {
     RetryBudget budget(options);  // Established.
     std::vector<int> retries;
-    for (int s = 0; s < 60; ++s) {
+    for (int64_t s = 0; s < 60; ++s) {
       const bool restarts = s >= 20 && (s - 20) % gap_s == 0 && s < 45;
       if (restarts) {
         budget = RetryBudget(options);
@@ -436,7 +436,7 @@
       }
       for (int i = 0; i < 100; ++i) budget.RecordRequest(service, At(s * 1000));
       while (s >= 19 && budget.TryAcquireRetry(service, At(s * 1000 + 999)))
-        retries.push_back(s);
+        retries.push_back(static_cast<int>(s));
     }
     for (int from = 0; from <= 50; ++from) {
       const auto within =
