Soak: retries of all daemons against the budget

Cause: nothing counted arrivals at servers over restarts, pauses and cuts. Change: the count of the process test moves to tests/retry_count and serves the soak, too: for both services, over all starts of servers and daemons. A new kind of step lets most servers reject or reset most requests for a while.

--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -9,6 +9,7 @@
 //     one software version (every third seed has engines of two);
 //   - a request that must not be retried runs at most once;
 //   - a request that was refused as not executed has not run;
+//   - the retries of all daemons stay within the retry budget in every window;
 //   - no backend server receives a caller's API key;
 //   - no daemon exits unless the test stops it;
 //   - once the faults end, every kind of request is served again, and no
@@ -57,6 +58,10 @@
 
 // Seeds the generator of limits and crashing prompts.
 constexpr uint64_t kNeedsSeedOffset = 1U << 20;
+// Seeds the generator of servers that reject or reset requests.
+constexpr uint64_t kRejectionsSeedOffset = 1U << 23;
+// Of the daemons' settings, which are the defaults.
+constexpr testing::RetryBound kRetryBound{0.2, 50, 10000};
 // Seeds the generator of series of signals and of slow streams.
 constexpr uint64_t kSignalsSeedOffset = 1U << 22;
 
@@ -91,6 +96,7 @@
     DrawNeeds();
     DrawSignals();
     DrawSlowStreams();
+    DrawRejections(seed + kRejectionsSeedOffset);
     std::stable_sort(
         steps_.begin(), steps_.end(),
         [](const Step& a, const Step& b) { return a.at_ms < b.at_ms; });
@@ -377,6 +383,27 @@
     }
   }
 
+  // Most servers of both services reject or reset most requests for a while.
+  // Drawn by a generator of its own, too.
+  void DrawRejections(uint64_t seed) {
+    SeededRandom random(seed);
+    if (maintenance_only_ || random.UniformInt(2) == 0) return;
+    const auto at = static_cast<int>(random.UniformInt(length_ms_));
+    const auto duration = 1000 + static_cast<int>(random.UniformInt(4000));
+    const char* const how =
+        random.UniformInt(2) == 0 ? "reject_percent" : "reset_percent";
+    for (const auto& server : fleet_->servers()) {
+      const auto percent = static_cast<int>(50 + random.UniformInt(50));
+      if (random.UniformInt(5) == 0) continue;
+      AddStep(at, server->id() + " has " + how + " " + std::to_string(percent),
+              [server = server.get(), how, percent] {
+                server->SetBehavior(how, percent);
+              });
+      AddStep(at + duration, server->id() + " serves all again",
+              [server = server.get(), how] { server->SetBehavior(how, 0); });
+    }
+  }
+
   static void SetStoreOutage(Fleet* fleet, bool outage) {
     Json::Value members;
     members["outage"] = outage;
@@ -526,6 +553,41 @@
   CHECK(served > 0);
 }
 
+// Compares the retries at the servers of each service with the callers'
+// requests for it. Requests that no caller has recorded count when they
+// arrived.
+void CheckRetries(const Fleet& fleet, const std::vector<Outcome>& outcomes) {
+  const auto now = Clock::now();
+  const int64_t now_ms = testing::NowMs();
+  for (const bool is_model : {true, false}) {
+    std::vector<testing::Arrival> arrivals;
+    for (const auto& server : fleet.servers()) {
+      if (server->is_engine() != is_model) continue;
+      arrivals.insert(arrivals.end(), server->arrivals().begin(),
+                      server->arrivals().end());
+    }
+    std::map<std::string, int64_t> requests;
+    for (const testing::Arrival& arrival : arrivals) {
+      const auto [it, is_new] = requests.emplace(arrival.request, arrival.ms);
+      it->second = std::min(it->second, arrival.ms);
+    }
+    for (const Outcome& outcome : outcomes) {
+      const bool is_model_request =
+          outcome.kind == "letter" || outcome.kind == "note";
+      if (is_model_request != is_model) continue;
+      requests[outcome.id] =
+          now_ms -
+          std::chrono::duration_cast<milliseconds>(now - outcome.sent).count();
+    }
+    std::vector<int64_t> sent;
+    for (const auto& [id, ms] : requests) sent.push_back(ms);
+    std::cout << "  " << (is_model ? "engines" : "plain servers") << ": "
+              << testing::FindRetries(arrivals).size() << " retries"
+              << std::endl;
+    CHECK(testing::FindExcessRetries(sent, arrivals, kRetryBound) == "");
+  }
+}
+
 // Appends the daemons' logs to files in MIMOSA_SOAK_LOGS, if that is set.
 void KeepLogs(const Fleet& fleet, uint64_t seed) {
   const char* const folder = std::getenv("MIMOSA_SOAK_LOGS");
@@ -586,6 +648,7 @@
         });
   }));
   CheckRuns(&fleet, callers.outcomes(), plan.maintenance_only());
+  CheckRetries(fleet, callers.outcomes());
   KeepLogs(fleet, seed);
 }
 
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -51,6 +51,9 @@
   process_.Kill();
   for (const auto& [id, count] : current_runs_) previous_runs_[id] += count;
   current_runs_.clear();
+  previous_arrivals_.insert(previous_arrivals_.end(), current_arrivals_.begin(),
+                            current_arrivals_.end());
+  current_arrivals_.clear();
 }
 
 void Server::SetBehavior(const char* member, const Json::Value& value) {
@@ -69,6 +72,7 @@
   requests_with_api_key_ += journal["foreign"].asInt64();
   for (const std::string& id : journal["runs"].getMemberNames())
     current_runs_[id] = journal["runs"][id].asInt64();
+  current_arrivals_ = testing::ReadArrivals(journal);
 }
 
 // --- Entry ----------------------------------------------------------------
@@ -213,6 +217,8 @@
     server->SetBehavior("draining", false);
     server->SetBehavior("abort_runs", 0);
     server->SetBehavior("delay_ms", 0);
+    server->SetBehavior("reject_percent", 0);
+    server->SetBehavior("reset_percent", 0);
     server->SetBehavior("unframed", false);
     server->SetBehavior("gap_ms", Json::Int64(kEventInterval.count()));
   }
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -13,6 +13,7 @@
 
 #include "tests/entry_site.h"
 #include "tests/harness.h"
+#include "tests/retry_count.h"
 
 namespace mimosa::soak {
 
@@ -47,11 +48,15 @@
   // Returns the stand-in's journal: runs by request id, and the open
   // reservations and KV handles. Returns null if the server doesn't respond.
   Json::Value GetJournal() const;
-  // Reads the number of runs of each request since the last start from the
-  // journal.
+  // Reads the number of runs of each request, and the arrivals, since the last
+  // start from the journal.
   void CollectRuns();
   // Number of runs by request id, over all starts that a Kill() has ended.
   const std::map<std::string, int64_t>& runs() const { return previous_runs_; }
+  // What has reached the server, over the same starts.
+  const std::vector<testing::Arrival>& arrivals() const {
+    return previous_arrivals_;
+  }
   // Number of requests that carried a caller's API key; the daemon must remove
   // it.
   int64_t requests_with_api_key() const { return requests_with_api_key_; }
@@ -64,6 +69,8 @@
   testing::Process process_;
   std::map<std::string, int64_t> previous_runs_;  // of earlier starts
   std::map<std::string, int64_t> current_runs_;   // since the last start
+  std::vector<testing::Arrival> previous_arrivals_;
+  std::vector<testing::Arrival> current_arrivals_;
   int64_t requests_with_api_key_ = 0;
 };
 
@@ -134,6 +141,9 @@
     return entry_processes_;
   }
   std::vector<std::unique_ptr<Server>>& servers() { return servers_; }
+  const std::vector<std::unique_ptr<Server>>& servers() const {
+    return servers_;
+  }
   testing::StandIn& store() { return store_; }
   // Writes the next version of the configuration, which behaves the same for
   // callers.
--- a/tests/retry_budget_process_test.cc
+++ b/tests/retry_budget_process_test.cc
@@ -7,7 +7,6 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <condition_variable>
-#include <ctime>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -20,6 +19,7 @@
 #include "tests/client.h"
 #include "tests/entry_site.h"
 #include "tests/harness.h"
+#include "tests/retry_count.h"
 
 namespace mimosa::testing {
 namespace {
@@ -33,52 +33,12 @@
 constexpr milliseconds kCallerPause{15};
 constexpr char kKey[] = "key-one";
 
-// The clock of the stand-ins.
-int64_t NowMs() {
-  timespec ts{};
-  clock_gettime(CLOCK_BOOTTIME, &ts);
-  return int64_t{ts.tv_sec} * 1000 + ts.tv_nsec / 1'000'000;
-}
-
-// When the requests for one service were sent, and when their retries arrived.
+// When the requests for one service were sent, and what arrived.
 struct Traffic {
   std::vector<int64_t> requests;
-  std::vector<int64_t> retries;
+  std::vector<Arrival> arrivals;
 };
 
-int64_t CountBetween(const std::vector<int64_t>& times, int64_t from,
-                     int64_t to) {
-  return std::count_if(times.begin(), times.end(),
-                       [=](int64_t time) { return time >= from && time < to; });
-}
-
-// Compares the retries of every window with the requests of that window, the
-// one before it or the one half a window before it, whichever has most.
-void CheckWithinBudget(const Traffic& traffic, double slack) {
-  REQUIRE_FALSE(traffic.requests.empty());
-  double worst_excess = -1e9;
-  std::string worst;
-  const auto [first, last] =
-      std::minmax_element(traffic.requests.begin(), traffic.requests.end());
-  for (int64_t from = *first - kWindowMs; from < *last + kWindowMs;
-       from += 50) {
-    int64_t requests = 0;
-    for (const int64_t shift : {int64_t{0}, kWindowMs / 2, kWindowMs})
-      requests = std::max(requests, CountBetween(traffic.requests, from - shift,
-                                                 from - shift + kWindowMs));
-    const auto retries = static_cast<double>(
-        CountBetween(traffic.retries, from, from + kWindowMs));
-    const double allowed = kRatio * static_cast<double>(requests) + slack;
-    if (retries - allowed <= worst_excess) continue;
-    worst_excess = retries - allowed;
-    worst = std::to_string(retries) + " retries for " +
-            std::to_string(requests) + " requests, allowed " +
-            std::to_string(allowed);
-  }
-  INFO(worst);
-  CHECK(worst_excess <= 0);
-}
-
 // Four daemons, three prefill and three decode engines and three servers of the
 // plain service "desk".
 class BudgetSite {
@@ -160,28 +120,12 @@
       const std::lock_guard<std::mutex> lock(mutex_);
       traffic.requests = requests_[service == "llm" ? "/note/x" : "/look/x"];
     }
-    struct Arrival {
-      int64_t ms;
-      bool prefill;
-    };
-    std::map<std::string, std::vector<Arrival>> arrivals;
     for (const auto& [id, server] : servers_) {
       if (server->service != service) continue;
       const Json::Value journal = GetJson(server->port, "/debug/journal");
       REQUIRE(journal.isObject());
-      for (const Json::Value& item : journal["arrivals"])
-        arrivals[item["id"].asString()].push_back(
-            {item["ms"].asInt64(), item["prefill"].asBool()});
-    }
-    for (auto& [id, list] : arrivals) {
-      std::sort(list.begin(), list.end(),
-                [](const Arrival& a, const Arrival& b) { return a.ms < b.ms; });
-      const auto prefill =
-          std::find_if(list.begin(), list.end(),
-                       [](const Arrival& arrival) { return arrival.prefill; });
-      if (prefill != list.end()) list.erase(prefill);
-      for (size_t i = 1; i < list.size(); ++i)
-        traffic.retries.push_back(list[i].ms);
+      for (Arrival& arrival : ReadArrivals(journal))
+        traffic.arrivals.push_back(std::move(arrival));
     }
     return traffic;
   }
@@ -191,10 +135,12 @@
     StopCallers();
     for (const char* service : {"llm", "desk"}) {
       const Traffic traffic = ReadTraffic(service);
-      INFO(service << ": " << traffic.retries.size() << " retries for "
+      const size_t retries = FindRetries(traffic.arrivals).size();
+      INFO(service << ": " << retries << " retries for "
                    << traffic.requests.size() << " requests");
-      CheckWithinBudget(traffic, slack_);
-      CHECK_FALSE(traffic.retries.empty());
+      CHECK(FindExcessRetries(traffic.requests, traffic.arrivals,
+                              {kRatio, slack_, kWindowMs}) == "");
+      CHECK(retries > 0);
     }
     CHECK(served() > 0);
   }
