--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -580,6 +580,7 @@
           std::chrono::duration_cast<milliseconds>(now - outcome.sent).count();
     }
     std::vector<int64_t> sent;
+    sent.reserve(requests.size());
     for (const auto& [id, ms] : requests) sent.push_back(ms);
     std::cout << "  " << (is_model ? "engines" : "plain servers") << ": "
               << testing::FindRetries(arrivals).size() << " retries"
