A right that was given back doesn't count as one of a control call

Cause: found in the review: a right lost its request when it was given back, and a call sent once more under it would have been free. Change: it keeps its request, and is given back once. Result: no caller did so; call_rights_test has the case.

--- a/decide/call_rights.cc
+++ b/decide/call_rights.cc
@@ -4,8 +4,8 @@
 namespace mimosa {
 
 void CallRight::GiveBack() {
-  if (rights_ == nullptr) return;
-  std::exchange(rights_, nullptr)->GiveBack(charge_);
+  if (rights_ == nullptr || std::exchange(was_given_back_, true)) return;
+  rights_->GiveBack(charge_);
 }
 
 void CallRight::OnPrefillAccepted() {
--- a/decide/call_rights.h
+++ b/decide/call_rights.h
@@ -30,11 +30,11 @@
   CallRight(CallRight&&) = default;
   CallRight& operator=(CallRight&&) = default;
 
-  // A call that isn't counted as an arrival of a request, since the daemon
+  // For a call that isn't counted as an arrival of a request, since the daemon
   // makes it for itself.
   static CallRight ForControlCall() { return CallRight(nullptr, std::nullopt); }
 
-  // The call was not sent.
+  // The call was not sent. Has an effect once.
   void GiveBack();
   // The call was a prefill that the engine has accepted. The first one of a
   // request is free.
@@ -50,8 +50,9 @@
             std::optional<RetryBudget::Charge> charge)
       : rights_(std::move(rights)), charge_(charge) {}
 
-  std::shared_ptr<CallRights> rights_;  // nullptr once it was given back.
+  std::shared_ptr<CallRights> rights_;         // nullptr for a control call.
   std::optional<RetryBudget::Charge> charge_;  // Absent: the free call.
+  bool was_given_back_ = false;
 };
 
 // What a request has left of its free calls.
--- a/decide/call_rights_test.cc
+++ b/decide/call_rights_test.cc
@@ -99,6 +99,15 @@
   CHECK(fixture.spent() == 0);
 }
 
+TEST_CASE("a right that was given back gives no further call away") {
+  Fixture fixture(0);
+  auto first = fixture.rights->Acquire(kNow);
+  REQUIRE(first);
+  first->GiveBack();
+  REQUIRE(fixture.rights->Acquire(kNow));
+  CHECK_FALSE(first->AcquireAnother(kNow));
+}
+
 TEST_CASE("a charge that has left the window is not given back") {
   Fixture fixture(1);
   REQUIRE(fixture.rights->Acquire(kNow));
--- a/decide/even_share.h
+++ b/decide/even_share.h
@@ -69,6 +69,7 @@
   bool IsUnseenFor(Duration time, MonoTime now) const;
   // The others may not know of this daemon.
   void StartAnew(MonoTime now);
+
   const std::string self_;
   Options options_;
   // When the records of members were removed; absent: it is listed.
