A back end isn't avoided for long after one rejection

Cause: one rejection put 120 ms on the expected time of a server, halved in 8 s, while an idle server differs from another by a millisecond. A rejection with a pause counted, too. Change: the penalty grows with the square of the share that is rejected and halves in 3 s; a rejection that asks for a pause doesn't count.

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -35,6 +35,12 @@
 // view don't all select the same back end.
 constexpr double kTieBreakMs = 3;
 
+// Returns what is left of a value of that age.
+double Decayed(double value, Duration age, Duration half_life) {
+  return value == 0 ? 0
+                    : value * std::exp2(-ToSeconds(age) / ToSeconds(half_life));
+}
+
 }  // namespace
 
 const char* CallOutcomeName(CallOutcome outcome) {
@@ -353,7 +359,8 @@
   const BackEndEntry& entry = listed.entry;
   const OpenWork peers = PeerLoadOf(entry.id);
   double ms = DecayedFailures(state, now) * options_.failure_penalty_ms;
-  ms += DecayedRejectionShare(state, now) * options_.rejection_penalty_ms;
+  const double rejected = DecayedRejectionShare(state, now);
+  ms += rejected * rejected * options_.rejection_penalty_ms;
   if (entry.zone != query.preferred_zone) ms += options_.other_zone_penalty_ms;
   if (listed.removal_pending) ms += kMissingRecordPenaltyMs;
   if (now < listed.learned_at + entry.warm_up_time ||
@@ -384,19 +391,14 @@
 
 double BackEndSelector::DecayedFailures(const BackEndState& state,
                                         MonoTime now) const {
-  return state.failures == 0 ? 0
-                             : state.failures * Decay(now - state.failures_at);
+  return Decayed(state.failures, now - state.failures_at,
+                 options_.failure_half_life);
 }
 
 double BackEndSelector::DecayedRejectionShare(const BackEndState& state,
                                               MonoTime now) const {
-  return state.rejection_share == 0
-             ? 0
-             : state.rejection_share * Decay(now - state.rejections_at);
-}
-
-double BackEndSelector::Decay(Duration age) const {
-  return std::exp2(-ToSeconds(age) / ToSeconds(options_.failure_half_life));
+  return Decayed(state.rejection_share, now - state.rejections_at,
+                 options_.rejection_half_life);
 }
 
 BackEndSelector::BackEndState& BackEndSelector::StateOf(
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -55,9 +55,11 @@
 enum class CallOutcome {
   // The back end responded, whatever the status code.
   kSuccess,
-  // The back end refused a reservation for lack of capacity.
+  // The back end refused a reservation for lack of capacity, or asked for a
+  // pause.
   kFull,
-  // The back end stated that it did not run the request.
+  // The back end stated that it did not run the request, and asked for no
+  // pause.
   kRejected,
   // There was no response, or it broke off or could not be parsed.
   kFailed,
@@ -131,10 +133,14 @@
     // maximum.
     Duration full_backoff = std::chrono::milliseconds(100);
     Duration max_rejection_backoff = std::chrono::milliseconds(1600);
-    // The failure count, and the share of rejections, halve in this time.
+    // The failure count halves in this time.
     Duration failure_half_life = std::chrono::seconds(8);
-    // Expected time added if a back end rejects all calls, in milliseconds.
+    // Expected time added if a back end rejects all calls, in milliseconds. It
+    // grows with the square of the share that is rejected, since a few
+    // rejections only mean that the back end was full for a moment.
     double rejection_penalty_ms = 400;
+    // The share of rejected calls halves in this time.
+    Duration rejection_half_life = std::chrono::seconds(3);
     // Weight of the last call in the share of rejections.
     double rejection_weight = 0.3;
   };
@@ -280,8 +286,6 @@
   bool IsInBackoff(const BackEndState& state, MonoTime now) const;
   double DecayedFailures(const BackEndState& state, MonoTime now) const;
   double DecayedRejectionShare(const BackEndState& state, MonoTime now) const;
-  // Returns what is left of a value after `age`.
-  double Decay(Duration age) const;
   OpenWork PeerLoadOf(const BackEndId& id) const;
   // Returns whether the open runs at an engine, together with this one, exceed
   // the share of its memory that the query allows.
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -190,10 +190,10 @@
 
 void BackEndCall::FailRefused() {
   refusal_timer_.Cancel();
-  Fail(CallFailure::kNotExecuted, refusal_status_ == kMisdirected
-                                      ? CallOutcome::kAddressReused
-                                  : is_reservation_ ? CallOutcome::kFull
-                                                    : CallOutcome::kRejected);
+  Fail(CallFailure::kNotExecuted,
+       refusal_status_ == kMisdirected       ? CallOutcome::kAddressReused
+       : is_reservation_ || asked_for_pause_ ? CallOutcome::kFull
+                                             : CallOutcome::kRejected);
 }
 
 void BackEndCall::Reject() {
@@ -249,6 +249,7 @@
 
 void BackEndCall::RecordPause(Duration pause) {
   if (pause <= Duration::zero()) return;
+  asked_for_pause_ = true;
   deps_.selector->RecordPause(back_end_, deps_.loop->Now() + pause);
   ++deps_.counters->pauses;
   deps_.log->Write(LogLine("back_end_pauses")
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -154,6 +154,7 @@
   bool connection_lost_ = false;
   // The current response rejects the request as not executed.
   bool not_executed_ = false;
+  bool asked_for_pause_ = false;
   int refusal_status_ = 0;
   size_t refusal_bytes_ = 0;  // Of the body.
   TimerHandle refusal_timer_;
