--- a/decide/even_share_test.cc
+++ b/decide/even_share_test.cc
@@ -143,6 +143,7 @@
     options.ratio = 0;
     options.slack = kSlack;
     options.window = kWindow;
+    options.rounding = 1 - random_.UniformDouble();
     daemon.budget = std::make_unique<RetryBudget>(options, daemon.share.get());
     daemon.budget->SetStart(At(second_));
     daemon.lists_itself_at = second_;
@@ -177,6 +178,7 @@
   }
 
  private:
+  SeededRandom random_{7};  // Draws what daemons round up.
   static constexpr int kLeaseSeconds = 15;
   // A daemon learns within this time that its lease has ended.
   static constexpr int kRenewalSeconds = 5;
