Review: a lower fencing token after the store came back from a copy

Cause: the fencing token of an order is the revision of the holder's record, and revisions go back when the store comes back from an older copy.

--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -126,9 +126,11 @@
 
     async def _serve(self, reader, writer):
         self._tasks[asyncio.current_task()] = writer
+        connection = {}  # What a handler keeps of the connection.
         try:
             while True:
                 request = await read_request(reader)
+                request.connection, request.writer = connection, writer
                 request.peer = writer.get_extra_info("peername")[0]
                 answer = await self._handler(request)
                 if answer is None:
@@ -458,6 +460,89 @@
         return response_bytes(200, headers, f"{self.service} {id_}".encode())
 
 
+class Engine(Server):
+    """A model engine that takes orders and doesn't check their fences."""
+
+    SWITCH_S = 6.0  # `role_switch_s`
+    behaviour = {"prefill_s": 0.1, "run_s": 0.1}  # Of all engines.
+
+    def __init__(self, ip, store, record, id_, service, stage, zone="a"):
+        super().__init__(ip, store, record, id_, service, zone, slots=48)
+        self.stage = stage
+        self.orders = []  # (time, holder, fencing token)
+        self._accepted = 0
+        self._next = None  # The stage that an order in progress leads to.
+        self._serial = 0
+
+    def entry(self):
+        entry = json.loads(super().entry())
+        entry["stage"] = self.stage
+        entry["models"] = [{"name": "m", "version": 1, "adapters": []}]
+        return json.dumps(entry).encode()
+
+    async def _handle(self, request):
+        expected = request.header("Mimosarouter-Expect-Instance")
+        if expected and expected != self.id:
+            return response_bytes(421, {"Mimosarouter-Instance-Id": self.id})
+        if request.path == "/health":
+            return response_bytes(200, {"Mimosarouter-Instance-Id": self.id})
+        if request.path == "/mimosarouter/report":
+            return json_answer({
+                "stage": self.stage, "busy": self._next is not None,
+                "models": [{"name": "m", "version": 1, "adapters": []}],
+                "sequence": self._accepted, "queued": 0, "running": 0,
+                "kv_used": 0, "kv_total": 36000, "kv_handles": 0})
+        if request.path == "/mimosarouter/order":
+            return self._order(json.loads(request.body))
+        if request.path == "/mimosarouter/hold-take":
+            self._serial += 1
+            return json_answer({"hold": f"{self.id}-{self._serial}"})
+        if request.method == "DELETE":
+            return response_bytes(200)
+        return await self._serve_model(request)
+
+    def _order(self, order):
+        fence, holder = order["fencing_token"], order["holder"]
+        self.orders.append((self.record.now(), holder, fence))
+        self.record.line(f"engine {self.id}: order of {holder} with fencing "
+                         f"token {fence}: {order['op']} {order['stage']}")
+        if order["stage"] == self.stage and self._next is None:
+            return response_bytes(200)
+        if self._next is not None or order.get(
+                "expected", self._accepted) != self._accepted:
+            return response_bytes(409)
+        self._accepted += 1
+        self._next = order["stage"]
+        asyncio.get_running_loop().call_later(
+            self.SWITCH_S, lambda: asyncio.ensure_future(self._switch()))
+        return response_bytes(202)
+
+    async def _switch(self):
+        self.stage, self._next = self._next, None
+        await self.register()
+
+    async def _serve_model(self, request):
+        id_ = request.header("Mimosarouter-Request-Id")
+        headers = {"Mimosarouter-Request-Id": id_}
+        prefill = request.header("Mimosarouter-Serving-Stage") == "prefill"
+        if self._next is not None:
+            return response_bytes(
+                503, {**headers, "Mimosarouter-Not-Executed": "1"})
+        if prefill != (self.stage == "prefill"):
+            return response_bytes(421, headers)
+        if prefill:
+            await asyncio.sleep(self.behaviour["prefill_s"])
+            self._serial += 1
+            return json_answer({"handle": f"{self.id}-h{self._serial}",
+                                "tokens": 3000, "version": 1}, 200, headers)
+        self.runs.append((self.record.now(), id_))
+        await asyncio.sleep(self.behaviour["run_s"])
+        headers["Mimosarouter-Response-Seal"] = f"seal.{self.id}.{id_}"
+        headers["Content-Type"] = "text/event-stream"
+        body = "".join(f"id: {i}\ndata: {id_}\n\n" for i in range(1, 7))
+        return response_bytes(200, headers, body.encode())
+
+
 # --- A proxy ---------------------------------------------------------------
 
 
