--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -130,7 +130,8 @@
         try:
             while True:
                 request = await read_request(reader)
-                request.connection, request.writer = connection, writer
+                request.connection = connection
+                request.reader, request.writer = reader, writer
                 request.peer = writer.get_extra_info("peername")[0]
                 answer = await self._handler(request)
                 if answer is None:
