--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -728,14 +728,19 @@
         with tempfile.TemporaryDirectory() as scratch:
             try:
                 loop = asyncio.new_event_loop()
-                held = loop.run_until_complete(
+                play = loop.create_task(
                     asyncio.wait_for(case(record, scratch, trouble), 110))
+                # The processes are ended also if the script is.
+                for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+                    loop.add_signal_handler(number, play.cancel)
+                held = loop.run_until_complete(play)
             finally:
                 keep = os.environ.get("KEEP_LOGS")
                 if keep:
                     for log in Path(scratch).glob("*.log"):
                         (Path(keep) / log.name).write_bytes(log.read_bytes())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError,
+            OSError) as error:
         record.line(f"could not run: {type(error).__name__} {error}")
         print(f"could not run: {type(error).__name__} {error}")
         code = 2
