A new era of the store leads to a new listing

Cause: daemons took a revision for a point in one history of the store, and watched on from it. The store had lost it and given it out again, so changes below it were never reported. Nothing read Store-Era, which says so.

Change: a Revision consists of the era and the store's revision, so that revisions rise for ever, and a lease names its era. The store's client answers a watch from an earlier era as compacted, a write that replaces an earlier era's revision as a conflict, a lease of it as not found, and takes a response of an earlier era for none, so no reader can mix eras. In a new era servers that the copy lacks stay listed for a while, those that had drained or left come back as draining, evacuations don't end, and a version that is given out again with other content is applied. Records of the fleet that a listing lacks are reported as removed, also after a compaction; they never were.

Why it works: whichever response shows the new era first, the watch that follows is answered as compacted, and a listing has everything.

--- a/base/ids.h
+++ b/base/ids.h
@@ -39,6 +39,9 @@
 
 // Revision of a record in the platform's key-value service; 0 means absent.
 using Revision = Quantity<struct RevisionTag>;
+// Era of that service, which rises by one each time that it comes back from an
+// older copy of its records; 0 if it names none.
+using StoreEra = Quantity<struct StoreEraTag>;
 
 // Version of the catalogue, incremented with each accepted change.
 using CatalogueVersion = Quantity<struct CatalogueVersionTag>;
--- a/base/kv_store.h
+++ b/base/kv_store.h
@@ -8,6 +8,13 @@
 // platform lease and is deleted when the lease ends. A watch completes when a
 // record under its prefix has changed, or after a timeout.
 //
+// The store may come back from an older copy of its records. A new era begins
+// then: what was written after the copy is gone, leases too. Every revision of
+// an era is greater than all revisions of earlier eras, and no revision or
+// lease of an earlier era stands for anything in the new one: a watch from it
+// is answered with kCompacted, a write that replaces it with kConflict, and a
+// lease of it with kNotFound.
+//
 // A call that fails with kNoReply may have taken effect. The writer must read
 // the record back and look for its change id, and must not write again before
 // that.
@@ -48,6 +55,7 @@
   // kOk: the record that was read, or the key and new revision of a write.
   // kConflict: the present record; revision 0: it doesn't exist.
   KvRecord record;
+  StoreEra era{};  // Of the store when it replied.
 };
 
 struct KvListResult {
@@ -55,6 +63,7 @@
   Revision revision;                 // of the store when it replied
   std::vector<KvRecord> records;     // list: all; watch: the changed ones
   std::vector<std::string> deleted;  // watch only
+  StoreEra era{};                    // of the store when it replied
 };
 
 // A pending call. Destroying it drops the callback, but the call may still take
--- a/decide/back_end_list.h
+++ b/decide/back_end_list.h
@@ -8,8 +8,14 @@
 // the record is still missing then. Without an outage a removal takes effect at
 // once.
 //
+// The store may also come back from an older copy of its records. Entries that
+// the copy lacks are treated in the same way. Servers that drained or were
+// removed after the copy was made are listed as before by it, until they write
+// their entries again or these expire; they count as draining for so long.
+//
 // Load pattern: an outage during which leases expire, so that the store comes
-// back with few or no entries while traffic is at its full level.
+// back with few or no entries while traffic is at its full level; a release
+// during which the store comes back from a copy made before it.
 #ifndef DECIDE_BACK_END_LIST_H_
 #define DECIDE_BACK_END_LIST_H_
 
@@ -27,11 +33,17 @@
   // By the platform's contract, entries that expired during an outage are
   // written again within this time after its end.
   static constexpr Duration kReregistrationGrace = std::chrono::seconds(2);
+  // Age of the oldest copy that the store comes back from.
+  static constexpr Duration kMaxCopyAge = std::chrono::seconds(30);
+  // The entry of a server that has ended expires within this time.
+  static constexpr Duration kMaxEntryExpiry = std::chrono::seconds(10);
 
   struct ListedBackEnd {
     BackEndEntry entry;
     MonoTime learned_at{};         // When the entry was read.
     bool removal_pending = false;  // Missing since an outage.
+    // Counts as draining until then, although its entry says otherwise.
+    MonoTime presumed_draining_until{};
   };
 
   // Adds or replaces the entry of `entry.id`.
@@ -42,22 +54,37 @@
   // it are removed as by Remove().
   void ReplaceAll(std::vector<BackEndEntry> entries, MonoTime now);
 
+  // The same with a listing of a store that has come back from an older copy.
+  void ReplaceByOlderCopy(std::vector<BackEndEntry> entries, MonoTime now);
+
   void OnStoreLost() { store_lost_ = true; }
   void OnStoreRegained(MonoTime now);
 
-  // Removes the entries that are pending removal once the grace is over.
+  // Removes the entries that are pending removal once the grace is over, and
+  // presumes servers to drain no longer.
   void RemoveExpired(MonoTime now);
-  // Time at which RemoveExpired() has something to remove, if any.
+  // Time at which RemoveExpired() has something to do, if any.
   std::optional<MonoTime> NextExpiry() const;
 
   const std::map<BackEndId, ListedBackEnd>& entries() const { return entries_; }
 
  private:
+  // A server that drained or was removed.
+  struct Departure {
+    int64_t incarnation = 0;
+    MonoTime at{};
+  };
+
+  void RecordDeparture(const BackEndEntry& entry, MonoTime now);
+  // Whether a copy may list the server as it was before it departed.
+  bool HasDeparted(const BackEndEntry& entry, MonoTime now) const;
+
   bool DefersRemovals(MonoTime now) const {
     return store_lost_ || now < defer_removals_until_;
   }
 
   std::map<BackEndId, ListedBackEnd> entries_;
+  std::map<BackEndId, Departure> departures_;  // Within kMaxCopyAge.
   bool store_lost_ = false;
   MonoTime defer_removals_until_{};  // Removals are deferred before this time.
 };
--- a/decide/site_test.cc
+++ b/decide/site_test.cc
@@ -132,6 +132,53 @@
   CHECK_FALSE(list.NextExpiry());
 }
 
+// Guards against new requests for servers that are known to leave.
+TEST_CASE("an older copy brings no departed server back") {
+  BackEndList list;
+  for (const char* id : {"drained", "removed", "stays", "lost"})
+    list.Put(Entry(id), At(0));
+  BackEndEntry draining = Entry("drained");
+  draining.draining = true;
+  list.Put(draining, At(1000));
+  list.Remove(BackEndId("removed"), At(1000));
+  list.ReplaceByOlderCopy({Entry("drained"), Entry("removed"), Entry("stays")},
+                          At(2000));
+  const auto is_draining = [&list](const char* id) {
+    return list.entries().at(BackEndId(id)).entry.draining;
+  };
+  CHECK(is_draining("drained"));
+  CHECK(is_draining("removed"));
+  CHECK_FALSE(is_draining("stays"));
+  CHECK(list.entries().at(BackEndId("lost")).removal_pending);
+  SECTION("unless it is another incarnation") {
+    BackEndEntry restarted = Entry("removed");
+    restarted.incarnation = 2;
+    list.ReplaceByOlderCopy({restarted}, At(2100));
+    CHECK_FALSE(is_draining("removed"));
+  }
+  SECTION("or writes its entry again") {
+    list.Put(Entry("removed"), At(2100));
+    CHECK_FALSE(is_draining("removed"));
+  }
+  SECTION("or is listed for longer than an entry without a server") {
+    list.RemoveExpired(At(4000));
+    CHECK(list.entries().count(BackEndId("lost")) == 0);
+    REQUIRE(list.NextExpiry());
+    CHECK(*list.NextExpiry() == At(12000));
+    list.RemoveExpired(At(11999));
+    CHECK(is_draining("removed"));
+    list.RemoveExpired(At(12000));
+    CHECK_FALSE(is_draining("removed"));
+    CHECK_FALSE(list.NextExpiry());
+  }
+  SECTION("or departed before any copy was made") {
+    list.Put(Entry("removed"), At(3000));
+    list.Remove(BackEndId("removed"), At(5000));
+    list.ReplaceByOlderCopy({Entry("removed")}, At(40000));
+    CHECK_FALSE(is_draining("removed"));
+  }
+}
+
 TEST_CASE("a second outage within the grace restarts it") {
   BackEndList list;
   list.Put(Entry("a"), At(0));
--- a/router/daemon.cc
+++ b/router/daemon.cc
@@ -165,7 +165,7 @@
         loop_(std::move(loop)),
         random_(RandomSeed()),
         client_(MakeHttpClient(loop_.get())),
-        kv_(client_.get(), StoreOptionsOf(settings), &metrics_) {}
+        kv_(loop_.get(), client_.get(), StoreOptionsOf(settings), &metrics_) {}
 
   ~DaemonImpl() override {
     if (fleet_) fleet_->DetachSlotStateHandler();
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -176,7 +176,7 @@
         random_(RandomSeed()),
         log_(STDOUT_FILENO, loop_.get(), LogOptions(settings)),
         client_(MakeHttpClient(loop_.get())),
-        store_(platform.open_store(client_.get(),
+        store_(platform.open_store(loop_.get(), client_.get(),
                                    ParseEndpointOrDefault(settings.store()),
                                    &metrics_)),
         retry_share_(settings.name(), RetryShareOptions(settings)),
--- a/serving/entry_daemon.h
+++ b/serving/entry_daemon.h
@@ -38,8 +38,9 @@
 struct EntryPlatform {
   const SiteFormat* site_format = nullptr;
   const RequestFormat* request_format = nullptr;
-  std::function<std::unique_ptr<KvStore>(
-      HttpClient* client, const Endpoint& store, MetricsRegistry* metrics)>
+  std::function<std::unique_ptr<KvStore>(EventLoop* loop, HttpClient* client,
+                                         const Endpoint& store,
+                                         MetricsRegistry* metrics)>
       open_store;
 };
 
--- a/serving/site_sync.cc
+++ b/serving/site_sync.cc
@@ -38,6 +38,13 @@
     return;
   }
   OnStoreRegained();
+  const bool is_restored = listed_ && result.era != era_;
+  era_ = result.era;
+  if (is_restored)
+    log_->WriteAlways(LogLine("store_restored")
+                          .Add("era", era_.count())
+                          .Add("revision", revision_.count()));
+  if (on_era_ && (is_restored || !listed_)) on_era_(era_, !listed_);
   const auto is_back_end = [this](const KvRecord& record) {
     return StartsWith(record.key, format_->back_end_prefix());
   };
@@ -46,10 +53,15 @@
     if (!is_back_end(record)) continue;
     if (auto entry = ReadBackEnd(record)) entries.push_back(*std::move(entry));
   }
-  ApplyListedEvacuations(result);
-  back_ends_->ReplaceAll(std::move(entries), loop_->Now());
+  ApplyListedEvacuations(result, /*is_older_copy=*/is_restored);
+  if (is_restored) {
+    back_ends_->ReplaceByOlderCopy(std::move(entries), loop_->Now());
+  } else {
+    back_ends_->ReplaceAll(std::move(entries), loop_->Now());
+  }
   if (on_back_ends_) on_back_ends_();
   ScheduleExpiry();
+  ApplyMissingRecords(result);
   // Applied after the servers, since some of these records refer to them.
   for (const KvRecord& record : result.records)
     if (!is_back_end(record) && !IsEvacuation(record.key)) ApplyRecord(record);
@@ -57,6 +69,7 @@
   revision_ = result.revision;
   log_->WriteAlways(LogLine("site_listed")
                         .Add("revision", revision_.count())
+                        .Add("era", era_.count())
                         .Add("back_ends", back_ends_->entries().size()));
   Watch();
 }
@@ -135,11 +148,22 @@
     SetEvacuated(std::move(evacuated));
   } else if (StartsWith(record.key, format_->back_end_prefix())) {
     ApplyBackEnd(record);
-  } else if (StartsWith(record.key, options_.record_prefix) && on_record_) {
-    on_record_(record.key.substr(options_.record_prefix.size()), &record);
+  } else if (StartsWith(record.key, options_.record_prefix)) {
+    const std::string name = record.key.substr(options_.record_prefix.size());
+    record_names_.insert(name);
+    if (on_record_) on_record_(name, &record);
   }
 }
 
+void SiteSync::ApplyMissingRecords(const KvListResult& listing) {
+  std::set<std::string> missing = record_names_;
+  for (const KvRecord& record : listing.records)
+    if (StartsWith(record.key, options_.record_prefix))
+      missing.erase(record.key.substr(options_.record_prefix.size()));
+  for (const std::string& name : missing)
+    ApplyRemoval(options_.record_prefix + name);
+}
+
 void SiteSync::ApplyRemoval(const std::string& key) {
   if (StartsWith(key, format_->back_end_prefix())) {
     const BackEndId id(key.substr(format_->back_end_prefix().size()));
@@ -153,8 +177,10 @@
     std::set<FailureDomain> evacuated = evacuated_;
     evacuated.erase(EvacuatedDomain(key));
     SetEvacuated(std::move(evacuated));
-  } else if (StartsWith(key, options_.record_prefix) && on_record_) {
-    on_record_(key.substr(options_.record_prefix.size()), nullptr);
+  } else if (StartsWith(key, options_.record_prefix)) {
+    const std::string name = key.substr(options_.record_prefix.size());
+    record_names_.erase(name);
+    if (on_record_) on_record_(name, nullptr);
   }
 }
 
@@ -167,15 +193,14 @@
   return FailureDomain(key.substr(format_->evacuation_prefix().size()));
 }
 
-void SiteSync::ApplyListedEvacuations(const KvListResult& listing) {
+void SiteSync::ApplyListedEvacuations(const KvListResult& listing,
+                                      bool is_older_copy) {
   std::set<FailureDomain> evacuated;
   // An older copy of the records ends no evacuation; the watch that follows
   // reports what has changed since.
-  if (listing.revision < evacuations_as_of_) {
+  if (is_older_copy || listing.revision < evacuations_as_of_)
     evacuated = evacuated_;
-  } else {
-    evacuations_as_of_ = listing.revision;
-  }
+  evacuations_as_of_ = std::max(evacuations_as_of_, listing.revision);
   for (const KvRecord& record : listing.records)
     if (IsEvacuation(record.key)) evacuated.insert(EvacuatedDomain(record.key));
   SetEvacuated(std::move(evacuated));
@@ -187,14 +212,25 @@
   if (on_evacuation_) on_evacuation_(evacuated_);
 }
 
+bool SiteSync::SupersedesConfig(int64_t version, size_t digest) const {
+  // An older version never replaces the version in force.
+  if (config_ == nullptr || version > config_->version()) return true;
+  // A version that the store has lost may be given out again.
+  return version == config_->version() && era_ > config_era_ &&
+         digest != config_digest_;
+}
+
 void SiteSync::ApplyConfig(const KvRecord& record) {
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(config, format_->ReadConfig(record.value));
-        // An older version never replaces the version in force.
-        if (config_ != nullptr && config->version() <= config_->version())
-          return {};
+        const size_t digest = std::hash<std::string>()(record.value);
+        const bool supersedes = SupersedesConfig(config->version(), digest);
+        if (supersedes || config->version() == config_->version())
+          config_era_ = era_;
+        if (!supersedes) return {};
         config_ = config;
+        config_digest_ = digest;
         log_->WriteAlways(LogLine("configuration_in_force")
                               .Add("version", config->version())
                               .Add("revision", record.revision.count())
--- a/serving/site_sync.h
+++ b/serving/site_sync.h
@@ -5,6 +5,12 @@
 // that a silently broken connection cannot hide a change for longer than a
 // change may take to be in force. If the store becomes unreachable, everything
 // in force stays as it is until the store responds again.
+//
+// If the store comes back from an older copy, everything is listed again. What
+// the copy lacks is treated like records that expired during an outage, since
+// operators and servers write theirs again: servers stay listed for a while,
+// the configuration never goes back, and no evacuation ends. The fleet's own
+// records are gone.
 #ifndef SERVING_SITE_SYNC_H_
 #define SERVING_SITE_SYNC_H_
 
@@ -76,6 +82,10 @@
   void SetEvacuationObserver(EvacuationObserver observer) {
     on_evacuation_ = std::move(observer);
   }
+  // Called at the first listing, and at each that is of another era of the
+  // store than the one before, before its records are applied.
+  using EraObserver = std::function<void(StoreEra era, bool is_first)>;
+  void SetEraObserver(EraObserver observer) { on_era_ = std::move(observer); }
   void Start();
 
   std::shared_ptr<const SiteConfig> config() const { return config_; }
@@ -95,13 +105,19 @@
   void ScheduleRetry(std::function<void()> action);
 
   void ApplyRecord(const KvRecord& record);
+  // Reports the fleet's records that are missing from a listing.
+  void ApplyMissingRecords(const KvListResult& listing);
   void ApplyRemoval(const std::string& key);
   void ApplyConfig(const KvRecord& record);
+  // Whether a configuration with this version, and this digest of its record,
+  // replaces the one in force.
+  bool SupersedesConfig(int64_t version, size_t digest) const;
   void ApplyBackEnd(const KvRecord& record);
   bool IsEvacuation(const std::string& key) const;
   // Returns the failure domain that an evacuation's key names.
   FailureDomain EvacuatedDomain(const std::string& key) const;
-  void ApplyListedEvacuations(const KvListResult& listing);
+  // `is_older_copy`: the listing may lack what was acknowledged before.
+  void ApplyListedEvacuations(const KvListResult& listing, bool is_older_copy);
   void SetEvacuated(std::set<FailureDomain> evacuated);
   // Returns nullopt if the record is not a valid backend server entry.
   std::optional<BackEndEntry> ReadBackEnd(const KvRecord& record);
@@ -119,15 +135,22 @@
   RecordObserver on_record_;
   std::function<void()> on_back_ends_;
   EvacuationObserver on_evacuation_;
+  EraObserver on_era_;
 
   std::shared_ptr<const SiteConfig> config_;
+  // Of config_: the latest era that lists it, and a digest of its record.
+  StoreEra config_era_;
+  size_t config_digest_ = 0;
+  // Names of the fleet's records, without the prefix.
+  std::set<std::string> record_names_;
   std::set<FailureDomain> evacuated_;
   // Newest revision that evacuated_ reflects. Unlike revision_, it never goes
-  // back to that of an older copy of the records.
+  // back, if a store that names no era lists an older copy.
   Revision evacuations_as_of_;
   bool listed_ = false;
   bool store_lost_ = false;
   MonoTime last_contact_{};
+  StoreEra era_;       // Of the records in force.
   Revision revision_;  // All changes up to this revision are in force.
   KvStore::CallPtr call_;
   KvStore::CallPtr previous_call_;  // May be on the stack.
--- a/standins/platform_server.cc
+++ b/standins/platform_server.cc
@@ -124,12 +124,12 @@
   }
   if (faults_.busy ||
       faults_.refused_clients.count(exchange->client().ip) != 0) {
-    RespondError(exchange.get(), 503, "busy");
+    ReplyError(exchange.get(), 503, "busy");
     return;
   }
   if (!AdmitCall()) {
     ++rate_limited_calls_;
-    RespondError(exchange.get(), 429, "rate");
+    ReplyError(exchange.get(), 429, "rate");
     return;
   }
   store_.ExpireLeases(loop_->Now());
@@ -166,12 +166,29 @@
   } else if (StartsWith(target.path, kEndLeasePath)) {
     CountCall("lease_end");
     store_.EndLease(std::atoll(target.path.c_str() + kEndLeasePath.size()));
-    RespondJson(exchange.get(), 200, Json::Value(Json::objectValue));
+    Reply(exchange.get(), 200, Json::Value(Json::objectValue));
   } else {
-    RespondError(exchange.get(), 404, "path");
+    ReplyError(exchange.get(), 404, "path");
   }
 }
 
+void PlatformServer::Reply(HttpExchange* exchange, int status,
+                           const Json::Value& value) const {
+  HttpResponse response;
+  response.status = status;
+  response.headers.Add("Content-Type", "application/json");
+  response.headers.Add("Store-Era", std::to_string(store_.era()));
+  response.body = WriteJson(value);
+  exchange->Respond(std::move(response));
+}
+
+void PlatformServer::ReplyError(HttpExchange* exchange, int status,
+                                const char* error) const {
+  Json::Value value;
+  value["error"] = error;
+  Reply(exchange, status, value);
+}
+
 void PlatformServer::CountCall(const char* kind) { ++calls_by_kind_[kind]; }
 
 void PlatformServer::HandleGet(const ExchangePtr& exchange,
@@ -180,12 +197,12 @@
   const std::string key = target.StringParam("key");
   const PlatformStore::Record* record = store_.Find(key);
   if (record == nullptr) {
-    RespondError(exchange.get(), 404, "absent");
+    ReplyError(exchange.get(), 404, "absent");
     return;
   }
   Json::Value value = ItemJson(key, *record);
   value["current_rev"] = Json::Int64(store_.revision());
-  RespondJson(exchange.get(), 200, value);
+  Reply(exchange.get(), 200, value);
 }
 
 void PlatformServer::HandleList(const ExchangePtr& exchange,
@@ -199,18 +216,18 @@
   value["items"] = Json::Value(Json::arrayValue);
   for (size_t i = 0; i < found.size() && i < kPageRecords; ++i)
     value["items"].append(ItemJson(found[i].first, *found[i].second));
-  RespondJson(exchange.get(), 200, value);
+  Reply(exchange.get(), 200, value);
 }
 
 void PlatformServer::HandleTransaction(const ExchangePtr& exchange) {
   CountCall("transaction");
   const auto transaction = ParseTransaction(exchange->request().body);
   if (!transaction) {
-    RespondError(exchange.get(), 400, "json");
+    ReplyError(exchange.get(), 400, "json");
     return;
   }
   if (const int error_status = ValidateTransaction(*transaction)) {
-    RespondError(exchange.get(), error_status, "refused");
+    ReplyError(exchange.get(), error_status, "refused");
     return;
   }
   for (const std::string& key : KeysWritten(*transaction))
@@ -238,17 +255,17 @@
   switch (result.status) {
     case PlatformStore::Status::kOk:
       value["revision"] = Json::Int64(result.revision);
-      RespondJson(exchange.get(), 200, value);
+      Reply(exchange.get(), 200, value);
       return;
     case PlatformStore::Status::kConflict:
       value["items"] = Json::Value(Json::arrayValue);
       for (const auto& [key, revision] : transaction.expected)
         if (const auto* record = store_.Find(key))
           value["items"].append(ItemJson(key, *record));
-      RespondJson(exchange.get(), 412, value);
+      Reply(exchange.get(), 412, value);
       return;
     case PlatformStore::Status::kNoLease:
-      RespondError(exchange.get(), 404, "lease");
+      ReplyError(exchange.get(), 404, "lease");
       return;
   }
 }
@@ -268,7 +285,7 @@
   CountCall("lease_create");
   const auto body = ParseObject(exchange->request().body);
   if (!body || IntMember(*body, "ttl_ms") <= 0) {
-    RespondError(exchange.get(), 400, "ttl_ms");
+    ReplyError(exchange.get(), 400, "ttl_ms");
     return;
   }
   const int64_t ttl_ms = IntMember(*body, "ttl_ms");
@@ -276,16 +293,16 @@
   value["lease"] = Json::Int64(
       store_.CreateLease(std::chrono::milliseconds(ttl_ms), loop_->Now()));
   value["ttl_ms"] = Json::Int64(ttl_ms);
-  RespondJson(exchange.get(), 200, value);
+  Reply(exchange.get(), 200, value);
 }
 
 void PlatformServer::HandleRenewLease(const ExchangePtr& exchange,
                                       int64_t lease) {
   CountCall("lease_renew");
   if (store_.RenewLease(lease, loop_->Now())) {
-    RespondJson(exchange.get(), 200, Json::Value(Json::objectValue));
+    Reply(exchange.get(), 200, Json::Value(Json::objectValue));
   } else {
-    RespondError(exchange.get(), 404, "lease");
+    ReplyError(exchange.get(), 404, "lease");
   }
 }
 
@@ -311,7 +328,7 @@
 bool PlatformServer::TryCompleteWatch(const Watch& watch, bool timed_out) {
   const auto changes = store_.ChangesAfter(watch.prefix, watch.after_revision);
   if (changes.too_old) {
-    RespondError(watch.exchange.get(), 410, "compacted");
+    ReplyError(watch.exchange.get(), 410, "compacted");
     return true;
   }
   if (changes.entries.empty() && !timed_out) return false;
@@ -330,7 +347,7 @@
     event["tombstone"] = true;
     value["events"].append(event);
   }
-  RespondJson(watch.exchange.get(), 200, value);
+  Reply(watch.exchange.get(), 200, value);
   return true;
 }
 
@@ -393,6 +410,11 @@
   faults_.pause_leases =
       BoolMember(*body, "pause_leases", faults_.pause_leases);
   if (BoolMember(*body, "compact", false)) store_.Compact();
+  if (BoolMember(*body, "save_copy", false)) store_.SaveCopy();
+  if (BoolMember(*body, "restore_copy", false)) {
+    store_.RestoreCopy();
+    AbortWatches();
+  }
   if (body->isMember("refused")) {
     faults_.refused_clients.clear();
     for (const Json::Value& ip : (*body)["refused"])
@@ -424,7 +446,10 @@
       (outage && !faults_.outage) || (busy && !faults_.busy);
   faults_.outage = outage;
   faults_.busy = busy;
-  if (!outage_started) return;
+  if (outage_started) AbortWatches();
+}
+
+void PlatformServer::AbortWatches() {
   std::map<uint64_t, Watch> aborted;
   aborted.swap(watches_);
   for (auto& [serial, watch] : aborted) watch.exchange->Abort();
@@ -461,6 +486,7 @@
   value["refused"] = Json::Int64(rate_limited_calls_);
   value["waiting_watches"] = Json::UInt64(watches_.size());
   value["revision"] = Json::Int64(store_.revision());
+  value["era"] = Json::Int64(store_.era());
   value["writes"] = Json::Value(Json::objectValue);
   for (const auto& [prefix, count] : writes_by_prefix_)
     value["writes"][prefix] = Json::Int64(count);
--- a/standins/platform_server.h
+++ b/standins/platform_server.h
@@ -5,7 +5,10 @@
 //   POST /debug/control  any of {"outage": bool, "busy": bool, "slow_ms",
 //                        "lose_replies", "lose_replies_prefix", "late_writes",
 //                        "late_ms", "compact": bool, "pause_leases": bool,
+//                        "save_copy": bool, "restore_copy": bool,
 //                        "refused": [client ips], "vms": [...], "vms_lag_ms"}
+//       "restore_copy": the store comes back from the last saved copy, in a new
+//       era; usually set together with the end of an outage
 //   PUT  /debug/record?key=K    writes a record as the operator or a backend
 //                               server would
 //   DELETE /debug/record?key=K  removes a record
@@ -68,10 +71,16 @@
   void HandleControl(const ExchangePtr& exchange);
   void HandleDebugRecord(const ExchangePtr& exchange, const Target& target);
   void SetOutage(bool outage, bool busy);
+  void AbortWatches();
   void ScheduleVmsWrite(const Json::Value& vms);
   void WriteVms(const Json::Value& vms);
   Json::Value StatsJson() const;
 
+  // Respond to a call of the protocol, in which each response names the era.
+  void Reply(HttpExchange* exchange, int status,
+             const Json::Value& value) const;
+  void ReplyError(HttpExchange* exchange, int status, const char* error) const;
+
   // Counts a call. Returns false if it exceeds the rate limit.
   bool AdmitCall();
   void HandleCall(const ExchangePtr& exchange);
--- a/standins/platform_store.cc
+++ b/standins/platform_store.cc
@@ -80,7 +80,7 @@
 PlatformStore::Changes PlatformStore::ChangesAfter(const std::string& prefix,
                                                    int64_t after) const {
   Changes out;
-  if (after < compacted_revision_) {
+  if (after < compacted_revision_ || after > revision_) {
     out.too_old = true;
     return out;
   }
@@ -96,6 +96,20 @@
   compacted_revision_ = revision_;
 }
 
+void PlatformStore::SaveCopy() {
+  copy_ = Copy{revision_, next_lease_, records_, leases_};
+}
+
+void PlatformStore::RestoreCopy() {
+  if (!copy_) return;
+  revision_ = copy_->revision;
+  next_lease_ = copy_->next_lease;
+  records_ = copy_->records;
+  leases_ = copy_->leases;
+  ++era_;
+  Compact();
+}
+
 int64_t PlatformStore::CreateLease(Duration ttl, MonoTime now) {
   const int64_t id = next_lease_++;
   leases_[id] = Lease{ttl, now + ttl, {}};
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -70,12 +71,19 @@
       const std::string& prefix, const std::string& after = "",
       size_t limit = SIZE_MAX) const;
   // Returns the changes of keys under `prefix` after revision `after`, or sets
-  // `too_old` if the history no longer reaches back that far.
+  // `too_old` if the history doesn't reach back that far or the store has not
+  // got to that revision.
   Changes ChangesAfter(const std::string& prefix, int64_t after) const;
   // Discards the change history, so that every watch from an older revision is
   // too old.
   void Compact();
 
+  // Keeps a copy of all records and leases.
+  void SaveCopy();
+  // Goes back to the last copy, without any history, and begins a new era.
+  // Revisions and lease ids are given out again. Does nothing without a copy.
+  void RestoreCopy();
+
   int64_t CreateLease(Duration ttl, MonoTime now);
   bool RenewLease(int64_t lease, MonoTime now);
   void EndLease(int64_t lease);
@@ -85,6 +93,7 @@
   void ExtendLeases(Duration by);
 
   int64_t revision() const { return revision_; }
+  int64_t era() const { return era_; }
 
  private:
   struct Lease {
@@ -93,6 +102,13 @@
     std::set<std::string> keys;  // records that are removed with the lease
   };
 
+  struct Copy {
+    int64_t revision = 0;
+    int64_t next_lease = 0;
+    std::map<std::string, Record> records;
+    std::map<int64_t, Lease> leases;
+  };
+
   int64_t RevisionOf(const std::string& key) const;
   void Remove(const std::string& key);
   void RecordChange(const std::string& key, bool removed);
@@ -106,6 +122,8 @@
   std::map<std::string, Record> records_;
   std::map<int64_t, Lease> leases_;
   std::deque<Change> history_;  // oldest first
+  std::optional<Copy> copy_;
+  int64_t era_ = 1;
 };
 
 }  // namespace mimosa::standins
--- a/tests/site_sync_test.cc
+++ b/tests/site_sync_test.cc
@@ -126,6 +126,108 @@
   CHECK(servers.entries().count(BackEndId("i-1")) == 0);
 }
 
+TEST_CASE_METHOD(SyncFixture,
+                 "a record missing from a new listing is removed") {
+  store.list_replies.push_back(
+      {KvStatus::kOk,
+       Revision(9),
+       {{"mimosa/a", "{}", Revision(7)}, {"mimosa/b", "{}", Revision(8)}},
+       {}});
+  store.watch_replies.push_back({KvStatus::kCompacted, Revision(0), {}, {}});
+  store.list_replies.push_back(
+      {KvStatus::kOk, Revision(30), {{"mimosa/b", "{}", Revision(8)}}, {}});
+  std::vector<std::string> removed;
+  sync.SetRecordObserver([&](const std::string& record, const KvRecord* value) {
+    if (value == nullptr) removed.push_back(record);
+  });
+  sync.Start();
+  REQUIRE(
+      RunUntil(loop.get(), [&] { return store.watched_after.size() == 2; }));
+  CHECK(removed == std::vector<std::string>{"a"});
+}
+
+KvRecord MakeConfigRecord(int version, const std::string& key,
+                          int64_t revision) {
+  return {"op/config",
+          R"({"version":)" + std::to_string(version) +
+              R"(,"routes":[],"services":[],"tenants":[{"name":"t",)" +
+              R"("api_keys":[")" + key + R"("]}]})",
+          Revision(revision)};
+}
+
+// A store that comes back from an older copy, in a new era.
+struct RestoredFixture : SyncFixture {
+  void Restore(std::vector<KvRecord> before, std::vector<KvRecord> after) {
+    store.list_replies.push_back(
+        {KvStatus::kOk, Revision(9), std::move(before), {}, StoreEra(1)});
+    store.watch_replies.push_back(
+        {KvStatus::kCompacted, Revision(0), {}, {}, StoreEra(2)});
+    store.list_replies.push_back(
+        {KvStatus::kOk, Revision(1009), std::move(after), {}, StoreEra(2)});
+    sync.SetEraObserver([this](StoreEra era, bool is_first) {
+      eras.emplace_back(era, is_first);
+    });
+    sync.Start();
+    REQUIRE(
+        RunUntil(loop.get(), [&] { return store.watched_after.size() == 2; }));
+  }
+  bool HasKey(const std::string& key) const {
+    return sync.config()->FindCustomerByKey(key) != nullptr;
+  }
+
+  std::vector<std::pair<StoreEra, bool>> eras;
+};
+
+// Guards against servers that are dropped though they are about to register
+// again, when no call of this daemon failed meanwhile.
+TEST_CASE_METHOD(RestoredFixture,
+                 "servers that a restored store lacks stay for a while") {
+  Restore({MakeServerRecord("i-1", 7), MakeServerRecord("i-2", 8)},
+          {MakeServerRecord("i-1", 1007)});
+  CHECK(eras == std::vector<std::pair<StoreEra, bool>>{{StoreEra(1), true},
+                                                       {StoreEra(2), false}});
+  REQUIRE(servers.entries().count(BackEndId("i-2")) == 1);
+  CHECK(servers.entries().at(BackEndId("i-2")).removal_pending);
+  CHECK_FALSE(servers.entries().at(BackEndId("i-1")).removal_pending);
+  CHECK(RunUntil(loop.get(), [&] { return servers.entries().size() == 1; }));
+}
+
+TEST_CASE_METHOD(RestoredFixture,
+                 "a configuration doesn't go back with the store") {
+  SECTION("an older version") {
+    Restore({MakeConfigRecord(5, "new", 9)},
+            {MakeConfigRecord(4, "old", 1004)});
+    CHECK(sync.config()->version() == 5);
+  }
+  SECTION("a newer version") {
+    Restore({MakeConfigRecord(5, "new", 9)},
+            {MakeConfigRecord(6, "newer", 1004)});
+    CHECK(HasKey("newer"));
+  }
+  SECTION("a lost version is given out again with other content") {
+    Restore({MakeConfigRecord(5, "lost", 9)},
+            {MakeConfigRecord(5, "again", 1009)});
+    CHECK(HasKey("again"));
+  }
+}
+
+TEST_CASE_METHOD(SyncFixture, "within an era a version has one content") {
+  store.list_replies.push_back({KvStatus::kOk,
+                                Revision(9),
+                                {MakeConfigRecord(5, "first", 9)},
+                                {},
+                                StoreEra(1)});
+  store.watch_replies.push_back({KvStatus::kOk,
+                                 Revision(10),
+                                 {MakeConfigRecord(5, "second", 10)},
+                                 {},
+                                 StoreEra(1)});
+  sync.Start();
+  REQUIRE(
+      RunUntil(loop.get(), [&] { return store.watched_after.size() == 2; }));
+  CHECK(sync.config()->FindCustomerByKey("first") != nullptr);
+}
+
 TEST_CASE_METHOD(SyncFixture, "a failed listing is retried") {
   store.list_replies.push_back({KvStatus::kNoReply, Revision(0), {}, {}});
   store.list_replies.push_back({KvStatus::kOk, Revision(3), {}, {}});
@@ -203,6 +305,13 @@
     await_watches(3);
     CHECK(seen == std::vector<std::string>{"a "});
   }
+  SECTION("a new era, whose revisions are greater") {
+    store.list_replies.push_back(
+        {KvStatus::kOk, Revision(1005), {}, {}, StoreEra(2)});
+    sync.Start();
+    await_watches(2);
+    CHECK(seen == std::vector<std::string>{"a "});
+  }
   SECTION("the store is away") {
     store.list_replies.push_back({KvStatus::kNoReply, Revision(0), {}, {}});
     store.list_replies.push_back(
--- a/tools/mimosa_entry.cc
+++ b/tools/mimosa_entry.cc
@@ -36,11 +36,11 @@
   EntryPlatform platform;
   platform.site_format = &site;
   platform.request_format = &requests;
-  platform.open_store = [](HttpClient* client, const Endpoint& store,
-                           MetricsRegistry* metrics) {
+  platform.open_store = [](EventLoop* loop, HttpClient* client,
+                           const Endpoint& store, MetricsRegistry* metrics) {
     StoreClientOptions options;
     options.store = store;
-    return std::make_unique<StoreClient>(client, options, metrics);
+    return std::make_unique<StoreClient>(loop, client, options, metrics);
   };
   const auto reload = [&]() -> std::optional<wire::EntrySettings> {
     wire::EntrySettings reloaded;
--- a/tools/mimosactl.cc
+++ b/tools/mimosactl.cc
@@ -37,7 +37,7 @@
   StoreClientOptions options;
   (void)Endpoint::Parse(settings.platform(), &options.store);
   options.call_timeout = timeout;
-  StoreClient kv(client.get(), options, /*metrics=*/nullptr);
+  StoreClient kv(loop.get(), client.get(), options, /*metrics=*/nullptr);
   CatalogueStore store(loop.get(), &kv, settings.deployment(),
                        std::chrono::milliseconds(settings.retry_ms()));
   RouterClient routers(loop.get(), client.get(),
