In a new era of the store nobody writes the record of role moves at once

What could happen: a store that comes back from an older copy has lost the record of the daemon that moves engines.

Cause: a missing record, or one that names this daemon, counted as the right to write it. That holds in one history only.

Change: once a new era begins, pending orders and proposals end, and the record isn't written for as long as another writer's orders may go on. A record that was written in an era which isn't in force here yet leads to no orders.

Not covered: a daemon that starts just then and is the collector at once measures for 4 s.

Result: two new cases of role_controller_test; the first fails without the wait.

--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -289,6 +289,9 @@
         [this](const std::set<FailureDomain>& evacuated) {
           OnEvacuation(evacuated);
         });
+    site_sync_.SetEraObserver([this](StoreEra era, bool /*is_first*/) {
+      role_controller_.OnEraBegun(era);
+    });
     site_sync_.SetBackEndsObserver([this] {
       stream_origins_.OnBackEndsChanged();
       permits_.OnBackEndsChanged(back_ends_);
--- a/serving/role_controller.cc
+++ b/serving/role_controller.cc
@@ -77,6 +77,16 @@
   PruneMoves();
 }
 
+void RoleController::OnEraBegun(StoreEra era) {
+  const bool is_first = !era_;
+  era_ = era;
+  if (is_first) return;
+  former_orders_until_ = loop_->Now() + options_.takeover_delay;
+  pending_moves_.clear();
+  orders_.clear();
+  propagation_timer_.Cancel();
+}
+
 void RoleController::PruneMoves() {
   const MonoTime now = loop_->Now();
   for (auto it = moves_.begin(); it != moves_.end();) {
@@ -188,6 +198,7 @@
 // --- Announcement -----------------------------------------------------------
 
 bool RoleController::MayWriteRecord(MonoTime now) const {
+  if (now < former_orders_until_) return false;
   return revision_ == Revision(0) || owns_record_ ||
          now - record_received_at_ >= options_.takeover_delay;
 }
@@ -216,9 +227,10 @@
                                       MonoTime sent_at) {
   announcing_ = false;
   const MonoTime now = loop_->Now();
-  const bool may_send_orders = result.status == KvStatus::kOk &&
-                               now - sent_at <= options_.ack_timeout &&
-                               !stopped_;
+  // A record of an era that isn't in force yet may hide another writer's.
+  const bool may_send_orders =
+      result.status == KvStatus::kOk && result.era == era_ &&
+      now - sent_at <= options_.ack_timeout && !stopped_;
   log_->Write(LogLine("role_moves_announced")
                   .Add("status", KvStatusName(result.status))
                   .Add("held", may_send_orders)
--- a/serving/role_controller.h
+++ b/serving/role_controller.h
@@ -9,11 +9,17 @@
 // for a limited time after the store has acknowledged its record, and another
 // daemon overwrites the record only after it has been unchanged for longer than
 // that.
+//
+// A store that comes back from an older copy may have lost the record of a
+// writer that still sends orders. In a new era of the store, the orders of the
+// era before end, and for as long as they might go on elsewhere nobody writes
+// the record.
 #ifndef SERVING_ROLE_CONTROLLER_H_
 #define SERVING_ROLE_CONTROLLER_H_
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,6 +78,9 @@
   void SetServices(std::vector<SiteService> services);
   // Called by the watch on the store; nullptr if the record was removed.
   void OnRecord(const KvRecord* record);
+  // Called before the records of an era of the store are applied, also those of
+  // the first one.
+  void OnEraBegun(StoreEra era);
 
   size_t active_moves() const { return moves_.size(); }
   uint64_t orders_sent() const { return orders_sent_; }
@@ -138,6 +147,9 @@
   Revision revision_;
   bool owns_record_ = false;  // Written by this process.
   MonoTime record_received_at_{};
+  std::optional<StoreEra> era_;  // Of the records that are in force.
+  // Until then, orders of a writer whose record is lost may be sent.
+  MonoTime former_orders_until_{};
 
   // State of this daemon as the writer.
   std::vector<RoleMove> pending_moves_;  // Not announced yet.
--- a/tests/role_controller_test.cc
+++ b/tests/role_controller_test.cc
@@ -95,6 +95,7 @@
     service.engine->kv_memory = Tokens(36000);
     service.engine->role_switch_time = seconds(6);
     controller.SetServices({service});
+    controller.OnEraBegun(StoreEra(1));
   }
 
   static RoleController::Options Options() {
@@ -151,7 +152,7 @@
     const ScriptedStore::Write write = store.writes.front();
     store.writes.pop_front();
     const KvRecord record{kKey, write.value, Revision(revision)};
-    write.done({KvStatus::kOk, record});
+    write.done({KvStatus::kOk, record, StoreEra(1)});
     controller.OnRecord(&record);
   }
   bool AwaitWrite() {
@@ -375,6 +376,41 @@
   }
 }
 
+// Guards against orders of two daemons in turns, after the store has lost the
+// record of the one that still sends them.
+TEST_CASE_METHOD(RoleControllerFixture,
+                 "in a new era of the store the record isn't written at once") {
+  controller.Start();
+  REQUIRE(AwaitWrite());
+  SECTION("nor are pending orders sent") {
+    AcknowledgeWrite(41);
+    controller.OnEraBegun(StoreEra(2));
+    controller.OnRecord(nullptr);
+    RunFor(loop.get(), Options().takeover_delay / 2);
+    CHECK(engine.report_requests == 0);
+    CHECK(store.writes.empty());
+  }
+  SECTION("nor by the daemon that the older copy names") {
+    store.writes.front().done({KvStatus::kNoReply, {}, StoreEra(1)});
+    store.writes.clear();
+    controller.OnEraBegun(StoreEra(2));
+    DeliverRecord("entry-1", 7, 30, "gone");
+    RunFor(loop.get(), Options().takeover_delay / 2);
+    CHECK(store.writes.empty());
+  }
+  CHECK(AwaitWrite());
+}
+
+TEST_CASE_METHOD(RoleControllerFixture,
+                 "no orders for a record of an era that isn't in force") {
+  controller.Start();
+  REQUIRE(AwaitWrite());
+  store.writes.front().done(
+      {KvStatus::kOk, {kKey, "{}", Revision(41)}, StoreEra(2)});
+  RunFor(loop.get(), Options().propagation_delay * 4);
+  CHECK(engine.report_requests == 0);
+}
+
 TEST_CASE_METHOD(RoleControllerFixture, "a leaving daemon sends no orders") {
   controller.Start();
   REQUIRE(AwaitWrite());
