A quarantine outlives a store that comes back without it

What could happen: suspects that were put into quarantine after the copy was made were released on all daemons with the new listing, and crashed engines again. A record with a lower revision than the last one was ignored from then on.

Cause: a record that lacks a suspect was taken for the decision to release it.

Change: when the store has come back from a copy, what was recorded before is written again, by whichever daemon comes first after a random delay.

--- a/serving/crash_exchange.cc
+++ b/serving/crash_exchange.cc
@@ -318,11 +318,22 @@
 
 // --- The record -----------------------------------------------------------
 
+void CrashExchange::OnStoreRestored() {
+  for (const auto& [suspect, recorded] : recorded_) {
+    PendingChange change;
+    change.engines = recorded.engines;
+    change.notified_at = loop_->Now();  // All daemons know it.
+    pending_.emplace(suspect, std::move(change));
+  }
+  // The whole fleet writes, and the first write serves all.
+  if (!pending_.empty()) ScheduleWrite();
+}
+
 void CrashExchange::OnRecord(const KvRecord* record) {
   // The watch may be behind a write of this daemon.
   if (record != nullptr && record->revision < revision_) return;
   ApplyRecord(record);
-  WritePendingChanges();
+  if (!write_timer_) WritePendingChanges();
 }
 
 void CrashExchange::ApplyRecord(const KvRecord* record) {
@@ -432,8 +443,10 @@
 void CrashExchange::ScheduleWrite() {
   const Duration jitter =
       Scaled(options_.write_retry_delay, random_->UniformDouble());
-  write_timer_ = loop_->After(options_.write_retry_delay + jitter,
-                              [this] { WritePendingChanges(); });
+  write_timer_ = loop_->After(options_.write_retry_delay + jitter, [this] {
+    write_timer_.Cancel();
+    WritePendingChanges();
+  });
 }
 
 }  // namespace mimosa
--- a/serving/crash_exchange.h
+++ b/serving/crash_exchange.h
@@ -81,6 +81,9 @@
   void OnDatagram(const Endpoint& from, const wire::UsageDatagram& datagram);
   // The list of backend servers has changed.
   void OnBackEndsChanged(const BackEndList& back_ends);
+  // Called when the store has come back from an older copy, before its record
+  // is applied: what the copy lacks is written again.
+  void OnStoreRestored();
   // The record in the store; nullptr if it was removed.
   void OnRecord(const KvRecord* record);
 
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -292,6 +292,7 @@
     site_sync_.SetEraObserver([this](StoreEra era, bool is_first) {
       role_controller_.OnEraBegun(era);
       if (is_first) return;
+      crash_exchange_.OnStoreRestored();
       if (!leaving_) members_.OnStoreRestored();
     });
     site_sync_.SetBackEndsObserver([this] {
--- a/tests/crash_exchange_test.cc
+++ b/tests/crash_exchange_test.cc
@@ -242,6 +242,22 @@
   });
 }
 
+// Guards against engines that crash again because the store has lost what it
+// acknowledged.
+TEST_CASE("the quarantine outlives a store that comes back without it") {
+  ForEachFleet<Fleet>([](Fleet& fleet) {
+    fleet.SendFor(seconds(6), milliseconds(150));
+    const int reached = fleet.reached();
+    const Revision lost = fleet.platform().Get(kRecordKey).record.revision;
+    fleet.platform().Delete(kRecordKey, lost);
+    for (int i = 0; i < fleet.size(); ++i)
+      fleet.daemon(i).exchange.OnStoreRestored();
+    fleet.SendFor(seconds(30), milliseconds(150));
+    CHECK(fleet.reached() <= reached + kMaxRequestsAfter);
+    CHECK(fleet.platform().Get(kRecordKey).record.revision > lost);
+  });
+}
+
 TEST_CASE("without the store, notices keep requests from engines") {
   ForEachFleet<Fleet>([](Fleet& fleet) {
     fleet.faults().platform_down = true;
