call_lost names the connection and whose id the response bore

Cause: the users saw requests run that had been rejected. The lines of a lost call don't tell a rejection of this request from one that came for another on the same connection, or for an attempt before.

Change: call_lost has the connection's number, its age, the calls before, whose id the response bore, and how many responses to other requests came in front.

--- a/net/fetch.cc
+++ b/net/fetch.cc
@@ -20,6 +20,9 @@
 
   bool sent() const override { return call_->sent(); }
   void Pause(bool pause) override { call_->Pause(pause); }
+  ConnectionUse connection_use() const override {
+    return call_->connection_use();
+  }
 
   void OnHead(int status, const HttpHeaders& headers) override {
     result_.response.status = status;
--- a/net/http.h
+++ b/net/http.h
@@ -287,6 +287,15 @@
   virtual void OnFailed(HttpFailure failure, bool sent) = 0;
 };
 
+// The connection that a call uses, for logs.
+struct ConnectionUse {
+  uint64_t serial = 0;    // Counts the client's connections; 0: none yet.
+  int earlier_calls = 0;  // Calls that the connection carried before.
+  Duration age{};         // Of the connection, when the request was sent.
+  // Responses to other requests that arrived in front of the call's own.
+  int skipped_responses = 0;
+};
+
 // An open call. Destroying it cancels the call: its connection is closed and no
 // callback follows. May be destroyed from within a callback.
 class HttpCall {
@@ -296,6 +305,8 @@
   virtual bool sent() const = 0;
   // Stops (true) or resumes (false) reading the response, for back pressure.
   virtual void Pause(bool pause) = 0;
+  // The connection of the last transmission; it may be closed by now.
+  virtual ConnectionUse connection_use() const = 0;
 };
 
 // Starts calls and pools keep-alive connections.
--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -45,12 +45,24 @@
     virtual void OnClosed() = 0;
   };
 
+  ClientConnection(uint64_t serial, MonoTime opened_at)
+      : serial_(serial), opened_at_(opened_at) {}
+
   // Starts to connect. Returns false if that fails immediately.
   bool Open(LwsLoop* loop, const Endpoint& to) {
     socket_ = RawSocket::Connect(loop, to, this);
     return socket_ != nullptr;
   }
 
+  // Counts one more call, and returns its use of the connection.
+  ConnectionUse StartCall(MonoTime now) {
+    ConnectionUse use;
+    use.serial = serial_;
+    use.earlier_calls = calls_++;
+    use.age = now - opened_at_;
+    return use;
+  }
+
   void set_user(User* user) { user_ = user; }
   RawSocket* socket() { return socket_.get(); }
 
@@ -60,6 +72,9 @@
   void OnClosed() override { user_->OnClosed(); }
 
  private:
+  const uint64_t serial_;
+  const MonoTime opened_at_;
+  int calls_ = 0;
   User* user_ = nullptr;
   std::unique_ptr<RawSocket> socket_;
 };
@@ -70,6 +85,9 @@
  public:
   explicit ConnectionPool(LwsLoop* loop) : loop_(loop) {}
 
+  // Returns the serial number of a new connection.
+  uint64_t NextSerial() { return ++last_serial_; }
+
   // Removes and returns a connection to `to`, or nullptr if there is none that
   // has been idle for at most `max_idle`.
   std::unique_ptr<ClientConnection> TakeConnection(const Endpoint& to,
@@ -138,6 +156,7 @@
   }
 
   LwsLoop* const loop_;
+  uint64_t last_serial_ = 0;
   std::map<Endpoint, std::vector<std::unique_ptr<Entry>>> idle_;
 };
 
@@ -172,6 +191,7 @@
   }
 
   bool sent() const { return sent_earlier_ || SentOnCurrentConnection(); }
+  const ConnectionUse& connection_use() const { return use_; }
 
   void Pause(bool pause) {
     if (paused_ == pause || handler_ == nullptr) return;
@@ -213,7 +233,9 @@
     state_ = State::kConnecting;
     pooled_ = false;
     bytes_written_before_ = 0;
-    connection_ = std::make_unique<ClientConnection>();
+    const auto pool = pool_.lock();
+    connection_ = std::make_unique<ClientConnection>(
+        pool == nullptr ? 0 : pool->NextSerial(), loop_->Now());
     connection_->set_user(this);
     if (!connection_->Open(loop_, options_.to)) {
       connection_.reset();
@@ -226,6 +248,7 @@
   void SendRequest() {
     state_ = State::kHead;
     response_started_ = false;
+    use_ = connection_->StartCall(loop_->Now());
     reader_ = std::make_unique<ResponseReader>(request_.method == "HEAD",
                                                options_.max_response_bytes);
     bytes_written_before_ = connection_->socket()->bytes_written();
@@ -246,6 +269,7 @@
     if (!skipping_response_) return false;
     if (reader_->state() == ResponseReader::State::kComplete) {
       skipping_response_ = false;
+      ++use_.skipped_responses;
       reader_ = std::make_unique<ResponseReader>(request_.method == "HEAD",
                                                  options_.max_response_bytes);
     }
@@ -304,6 +328,7 @@
   HttpCallHandler* handler_;  // nullptr once finished or cancelled
   State state_ = State::kConnecting;
   std::unique_ptr<ClientConnection> connection_;
+  ConnectionUse use_;  // Of connection_, or of the last one.
   std::unique_ptr<ResponseReader> reader_;
   // Received bytes that reader_ has not consumed.
   std::string input_;
@@ -413,6 +438,9 @@
   ~Call() override { state_->Cancel(); }
   bool sent() const override { return state_->sent(); }
   void Pause(bool pause) override { state_->Pause(pause); }
+  ConnectionUse connection_use() const override {
+    return state_->connection_use();
+  }
 
  private:
   const std::shared_ptr<CallState> state_;
--- a/router/fleet_reservation_client_test.cc
+++ b/router/fleet_reservation_client_test.cc
@@ -288,6 +288,7 @@
    public:
     bool sent() const override { return true; }
     void Pause(bool /*pause*/) override {}
+    ConnectionUse connection_use() const override { return {}; }
     TimerHandle timer;
   };
   FakeLoop* const loop_;
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -143,6 +143,7 @@
 void BackEndCall::OnHead(int status, const HttpHeaders& headers) {
   silence_timer_.Cancel();
   const ResponseMarkers markers = deps_.format->ReadResponseMarkers(headers);
+  response_id_ = markers.request_id.empty() ? "none" : "own";
   // Another server that now has the address speaks for itself only.
   if (status != kMisdirected) {
     deps_.reachability->RecordContact(back_end_);
@@ -183,8 +184,13 @@
   if (refusal_bytes_ > kMaxInternalResponseBytes) EndRefusal();
 }
 
-void BackEndCall::EndRefusal() {
+void BackEndCall::CloseCall() {
+  if (call_ != nullptr) connection_use_ = call_->connection_use();
   call_.reset();
+}
+
+void BackEndCall::EndRefusal() {
+  CloseCall();
   FailRefused();
 }
 
@@ -197,7 +203,7 @@
 }
 
 void BackEndCall::Reject() {
-  call_.reset();
+  CloseCall();
   Fail(CallFailure::kInvalidResponse, CallOutcome::kFailed);
 }
 
@@ -267,14 +273,21 @@
 void BackEndCall::Fail(CallFailure failure, CallOutcome outcome) {
   silence_timer_.Cancel();
   ReportOutcome(outcome);
-  deps_.log->Write(LogLine("call_lost")
-                       .Add("request", id_.value())
-                       .Add("back_end", back_end_.id.value())
-                       .Add("kind", kind_)
-                       .Add("loss", CallFailureName(failure))
-                       .Add("status", refusal_status_)
-                       .Add("head", response_started_)
-                       .AddMillis("after_ms", deps_.loop->Now() - started_));
+  if (call_ != nullptr) connection_use_ = call_->connection_use();
+  deps_.log->Write(
+      LogLine("call_lost")
+          .Add("request", id_.value())
+          .Add("back_end", back_end_.id.value())
+          .Add("kind", kind_)
+          .Add("loss", CallFailureName(failure))
+          .Add("status", refusal_status_)
+          .Add("head", response_started_)
+          .Add("response_id", response_id_)
+          .Add("connection", static_cast<int64_t>(connection_use_.serial))
+          .AddMillis("connection_age_ms", connection_use_.age)
+          .Add("earlier_calls", connection_use_.earlier_calls)
+          .Add("skipped", connection_use_.skipped_responses)
+          .AddMillis("after_ms", deps_.loop->Now() - started_));
   handler_->OnCallFailed(this, failure);
 }
 
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -133,6 +133,8 @@
   void RecordPause(Duration pause);
   // Returns whether the call may be sent once more.
   bool AcquireResend();
+  // Ends the HTTP call and keeps what the log says of its connection.
+  void CloseCall();
   // Stops to read the body of a refusal.
   void EndRefusal();
   void FailRefused();
@@ -155,6 +157,9 @@
   // The current response rejects the request as not executed.
   bool not_executed_ = false;
   bool asked_for_pause_ = false;
+  // Whose id the last response bears.
+  const char* response_id_ = "no_response";
+  ConnectionUse connection_use_;  // Once the call has ended.
   int refusal_status_ = 0;
   size_t refusal_bytes_ = 0;  // Of the body.
   TimerHandle refusal_timer_;
