A connection carries a run only if its response can be told from copies

Cause: a server may send a response once more, late, where the next one on the connection is due. The client told responses apart by the id of their request, and took one without id for its own; a rejection needn't bear an id. And where a request went out twice on one connection, its id couldn't tell its attempts apart. The daemon acted on the copy: it ran the request elsewhere, or promised that it had not run.

Change: each connection keeps what its late copies could look like: the ids of its requests, and whether a failure or a success without id came on it. A call with an id takes the most recently used connection on which any response so far could be told from its own, else a new one. A call without an id takes any, and skips responses that name a request.

Why it works: a response that reaches a run on such a connection either names it, and no earlier request had that id there, or names none, and no earlier response that names none could be taken for it. No relay has to observe this.

--- a/net/client_test.cc
+++ b/net/client_test.cc
@@ -330,6 +330,116 @@
   }
 }
 
+// Calls whose requests and responses bear ids.
+class RequestIdFixture : public ClientFixture {
+ protected:
+  RequestIdFixture() {
+    options_.reuse_connection = true;
+    options_.read_request_id = [](const HttpHeaders& headers) {
+      const std::string* id = headers.Find("Id");
+      return id == nullptr ? "" : *id;
+    };
+  }
+  static std::string ResponseText(const std::string& id, int status = 200,
+                                  const std::string& body = "hi") {
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" +
+           (id.empty() ? "" : "Id: " + id + "\r\n") +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  // Completes a call with an id, or without one, on a new connection.
+  std::unique_ptr<RawPeer> CompleteCallWithId(const std::string& id,
+                                              const std::string& named_id,
+                                              int status = 200) {
+    options_.request_id = id;
+    return CompleteCall(ResponseText(named_id, status));
+  }
+  // Starts a call and returns whether it uses the connection to `peer`.
+  bool Uses(RawPeer* peer, const std::string& id) {
+    peer->Clear();
+    options_.request_id = id;
+    Start();
+    std::unique_ptr<RawPeer> other;
+    REQUIRE(Until([&] {
+      if (other == nullptr) other = listener_.Accept();
+      return !peer->received().empty() ||
+             (other != nullptr && !other->received().empty());
+    }));
+    call_.reset();
+    return !peer->received().empty();
+  }
+};
+
+// Guards against a late copy of a response without an id, which looks like the
+// response to whatever was sent last.
+TEST_CASE_METHOD(RequestIdFixture,
+                 "a request with an id isn't sent where a response named none",
+                 "[client]") {
+  const std::string first_id = GENERATE("", "a");
+  SECTION("a failure") {
+    auto peer = CompleteCallWithId(first_id, "", 503);
+    CHECK_FALSE(Uses(peer.get(), "b"));
+    // A call that doesn't tell responses apart may use it.
+    CHECK(Uses(peer.get(), ""));
+  }
+  SECTION("a success") {
+    auto peer = CompleteCallWithId(first_id, "", 200);
+    CHECK_FALSE(Uses(peer.get(), "b"));
+  }
+  SECTION("a success, which can't be a response to this request") {
+    auto peer = CompleteCallWithId(first_id, "", 200);
+    options_.success_names_request = true;
+    CHECK(Uses(peer.get(), "b"));
+  }
+}
+
+// Guards against a late copy of the response to an earlier attempt.
+TEST_CASE_METHOD(RequestIdFixture,
+                 "a request isn't sent twice on one connection", "[client]") {
+  auto peer = CompleteCallWithId("a", "a");
+  SECTION("but another one is") { CHECK(Uses(peer.get(), "b")); }
+  SECTION("the same request") { CHECK_FALSE(Uses(peer.get(), "a")); }
+  SECTION("also when it isn't the last one") {
+    options_.request_id = "b";
+    Start();
+    AwaitRequest(peer.get());
+    peer->Send(ResponseText("b"));
+    AwaitEnd();
+    CHECK_FALSE(Uses(peer.get(), "a"));
+  }
+}
+
+TEST_CASE_METHOD(RequestIdFixture,
+                 "late copies of responses to other requests are skipped",
+                 "[client]") {
+  auto peer = CompleteCallWithId("a", "a");
+  options_.request_id = GENERATE("", "b");
+  Start();
+  AwaitRequest(peer.get());
+  peer->Send(ResponseText("a", 200, "late") + ResponseText("a", 503) +
+             ResponseText(options_.request_id, 200, "own"));
+  AwaitEnd();
+  CHECK(recorded_.done);
+  CHECK(recorded_.body == "own");
+  CHECK(call_->connection_use().skipped_responses == 2);
+  CHECK(call_->connection_use().earlier_calls == 1);
+}
+
+TEST_CASE_METHOD(RequestIdFixture,
+                 "a late copy of a success without an id is skipped",
+                 "[client]") {
+  auto peer = CompleteCallWithId("", "");
+  options_.success_names_request = true;
+  options_.request_id = "a";
+  Start();
+  AwaitRequest(peer.get());
+  peer->Send(ResponseText("", 200, "late") + ResponseText("a", 200, "own"));
+  AwaitEnd();
+  CHECK(recorded_.body == "own");
+  // Without an earlier one, it can't be a copy.
+  auto fresh = CompleteCallWithId("a", "");
+  CHECK(call_->connection_use().skipped_responses == 0);
+}
+
 TEST_CASE_METHOD(ClientFixture,
                  "a request on a closed pooled connection is retried once",
                  "[client]") {
--- a/net/http.h
+++ b/net/http.h
@@ -257,9 +257,19 @@
   // Whether a response without length or chunks is complete at an orderly close
   // of its connection.
   bool accept_close_delimited = false;
-  // Returns whether a response with these headers belongs to this request. One
-  // that doesn't is skipped. If empty, every response is accepted.
-  std::function<bool(const HttpHeaders&)> matches_request;
+  // The id that the request bears; empty if it bears none. A server may repeat
+  // a response late, in front of the next one on its connection. What tells a
+  // copy apart is the id of the request that it names, but some responses name
+  // none. A call with an id therefore uses only connections on which every
+  // response so far can be told from the call's own, should it come again:
+  // responses that name another request, and those that are skipped here.
+  std::string request_id;
+  // Whether a successful response always names its request. One that doesn't,
+  // and may be a copy, is skipped then, as is one that names another request.
+  bool success_names_request = false;
+  // Returns the id of the request that a response names; empty if it names
+  // none. If this isn't set, no response is known to name one.
+  std::function<std::string(const HttpHeaders&)> read_request_id;
 };
 
 // What marked the end of a response.
--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -32,6 +32,59 @@
 // together.
 constexpr size_t kMaxSkippedBytes = 1U << 20;
 
+bool IsSuccess(int status) { return status / 100 == 2; }
+
+// What has passed on a connection, to tell late copies of its responses from
+// the response to a new request.
+class ResponseHistory {
+ public:
+  // Whether a response to a request that is sent now can be told from a copy of
+  // any earlier one.
+  bool AllowsCall(const HttpCallOptions& options) const {
+    if (options.request_id.empty()) return true;
+    if (has_unnamed_failure_ || request_ids_.size() >= kMaxRequests)
+      return false;
+    if (has_unnamed_success_ && !options.success_names_request) return false;
+    return std::find(request_ids_.begin(), request_ids_.end(),
+                     Digest(options.request_id)) == request_ids_.end();
+  }
+  // Whether a response that names the request `named_id`, or none if that is
+  // empty, may be the copy of an earlier one that names none.
+  bool MayBeCopy(int status, const std::string& named_id) const {
+    return named_id.empty() &&
+           (IsSuccess(status) ? has_unnamed_success_ : has_unnamed_failure_);
+  }
+  // Records a request that is sent; `request_id` is empty if it bears none.
+  void RecordRequest(const std::string& request_id) {
+    if (!has_unnamed_failure_ && !request_id.empty())
+      request_ids_.push_back(Digest(request_id));
+  }
+  // Records a response, also to another request. `named_id` is the id of the
+  // request that it names; empty if it names none.
+  void RecordResponse(int status, const std::string& named_id) {
+    if (!named_id.empty()) return;
+    if (IsSuccess(status)) {
+      has_unnamed_success_ = true;
+    } else {
+      has_unnamed_failure_ = true;
+      request_ids_ = {};  // No call with an id follows.
+    }
+  }
+
+ private:
+  // Bounds the memory of a connection.
+  static constexpr size_t kMaxRequests = 128;
+
+  // Two ids with the same digest only cost a connection.
+  static size_t Digest(const std::string& request_id) {
+    return std::hash<std::string>()(request_id);
+  }
+
+  bool has_unnamed_success_ = false;
+  bool has_unnamed_failure_ = false;
+  std::vector<size_t> request_ids_;  // Digests of the ids of all requests.
+};
+
 // A connection that may outlive a call. Its events go to its current user: a
 // call or the pool.
 class ClientConnection : public RawSocket::Handler {
@@ -63,6 +116,7 @@
     return use;
   }
 
+  ResponseHistory& history() { return history_; }
   void set_user(User* user) { user_ = user; }
   RawSocket* socket() { return socket_.get(); }
 
@@ -75,6 +129,7 @@
   const uint64_t serial_;
   const MonoTime opened_at_;
   int calls_ = 0;
+  ResponseHistory history_;
   User* user_ = nullptr;
   std::unique_ptr<RawSocket> socket_;
 };
@@ -88,16 +143,23 @@
   // Returns the serial number of a new connection.
   uint64_t NextSerial() { return ++last_serial_; }
 
-  // Removes and returns a connection to `to`, or nullptr if there is none that
-  // has been idle for at most `max_idle`.
-  std::unique_ptr<ClientConnection> TakeConnection(const Endpoint& to,
-                                                   Duration max_idle) {
-    const auto it = idle_.find(to);
-    if (it == idle_.end()) return nullptr;
-    if (loop_->Now() - it->second.back()->idle_since > max_idle) return nullptr;
-    auto connection = std::move(it->second.back()->connection);
-    it->second.pop_back();
-    if (it->second.empty()) idle_.erase(it);
+  // Removes and returns the most recently used connection to `to` that allows
+  // the call, or nullptr if there is none that has been idle for at most
+  // `options.max_idle`.
+  std::unique_ptr<ClientConnection> TakeConnection(
+      const HttpCallOptions& options) {
+    const auto idle = idle_.find(options.to);
+    if (idle == idle_.end()) return nullptr;
+    const Entries& entries = idle->second;
+    const auto it = std::find_if(
+        entries.rbegin(), entries.rend(), [&options](const auto& entry) {
+          return entry->connection->history().AllowsCall(options);
+        });
+    if (it == entries.rend() ||
+        loop_->Now() - (*it)->idle_since > options.max_idle)
+      return nullptr;
+    auto connection = std::move((*it)->connection);
+    Remove(it->get());
     return connection;
   }
 
@@ -144,6 +206,8 @@
     TimerHandle timer;
   };
 
+  using Entries = std::vector<std::unique_ptr<Entry>>;
+
   void Remove(Entry* entry) {
     const auto it = idle_.find(entry->to);
     auto& entries = it->second;
@@ -157,7 +221,7 @@
 
   LwsLoop* const loop_;
   uint64_t last_serial_ = 0;
-  std::map<Endpoint, std::vector<std::unique_ptr<Entry>>> idle_;
+  std::map<Endpoint, Entries> idle_;  // The most recently used one last.
 };
 
 // The state of a call. Its handle (Call) may be destroyed at any time; running
@@ -221,7 +285,7 @@
   bool UsePooledConnection() {
     const auto pool = pool_.lock();
     if (pool == nullptr) return false;
-    connection_ = pool->TakeConnection(options_.to, options_.max_idle);
+    connection_ = pool->TakeConnection(options_);
     if (connection_ == nullptr) return false;
     pooled_ = true;
     connection_->set_user(this);
@@ -249,6 +313,7 @@
     state_ = State::kHead;
     response_started_ = false;
     use_ = connection_->StartCall(loop_->Now());
+    connection_->history().RecordRequest(options_.request_id);
     reader_ = std::make_unique<ResponseReader>(request_.method == "HEAD",
                                                options_.max_response_bytes);
     bytes_written_before_ = connection_->socket()->bytes_written();
@@ -263,6 +328,19 @@
                                   [this] { Fail(HttpFailure::kTimeout); });
   }
 
+  // Returns whether the response whose head has arrived belongs to another
+  // request.
+  bool IsUnrelated() {
+    const std::string named_id =
+        options_.read_request_id ? options_.read_request_id(reader_->headers())
+                                 : "";
+    ResponseHistory& history = connection_->history();
+    const bool may_be_copy = history.MayBeCopy(reader_->status(), named_id);
+    history.RecordResponse(reader_->status(), named_id);
+    if (!named_id.empty()) return named_id != options_.request_id;
+    return may_be_copy && options_.success_names_request;
+  }
+
   // Returns whether the current response doesn't belong to this request. At the
   // end of such a response, prepares to read the next one.
   bool SkipUnrelatedResponse() {
@@ -372,9 +450,7 @@
     if (reader_->state() == ResponseReader::State::kHead) return false;
     if (reader_->state() == ResponseReader::State::kBody ||
         reader_->state() == ResponseReader::State::kComplete) {
-      skipping_response_ =
-          skipping_response_ || (options_.matches_request &&
-                                 !options_.matches_request(reader_->headers()));
+      skipping_response_ = skipping_response_ || IsUnrelated();
       if (!skipping_response_) {
         state_ = State::kBody;
         handler_->OnHead(reader_->status(), reader_->headers());
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -107,10 +107,11 @@
     call_options.total_timeout = options.head_timeout;
     call_options.max_response_bytes = kMaxInternalResponseBytes;
   }
-  // A late response to another request may arrive on a kept-alive connection.
-  call_options.matches_request = [this](const HttpHeaders& headers) {
-    const ResponseMarkers markers = deps_.format->ReadResponseMarkers(headers);
-    return markers.request_id.empty() || markers.request_id == id_;
+  // A reservation bears no id.
+  if (!options.is_reservation) call_options.request_id = id_.value();
+  call_options.success_names_request = !options.internal_call;
+  call_options.read_request_id = [this](const HttpHeaders& headers) {
+    return deps_.format->ReadResponseMarkers(headers).request_id.value();
   };
   call_ = deps_.client->Start(call_options, std::move(request), this);
   silence_timer_ = deps_.loop->After(
--- a/serving/engine_memory_releaser.cc
+++ b/serving/engine_memory_releaser.cc
@@ -24,6 +24,9 @@
   HttpCallOptions options = CallOptionsWithTimeout(engine, kReleaseTimeout);
   options.reuse_connection = true;
   options.max_response_bytes = kMaxInternalResponseBytes;
+  options.read_request_id = [this](const HttpHeaders& headers) {
+    return format_->ReadResponseMarkers(headers).request_id.value();
+  };
   calls_.emplace_back();
   const auto call = std::prev(calls_.end());
   *call = Fetch(client_, options, std::move(request),
--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -17,6 +17,8 @@
 
 constexpr size_t kBufferBytes = 16384;
 constexpr size_t kMaxReceivedBytes = 32U << 20;
+// Responses of at most this size may be sent again late.
+constexpr size_t kMaxRepeatedBytes = 4096;
 
 }  // namespace
 
@@ -147,7 +149,10 @@
       ReadNext(direction);
       return;
     }
-    if (IsUp(direction)) {
+    if (!IsUp(direction)) {
+      RepeatResponse(direction);
+    } else {
+      request_passed_ = true;
       DuplicateRequest(direction);
       if (direction->pending_data.empty()) {
         ReadNext(direction);
@@ -227,6 +232,25 @@
     --proxy_->faults_.duplicate;
   }
 
+  // Puts the copy of the response before, if it is to be repeated, in front of
+  // the first data of a response. Takes a response for complete once a request
+  // follows it: a server answers one request at a time.
+  void RepeatResponse(Direction* direction) {
+    if (request_passed_) {
+      request_passed_ = false;
+      const std::string before = std::exchange(response_, "");
+      const bool repeats =
+          before.size() <= kMaxRepeatedBytes &&
+          static_cast<int64_t>(proxy_->random_.UniformInt(100)) <
+              proxy_->faults_.repeat_percent;
+      response_ = direction->pending_data;
+      if (repeats) direction->pending_data.insert(0, before);
+      return;
+    }
+    if (response_.size() <= kMaxRepeatedBytes)
+      response_ += direction->pending_data;
+  }
+
   static bool IsCompleteRequest(const std::string& bytes) {
     const size_t end = bytes.find("\r\n\r\n");
     if (end == std::string::npos) return false;
@@ -247,6 +271,8 @@
   // Data was discarded. The rest is, too, and no end looks orderly, since TCP
   // delivers no data with a gap.
   bool discards_ = false;
+  bool request_passed_ = false;  // Since the last data of a response.
+  std::string response_;         // The last response, unless it is a large one.
   const bool byte_faults_enabled_;  // byte-count faults apply to this session
   Direction up_;
   Direction down_;
@@ -337,6 +363,7 @@
       {"cut_after_down", &faults_.cut_after_down},
       {"half_close_up", &faults_.half_close_up},
       {"half_close_down", &faults_.half_close_down},
+      {"repeat_percent", &faults_.repeat_percent},
       {"duplicate", &faults_.duplicate},
       {"limit", &faults_.limit}};
   const auto it = faults.find(name);
--- a/standins/fault_proxy.h
+++ b/standins/fault_proxy.h
@@ -45,6 +45,9 @@
   int64_t half_close_up = -1;
   // Client sees end of stream after this many bytes down.
   int64_t half_close_down = -1;
+  // Share of the small responses that are sent again, late: in front of the
+  // next response on their connection.
+  int64_t repeat_percent = -1;
   int64_t duplicate = -1;  // this many more complete requests are sent twice
   int64_t limit = -1;  // byte-count faults apply to this many more connections
 };
--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -127,10 +127,15 @@
   return true;
 }
 
-void SiteServer::RespondNotExecuted(const ExchangePtr& exchange, int status) {
+void SiteServer::RespondNotExecuted(const ExchangePtr& exchange,
+                                    int status) const {
   HttpResponse response;
   response.status = status;
   response.headers.Add("Mimosarouter-Not-Executed", "1");
+  const std::string id =
+      HeaderField(exchange->request(), "Mimosarouter-Request-Id");
+  if (id_in_rejections_ && !id.empty())
+    response.headers.Add("Mimosarouter-Request-Id", id);
   exchange->Respond(std::move(response));
 }
 
@@ -470,6 +475,7 @@
   unresponsive_ = BoolMember(*body, "silent", unresponsive_);
   draining_ = BoolMember(*body, "draining", draining_);
   unframed_ = BoolMember(*body, "unframed", unframed_);
+  id_in_rejections_ = BoolMember(*body, "id_in_rejections", id_in_rejections_);
   if ((*body)["limit"].isNumeric()) limit_ = (*body)["limit"].asDouble();
   if (body->isMember("crash_part"))
     crash_part_ = StringMember(*body, "crash_part");
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -13,7 +13,9 @@
 //                        "crash_part": part of a prompt,
 //                        "crash_target": path and query of a request,
 //                        "crash_silently": bool,
-//                        "limit": requests a second, negative for none}
+//                        "limit": requests a second, negative for none,
+//                        "id_in_rejections": bool}
+//       "id_in_rejections": rejections name the request, which they needn't
 //       "limit": all responses name it as the server's limit
 //       "crash_part": a run whose prompt has the part, not as its last one,
 //       crashes the server once the head of its response is out; it is back as
@@ -129,7 +131,7 @@
   void Crash();
   void SendNextEvent(uint64_t serial);
   void EndRun(uint64_t serial);
-  static void RespondNotExecuted(const ExchangePtr& exchange, int status);
+  void RespondNotExecuted(const ExchangePtr& exchange, int status) const;
   // Rejects a request during a pause. Returns false if there is none.
   bool RejectInPause(const ExchangePtr& exchange);
   // Returns the fields of a response of this server to `request`.
@@ -169,6 +171,7 @@
   // Percents of a request that are due to be rejected, or reset.
   int64_t reject_due_ = 0;
   int64_t reset_due_ = 0;
+  bool id_in_rejections_ = false;
   bool unframed_ = false;  // streams end with their connection
   int64_t events_per_run_ = 5;
   int64_t body_bytes_ = 0;     // lowest size of the body of a plain response
