The soak repeats responses late and brings the store back from a copy

Change: two faults, drawn by a generator of their own so that seeds play the other steps as before: a share of small responses comes again in front of the next one, with rejections that name their request or don't; and the store comes back from an older copy, after which the operator writes again.

--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -60,6 +60,9 @@
 constexpr uint64_t kNeedsSeedOffset = 1U << 20;
 // Seeds the generator of servers that reject or reset requests.
 constexpr uint64_t kRejectionsSeedOffset = 1U << 23;
+// Seeds the generator of late copies of responses and of a store that comes
+// back from an older copy.
+constexpr uint64_t kCopiesSeedOffset = 1U << 24;
 // Of the daemons' settings, which are the defaults.
 constexpr testing::RetryBound kRetryBound{0.2, 50, 10000};
 // Seeds the generator of series of signals and of slow streams.
@@ -97,6 +100,7 @@
     DrawSignals();
     DrawSlowStreams();
     DrawRejections(seed + kRejectionsSeedOffset);
+    DrawCopies(seed + kCopiesSeedOffset);
     std::stable_sort(
         steps_.begin(), steps_.end(),
         [](const Step& a, const Step& b) { return a.at_ms < b.at_ms; });
@@ -404,6 +408,47 @@
     }
   }
 
+  // Responses of servers that arrive again late, and a store that comes back
+  // from an older copy, after which the operator writes again. Drawn by a
+  // generator of its own, too.
+  void DrawCopies(uint64_t seed) {
+    SeededRandom random(seed);
+    if (maintenance_only_) return;
+    Fleet* const fleet = fleet_;
+    if (random.UniformInt(3) != 0) {
+      const auto at = static_cast<int>(random.UniformInt(length_ms_));
+      const auto duration = 1000 + static_cast<int>(random.UniformInt(5000));
+      const bool has_id = random.UniformInt(2) == 0;
+      const std::string percent = std::to_string(1 + random.UniformInt(60));
+      AddStep(at, percent + " % of responses come again late", [=] {
+        for (const auto& server : fleet->servers()) {
+          server->SetBehavior("id_in_rejections", has_id);
+          server->proxy().SendCommand("set repeat_percent " + percent);
+        }
+      });
+      AddStep(at + duration, "no response comes again", [fleet] {
+        for (const auto& server : fleet->servers())
+          server->proxy().SendCommand("set repeat_percent -1");
+      });
+    }
+    if (random.UniformInt(2) == 0) return;
+    const auto at = static_cast<int>(random.UniformInt(length_ms_));
+    const auto age = 500 + static_cast<int>(random.UniformInt(3000));
+    const auto away = 100 + static_cast<int>(random.UniformInt(1500));
+    const auto control = [fleet](const char* name, bool value) {
+      Json::Value members;
+      members[name] = value;
+      fleet->store().SetBehavior(members, "/debug/control");
+    };
+    AddStep(at, "store copied", [=] { control("save_copy", true); });
+    AddStep(at + age, "store away", [=] { control("outage", true); });
+    AddStep(at + age + away, "store back from the copy", [=] {
+      control("restore_copy", true);
+      fleet->WriteConfig();
+      control("outage", false);
+    });
+  }
+
   static void SetStoreOutage(Fleet* fleet, bool outage) {
     Json::Value members;
     members["outage"] = outage;
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -220,6 +220,7 @@
     server->SetBehavior("reject_percent", 0);
     server->SetBehavior("reset_percent", 0);
     server->SetBehavior("unframed", false);
+    server->SetBehavior("id_in_rejections", false);
     server->SetBehavior("gap_ms", Json::Int64(kEventInterval.count()));
   }
 }
