Input behind dropped input is never parsed

Cause: pipelined input beyond the buffer was dropped while a response waited to be sent, and parsing went on behind the gap once little of it waited.

Change: once input was dropped, none is processed. Behind an ended response, input beyond the buffer isn't read instead of dropped.

Why it works: a reader gets either all bytes of a connection in order or none.

--- a/net/lws_server.cc
+++ b/net/lws_server.cc
@@ -24,7 +24,8 @@
 
 // Maximum size of pipelined input that is buffered during a response. If more
 // arrives, all of it is dropped and the connection closes after the response.
-// The dropped requests were never dispatched.
+// The dropped requests were never dispatched. Once the response has ended, but
+// waits to be sent, more isn't read.
 constexpr size_t kMaxPipelinedBytes = 64U << 10;
 
 // While more bytes than this wait to be sent to a client, no further pipelined
@@ -226,8 +227,10 @@
   Phase phase_ = Phase::kClosed;
   std::string input_;  // received bytes that reader_ has not consumed
   bool processing_ = false;
-  bool keep_alive_ = true;              // as the current request allows
-  bool dropped_input_ = false;          // pipelined input was dropped
+  bool keep_alive_ = true;  // as the current request allows
+  // Pipelined input was dropped. No input is processed any more, since it may
+  // begin in the middle of a request.
+  bool dropped_input_ = false;
   bool lingering_ = false;              // FIN was sent; input is discarded
   std::shared_ptr<Exchange> exchange_;  // set only in kResponse
   TimerHandle timer_;                   // timeout of phase_
@@ -390,12 +393,15 @@
 void Connection::OnRead(std::string_view data) {
   const auto self = shared_from_this();
   if (phase_ == Phase::kClosing || phase_ == Phase::kClosed) return;
-  if (MustNotDispatch()) {
-    if (dropped_input_ || input_.size() + data.size() > kMaxPipelinedBytes) {
+  if (dropped_input_) return;
+  if (MustNotDispatch() && input_.size() + data.size() > kMaxPipelinedBytes) {
+    if (phase_ == Phase::kResponse) {
+      // Reading goes on, to notice a client that disconnects.
       dropped_input_ = true;
       input_.clear();
       return;
     }
+    socket_->Pause(true);
   }
   input_.append(data);
   ProcessInput();
@@ -410,10 +416,11 @@
 }
 
 bool Connection::FeedReader() {
-  if (phase_ == Phase::kClosing || phase_ == Phase::kClosed ||
+  if (phase_ == Phase::kClosing || phase_ == Phase::kClosed || dropped_input_ ||
       MustNotDispatch() || input_.empty()) {
     return false;
   }
+  socket_->Pause(false);
   input_.erase(0, reader_->Feed(input_));
   switch (reader_->state()) {
     case RequestReader::State::kRefused:
@@ -497,6 +504,7 @@
   phase_ = Phase::kClosing;
   timer_.Cancel();
   input_.clear();
+  socket_->Pause(false);
   if (unsent() == 0) Linger();
 }
 
--- a/net/server_test.cc
+++ b/net/server_test.cc
@@ -576,6 +576,57 @@
   CHECK(handler_.exchanges.size() == 1);
 }
 
+// Guards against a part of a request that runs as a request of its own: what a
+// caller quotes in a body would run in its name.
+TEST_CASE_METHOD(ServerFixture,
+                 "a request behind a response that is read slowly stays whole",
+                 "[server]") {
+  handler_.respond = [this](HttpExchange* exchange) {
+    if (handler_.exchanges.size() > 1) {
+      Echo(exchange);
+      return;
+    }
+    HttpResponse response;
+    response.status = 200;
+    response.body.assign(8U << 20, 's');
+    exchange->Respond(std::move(response));
+  };
+  Listen();
+  auto peer = Connect(/*receive_buffer=*/4096);
+  peer->Send(kGet);
+  REQUIRE(Until([&] { return handler_.exchanges.size() == 1; }));
+  const std::string quoted =
+      "POST /quoted HTTP/1.1\r\nHost: h\r\n"
+      "Content-Length: 0\r\n\r\n";
+  std::string body;
+  while (body.size() + quoted.size() <= options_.max_body_bytes) body += quoted;
+  const std::string letter = Post(
+      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  size_t sent = 0;
+  const auto send_up_to = [&](size_t end) {
+    REQUIRE(Until([&] {
+      sent += peer->Send(std::string_view(letter).substr(sent, end - sent));
+      return sent == end;
+    }));
+    RunLoopFor(milliseconds(20));
+  };
+  // More than is buffered, while much of the response waits.
+  send_up_to(letter.size() - quoted.size() * 100);
+  constexpr size_t kLittle = 200U << 10;
+  REQUIRE(Until([&] {
+    peer->ReadSome(65536);
+    return server_->unsent_bytes() <= kLittle;
+  }));
+  send_up_to(letter.size());
+  REQUIRE(Until([&] {
+    peer->ReadSome(65536);
+    return handler_.exchanges.size() == 2 || peer->closed();
+  }));
+  REQUIRE(handler_.exchanges.size() == 2);
+  CHECK(exchange()->request().target == "/p");
+  CHECK(exchange()->request().body == body);
+}
+
 TEST_CASE_METHOD(ServerFixture,
                  "StopAccepting lets open and arriving requests complete",
                  "[server]") {
