A silent run ends in time if its replacement doesn't respond

Cause: the silent run was kept until the head of the second response, which may never come.

Change: the silent run is given up 300 ms after the request was sent to the second engine.

Why it works: the bound counts from the sending, before which the second engine can't be at work.

--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -27,6 +27,9 @@
 // The same before the first event, as a multiple of the target latency, if that
 // is longer.
 constexpr double kFirstEventTimeoutShare = 0.8;
+// Longest time for which a silent run and the run that is to replace it may
+// both be at work, from the sending of the second. The platform allows 400 ms.
+constexpr Duration kMaxRunOverlap = std::chrono::milliseconds(300);
 // Larger responses that aren't streamed count as failed.
 constexpr size_t kMaxBufferedBytes = 1U << 20;
 // Number of engines that may refuse a reservation before the retry delay.
@@ -170,6 +173,7 @@
   void OnResponseComplete(BackEndCall* call) override {
     if (call == silent_run_.get()) RestoreSilentRun();
     silence_timer_.Cancel();
+    overlap_timer_.Cancel();
     const BackEndEntry back_end = call->back_end();
     RetireCall();
     if (stage_ == Stage::kReserve) {
@@ -207,6 +211,7 @@
 
   void OnCallFailed(BackEndCall* call, CallFailure failure) override {
     if (call == silent_run_.get()) {
+      overlap_timer_.Cancel();
       LogSilenceEnd("failed");
       finished_calls_.push_back(std::move(silent_run_));
       RecordFailedRun();
@@ -214,6 +219,7 @@
       return;
     }
     silence_timer_.Cancel();
+    overlap_timer_.Cancel();
     RecordCrash(*call);
     if (failure == CallFailure::kIncompleteContent)
       result_.response_end = call->response_end();
@@ -720,6 +726,9 @@
     // reservation.
     ClearReservation();
     StartSilenceTimer();
+    if (silent_run_ == nullptr) return;
+    overlap_timer_ =
+        deps_.loop->After(kMaxRunOverlap, [this] { GiveUpSilentRun(); });
   }
 
   bool KvHandleExpired(MonoTime now) const {
@@ -883,7 +892,8 @@
   }
 
   // Looks for another engine. The silent run is given up only when the other
-  // engine has accepted the request, since it may only have been preempted.
+  // engine has accepted the request, or may have been at work on it for some
+  // time, since the silent run may only have been preempted.
   void OnSilence() {
     silence_timer_.Cancel();
     // A run that isn't read says nothing; the timer starts again with reading.
@@ -917,6 +927,7 @@
 
   // Cancels what the relay does to replace the silent run.
   void CancelReplacement() {
+    overlap_timer_.Cancel();
     if (call_ != nullptr && stage_ == Stage::kRun) {
       if (call_->is_unanswered() || call_->response_started()) ++may_have_run_;
     }
@@ -974,7 +985,7 @@
     stage_ = Stage::kRun;
   }
 
-  // The request goes on at another engine.
+  // The request goes on at another engine, or may do so.
   void GiveUpSilentRun() {
     if (silent_run_ == nullptr) return;
     CancelSilentRun();
@@ -983,6 +994,7 @@
 
   void CancelSilentRun() {
     if (silent_run_ == nullptr) return;
+    overlap_timer_.Cancel();
     LogSilenceEnd("given_up");
     RecordAbandoned(silent_run_.get());
     silent_run_->Cancel(CallOutcome::kFailed);
@@ -1084,6 +1096,7 @@
   void Finish(int status, const char* reason) {
     deadline_timer_.Cancel();
     silence_timer_.Cancel();
+    overlap_timer_.Cancel();
     reservation_timer_.Cancel();
     origin_lookup_.reset();
     trial_claim_.reset();
@@ -1209,6 +1222,7 @@
   std::unique_ptr<StreamOriginLookup> origin_lookup_;
   TimerHandle deadline_timer_;
   TimerHandle silence_timer_;
+  TimerHandle overlap_timer_;  // Set while silent_run_ and call_ may both run.
 };
 
 }  // namespace
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -780,6 +780,29 @@
   CHECK(response.body == complete_stream);
 }
 
+// Guards against two engines at work on one request, where the response of the
+// second one is late or lost.
+TEST_CASE_METHOD(SilentRunFixture,
+                 "a silent run is cancelled in time if its replacement doesn't "
+                 "respond") {
+  MonoTime second_began{};
+  MonoTime silent_ended{};
+  on_second_run = [&](const FakeBackEnd::Exchange& exchange) {
+    second_began = loop->Now();
+    silent->OnClientDisconnected([&] { silent_ended = loop->Now(); });
+    timer = loop->After(milliseconds(700), [exchange] {
+      exchange->StartStream(200, MakeMarkers(exchange->request()));
+      exchange->Write(MakeEvent(2) + MakeEvent(3));
+      exchange->Finish();
+    });
+  };
+  const CallerResponse response = CallFrontend("/note/1");
+  CHECK(response.ok);
+  CHECK(response.body == complete_stream);
+  REQUIRE(silent_ended != MonoTime{});
+  CHECK(silent_ended - second_began < milliseconds(400));
+}
+
 TEST_CASE_METHOD(SilentRunFixture,
                  "a stream whose silent run breaks off goes on at the run that "
                  "was to replace it") {
