Bodies that are being received count towards the memory

Cause: a body counted only once it had arrived whole, and its buffer doubled as it grew.

The new case of slow_reader_test finds nothing held and nobody refused without the budget.

Change: the server asks a budget for the length of a body before it is read. A request without room is refused at once with 503 and Retry-After, and has not run. The reservation ends with the connection's reader.

Why it works: what connections may have received never exceeds what was reserved, and reservations stay within the budget.

--- a/net/http.h
+++ b/net/http.h
@@ -95,6 +95,18 @@
   std::string body;
 };
 
+// Bounds the bytes of the bodies that servers have received in part.
+class BodyBudget {
+ public:
+  virtual ~BodyBudget() = default;
+  // Returns whether there is room for so many more bytes. If so, they count
+  // until they are released.
+  virtual bool Reserve(size_t bytes) = 0;
+  virtual void Release(size_t bytes) = 0;
+  // Returns the response to a request whose body finds no room.
+  virtual HttpResponse MakeRefusal() const = 0;
+};
+
 // The address of a server and the limits that it enforces. A request beyond
 // the body limit or a head or body timeout never reaches a handler.
 struct HttpServerOptions {
@@ -111,6 +123,10 @@
   // How long a client may read nothing of a response that waits to be sent;
   // then the connection is closed.
   Duration write_stall_timeout = std::chrono::seconds(30);
+  // Asked for the announced length of a body that has not arrived whole, or for
+  // what has arrived of one without. A request that finds no room is refused
+  // and never reaches a handler. Must outlive the server; nullptr: no bound.
+  BodyBudget* body_budget = nullptr;
   // Connections beyond this number are closed as soon as they are accepted.
   size_t max_connections = 20000;
 };
--- a/net/http_codec.cc
+++ b/net/http_codec.cc
@@ -151,8 +151,12 @@
     StripConnectionFields(&headers);
   }
 
-  void on_body_init_impl(const boost::optional<uint64_t>& /*length*/,
-                         ErrorCode& /*error*/) override {}
+  void on_body_init_impl(const boost::optional<uint64_t>& length,
+                         ErrorCode& /*error*/) override {
+    // Growing step by step would need several times the memory. The limit of
+    // the body has been checked.
+    if (kIsRequest && length) body->reserve(static_cast<size_t>(*length));
+  }
 
   size_t on_body_impl(beast::string_view data, ErrorCode& /*error*/) override {
     body->append(data.data(), data.size());
@@ -274,6 +278,12 @@
   return parser_->expects_continue;
 }
 
+size_t RequestReader::body_bytes() const {
+  const auto length = parser_->content_length();
+  return std::max(parser_->request.body.size(),
+                  length ? static_cast<size_t>(*length) : 0);
+}
+
 HttpRequest RequestReader::TakeRequest() {
   parser_->request.headers = std::move(parser_->headers);
   return std::move(parser_->request);
--- a/net/http_codec.h
+++ b/net/http_codec.h
@@ -38,10 +38,13 @@
   // The status to respond with in kRefused: 400, 413, 417, 431, 501 or 505.
   int refusal_status() const { return refusal_status_; }
 
-  // The following three are valid in kBody and kComplete.
+  // The following four are valid in kBody and kComplete.
   bool http11() const;
   bool keep_alive() const;
   bool expects_continue() const;
+  // The length of the body, or what has arrived of it if no length is
+  // announced.
+  size_t body_bytes() const;
 
   // Moves the request out; may be called once, in kComplete. The request has no
   // framing and connection-level fields, and its body is decoded.
--- a/net/lws_server.cc
+++ b/net/lws_server.cc
@@ -144,6 +144,31 @@
   std::function<void()> on_drained_;
 };
 
+// The bytes that a body takes of the budget, if there is one.
+class BodyReservation {
+ public:
+  explicit BodyReservation(BodyBudget* budget) : budget_(budget) {}
+  ~BodyReservation() { Release(); }
+  BodyReservation(const BodyReservation&) = delete;
+  BodyReservation& operator=(const BodyReservation&) = delete;
+
+  // Returns whether the reservation has at least `bytes` now.
+  bool Grow(size_t bytes) {
+    if (budget_ == nullptr || bytes <= bytes_) return true;
+    if (!budget_->Reserve(bytes - bytes_)) return false;
+    bytes_ = bytes;
+    return true;
+  }
+  void Release() {
+    if (bytes_ > 0) budget_->Release(bytes_);
+    bytes_ = 0;
+  }
+
+ private:
+  BodyBudget* const budget_;
+  size_t bytes_ = 0;
+};
+
 // A client's connection.
 class Connection : public detail::RawSocket::Handler,
                    public std::enable_shared_from_this<Connection> {
@@ -151,8 +176,9 @@
   Connection(ConnectionHost* host, Endpoint client)
       : host_(host),
         client_(std::move(client)),
-        reader_(
-            std::make_unique<RequestReader>(host->options().max_body_bytes)) {}
+        body_reservation_(host->options().body_budget) {
+    ResetReader();
+  }
 
   // Takes ownership of `fd`. Returns false if the library can't add it.
   bool Open(int fd) {
@@ -203,6 +229,8 @@
     return phase_ == Phase::kResponse || unsent() > kMaxUnsentBytes;
   }
   void ProcessInput();
+  // Drops what has been received of a request, and prepares for the next one.
+  void ResetReader();
   // Feeds the reader with the input. Returns false if no input can be processed
   // for now.
   bool FeedReader();
@@ -210,8 +238,9 @@
   void UpdatePhase();
   // Passes the complete request on to the handler.
   void DispatchRequest();
-  // Responds with an error status and closes the connection.
-  void RefuseRequest(int status);
+  // Responds with an error and closes the connection.
+  void RefuseRequest(const HttpResponse& response);
+  void RefuseRequest(int status) { RefuseRequest({status, {}, ""}); }
   void CloseAfterFlush();
   // Sends FIN and waits for the client to close the connection, until
   // kLingerTimeout.
@@ -224,6 +253,7 @@
   const Endpoint client_;
   std::unique_ptr<detail::RawSocket> socket_;  // nullptr once closed
   std::unique_ptr<RequestReader> reader_;
+  BodyReservation body_reservation_;  // Of the body that reader_ receives.
   Phase phase_ = Phase::kClosed;
   std::string input_;  // received bytes that reader_ has not consumed
   bool processing_ = false;
@@ -433,12 +463,24 @@
       }
       DispatchRequest();
       return true;
+    case RequestReader::State::kBody:
+      if (!body_reservation_.Grow(reader_->body_bytes())) {
+        RefuseRequest(host_->options().body_budget->MakeRefusal());
+        return false;
+      }
+      UpdatePhase();
+      return false;
     default:
       UpdatePhase();
       return false;
   }
 }
 
+void Connection::ResetReader() {
+  reader_ = std::make_unique<RequestReader>(host_->options().max_body_bytes);
+  body_reservation_.Release();
+}
+
 void Connection::UpdatePhase() {
   if (!reader_->started()) return;
   const bool in_body = reader_->state() == RequestReader::State::kBody;
@@ -460,7 +502,7 @@
   keep_alive_ = reader_->keep_alive() && reader_->http11();
   const auto exchange = std::make_shared<Exchange>(this, reader_->TakeRequest(),
                                                    client_, reader_->http11());
-  reader_ = std::make_unique<RequestReader>(host_->options().max_body_bytes);
+  ResetReader();
   exchange_ = exchange;
   host_->ChangeExchangeCount(1);
   // One request must not end the process. Nothing says how far it got, so the
@@ -493,10 +535,13 @@
   });
 }
 
-void Connection::RefuseRequest(int status) {
-  Send(detail::SerializeResponseHead(status, {},
-                                     {BodyFraming::Kind::kLength, 0},
-                                     /*keep_alive=*/false));
+void Connection::RefuseRequest(const HttpResponse& response) {
+  Send(detail::SerializeResponseHead(
+           response.status, response.headers,
+           {BodyFraming::Kind::kLength,
+            static_cast<int64_t>(response.body.size())},
+           /*keep_alive=*/false) +
+       response.body);
   CloseAfterFlush();
 }
 
@@ -504,6 +549,7 @@
   phase_ = Phase::kClosing;
   timer_.Cancel();
   input_.clear();
+  ResetReader();
   socket_->Pause(false);
   if (unsent() == 0) Linger();
 }
@@ -545,6 +591,7 @@
   phase_ = Phase::kClosed;
   timer_.Cancel();
   stall_timer_.Cancel();
+  body_reservation_.Release();
   socket_.reset();
   if (exchange_ != nullptr) {
     exchange_->Detach();
--- a/serving/buffer_monitor.cc
+++ b/serving/buffer_monitor.cc
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "serving/local_responses.h"
+
 namespace mimosa {
 namespace {
 
@@ -28,6 +30,19 @@
   return false;
 }
 
+bool BufferMonitor::Reserve(size_t bytes) {
+  if (!budget_.MayAdmit(held_bytes(), bytes)) {
+    ++counters_.refused;
+    return false;
+  }
+  receiving_bytes_ += bytes;
+  return true;
+}
+
+HttpResponse BufferMonitor::MakeRefusal() const {
+  return RetryLaterResponse(kStatusUnavailable, kRetryAfter);
+}
+
 void BufferMonitor::Add(uint64_t serial, const RequestId& id,
                         std::shared_ptr<HttpExchange> exchange,
                         std::function<void()> end) {
--- a/serving/buffer_monitor.h
+++ b/serving/buffer_monitor.h
@@ -1,8 +1,9 @@
 // Measures what the daemon holds for callers and backend servers that read
 // slowly, and carries out the decisions of decide/buffer_budget.h.
 //
-// Counted are the bodies of running requests and all bytes that wait to be sent
-// to callers, also those of responses that have ended.
+// Counted are the bodies of running requests, those that are being received,
+// and all bytes that wait to be sent to callers, also those of responses that
+// have ended.
 #ifndef SERVING_BUFFER_MONITOR_H_
 #define SERVING_BUFFER_MONITOR_H_
 
@@ -20,8 +21,12 @@
 
 namespace mimosa {
 
-class BufferMonitor {
+class BufferMonitor : public BodyBudget {
  public:
+  // Retry-After of a request for which this daemon has no memory: other daemons
+  // most likely have.
+  static constexpr Duration kRetryAfter = std::chrono::milliseconds(100);
+
   struct Options {
     BufferBudget::Options budget;
     Duration check_interval = std::chrono::milliseconds(200);
@@ -40,6 +45,11 @@
   // Returns whether `request` may be admitted.
   bool MayAdmit(const HttpRequest& request);
 
+  // BodyBudget:
+  bool Reserve(size_t bytes) override;
+  void Release(size_t bytes) override { receiving_bytes_ -= bytes; }
+  HttpResponse MakeRefusal() const override;
+
   // Tracks a request from its admission to its end. `end` ends the response of
   // a caller that has stalled, and is expected to lead to Remove().
   void Add(uint64_t serial, const RequestId& id,
@@ -54,7 +64,9 @@
   // another back end can still be tried. A larger one is streamed.
   size_t MaxBufferedResponse() const;
 
-  size_t held_bytes() const { return body_bytes_ + unsent_bytes_; }
+  size_t held_bytes() const {
+    return receiving_bytes_ + body_bytes_ + unsent_bytes_;
+  }
   const Counters& counters() const { return counters_; }
 
  private:
@@ -78,9 +90,10 @@
   const BufferBudget budget_;
   std::vector<const HttpServer*> servers_;
   std::map<uint64_t, Request> requests_;
-  size_t body_bytes_ = 0;      // Sum over requests_.
-  size_t unsent_bytes_ = 0;    // At the last check.
-  size_t slow_responses_ = 0;  // With unsent bytes at the last check.
+  size_t receiving_bytes_ = 0;  // Of bodies that have not arrived whole.
+  size_t body_bytes_ = 0;       // Sum over requests_.
+  size_t unsent_bytes_ = 0;     // At the last check.
+  size_t slow_responses_ = 0;   // With unsent bytes at the last check.
   Counters counters_;
   TimerHandle timer_;
 };
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -360,6 +360,7 @@
     HttpServerOptions options;
     options.listen = ParseEndpointOrDefault(address);
     options.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes());
+    options.body_budget = &buffers_;
     return MakeHttpServer(loop_.get(), options, handler);
   }
 
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -24,9 +24,6 @@
 // Retry-After of a request for a service that neither this daemon nor others
 // reach.
 constexpr Duration kUnreachableRetryAfter = std::chrono::milliseconds(400);
-// Retry-After of a request for which this daemon has no memory: other daemons
-// most likely have.
-constexpr Duration kNoMemoryRetryAfter = std::chrono::milliseconds(100);
 // Requests of other daemons that run here at once.
 constexpr size_t kMaxForwardedRequests = 256;
 // Retry-After of a request whose regions have no engine that may run it now.
@@ -148,7 +145,7 @@
   }
   request->route = *route;
   if (!deps_->buffers->MayAdmit(caller.http)) {
-    *refusal = {kStatusUnavailable, kNoMemoryRetryAfter, "no_memory"};
+    *refusal = {kStatusUnavailable, BufferMonitor::kRetryAfter, "no_memory"};
     return false;
   }
   const SiteCustomer* customer =
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -188,6 +188,7 @@
       : buffer_options(buffers_in) {
     HttpServerOptions options;
     options.listen = {"127.0.0.1", 0};
+    options.body_budget = &buffers;
     frontend = std::make_unique<EntryFrontend>(&deps, &rate_limiter,
                                                [this] { return config; });
     server = MakeHttpServer(loop.get(), options, frontend.get());
--- a/tests/slow_reader_test.cc
+++ b/tests/slow_reader_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,13 @@
   return options;
 }
 
+// Returns the number as the size line of a chunk has it.
+std::string Hex(size_t number) {
+  std::ostringstream text;
+  text << std::hex << number;
+  return text.str();
+}
+
 struct SlowReaderFixture : RelayFixture {
   SlowReaderFixture() : RelayFixture(SmallBudget()) {
     buffers.Start({server.get()});
@@ -122,5 +130,53 @@
   CHECK(buffers.held_bytes() < kLimit);
 }
 
+// Guards against a daemon that exceeds its memory while many callers send large
+// bodies at once.
+TEST_CASE_METHOD(SlowReaderFixture,
+                 "bodies that are being received stay within the budget") {
+  SetTimeouts(std::chrono::seconds(20));
+  constexpr size_t kBodyBytes = 500000;
+  const bool is_chunked = GENERATE(false, true);
+  CAPTURE(is_chunked);
+  const std::string part(kBodyBytes - 1, 'b');
+  std::vector<std::unique_ptr<RawPeer>> callers;
+  for (int i = 0; i < 40; ++i) {
+    callers.push_back(RawPeer::Connect(server->port()));
+    callers.back()->Send(
+        "POST /book/1 HTTP/1.1\r\nHost: h\r\nX-Api-Key: k\r\n"
+        "Mimosarouter-Request-Id: part" +
+        std::to_string(i) + "\r\nMimosarouter-Deadline-Ms: 20000\r\n" +
+        (is_chunked ? "Transfer-Encoding: chunked\r\n\r\n" + Hex(kBodyBytes)
+                    : "Content-Length: " + std::to_string(kBodyBytes)) +
+        "\r\n" + (is_chunked ? "" : "\r\n"));
+  }
+  std::vector<size_t> sent(callers.size());
+  const auto is_refused = [](const std::unique_ptr<RawPeer>& caller) {
+    return caller->received().find("HTTP/1.1 503") == 0 &&
+           caller->received().find("Retry-After") != std::string::npos;
+  };
+  size_t refused = 0;
+  RunUntil(
+      loop.get(),
+      [&] {
+        most_held = std::max(most_held, buffers.held_bytes());
+        for (size_t i = 0; i < callers.size(); ++i)
+          sent[i] += callers[i]->Send(std::string_view(part).substr(sent[i]));
+        refused = static_cast<size_t>(
+            std::count_if(callers.begin(), callers.end(), is_refused));
+        return false;
+      },
+      milliseconds(500));
+  CHECK(most_held <= kLimit);
+  CHECK(most_held >= kLimit / 2);
+  CHECK(refused > 0);
+  CHECK(refused < callers.size());
+  CHECK(desk.requests.empty());
+  // What callers that leave have sent counts no longer.
+  callers.clear();
+  CHECK(RunUntil(loop.get(), [&] { return buffers.held_bytes() == 0; }));
+  CHECK(CallFrontend("/book/1").status == 200);
+}
+
 }  // namespace
 }  // namespace mimosa::testing
