--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -23,6 +23,9 @@
 //   - planned maintenance alone leaves no request without an answer that the
 //     daemon had time to read.
 //
+// Among the faults are late copies of servers' responses, and a store that
+// comes back from an older copy.
+//
 //   MIMOSA_SEED            first seed (printed)
 //   MIMOSA_SOAK_SEEDS      number of seeds, run one after the other
 //   MIMOSA_SOAK_SECONDS    duration of the fault injection per seed
