--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -38,6 +38,14 @@
   return std::atoll(text.c_str()) + std::atoll(text.c_str() + comma + 1);
 }
 
+// Only requests of callers and health checks have paths of the services, and
+// callers' requests have ids.
+bool IsHealthCheck(const HttpRequest& request) {
+  return request.method == "GET" &&
+         !StartsWith(request.target, kOwnPathPrefix) &&
+         HeaderField(request, "Mimosarouter-Request-Id").empty();
+}
+
 }  // namespace
 
 SiteServer::SiteServer(LwsLoop* loop, SiteServerOptions options)
@@ -164,6 +172,10 @@
   if (request.method != "DELETE" && RejectInPause(exchange)) return;
   if (is_of_caller && RejectShare(exchange)) return;
   ++requests_served_;
+  if (IsHealthCheck(request)) {
+    exchange->Respond({200, {}, ""});
+    return;
+  }
   if (CrashesServer(request))
     crash_requests_.insert(HeaderField(request, "Mimosarouter-Request-Id"));
   const std::string source = HeaderField(request, "Mimosarouter-Kv-Source");
