A line says when the replacement of a silent run is sent

A silent run that is restored after its replacement was sent left the same lines as one that was restored before, if the replacement was cancelled. The new line run_replacement_sent names both engines.

--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -727,6 +727,7 @@
     ClearReservation();
     StartSilenceTimer();
     if (silent_run_ == nullptr) return;
+    LogReplacement();
     overlap_timer_ =
         deps_.loop->After(kMaxRunOverlap, [this] { GiveUpSilentRun(); });
   }
@@ -942,6 +943,17 @@
                          .AddMillis("silent_ms", SilentTime(*call_)));
   }
 
+  // Logs that the request is sent to another engine than that of the silent
+  // run.
+  void LogReplacement() const {
+    deps_.log->Write(LogLine("run_replacement_sent")
+                         .Add("request", request_.caller.id.value())
+                         .Add("back_end", call_->back_end().id.value())
+                         .Add("replaces", silent_run_->back_end().id.value())
+                         .Add("events", result_.events)
+                         .AddMillis("silent_ms", SilentTime(*silent_run_)));
+  }
+
   // Logs what became of the silent run.
   void LogSilenceEnd(const char* outcome) const {
     deps_.log->Write(LogLine("run_silence_ended")
