--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -121,16 +121,13 @@
 }
 
 bool SiteServer::RejectShare(const ExchangePtr& exchange) {
-  constexpr int64_t kWhole = 100;
-  reject_due_ += reject_percent_;
-  reset_due_ += reset_percent_;
-  if (reset_due_ >= kWhole) {
-    reset_due_ -= kWhole;
+  rejected_requests_.Count();
+  reset_requests_.Count();
+  if (reset_requests_.Take()) {
     exchange->Abort();
     return true;
   }
-  if (reject_due_ < kWhole) return false;
-  reject_due_ -= kWhole;
+  if (!rejected_requests_.Take()) return false;
   RespondNotExecuted(exchange, 503);
   return true;
 }
@@ -325,12 +322,21 @@
   run.events = options_.follows_length_hints && !hint.empty()
                    ? std::atoll(hint.c_str())
                    : events_per_run_;
-  HttpHeaders headers = ResponseHeaders(request);
-  headers.Add("Content-Type", "text/event-stream");
-  exchange->StartStream(
-      200, headers,
-      unframed_ ? HttpExchange::kCloseDelimited : HttpExchange::kChunked);
+  run.span = spans_.size();
+  spans_.push_back({HeaderField(request, "Mimosarouter-Request-Id"),
+                    loop_->Now(), std::nullopt});
+  preempted_runs_.Count();
+  lost_runs_.Count();
+  run.is_preempted = preempted_runs_.Take();
+  run.is_lost = lost_runs_.Take();
   run.ends_with_close = unframed_;
+  if (!run.is_lost) {
+    HttpHeaders headers = ResponseHeaders(request);
+    headers.Add("Content-Type", "text/event-stream");
+    exchange->StartStream(
+        200, headers,
+        unframed_ ? HttpExchange::kCloseDelimited : HttpExchange::kChunked);
+  }
   exchange->OnClientDisconnected([this, serial] { EndRun(serial); });
   if (CrashesServer(request)) {
     run.timer = loop_->After(kCrashDelay, [this] { Crash(); });
@@ -348,6 +354,10 @@
 }
 
 void SiteServer::BreakOff(const Run& run) {
+  if (run.is_lost) {
+    run.exchange->Abort();
+    return;
+  }
   run.exchange->Write("id: 99\nda");
   if (run.ends_with_close) {
     run.exchange->Finish();
@@ -365,6 +375,7 @@
   reservations_.clear();
   for (auto& [serial, run] : running_) {
     BreakOff(run);
+    RecordEnd(run);
     // Pending timers of ended runs must not fire before the posted callback.
     run.timer.Cancel();
     // Kept until later, since the timer of one of them is on the stack.
@@ -388,7 +399,7 @@
 void SiteServer::SendNextEvent(uint64_t serial) {
   Run& run = running_[serial];
   if (run.next_event > run.events) {  // resumed after its last event
-    run.exchange->Finish();
+    FinishResponse(run);
     EndRun(serial);
     return;
   }
@@ -396,7 +407,9 @@
   std::string text = "event " + id;
   if (options_.software_version != "v1")
     text += " by " + options_.software_version;
-  run.exchange->Write("id: " + id + "\ndata: " + text + "\n\n");
+  if (!run.is_lost)
+    run.exchange->Write("id: " + id + "\ndata: " + text + "\n\n");
+  ++run.events_made;
   if (runs_to_abort_ > 0) {
     --runs_to_abort_;
     BreakOff(run);
@@ -404,17 +417,29 @@
     return;
   }
   if (run.next_event++ >= run.events) {
-    run.exchange->Finish();
+    FinishResponse(run);
     EndRun(serial);
     return;
   }
-  run.timer =
-      loop_->After(event_interval_, [this, serial] { SendNextEvent(serial); });
+  constexpr int64_t kEventsBeforePreemption = 2;
+  const bool falls_silent =
+      run.is_preempted && run.events_made == kEventsBeforePreemption;
+  run.timer = loop_->After(falls_silent ? preemption_time_ : event_interval_,
+                           [this, serial] { SendNextEvent(serial); });
+}
+
+void SiteServer::FinishResponse(const Run& run) {
+  if (run.is_lost) {
+    run.exchange->Abort();
+  } else {
+    run.exchange->Finish();
+  }
 }
 
 void SiteServer::EndRun(uint64_t serial) {
   const auto run = running_.find(serial);
   if (run == running_.end()) return;
+  RecordEnd(run->second);
   used_tokens_ -= run->second.tokens;
   // The timer may be due before the posted callback runs.
   run->second.timer.Cancel();
@@ -481,8 +506,14 @@
   options_.memory_tokens =
       IntMember(*body, "memory_tokens", options_.memory_tokens);
   body_bytes_ = IntMember(*body, "body_bytes", body_bytes_);
-  reject_percent_ = IntMember(*body, "reject_percent", reject_percent_);
-  reset_percent_ = IntMember(*body, "reset_percent", reset_percent_);
+  const auto set_share = [&body](const char* name, Share* share) {
+    share->set_percent(IntMember(*body, name, share->percent()));
+  };
+  set_share("reject_percent", &rejected_requests_);
+  set_share("reset_percent", &reset_requests_);
+  set_share("preempt_percent", &preempted_runs_);
+  set_share("lose_percent", &lost_runs_);
+  preemption_time_ = MillisMember(*body, "preempt_ms", preemption_time_);
   runs_to_abort_ = IntMember(*body, "abort_runs", runs_to_abort_);
   unresponsive_ = BoolMember(*body, "silent", unresponsive_);
   draining_ = BoolMember(*body, "draining", draining_);
@@ -526,6 +557,15 @@
     item["prefill"] = arrival.accepted_prefill;
     journal["arrivals"].append(item);
   }
+  journal["spans"] = Json::Value(Json::arrayValue);
+  for (const RunSpan& span : spans_) {
+    Json::Value item;
+    item["id"] = span.id;
+    item["begin"] = Json::Int64(ToMillis(span.begin.time_since_epoch()));
+    if (span.end)
+      item["end"] = Json::Int64(ToMillis(span.end->time_since_epoch()));
+    journal["spans"].append(item);
+  }
   journal["used"] = Json::Int64(used_tokens_);
   journal["handles"] = Json::UInt64(handles_.size());
   journal["rooms"] = Json::UInt64(reservations_.size());
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -14,7 +14,8 @@
 //                        "crash_target": path and query of a request,
 //                        "crash_silently": bool,
 //                        "limit": requests a second, negative for none,
-//                        "id_in_rejections": bool}
+//                        "id_in_rejections": bool, "preempt_percent",
+//                        "preempt_ms", "lose_percent"}
 //       "id_in_rejections": rejections name the request, which they needn't
 //       "limit": all responses name it as the server's limit
 //       "crash_part": a run whose prompt has the part, not as its last one,
@@ -30,8 +31,11 @@
 //       "body_bytes": responses of plain services have at least so many bytes
 //       "reject_percent", "reset_percent": this share of the requests is
 //       rejected as not executed, or has its connection closed
-//       "unframed": streams have neither a length nor chunks, and an aborted
-//       one ends with an orderly close
+//       "preempt_percent", "preempt_ms": this share of the streams sends
+//       nothing for so long after its second event "lose_percent": this share
+//       of the streams runs without a response, and closes its connection at
+//       its end "unframed": streams have neither a length nor chunks, and an
+//       aborted one ends with an orderly close
 //   GET  /debug/journal  {"runs": {id: count}, "foreign": requests that carried
 //                        a caller's key, "used": tokens, "handles": n,
 //                        "rooms": reservations, "stage", "orders": n,
@@ -41,7 +45,9 @@
 //                        that crash the server and have reached it],
 //                        "arrivals": [{"id": request, "ms": monotonic time,
 //                        "prefill": whether it is a prefill that was accepted}
-//                        for each request of a caller, also a rejected one]}
+//                        for each request of a caller, also a rejected one],
+//                        "spans": [{"id": request, "begin": ms, "end": ms or
+//                        absent} for each run of a stream]}
 //   POST /debug/take/HANDLE  claims a prefill result; 404 if it has expired
 #ifndef STANDINS_SITE_SERVER_H_
 #define STANDINS_SITE_SERVER_H_
@@ -52,6 +58,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -91,10 +98,41 @@
     int64_t tokens = 0;
     int64_t next_event = 1;
     int64_t events = 0;            // number of the last event
+    int64_t events_made = 0;       // in this run
     bool ends_with_close = false;  // the response has no framing
+    bool is_preempted = false;     // falls silent after its second event
+    bool is_lost = false;          // sends nothing
+    size_t span = 0;               // index in spans_
     TimerHandle timer;
   };
 
+  // The time in which a stream ran.
+  struct RunSpan {
+    std::string id;  // of the request
+    MonoTime begin;
+    std::optional<MonoTime> end;
+  };
+
+  // Picks a share of the events that it is asked about, evenly spread.
+  class Share {
+   public:
+    void set_percent(int64_t percent) { percent_ = percent; }
+    int64_t percent() const { return percent_; }
+    // Counts one more event.
+    void Count() { due_ += percent_; }
+    // Returns whether an event is due to be picked, once.
+    bool Take() {
+      constexpr int64_t kWhole = 100;
+      if (due_ < kWhole) return false;
+      due_ -= kWhole;
+      return true;
+    }
+
+   private:
+    int64_t percent_ = 0;
+    int64_t due_ = 0;  // percents of an event
+  };
+
   // A request of a caller that has reached the server.
   struct Arrival {
     std::string id;
@@ -131,6 +169,9 @@
   void Crash();
   void SendNextEvent(uint64_t serial);
   void EndRun(uint64_t serial);
+  // Ends the response of a run that has made all its events.
+  static void FinishResponse(const Run& run);
+  void RecordEnd(const Run& run) { spans_[run.span].end = loop_->Now(); }
   void RespondNotExecuted(const ExchangePtr& exchange, int status) const;
   // Rejects a request during a pause. Returns false if there is none.
   bool RejectInPause(const ExchangePtr& exchange);
@@ -166,11 +207,12 @@
   int64_t requests_in_pause_ = 0;
   int64_t requests_served_ = 0;
   std::vector<Arrival> arrivals_;
-  int64_t reject_percent_ = 0;
-  int64_t reset_percent_ = 0;
-  // Percents of a request that are due to be rejected, or reset.
-  int64_t reject_due_ = 0;
-  int64_t reset_due_ = 0;
+  std::vector<RunSpan> spans_;
+  Share rejected_requests_;
+  Share reset_requests_;
+  Share preempted_runs_;
+  Share lost_runs_;
+  Duration preemption_time_{};
   bool id_in_rejections_ = false;
   bool unframed_ = false;  // streams end with their connection
   int64_t events_per_run_ = 5;
