A call asks before its request is written

HttpCallOptions::may_send is asked directly before the first byte of a request, on each connection; a call that may not be sent fails as kWithheld, unsent. So a caller can decide at the moment of the write instead of when it starts to connect. Until then sent() was true of a call that had taken a used connection from the pool and written nothing; nobody could ask between the two. net_test, 'a request is written only if that is still allowed', failed for that reason before bytes_written_before_ was set first.

--- a/net/client_test.cc
+++ b/net/client_test.cc
@@ -551,6 +551,42 @@
   CHECK(pooled->received().empty());
 }
 
+TEST_CASE_METHOD(ClientFixture,
+                 "a request is written only if that is still allowed",
+                 "[client]") {
+  options_.reuse_connection = GENERATE(false, true);
+  std::unique_ptr<RawPeer> pooled;
+  if (options_.reuse_connection) pooled = CompleteCall();
+  int asked = 0;
+  bool is_allowed = false;
+  options_.may_send = [&] {
+    ++asked;
+    CHECK_FALSE(call_->sent());
+    return is_allowed;
+  };
+  SECTION("withheld") {
+    Start("POST", "x");
+    AwaitEnd();
+    CHECK(recorded_.failure == HttpFailure::kWithheld);
+    CHECK_FALSE(recorded_.sent);
+    RunFor(loop_.get(), milliseconds(50));
+    if (pooled != nullptr) CHECK(pooled->received().empty());
+    if (const auto peer = listener_.Accept()) CHECK(peer->received().empty());
+  }
+  SECTION("written") {
+    is_allowed = true;
+    Start("POST", "x");
+    if (pooled != nullptr) {
+      AwaitRequest(pooled.get());
+      pooled->Send(kOk);
+    } else {
+      AcceptRequest()->Send(kOk);
+    }
+    AwaitEnd();
+  }
+  CHECK(asked == 1);
+}
+
 TEST_CASE_METHOD(ClientFixture,
                  "a response before the end of the request completes the call",
                  "[client]") {
--- a/net/http.cc
+++ b/net/http.cc
@@ -130,6 +130,8 @@
       return "too-large";
     case HttpFailure::kMalformed:
       return "malformed";
+    case HttpFailure::kWithheld:
+      return "withheld";
   }
   return "unknown";
 }
--- a/net/http.h
+++ b/net/http.h
@@ -239,6 +239,7 @@
   kTimeout,     // a timeout of HttpCallOptions expired
   kTooLarge,    // the head or body of the response exceeds its limit
   kMalformed,   // the received bytes are not a valid HTTP response
+  kWithheld,    // HttpCallOptions::may_send forbade to write the request
 };
 // Returns a short text for logs and status pages, such as "timeout".
 const char* HttpFailureName(HttpFailure failure);
@@ -270,6 +271,11 @@
   // Asked before that second write; it isn't made if this returns false. If
   // empty, it is always made.
   std::function<bool()> may_resend;
+  // Asked directly before the first byte of the request is written on a
+  // connection, also a second one. If this returns false, the call fails with
+  // kWithheld. If empty, every request may be written. Must not destroy the
+  // call.
+  std::function<bool()> may_send;
   // Whether a response without length or chunks is complete at an orderly close
   // of its connection.
   bool accept_close_delimited = false;
--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -310,13 +310,17 @@
   }
 
   void SendRequest() {
+    bytes_written_before_ = connection_->socket()->bytes_written();
+    if (options_.may_send && !options_.may_send()) {
+      Fail(HttpFailure::kWithheld);
+      return;
+    }
     state_ = State::kHead;
     response_started_ = false;
     use_ = connection_->StartCall(loop_->Now());
     connection_->history().RecordRequest(options_.request_id);
     reader_ = std::make_unique<ResponseReader>(request_.method == "HEAD",
                                                options_.max_response_bytes);
-    bytes_written_before_ = connection_->socket()->bytes_written();
     if (paused_) connection_->socket()->Pause(true);
     connection_->socket()->Send(
         detail::SerializeRequestHead(request_, options_.to,
@@ -376,8 +380,9 @@
     // If a retry on a fresh connection can't connect, what failed is the
     // connection before, which was closed without a response.
     const bool is_failed_retry =
-        sent_earlier_ &&
-        (failure == HttpFailure::kConnect || state_ == State::kConnecting);
+        sent_earlier_ && (failure == HttpFailure::kConnect ||
+                          failure == HttpFailure::kWithheld ||
+                          state_ == State::kConnecting);
     if (is_failed_retry) failure = HttpFailure::kNoResponse;
     CloseConnection();
     if (HttpCallHandler* handler = std::exchange(handler_, nullptr)) {
