One engine at a time is at work on a stream

Cause: a silent run was kept after its replacement was sent and restored if that was lost or spoke later. What may be at work on a request followed from the events of single calls.

Why this works: a run takes a right before its first byte is written and keeps it until its connection has ended. A resumable stream has one right at a time, so the silent run ends before its replacement is written. What a refusal promises follows from the same rights, in both relays.

A replacement that fails now costs the silent run, so a stream may return to an engine that has run it: max_attempts bounds the engines of a request.

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -137,6 +137,7 @@
   return IsEligible(entry, query.service, query.role) &&
          IsInside(entry, query.allowed_regions) &&
          (query.exclude == nullptr || query.exclude->count(entry.id) == 0) &&
+         (!query.among || query.among->count(entry.id) > 0) &&
          (!query.software_version ||
           *query.software_version == entry.software_version);
 }
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -92,6 +92,8 @@
   Tokens kv_memory;
   // Back ends that must not be selected; may be null.
   const std::set<BackEndId>* exclude = nullptr;
+  // Only these back ends may be selected; absent: any.
+  std::optional<std::set<BackEndId>> among;
   // Skips decode engines whose memory is exhausted by the known runs, and never
   // falls back to an engine in backoff.
   bool require_free_memory = false;
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -90,6 +90,7 @@
   right_ = std::move(right);
   internal_call_ = options.internal_call;
   is_reservation_ = options.is_reservation;
+  runs_ = options.runs;
   kind_ = options.kind;
   deps_.selector->OnCallStarted(back_end_, size_);
   counted_ = true;
@@ -102,6 +103,7 @@
   call_options.max_idle = options.max_idle;
   call_options.retry_on_fresh_connection = options.retryable;
   call_options.may_resend = [this] { return AcquireResend(); };
+  call_options.may_send = [this] { return AcquireRun(); };
   call_options.accept_close_delimited = true;
   if (options.internal_call) {
     call_options.total_timeout = options.head_timeout;
@@ -122,11 +124,31 @@
   if (call_ != nullptr && outcome == CallOutcome::kFailed && !response_started_)
     deps_.reachability->RecordMiss(back_end_);
   silence_timer_.Cancel();
+  const bool may_have_run = is_sent() && !not_executed_;
   if (call_ != nullptr && !call_->sent()) right_->GiveBack();
   call_.reset();
+  ReleaseRun(may_have_run);
   ReportOutcome(outcome);
 }
 
+bool BackEndCall::AcquireRun() {
+  // A run that is resent to the same back end keeps its right.
+  if (runs_ == nullptr || run_right_) return true;
+  handler_->OnSending(this);
+  run_right_ = runs_->Acquire(back_end_.id);
+  return run_right_.has_value();
+}
+
+void BackEndCall::ReleaseRun(bool may_have_run) {
+  if (!run_right_) return;
+  if (may_have_run) {
+    run_right_->Release();
+  } else {
+    run_right_->ReleaseUnexecuted();
+  }
+  run_right_.reset();
+}
+
 bool BackEndCall::AcquireResend() {
   auto right = right_->AcquireAnother(deps_.loop->Now());
   RecordDecision(deps_, right, back_end_.service, id_, "resend");
@@ -220,6 +242,7 @@
     Fail(CallFailure::kIncompleteContent, CallOutcome::kFailed);
     return;
   }
+  ReleaseRun(/*may_have_run=*/true);
   ReportOutcome(CallOutcome::kSuccess);
   handler_->OnResponseComplete(this);
 }
@@ -233,10 +256,12 @@
   }
   const bool is_invalid =
       failure == HttpFailure::kMalformed || failure == HttpFailure::kTooLarge;
-  if (!is_invalid) deps_.reachability->RecordMiss(back_end_);
+  const bool is_withheld = failure == HttpFailure::kWithheld;
+  if (!is_invalid && !is_withheld) deps_.reachability->RecordMiss(back_end_);
   if (!sent) {
     right_->GiveBack();
-    Fail(CallFailure::kNotSent, CallOutcome::kUnreachable);
+    Fail(CallFailure::kNotSent,
+         is_withheld ? CallOutcome::kUnknown : CallOutcome::kUnreachable);
   } else if (response_started_) {
     Fail(CallFailure::kTruncated, CallOutcome::kFailed);
   } else if (is_invalid) {
@@ -273,6 +298,8 @@
 
 void BackEndCall::Fail(CallFailure failure, CallOutcome outcome) {
   silence_timer_.Cancel();
+  ReleaseRun(failure != CallFailure::kNotSent &&
+             failure != CallFailure::kNotExecuted);
   ReportOutcome(outcome);
   if (call_ != nullptr) connection_use_ = call_->connection_use();
   deps_.log->Write(
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -176,6 +176,7 @@
   request->deadline = request->arrived + timeout;
   deps_->retry_budget->RecordRequest(service->id, request->arrived);
   request->rights = CallRights::Create(deps_->retry_budget, service->id);
+  request->runs = RunRights::Create(route->retry_policy, route->max_attempts);
   if (request->customer.empty()) return true;
   return ChargeRateLimit(*customer, request, refusal);
 }
@@ -274,6 +275,7 @@
   request->customer = envelope->customer;
   request->rights = CallRights::Create(deps_->retry_budget, service->id,
                                        envelope->prefill_accepted);
+  request->runs = RunRights::Create(route->retry_policy, route->max_attempts);
   request->deadline = request->arrived + envelope->time_left;
   Refusal refusal;
   return AdmitForService(customer, request, &refusal) ? nullptr
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -120,7 +120,6 @@
       return;
     }
     result_.back_end = call->back_end().id;
-    ++may_have_run_;
     deps_.crash_guard->RecordSurvived(request_.crash_suspects);
     HttpResponse response = std::move(attempt->response);
     Retire(call);
@@ -145,11 +144,7 @@
       Finish(0, "answer_cut");
       return;
     }
-    if (failure == CallFailure::kNotExecuted) {
-      ++rejections_;
-    } else if (failure != CallFailure::kNotSent) {
-      ++may_have_run_;
-    }
+    if (failure == CallFailure::kNotExecuted) ++rejections_;
     if (!attempts_.empty()) return;
     if (MayRetry() && (StartNextAttempt() || AwaitPermit())) return;
     FinishUnanswered();
@@ -185,11 +180,11 @@
     const bool may_crash_another =
         is_trial_ ||
         deps_.crash_guard->CountCrashes(request_.crash_suspects) > 1;
-    if (may_have_run_ > 0 && may_crash_another) return false;
-    const int running = static_cast<int>(attempts_.size());
-    if (IsIdempotent())
-      return may_have_run_ + running < request_.route.max_attempts;
-    return may_have_run_ == 0 && running == 0;
+    if (request_.runs->has_ended_run() && may_crash_another) return false;
+    const auto unsent = std::count_if(
+        attempts_.begin(), attempts_.end(),
+        [](const auto& attempt) { return !attempt->call->is_sent(); });
+    return request_.runs->MayRunElsewhere(static_cast<int>(unsent));
   }
 
   SelectionQuery MakeQuery() const {
@@ -227,6 +222,7 @@
     params.customer = request_.customer;
     params.priority = request_.priority;
     BackEndCall::Options options;
+    options.runs = request_.runs;
     options.retryable = IsIdempotent();
     if (!IsIdempotent()) options.max_idle = kMaxIdleNonIdempotent;
     options.head_timeout = params.time_left;
@@ -288,14 +284,13 @@
   // Ends a request that may still be running. `status` says that nothing is
   // known about the run.
   void EndUnfinished(int status, const char* reason) {
-    const bool attempted = !attempts_.empty();
     CancelAttempts();
     if (streaming_ != nullptr) {
       exchange_->Abort();
       Finish(0, reason);
     } else if (error_response_ != nullptr) {
       Respond(std::move(*error_response_), "answered");
-    } else if (attempted || may_have_run_ > 0) {
+    } else if (request_.runs->may_have_run()) {
       Respond(EmptyResponse(status), reason);
     } else {
       Refuse(reason);
@@ -306,7 +301,7 @@
   void FinishUnanswered() {
     if (error_response_ != nullptr) {
       Respond(std::move(*error_response_), "answered");
-    } else if (may_have_run_ > 0) {
+    } else if (request_.runs->may_have_run()) {
       Respond(EmptyResponse(kStatusBadGateway), "lost");
     } else if (IsQuarantined()) {
       // A retry would end the same way, so there is no time for one.
@@ -430,7 +425,6 @@
   // A server error, sent if no retry succeeds.
   std::unique_ptr<HttpResponse> error_response_;
   int rejections_ = 0;
-  int may_have_run_ = 0;  // Finished calls whose request may have run.
   bool budget_exhausted_ = false;
   bool is_trial_ = false;  // Runs although it is in quarantine.
   std::unique_ptr<CrashTrialClaim> trial_claim_;  // Pending, or finished.
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -14,6 +14,7 @@
 #include "decide/call_rights.h"
 #include "decide/reservation_retry_policy.h"
 #include "decide/retry_budget.h"
+#include "decide/run_rights.h"
 #include "decide/shutdown_policy.h"
 #include "decide/site.h"
 #include "decide/stage_meter.h"
@@ -89,6 +90,7 @@
   std::vector<CrashSuspectId> crash_suspects;
   // Shared with the calls in progress.
   std::shared_ptr<CallRights> rights;
+  std::shared_ptr<RunRights> runs;
   MonoTime arrived{};
   MonoTime deadline{};  // A later response is of no use to the caller.
 };
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -27,9 +27,6 @@
 // The same before the first event, as a multiple of the target latency, if that
 // is longer.
 constexpr double kFirstEventTimeoutShare = 0.8;
-// Longest time for which a silent run and the run that is to replace it may
-// both be at work, from the sending of the second. The platform allows 400 ms.
-constexpr Duration kMaxRunOverlap = std::chrono::milliseconds(300);
 // Larger responses that aren't streamed count as failed.
 constexpr size_t kMaxBufferedBytes = 1U << 20;
 // Number of engines that may refuse a reservation before the retry delay.
@@ -108,6 +105,11 @@
   RelayRequest TakeRequest() override { return std::move(request_); }
 
   // BackEndCall::Handler:
+  void OnSending(BackEndCall* /*call*/) override {
+    StartSilenceTimer();
+    GiveUpSilentRun();
+  }
+
   void OnResponseHead(BackEndCall* call, int status,
                       const HttpHeaders& headers) override {
     if (call == silent_run_.get()) RestoreSilentRun();
@@ -122,7 +124,6 @@
       call->Reject();  // It can't continue the events that the caller has.
       return;
     }
-    GiveUpSilentRun();
     is_event_stream_ = is_event_stream;
     events_before_run_ = event_splitter_.event_count();
     first_event_at_ = MonoTime{};
@@ -173,7 +174,6 @@
   void OnResponseComplete(BackEndCall* call) override {
     if (call == silent_run_.get()) RestoreSilentRun();
     silence_timer_.Cancel();
-    overlap_timer_.Cancel();
     const BackEndEntry back_end = call->back_end();
     RetireCall();
     if (stage_ == Stage::kReserve) {
@@ -195,14 +195,15 @@
       Finish(response_.status, "answered");
       return;
     }
-    ++may_have_run_;
-    if (silent_run_ != nullptr) {
-      SearchOn();
-      return;
-    }
     // The stream was resumed at this engine, which failed.
     if (exchange_->response_started()) {
-      AbortStream("engine_failed");
+      unfit_engines_.insert(back_end.id);
+      kv_handle_.reset();
+      if (MayResume()) {
+        Resume();
+      } else {
+        AbortStream("engine_failed");
+      }
       return;
     }
     result_.back_end = back_end.id;
@@ -211,7 +212,6 @@
 
   void OnCallFailed(BackEndCall* call, CallFailure failure) override {
     if (call == silent_run_.get()) {
-      overlap_timer_.Cancel();
       LogSilenceEnd("failed");
       finished_calls_.push_back(std::move(silent_run_));
       RecordFailedRun();
@@ -219,7 +219,6 @@
       return;
     }
     silence_timer_.Cancel();
-    overlap_timer_.Cancel();
     RecordCrash(*call);
     if (failure == CallFailure::kIncompleteContent)
       result_.response_end = call->response_end();
@@ -234,11 +233,14 @@
       return;
     }
     if (failure == CallFailure::kNotSent) {
+      unfit_engines_.insert(back_end.id);
       ReleaseReservation();
       StartStages();
     } else if (failure == CallFailure::kNotExecuted) {
       OnRunRejected(back_end);
     } else {
+      if (failure == CallFailure::kInvalidResponse)
+        unfit_engines_.insert(back_end.id);
       OnRunFailed();
     }
   }
@@ -374,10 +376,10 @@
     }
     const MonoTime now = deps_.loop->Now();
     stage_ = Stage::kReserve;
-    std::set<BackEndId> excluded = tried_decode_engines_;
+    SelectionQuery query = MakeRunQuery(deps_.zone);
+    std::set<BackEndId> excluded = *query.exclude;
     excluded.insert(refusing_engines_.begin(), refusing_engines_.end());
-    SelectionQuery query =
-        MakeQuery(EngineRole::kDecode, deps_.zone, &excluded);
+    query.exclude = &excluded;
     query.require_free_memory = true;
     if (!ReservationRetryPolicy::IsUrgent(MakeWaitingRequest()))
       query.max_memory_share = kLateRequestMemoryShare;
@@ -386,8 +388,7 @@
             ? deps_.selector->SelectBackEnd(query, now)
             : nullptr;
     if (selected == nullptr) {
-      if (deps_.selector->HasCandidate(MakeQuery(
-              EngineRole::kDecode, deps_.zone, &tried_decode_engines_))) {
+      if (deps_.selector->HasCandidate(MakeRunQuery(deps_.zone))) {
         ScheduleReserveRetry();
       } else {
         FinishUnanswered();
@@ -420,8 +421,8 @@
     const bool is_untouched =
         request_.rights->has_free_call() && prefills_ == 0;
     return (request_.forwarded_by.empty() || is_untouched) && IsCutOff() &&
-           !exchange_->response_started() && may_have_run_ == 0 &&
-           silent_run_ == nullptr && !is_trial_;
+           !exchange_->response_started() && !request_.runs->may_have_run() &&
+           !is_trial_;
   }
 
   // Old connections may live on while new ones can't be opened. Then there are
@@ -544,11 +545,7 @@
   // be sent nothing; zero if one doesn't.
   Duration TimeToEndOfPauses() const {
     const MonoTime now = deps_.loop->Now();
-    return deps_.selector->EndOfPauses(
-               MakeQuery(EngineRole::kDecode, deps_.zone,
-                         &tried_decode_engines_),
-               now) -
-           now;
+    return deps_.selector->EndOfPauses(MakeRunQuery(deps_.zone), now) - now;
   }
 
   // What is held at an engine that may not be called any more expires there.
@@ -603,6 +600,28 @@
     return query;
   }
 
+  // Returns the engines that have run the stream, are fit to run it once more
+  // and aren't running it now.
+  std::set<BackEndId> EnginesToReturnTo() const {
+    std::set<BackEndId> engines = request_.runs->BackEndsToReturnTo();
+    for (const BackEndId& engine : unfit_engines_) engines.erase(engine);
+    for (const auto* run : {&silent_run_, &call_})
+      if (*run != nullptr) engines.erase((*run)->back_end().id);
+    return engines;
+  }
+
+  // Returns a query for the decode engines that may run the request next: those
+  // that haven't been tried as long as the route allows another one, then those
+  // that the stream may return to.
+  SelectionQuery MakeRunQuery(const FailureDomain& preferred_zone) const {
+    SelectionQuery query =
+        MakeQuery(EngineRole::kDecode, preferred_zone, &tried_decode_engines_);
+    if (request_.runs->MayRunElsewhere()) return query;
+    query.exclude = &unfit_engines_;
+    query.among = EnginesToReturnTo();
+    return query;
+  }
+
   // Returns false if no healthy prefill engine is available or the retry budget
   // is exhausted.
   bool TryPrefill() {
@@ -688,8 +707,7 @@
     if (kv_handle_ && KvHandleExpired(now)) kv_handle_.reset();
     const FailureDomain preferred_zone =
         kv_handle_ && prefill_engine_ ? prefill_engine_->zone : deps_.zone;
-    SelectionQuery query =
-        MakeQuery(EngineRole::kDecode, preferred_zone, &tried_decode_engines_);
+    SelectionQuery query = MakeRunQuery(preferred_zone);
     if (kv_handle_) {
       query.software_version = prefill_engine_->software_version;
       if (!reservation_ && !deps_.selector->HasCandidate(query)) {
@@ -718,6 +736,7 @@
     if (reservation_) params.reservation_id = reservation_->id;
     BackEndCall::Options options;
     options.kind = "run";
+    options.runs = request_.runs;
     options.max_idle = kMaxIdleNonIdempotent;
     options.head_timeout = params.time_left;
     options.idle_timeout = params.time_left;
@@ -725,11 +744,6 @@
     // From now on the call counts as open at the engine instead of the
     // reservation.
     ClearReservation();
-    StartSilenceTimer();
-    if (silent_run_ == nullptr) return;
-    LogReplacement();
-    overlap_timer_ =
-        deps_.loop->After(kMaxRunOverlap, [this] { GiveUpSilentRun(); });
   }
 
   bool KvHandleExpired(MonoTime now) const {
@@ -759,6 +773,8 @@
       // engine may be tried again.
       tried_decode_engines_.erase(engine.id);
     }
+    // A stream that has begun is lost unless an engine takes it.
+    if (exchange_->response_started()) tried_decode_engines_.erase(engine.id);
     if (rejections_ >= kMaxRejections) {
       FinishUnanswered();
       return;
@@ -842,7 +858,6 @@
 
   // Records the end of the run whose events the caller has.
   void RecordFailedRun() {
-    ++may_have_run_;
     result_.partial_event_bytes = event_splitter_.partial_event().size();
     event_splitter_.DropPartialEvent();
     UpdateLastEventId();
@@ -853,29 +868,30 @@
   }
 
   void OnRunFailed() {
-    if (silent_run_ != nullptr) {
-      ++may_have_run_;  // It has sent no events; the partial one is not its.
+    RecordFailedRun();
+    kv_handle_.reset();
+    if (MayResume()) {
+      Resume();
     } else {
-      RecordFailedRun();
+      FinishUnanswered();
     }
-    SearchOn();
   }
 
-  // Looks for another engine after a run has failed, if one may get the
-  // request.
-  void SearchOn() {
-    kv_handle_.reset();
-    const int silent_runs = silent_run_ != nullptr ? 1 : 0;
-    const bool may_resume =
-        !is_trial_ && MayRetryAfterCrash() &&
-        request_.route.retry_policy == RetryPolicy::kResumableStream &&
-        may_have_run_ + silent_runs < request_.route.max_attempts &&
-        (!exchange_->response_started() ||
-         (is_event_stream_ && last_event_id_));
-    if (!may_resume) {
-      FinishUnanswered();
-      return;
-    }
+  // Whether an engine may get the request after a run has failed.
+  bool MayResume() const {
+    return !is_trial_ && MayRetryAfterCrash() &&
+           request_.route.retry_policy == RetryPolicy::kResumableStream &&
+           (request_.runs->MayRunElsewhere() || !EnginesToReturnTo().empty()) &&
+           CanContinueResponse();
+  }
+
+  // Whether another run can continue what the caller has received.
+  bool CanContinueResponse() const {
+    return !exchange_->response_started() ||
+           (is_event_stream_ && last_event_id_);
+  }
+
+  void Resume() {
     ++deps_.counters->streams_resumed;
     StartStages();
   }
@@ -892,47 +908,30 @@
     silence_timer_ = deps_.loop->After(timeout, [this] { OnSilence(); });
   }
 
-  // Looks for another engine. The silent run is given up only when the other
-  // engine has accepted the request, or may have been at work on it for some
-  // time, since the silent run may only have been preempted.
+  // Looks for another engine. The silent run may only have been preempted, so
+  // it goes on until the request is sent to that engine.
   void OnSilence() {
     silence_timer_.Cancel();
     // A run that isn't read says nothing; the timer starts again with reading.
     if (call_ == nullptr || stage_ != Stage::kRun || paused_for_reader_) return;
-    if (silent_run_ != nullptr) {
-      OnReplacementSilent();
-      return;
-    }
-    if (may_have_run_ + 1 >= request_.route.max_attempts) return;
-    if (exchange_->response_started() &&
-        (!is_event_stream_ || !event_splitter_.last_id()))
-      return;
+    if (!MayLeaveSilentRun()) return;
     call_->ReportSilence();
     LogSilence();
+    UpdateLastEventId();
     silent_response_ = response_;
     silent_run_ = std::move(call_);
-    UpdateLastEventId();
-    StartStages();
-  }
-
-  // Tries another engine, if one more may get the request, in place of the one
-  // that was to replace the silent run and doesn't respond either.
-  void OnReplacementSilent() {
-    constexpr int kRunsInProgress = 2;
-    if (may_have_run_ + kRunsInProgress >= request_.route.max_attempts) return;
-    call_->ReportSilence();
-    CancelReplacement();
-    ReleaseKvHandle();
     StartStages();
   }
 
-  // Cancels what the relay does to replace the silent run.
-  void CancelReplacement() {
-    overlap_timer_.Cancel();
-    if (call_ != nullptr && stage_ == Stage::kRun) {
-      if (call_->is_unanswered() || call_->response_started()) ++may_have_run_;
-    }
-    CancelCall(CallOutcome::kUnknown);
+  // Whether the request may go on at another engine than that of the current
+  // run, which has become silent. Only a run that hasn't responded is left for
+  // an engine that the stream was at before.
+  bool MayLeaveSilentRun() const {
+    if (exchange_->response_started() &&
+        (!is_event_stream_ || !event_splitter_.last_id()))
+      return false;
+    return request_.runs->MayRunElsewhere() ||
+           (call_->is_unanswered() && !EnginesToReturnTo().empty());
   }
 
   void LogSilence() const {
@@ -984,10 +983,11 @@
   }
 
   // Makes the silent run the current call again. Called when it has sent data
-  // again, or when no other engine takes the request.
+  // again, or when no other engine takes the request. Another run isn't sent
+  // until then.
   void RestoreSilentRun() {
     LogSilenceEnd("restored");
-    CancelReplacement();
+    CancelCall(CallOutcome::kUnknown);
     reservation_timer_.Cancel();
     ReleaseReservation();
     ReleaseKvHandle();
@@ -997,16 +997,16 @@
     stage_ = Stage::kRun;
   }
 
-  // The request goes on at another engine, or may do so.
+  // The request goes on at another engine.
   void GiveUpSilentRun() {
     if (silent_run_ == nullptr) return;
+    LogReplacement();
     CancelSilentRun();
     ++deps_.counters->streams_resumed;
   }
 
   void CancelSilentRun() {
     if (silent_run_ == nullptr) return;
-    overlap_timer_.Cancel();
     LogSilenceEnd("given_up");
     RecordAbandoned(silent_run_.get());
     silent_run_->Cancel(CallOutcome::kFailed);
@@ -1041,7 +1041,7 @@
                    : CallOutcome::kUnknown);
     if (exchange_->response_started()) {
       AbortStream(reason);
-    } else if (run_in_progress || may_have_run_ > 0) {
+    } else if (request_.runs->may_have_run()) {
       Respond(EmptyResponse(status), reason);
     } else {
       Refuse(reason);
@@ -1055,7 +1055,7 @@
       RestoreSilentRun();
     } else if (exchange_->response_started()) {
       AbortStream("stream_lost");
-    } else if (may_have_run_ > 0) {
+    } else if (request_.runs->may_have_run()) {
       Respond(EmptyResponse(kStatusBadGateway), "lost");
     } else if (IsQuarantined()) {
       // A retry would end the same way, so there is no time for one.
@@ -1108,7 +1108,6 @@
   void Finish(int status, const char* reason) {
     deadline_timer_.Cancel();
     silence_timer_.Cancel();
-    overlap_timer_.Cancel();
     reservation_timer_.Cancel();
     origin_lookup_.reset();
     trial_claim_.reset();
@@ -1183,15 +1182,17 @@
   std::set<BackEndId> refusing_engines_;
   TimerHandle reservation_timer_;
   std::unique_ptr<BackEndCall> call_;  // nullptr if none is in progress.
-  // A run that became silent, while the relay looks for another engine and
-  // until that has accepted the request. Until then is_event_stream_,
-  // events_before_run_ and the partial event of event_splitter_ are its.
+  // A run that became silent, while the relay looks for another engine. It ends
+  // before the request is sent there, so is_event_stream_, events_before_run_
+  // and the partial event of event_splitter_ are its.
   std::unique_ptr<BackEndCall> silent_run_;
   HttpResponse silent_response_;  // Response of silent_run_, received so far.
   std::vector<std::unique_ptr<BackEndCall>> finished_calls_;
   HttpResponse response_;  // Response of call_, received so far.
   std::set<BackEndId> tried_prefill_engines_;
   std::set<BackEndId> tried_decode_engines_;
+  // Engines that couldn't be sent a run, or whose response to it was of no use.
+  std::set<BackEndId> unfit_engines_;
   std::optional<KvHandle> kv_handle_;  // To be used by a run or released.
   // Engine that holds kv_handle_; always set if that is.
   std::optional<BackEndEntry> prefill_engine_;
@@ -1221,8 +1222,7 @@
   // Id of the last event that the caller has received.
   std::optional<int64_t> last_event_id_;
   int prefills_ = 0;
-  int rejections_ = 0;    // Rejected runs.
-  int may_have_run_ = 0;  // Finished calls whose request may have run.
+  int rejections_ = 0;  // Rejected runs.
   // A run with kv_handle_ was rejected, and not because that was lost.
   bool kept_handle_ = false;
   bool budget_exhausted_ = false;
@@ -1234,7 +1234,6 @@
   std::unique_ptr<StreamOriginLookup> origin_lookup_;
   TimerHandle deadline_timer_;
   TimerHandle silence_timer_;
-  TimerHandle overlap_timer_;  // Set while silent_run_ and call_ may both run.
 };
 
 }  // namespace
