The soak's engines fall silent, and it judges overlapping runs

The soak played no engine that preempts runs or loses their responses, and did not look at when engines were at work. Now it does both, also for streams that callers take up at other daemons; engines that are paused or behind a faulty link are left out. Daemons retry little after their start, so every fifth seed with faults waits until they may.

--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -9,6 +9,9 @@
 //     one software version (every third seed has engines of two);
 //   - a request that must not be retried runs at most once;
 //   - a request that was refused as not executed has not run;
+//   - no engine that the daemons reach is at work on a stream for over 400 ms
+//     after the stream went on at another engine, also if its caller took it
+//     up;
 //   - the retries of all daemons stay within the retry budget in every window;
 //   - no backend server receives a caller's API key;
 //   - no daemon exits unless the test stops it;
@@ -23,8 +26,8 @@
 //   - planned maintenance alone leaves no request without an answer that the
 //     daemon had time to read.
 //
-// Among the faults are late copies of servers' responses, and a store that
-// comes back from an older copy.
+// Among the faults are late copies of servers' responses, a store that comes
+// back from an older copy, and engines that fall silent or lose responses.
 //
 //   MIMOSA_SEED            first seed (printed)
 //   MIMOSA_SOAK_SEEDS      number of seeds, run one after the other
@@ -39,10 +42,13 @@
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <limits>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "base/random.h"
@@ -66,6 +72,10 @@
 // Seeds the generator of late copies of responses and of a store that comes
 // back from an older copy.
 constexpr uint64_t kCopiesSeedOffset = 1U << 24;
+// Seeds the generator of engines that fall silent or lose responses.
+constexpr uint64_t kSilenceSeedOffset = 1U << 25;
+// Ends the ids of requests that take a stream up.
+constexpr char kTakeUpMark[] = "-again";
 // Of the daemons' settings, which are the defaults.
 constexpr testing::RetryBound kRetryBound{0.2, 50, 10000};
 // Seeds the generator of series of signals and of slow streams.
@@ -79,7 +89,9 @@
 };
 
 // Draws a series of faults and maintenance actions from a seed and executes
-// it. Every fourth seed has planned maintenance only.
+// it. Every fourth seed has planned maintenance only. In every fifth of the
+// others, engines fall silent and lose responses all the time, and daemons may
+// retry from the beginning.
 class FaultPlan {
  public:
   FaultPlan(Fleet* fleet, uint64_t seed, int length_ms)
@@ -90,6 +102,7 @@
         signals_random_(seed + kSignalsSeedOffset),
         length_ms_(length_ms) {
     maintenance_only_ = seed % 4 == 0;
+    needs_retries_ = !maintenance_only_ && seed % 5 == 0;
     const int faults = 4 + static_cast<int>(random_.UniformInt(6));
     for (int i = 0; i < faults; ++i) {
       if (maintenance_only_) {
@@ -104,12 +117,27 @@
     DrawSlowStreams();
     DrawRejections(seed + kRejectionsSeedOffset);
     DrawCopies(seed + kCopiesSeedOffset);
+    DrawSilence(seed + kSilenceSeedOffset);
     std::stable_sort(
         steps_.begin(), steps_.end(),
         [](const Step& a, const Step& b) { return a.at_ms < b.at_ms; });
   }
 
   bool maintenance_only() const { return maintenance_only_; }
+  // Whether the daemons should be able to retry before Execute().
+  bool needs_retries() const { return needs_retries_; }
+
+  // Whether the server was paused or had a faulty link between these times, by
+  // the clock of NowMs().
+  bool WasOutOfReach(const std::string& server, int64_t from_ms,
+                     int64_t to_ms) const {
+    const auto faults = faults_of_servers_.find(server);
+    if (faults == faults_of_servers_.end()) return false;
+    return std::any_of(faults->second.begin(), faults->second.end(),
+                       [=](const auto& fault) {
+                         return fault.first <= to_ms && fault.second >= from_ms;
+                       });
+  }
 
   // Whether the store is away for a while.
   bool takes_store_away() const { return takes_store_away_; }
@@ -165,6 +193,26 @@
     AddStep(at + DrawDuration(), "end of " + description, std::move(end));
   }
 
+  // A fault because of which daemons don't reach the server.
+  void AddSpanOutOfReach(const Server& server, const std::string& description,
+                         const std::function<void()>& begin,
+                         const std::function<void()>& end) {
+    auto* const faults = &faults_of_servers_[server.id()];
+    const auto index = std::make_shared<size_t>();
+    AddSpan(
+        description,
+        [faults, index, begin] {
+          *index = faults->size();
+          faults->emplace_back(testing::NowMs(),
+                               std::numeric_limits<int64_t>::max());
+          begin();
+        },
+        [faults, index, end] {
+          end();
+          faults->at(*index).second = testing::NowMs();
+        });
+  }
+
   void DrawMaintenance() {
     Fleet* const fleet = fleet_;
     switch (random_.UniformInt(4)) {
@@ -245,8 +293,9 @@
             });
         return;
       case 1:
-        AddSpan(
-            server->id() + " paused", [server] { server->process().Pause(); },
+        AddSpanOutOfReach(
+            *server, server->id() + " paused",
+            [server] { server->process().Pause(); },
             [server] { server->process().Resume(); });
         return;
       case 2:
@@ -452,6 +501,38 @@
     });
   }
 
+  // Engines that preempt runs in the middle of their streams, or lose their
+  // responses. Drawn by a generator of its own, too.
+  void DrawSilence(uint64_t seed) {
+    SeededRandom random(seed);
+    if (maintenance_only_) return;
+    Fleet* const fleet = fleet_;
+    const auto draw = [&random](uint64_t below) {
+      return static_cast<int>(random.UniformInt(below));
+    };
+    for (const char* how : {"preempt_percent", "lose_percent"}) {
+      const bool is_left_out = draw(4) == 0;
+      if (is_left_out && !needs_retries_) continue;
+      const int at = needs_retries_ ? 0 : draw(length_ms_);
+      const int duration = needs_retries_ ? length_ms_ : 1000 + draw(4000);
+      const int percent = 10 + draw(40);
+      const int silence = 400 + draw(2500);
+      AddStep(at,
+              std::string("engines have ") + how + " " +
+                  std::to_string(percent) + " for " + std::to_string(silence) +
+                  " ms",
+              [=] {
+                for (const auto& server : fleet->servers()) {
+                  server->SetBehavior("preempt_ms", silence);
+                  server->SetBehavior(how, percent);
+                }
+              });
+      AddStep(at + duration, std::string("engines have no ") + how, [=] {
+        for (const auto& server : fleet->servers()) server->SetBehavior(how, 0);
+      });
+    }
+  }
+
   static void SetStoreOutage(Fleet* fleet, bool outage) {
     Json::Value members;
     members["outage"] = outage;
@@ -460,19 +541,26 @@
 
   void DrawLinkFault() {
     const bool to_store = random_.UniformInt(3) == 0;
+    EntryProcess* const entry =
+        to_store ? DrawOne(fleet_->entry_processes()) : nullptr;
+    Server* const server = to_store ? nullptr : DrawOne(fleet_->servers());
     testing::Proxy* const proxy =
-        to_store ? &DrawOne(fleet_->entry_processes())->store_proxy()
-                 : &DrawOne(fleet_->servers())->proxy();
+        to_store ? &entry->store_proxy() : &server->proxy();
     const std::vector<std::string> faults = {
         "mode cut",         "mode blackhole",          "set delay_ms 150",
         "set drop_nth 2",   "set cut_after_down 120",  "set cut_after_up 300",
         "set jitter_ms 90", "set half_close_down 200", "set drop_percent 30"};
     const std::string& fault = faults[random_.UniformInt(faults.size())];
-    AddSpan(
+    const std::string description =
         std::string(to_store ? "link to the store: " : "link to a server: ") +
-            fault,
-        [proxy, fault] { proxy->SendCommand(fault); },
-        [proxy] { proxy->SendCommand("reset"); });
+        fault;
+    const auto begin = [proxy, fault] { proxy->SendCommand(fault); };
+    const auto end = [proxy] { proxy->SendCommand("reset"); };
+    if (to_store) {
+      AddSpan(description, begin, end);
+    } else {
+      AddSpanOutOfReach(*server, description, begin, end);
+    }
   }
 
   void DrawStoreFault() {
@@ -515,6 +603,10 @@
   const int length_ms_;
   bool maintenance_only_ = false;
   bool takes_store_away_ = false;
+  bool needs_retries_ = false;
+  // Begins and ends of the times in which daemons may not reach a server.
+  std::map<std::string, std::vector<std::pair<int64_t, int64_t>>>
+      faults_of_servers_;
   std::vector<Step> steps_;
 };
 
@@ -637,6 +729,30 @@
   }
 }
 
+// Checks that no engine worked on a stream for long that had gone on at another
+// engine. Counts as one request with those that take up its stream.
+void CheckOverlaps(const Fleet& fleet, const FaultPlan& plan) {
+  std::vector<testing::RunSpan> spans;
+  for (const auto& server : fleet.servers())
+    for (testing::RunSpan span : server->spans()) {
+      span.request.resize(
+          std::min(span.request.size(), span.request.find(kTakeUpMark)));
+      spans.push_back(std::move(span));
+    }
+  int excused = 0;
+  for (const testing::RunOverlap& overlap : testing::FindOverlaps(spans)) {
+    if (plan.WasOutOfReach(overlap.earlier.server, overlap.earlier.begin_ms,
+                           overlap.earlier.end_ms)) {
+      ++excused;
+      continue;
+    }
+    INFO(overlap.Describe());
+    CHECK(overlap.later.server.empty());
+  }
+  std::cout << "  " << excused << " overlaps at engines out of reach"
+            << std::endl;
+}
+
 // Appends the daemons' logs to files in MIMOSA_SOAK_LOGS, if that is set.
 void KeepLogs(const Fleet& fleet, uint64_t seed) {
   const char* const folder = std::getenv("MIMOSA_SOAK_LOGS");
@@ -655,6 +771,7 @@
   Fleet fleet(scale, /*mixed_versions=*/seed % 3 == 0);
   FaultPlan plan(&fleet, seed,
                  IntFromEnvironment("MIMOSA_SOAK_SECONDS", 6) * 1000);
+  if (plan.needs_retries()) fleet.AwaitRetryShares();
   std::vector<uint16_t> ports;
   for (const auto& entry : fleet.entry_processes())
     ports.push_back(entry->port());
@@ -698,6 +815,7 @@
   }));
   CheckRuns(&fleet, callers.outcomes(), plan.maintenance_only());
   CheckRetries(fleet, callers.outcomes());
+  CheckOverlaps(fleet, plan);
   KeepLogs(fleet, seed);
 }
 
@@ -710,6 +828,9 @@
   RunSeed(4);
   // The fault proxy passed data on behind a gap.
   RunSeed(70021);
+  // A silent run was restored after its request had been sent to another
+  // engine.
+  RunSeed(95165);
 }
 
 TEST_CASE("newly drawn seeds keep all guarantees") {
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -3,6 +3,7 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <utility>
 
@@ -54,6 +55,9 @@
   previous_arrivals_.insert(previous_arrivals_.end(), current_arrivals_.begin(),
                             current_arrivals_.end());
   current_arrivals_.clear();
+  previous_spans_.insert(previous_spans_.end(), current_spans_.begin(),
+                         current_spans_.end());
+  current_spans_.clear();
 }
 
 void Server::SetBehavior(const char* member, const Json::Value& value) {
@@ -73,6 +77,7 @@
   for (const std::string& id : journal["runs"].getMemberNames())
     current_runs_[id] = journal["runs"][id].asInt64();
   current_arrivals_ = testing::ReadArrivals(journal);
+  current_spans_ = testing::ReadRunSpans(journal, id_);
 }
 
 // --- Entry ----------------------------------------------------------------
@@ -92,6 +97,12 @@
   return Get(settings_.ready_port(), testing::kReadyPath).status == 200;
 }
 
+bool EntryProcess::HasRetryShare() const {
+  return testing::GetJson(settings_.control_port(),
+                          "/status")["retry_share_established"]
+      .asBool();
+}
+
 void EntryProcess::Start() {
   process_.Start();
   started_ = Clock::now();
@@ -219,12 +230,24 @@
     server->SetBehavior("delay_ms", 0);
     server->SetBehavior("reject_percent", 0);
     server->SetBehavior("reset_percent", 0);
+    server->SetBehavior("preempt_percent", 0);
+    server->SetBehavior("lose_percent", 0);
     server->SetBehavior("unframed", false);
     server->SetBehavior("id_in_rejections", false);
     server->SetBehavior("gap_ms", Json::Int64(kEventInterval.count()));
   }
 }
 
+void Fleet::AwaitRetryShares() const {
+  REQUIRE(testing::Eventually(
+      [this] {
+        return std::all_of(
+            entry_processes_.begin(), entry_processes_.end(),
+            [](const auto& entry) { return entry->HasRetryShare(); });
+      },
+      testing::Seconds(60)));
+}
+
 bool Fleet::ServesAllKinds() {
   for (const auto& entry : entry_processes_) {
     if (!entry->IsReady()) return false;
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -14,6 +14,7 @@
 #include "tests/entry_site.h"
 #include "tests/harness.h"
 #include "tests/retry_count.h"
+#include "tests/run_spans.h"
 
 namespace mimosa::soak {
 
@@ -48,8 +49,8 @@
   // Returns the stand-in's journal: runs by request id, and the open
   // reservations and KV handles. Returns null if the server doesn't respond.
   Json::Value GetJournal() const;
-  // Reads the number of runs of each request, and the arrivals, since the last
-  // start from the journal.
+  // Reads the number of runs of each request, the arrivals and the runs of
+  // streams since the last start from the journal.
   void CollectRuns();
   // Number of runs by request id, over all starts that a Kill() has ended.
   const std::map<std::string, int64_t>& runs() const { return previous_runs_; }
@@ -57,6 +58,8 @@
   const std::vector<testing::Arrival>& arrivals() const {
     return previous_arrivals_;
   }
+  // When streams ran, over the same starts.
+  const std::vector<testing::RunSpan>& spans() const { return previous_spans_; }
   // Number of requests that carried a caller's API key; the daemon must remove
   // it.
   int64_t requests_with_api_key() const { return requests_with_api_key_; }
@@ -71,6 +74,8 @@
   std::map<std::string, int64_t> current_runs_;   // since the last start
   std::vector<testing::Arrival> previous_arrivals_;
   std::vector<testing::Arrival> current_arrivals_;
+  std::vector<testing::RunSpan> previous_spans_;
+  std::vector<testing::RunSpan> current_spans_;
   int64_t requests_with_api_key_ = 0;
 };
 
@@ -82,6 +87,8 @@
 
   uint16_t port() const { return settings_.listen_port(); }
   bool IsReady() const;
+  // Whether the daemon may use its whole share of the retry budget.
+  bool HasRetryShare() const;
   bool running() const { return process_.running(); }
   testing::Proxy& store_proxy() { return store_proxy_; }
 
@@ -151,6 +158,9 @@
   void RemoveRecord(const Server& server);
   // Ends all faults and restarts every process that is down.
   void ClearFaults();
+  // Waits until the daemons may retry as much as in steady state. They retry
+  // little after their start.
+  void AwaitRetryShares() const;
   // Returns whether each daemon is ready and serves each kind of request.
   bool ServesAllKinds();
 
