The test of late responses checks that copies arrive

Without copies the test proved nothing and passed. The fault proxy counts the responses that it sends again.

--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -244,7 +244,9 @@
           static_cast<int64_t>(proxy_->random_.UniformInt(100)) <
               proxy_->faults_.repeat_percent;
       response_ = direction->pending_data;
-      if (repeats) direction->pending_data.insert(0, before);
+      if (!repeats || before.empty()) return;
+      ++proxy_->repeated_;
+      direction->pending_data.insert(0, before);
       return;
     }
     if (response_.size() <= kMaxRepeatedBytes)
@@ -388,8 +390,9 @@
 std::string FaultProxy::StatsJson() const {
   std::ostringstream out;
   out << "{\"accepted\":" << accepted_ << ",\"open\":" << sessions_.size()
-      << ",\"dropped\":" << dropped_ << ",\"up_bytes\":" << up_bytes_
-      << ",\"down_bytes\":" << down_bytes_ << "}";
+      << ",\"dropped\":" << dropped_ << ",\"repeated\":" << repeated_
+      << ",\"up_bytes\":" << up_bytes_ << ",\"down_bytes\":" << down_bytes_
+      << "}";
   return out.str();
 }
 
--- a/standins/fault_proxy.h
+++ b/standins/fault_proxy.h
@@ -8,7 +8,8 @@
 //                              blackhole: accept, discard all data
 //   set <fault> <n>            see ProxyFaults; -1 turns a fault off
 //   reset                      turn all faults off, set mode pass
-//   stats                      {"accepted", "open", "dropped", "up_bytes",
+//   stats                      {"accepted", "open", "dropped", "repeated":
+//                              responses sent again, "up_bytes",
 //                              "down_bytes"}
 //   received                   the raw data sent up; ends the connection
 // "up" is the direction from the connecting client to the target.
@@ -85,6 +86,7 @@
   std::set<std::shared_ptr<ProxySession>> sessions_;
   int64_t accepted_ = 0;
   int64_t dropped_ = 0;
+  int64_t repeated_ = 0;  // responses that were sent again
   int64_t up_bytes_ = 0;
   int64_t down_bytes_ = 0;
   std::string received_;  // data sent up, of bounded size
--- a/tests/late_responses_test.cc
+++ b/tests/late_responses_test.cc
@@ -34,6 +34,7 @@
   int answers_of_others = 0;  // A success that names another request.
   int served = 0;
   int refused = 0;
+  int64_t copies = 0;  // Responses that were repeated meanwhile.
 };
 
 // A daemon, three plain servers and two engines of each role behind proxies.
@@ -61,6 +62,7 @@
   // `meanwhile` repeatedly until they have ended.
   Observed Play(const std::string& target, int count,
                 const std::function<void()>& meanwhile) {
+    const int64_t copies_before = CountCopies();
     std::map<std::string, Reply> replies;
     std::mutex mutex;
     std::atomic<int> callers{kCallers};
@@ -84,7 +86,9 @@
       std::this_thread::sleep_for(10 * kCallerPause);
     }
     for (std::thread& thread : threads) thread.join();
-    return Compare(replies, CountRuns());
+    Observed observed = Compare(replies, CountRuns());
+    observed.copies = CountCopies() - copies_before;
+    return observed;
   }
 
   // Sets a member of the behavior of the servers with these ids.
@@ -147,6 +151,12 @@
     }
     return runs;
   }
+  int64_t CountCopies() const {
+    int64_t copies = 0;
+    for (const auto& server : servers_)
+      copies += server->proxy->Stats()["repeated"].asInt64();
+    return copies;
+  }
   static Observed Compare(const std::map<std::string, Reply>& replies,
                           const std::map<std::string, int64_t>& runs) {
     Observed observed;
@@ -186,6 +196,7 @@
   CHECK(observed.refused_and_ran == 0);
   CHECK(observed.answers_of_others == 0);
   CHECK(observed.served > 0);
+  CHECK(observed.copies > 0);
 }
 
 // Guards against runs that are repeated or refused because the late copy of the
