--- a/decide/run_rights.cc
+++ b/decide/run_rights.cc
@@ -61,7 +61,7 @@
   return false;
 }
 
-bool RunRights::has_ended_run() const {
+bool RunRights::HasEndedRun() const {
   int count = 0;
   for (const auto& [back_end, runs] : runs_) count += runs;
   return count > active_;
--- a/decide/run_rights.h
+++ b/decide/run_rights.h
@@ -67,7 +67,7 @@
   // Whether a back end may have executed the request, or may be doing so.
   bool may_have_run() const { return !runs_.empty(); }
   // Whether a run has ended that may have been executed.
-  bool has_ended_run() const;
+  bool HasEndedRun() const;
   // Whether a back end that hasn't run the request may do so, apart from
   // `planned` others that are to run it.
   bool MayRunElsewhere(int planned = 0) const;
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -180,7 +180,7 @@
     const bool may_crash_another =
         is_trial_ ||
         deps_.crash_guard->CountCrashes(request_.crash_suspects) > 1;
-    if (request_.runs->has_ended_run() && may_crash_another) return false;
+    if (request_.runs->HasEndedRun() && may_crash_another) return false;
     const auto unsent = std::count_if(
         attempts_.begin(), attempts_.end(),
         [](const auto& attempt) { return !attempt->call->is_sent(); });
