--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -380,9 +380,9 @@
     // If a retry on a fresh connection can't connect, what failed is the
     // connection before, which was closed without a response.
     const bool is_failed_retry =
-        sent_earlier_ && (failure == HttpFailure::kConnect ||
-                          failure == HttpFailure::kWithheld ||
-                          state_ == State::kConnecting);
+        sent_earlier_ &&
+        (failure == HttpFailure::kConnect ||
+         failure == HttpFailure::kWithheld || state_ == State::kConnecting);
     if (is_failed_retry) failure = HttpFailure::kNoResponse;
     CloseConnection();
     if (HttpCallHandler* handler = std::exchange(handler_, nullptr)) {
--- a/serving/stream_relay.h
+++ b/serving/stream_relay.h
@@ -7,10 +7,10 @@
 // resumable streams, to resume after the last event that the caller has
 // received, once the first one can't be at work on it any more
 // (decide/run_rights.h). If the route allows no further engine, a lost stream
-// returns to one that has run it. A decode engine processes the prompt itself if no prefill engine is
-// available or the prefill result is lost. Only complete events are forwarded,
-// so that a stream that breaks in the middle of an event can be resumed at
-// another engine.
+// returns to one that has run it. A decode engine processes the prompt itself
+// if no prefill engine is available or the prefill result is lost. Only
+// complete events are forwarded, so that a stream that breaks in the middle of
+// an event can be resumed at another engine.
 #ifndef SERVING_STREAM_RELAY_H_
 #define SERVING_STREAM_RELAY_H_
 
