--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -828,6 +828,10 @@
   RunSeed(4);
   // The fault proxy passed data on behind a gap.
   RunSeed(70021);
+}
+
+// The same for a seed that waits until daemons may retry.
+TEST_CASE("silent engines keep all guarantees", "[silence]") {
   // A silent run was restored after its request had been sent to another
   // engine.
   RunSeed(95165);
