--- a/review/common-2/peer.h
+++ b/review/common-2/peer.h
@@ -17,6 +17,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <cstring>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <string>
@@ -253,7 +254,13 @@
   }).detach();
 }
 
-// Starts a program with its output in `log`. Returns its process id.
+// Adds a process to the list by which run.sh ends what is left of a trial.
+inline void ListProcess(const std::string& work_dir, pid_t pid) {
+  std::ofstream(work_dir + "/processes", std::ios::app) << pid << "\n";
+}
+
+// Starts a program with its output in `log`, and lists it in that file's
+// folder. Returns its process id.
 inline pid_t Start(const std::vector<std::string>& command,
                    const std::string& log) {
   std::vector<char*> arguments;
@@ -262,7 +269,10 @@
     arguments.push_back(const_cast<char*>(word.c_str()));
   arguments.push_back(nullptr);
   const pid_t pid = fork();
-  if (pid != 0) return pid;
+  if (pid != 0) {
+    ListProcess(log.substr(0, log.rfind('/')), pid);
+    return pid;
+  }
   const int fd =
       open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   dup2(fd, STDOUT_FILENO);
