Data that is sent within a write callback is written to its end

Callers saw a request or a response stop in its middle until a timeout: a request body that the kernel didn't take over at once on a new connection (above 4 MB on loopback, above the send buffer elsewhere), and a large response that began when the one before it on its connection had been written.

Cause: RawSocket::Send() asked the library for a further write event directly. From within a write callback (OnConnected, OnDrained) the library clears that request when the callback returns, and nothing asks again.

Change: Send() posts the request as all other places do, so no handler has to know in which callback it is.

--- a/net/client_test.cc
+++ b/net/client_test.cc
@@ -747,5 +747,21 @@
   if (!complete) CHECK(result.failure == HttpFailure::kTruncated);
 }
 
+TEST_CASE_METHOD(ClientFixture,
+                 "a request that the kernel doesn't take over at once is "
+                 "written whole",
+                 "[client]") {
+  // Connections inherit it, so that the request stalls soon.
+  const int size = 4096;
+  setsockopt(listener_.fd(), SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+  const std::string body(16U << 20, 'x');
+  Start("POST", body);
+  auto peer = AcceptRequest();
+  CHECK(Until([&] { return peer->received().size() > body.size(); }));
+  peer->Send(kOk);
+  AwaitEnd();
+  CHECK(recorded_.done);
+}
+
 }  // namespace
 }  // namespace mimosa
--- a/net/raw_socket.cc
+++ b/net/raw_socket.cc
@@ -180,7 +180,7 @@
   }
   if (data.empty() || write_failed_) return;
   write_buffer_.append(data);
-  if (connected_) lws_callback_on_writable(wsi());
+  if (connected_) RequestWritable();
 }
 
 void RawSocket::Pause(bool pause) {
--- a/net/server_test.cc
+++ b/net/server_test.cc
@@ -365,6 +365,23 @@
   CHECK(CountOccurrences(peer->received(), "HTTP/1.1 200") == 1);
 }
 
+TEST_CASE_METHOD(ServerFixture,
+                 "large responses are written whole, also behind each other",
+                 "[server]") {
+  constexpr size_t kBytes = 16U << 20;
+  handler_.respond = [](HttpExchange* exchange) {
+    HttpResponse response;
+    response.status = 200;
+    response.body.assign(kBytes, 'x');
+    exchange->Respond(std::move(response));
+  };
+  Listen();
+  auto peer = Connect(/*receive_buffer=*/4096);
+  peer->Send(std::string(kGet) + kGet + kGet);
+  CHECK(Until([&] { return peer->received().size() > 3 * kBytes; }));
+  CHECK(CountOccurrences(peer->received(), "HTTP/1.1 200") == 3);
+}
+
 TEST_CASE_METHOD(ServerFixture,
                  "a response is complete or recognizably truncated",
                  "[server]") {
