A response that only a close ends is truncated if its request hadn't arrived

Cause: the HTTP client took any orderly end of the connection for the end of such a response. A server that ends its connection with a request half read drops the connection, and a FIN in front of the RST hides that: the kernel then returns the end of the stream, not the reset. The server lives, so its sign of life confirmed the end.

Change: the client takes such an end for the response's only if the server's kernel has acknowledged the whole request; the number of missing bytes is in `call_lost` (`undelivered`). A status 000 was malformed before (HttpStatus); a test keeps it so.

The acknowledgement that comes with a FIN covers all that the server had received, so a response whose request had arrived isn't affected.

--- a/net/client_test.cc
+++ b/net/client_test.cc
@@ -150,6 +150,9 @@
       {"HTTP/1.1 abc OK\r\n\r\n", false, HttpFailure::kMalformed, ""},
       {"HTTP/1.1 101 Switch\r\nUpgrade: x\r\n\r\n", false,
        HttpFailure::kMalformed, ""},
+      {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nhi", false,
+       HttpFailure::kMalformed, ""},
+      {"HTTP/1.1 000 \r\n\r\nhi", false, HttpFailure::kMalformed, ""},
       {"HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\nhi", false,
        HttpFailure::kMalformed, ""},
       {"HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nhi", false,
@@ -747,6 +750,49 @@
   if (!complete) CHECK(result.failure == HttpFailure::kTruncated);
 }
 
+// A peer that sends a response without framing before it has read the request.
+class EarlyResponseFixture : public ClientFixture {
+ protected:
+  EarlyResponseFixture() {
+    // Connections inherit it, so that the request stalls soon.
+    const int size = 4096;
+    setsockopt(listener_.fd(), SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    options_.accept_close_delimited = true;
+  }
+
+  // Starts a call with a body of `size` bytes, of which the peer reads none,
+  // and waits until the client has a part of the response.
+  std::unique_ptr<RawPeer> StartUpload(size_t size) {
+    Start("POST", std::string(size, 'x'));
+    std::unique_ptr<RawPeer> peer;
+    REQUIRE(Until([&] { return (peer = listener_.Accept()) != nullptr; }));
+    RunFor(loop_.get(), milliseconds(20));
+    peer->Send("HTTP/1.1 200 OK\r\n\r\npart");
+    REQUIRE(Until([&] { return recorded_.body == "part"; }));
+    return peer;
+  }
+};
+
+TEST_CASE_METHOD(EarlyResponseFixture,
+                 "a response that ends with its connection before the request "
+                 "has arrived is truncated",
+                 "[client]") {
+  // The kernel takes over the first body whole.
+  const size_t size = GENERATE(100'000, 32'000'000);
+  const auto peer = StartUpload(size);
+  SECTION("orderly") { peer->ShutdownWrite(); }
+  SECTION("orderly, then with a reset") {
+    peer->ShutdownWrite();
+    peer->CloseWithReset();
+  }
+  SECTION("with a reset") { peer->CloseWithReset(); }
+  SECTION("closed with unread bytes") { peer->Close(); }
+  AwaitEnd();
+  CHECK_FALSE(recorded_.done);
+  CHECK(recorded_.failure == HttpFailure::kTruncated);
+  CHECK(recorded_.sent);
+}
+
 TEST_CASE_METHOD(ClientFixture,
                  "a request that the kernel doesn't take over at once is "
                  "written whole",
--- a/net/http.h
+++ b/net/http.h
@@ -302,7 +302,8 @@
   // call.
   std::function<bool()> may_send;
   // Whether a response without length or chunks is complete at an orderly close
-  // of its connection.
+  // of its connection. It never is if the server hasn't received the whole
+  // request by then.
   bool accept_close_delimited = false;
   // The id that the request bears; empty if it bears none. A server may repeat
   // a response late, in front of the next one on its connection. What tells a
@@ -351,6 +352,9 @@
   Duration age{};         // Of the connection, when the request was sent.
   // Responses to other requests that arrived in front of the call's own.
   int skipped_responses = 0;
+  // Bytes of the request that the server had not received when it closed the
+  // connection in order.
+  size_t undelivered_bytes = 0;
 };
 
 // An open call. Destroying it cancels the call: its connection is closed and no
--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -95,6 +95,7 @@
     virtual void OnConnected() = 0;
     virtual void OnRead(std::string_view data) = 0;
     virtual void OnDrained() = 0;
+    virtual void OnEof() {}
     virtual void OnClosed() = 0;
   };
 
@@ -123,6 +124,7 @@
   void OnConnected() override { user_->OnConnected(); }
   void OnRead(std::string_view data) override { user_->OnRead(data); }
   void OnDrained() override { user_->OnDrained(); }
+  void OnEof() override { user_->OnEof(); }
   void OnClosed() override { user_->OnClosed(); }
 
  private:
@@ -277,6 +279,7 @@
   void OnDrained() override {
     if (state_ == State::kHead) ArmTimer(options_.head_timeout);
   }
+  void OnEof() override;
   void OnClosed() override;
 
  private:
@@ -392,18 +395,25 @@
     }
   }
 
-  void Complete(ResponseEnd end, bool keep_connection) {
+  void Complete(ResponseEnd end) {
     timer_.Cancel();
     total_timer_.Cancel();
     state_ = State::kFinished;
     sent_earlier_ = true;
-    if (const auto pool = keep_connection ? pool_.lock() : nullptr) {
+    std::exchange(handler_, nullptr)->OnDone(end);
+  }
+
+  // Gives the connection to the pool if it may carry another call.
+  void ReleaseConnection() {
+    const bool is_reusable = options_.reuse_connection &&
+                             reader_->keep_alive() && input_.empty() &&
+                             connection_->socket()->unsent_bytes() == 0;
+    if (const auto pool = is_reusable ? pool_.lock() : nullptr) {
       connection_->socket()->Pause(false);
       pool->AddConnection(options_.to, std::move(connection_),
                           reader_->keep_alive_timeout());
     }
     connection_.reset();
-    std::exchange(handler_, nullptr)->OnDone(end);
   }
 
   LwsLoop* const loop_;
@@ -473,10 +483,8 @@
   if (handler_ == nullptr) return false;
   switch (reader_->state()) {
     case ResponseReader::State::kComplete:
-      Complete(ResponseEnd::kFraming,
-               options_.reuse_connection && reader_->keep_alive() &&
-                   input_.empty() &&
-                   connection_->socket()->unsent_bytes() == 0);
+      ReleaseConnection();
+      Complete(ResponseEnd::kFraming);
       return false;
     case ResponseReader::State::kTooLarge:
       Fail(HttpFailure::kTooLarge);
@@ -490,16 +498,19 @@
   }
 }
 
+void CallState::OnEof() {
+  const auto self = shared_from_this();
+  use_.undelivered_bytes = connection_->socket()->undelivered_bytes();
+  if (state_ != State::kBody || !options_.accept_close_delimited ||
+      !reader_->is_close_delimited() || use_.undelivered_bytes > 0)
+    return;
+  connection_.reset();
+  Complete(ResponseEnd::kClose);
+}
+
 void CallState::OnClosed() {
   const auto self = shared_from_this();
   const State state = state_;
-  const bool complete =
-      state == State::kBody && options_.accept_close_delimited &&
-      connection_->socket()->received_eof() && reader_->is_close_delimited();
-  if (complete) {
-    Complete(ResponseEnd::kClose, /*keep_connection=*/false);
-    return;
-  }
   const bool refused = connection_->socket()->refused();
   const bool retry = pooled_ && !response_started_ &&
                      options_.retry_on_fresh_connection &&
--- a/net/raw_socket.cc
+++ b/net/raw_socket.cc
@@ -5,8 +5,10 @@
 #include "net/raw_socket.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -183,6 +185,13 @@
   if (connected_) RequestWritable();
 }
 
+size_t RawSocket::undelivered_bytes() const {
+  int unacknowledged = 0;
+  if (wsi() == nullptr || ioctl(fd_, SIOCOUTQ, &unacknowledged) != 0)
+    unacknowledged = 0;
+  return unsent_bytes() + static_cast<size_t>(unacknowledged);
+}
+
 void RawSocket::Pause(bool pause) {
   if (paused_ == pause) return;
   paused_ = pause;
@@ -234,8 +243,8 @@
     handler_->OnRead({buffer.data(), static_cast<size_t>(n)});
     return 0;
   }
-  if (n < 0 && (errno == EAGAIN || errno == EINTR)) return 0;
-  received_eof_ = n == 0;
+  if (n < 0) return errno == EAGAIN || errno == EINTR ? 0 : -1;
+  handler_->OnEof();
   return -1;
 }
 
--- a/net/raw_socket.h
+++ b/net/raw_socket.h
@@ -77,6 +77,9 @@
     virtual void OnRead(std::string_view data) = 0;
     // The write buffer has become empty: the kernel has accepted all data.
     virtual void OnDrained() = 0;
+    // The peer has closed its end in order. OnClosed() follows at once, unless
+    // the socket was destroyed.
+    virtual void OnEof() {}
     // The peer has closed the connection, or the connection failed or could not
     // be established. This is the last callback.
     virtual void OnClosed() = 0;
@@ -97,9 +100,8 @@
   size_t unsent_bytes() const { return write_buffer_.size() - write_offset_; }
   // Number of bytes that the kernel has accepted so far.
   uint64_t bytes_written() const { return bytes_written_; }
-  // In OnClosed(): true if the peer closed its end in order, false after a
-  // reset or if the connection was never established.
-  bool received_eof() const { return received_eof_; }
+  // Number of bytes that the peer's kernel has not acknowledged.
+  size_t undelivered_bytes() const;
   // In OnClosed(): whether the connection was refused.
   bool refused() const { return refused_; }
   // Stops (true) or resumes (false) reading.
@@ -124,7 +126,6 @@
   bool connected_ = false;
   bool paused_ = false;
   bool write_failed_ = false;  // a write failed; OnClosed() follows
-  bool received_eof_ = false;  // the peer closed without a reset
   bool refused_ = false;       // nothing listens at the peer's address
   std::string write_buffer_;   // [write_offset_, size()) is not written yet
   size_t write_offset_ = 0;    // <= write_buffer_.size()
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -371,6 +371,8 @@
           .AddMillis("connection_age_ms", connection_use_.age)
           .Add("earlier_calls", connection_use_.earlier_calls)
           .Add("skipped", connection_use_.skipped_responses)
+          .Add("undelivered",
+               static_cast<int64_t>(connection_use_.undelivered_bytes))
           .AddMillis("after_ms", deps_.loop->Now() - started_));
   handler_->OnCallFailed(this, failure);
 }
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -400,6 +400,9 @@
   void StopListening() { listener_.Close(); }
 
   Script script;
+  // Whether requests are served once their heads have arrived. What follows is
+  // never read.
+  bool serves_early = false;
 
  private:
   struct Connection {
@@ -407,10 +410,11 @@
     bool served = false;
   };
 
-  static bool IsComplete(const std::string& request) {
+  bool IsComplete(const std::string& request) const {
     constexpr char kLength[] = "Content-Length: ";
     const size_t head_end = request.find("\r\n\r\n");
     if (head_end == std::string::npos) return false;
+    if (serves_early) return true;
     const size_t field = request.find(kLength);
     const size_t length =
         field == std::string::npos
--- a/tests/truncated_stream_test.cc
+++ b/tests/truncated_stream_test.cc
@@ -3,6 +3,7 @@
 // each byte and check that no truncated one is framed as complete.
 #include <poll.h>
 
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <functional>
@@ -639,5 +640,42 @@
   }
 }
 
+constexpr std::array<const char*, 4> kTargets = {"/letter/1", "/note/1",
+                                                 "/book/1", "/look/1"};
+
+// An engine and a plain server, at one address, that live on.
+struct LivingServerFixture : TruncationFixture {
+  LivingServerFixture() {
+    stream = MakeEvent(1) + MakeEvent(2);
+    AddBackEnd("d", "desk", EngineRole::kNone, engine.port());
+    const auto serve = engine.script;
+    engine.script = [this, serve](const std::string& request, RawPeer* peer) {
+      if (request.find("GET /mimosarouter/report") != 0 &&
+          request.find("GET ") == 0) {
+        peer->Send(RawHealth("d"));
+        peer->ShutdownWrite();
+        return;
+      }
+      serve(request, peer);
+    };
+  }
+  bool IsFramedAsComplete(const HttpRequest& request) {
+    const CallerResponse response = CallFrontend(request);
+    return response.ok && response.status == 200;
+  }
+};
+
+TEST_CASE_METHOD(LivingServerFixture,
+                 "a response that ends with its connection before the request "
+                 "has arrived isn't complete") {
+  engine.serves_early = true;
+  for (const char* target : kTargets) {
+    INFO(target);
+    HttpRequest request = MakeRequest(target);
+    request.body = std::string(6U << 20, 'x');
+    CHECK_FALSE(IsFramedAsComplete(request));
+  }
+}
+
 }  // namespace
 }  // namespace mimosa::testing
