A reset behind the end of a connection shows that the response is truncated

Cause: the client closed its connection at the first end that it read, so what came behind it was never seen. The server lived, and its sign of life confirmed the end.

Change: the client keeps its side of such a connection until the call is destroyed (HttpCall::reset_after_end()), and BackEndCall destroys the call with the verdict. The judge of ends takes a reset for a loss, whatever the sign of life says. EndVerdict tells a lost server from one that lives, so that the quarantine counts only the former as a crash; before, a report with more events than received counted as one, too. response_end_checked says `reset`.

Price: the descriptor of a response without framing stays open for the time of the check.

--- a/decide/response_end.cc
+++ b/decide/response_end.cc
@@ -23,24 +23,24 @@
       give_up_at_(closed_at + std::min(kMaxWait, time_left)) {}
 
 EndVerdict ResponseEndJudge::Judge(const LifeSign& sign, int asked) const {
+  if (sign.connection_reset) return EndVerdict::kLost;
   switch (sign.kind) {
     case LifeSign::Kind::kOther:
     case LifeSign::Kind::kRefused:
-      return EndVerdict::kTruncated;
+      return EndVerdict::kLost;
     case LifeSign::Kind::kNone:
       return EndVerdict::kUndecided;
     case LifeSign::Kind::kStatement:
     case LifeSign::Kind::kRejection:
       break;
   }
-  if (sign.back_end && *sign.back_end != back_end_)
-    return EndVerdict::kTruncated;
+  if (sign.back_end && *sign.back_end != back_end_) return EndVerdict::kLost;
+  if (sign.incarnation && incarnation_ != 0 &&
+      *sign.incarnation != incarnation_)
+    return EndVerdict::kLost;
   if (sign.events_generated && *sign.events_generated > events_)
     return EndVerdict::kTruncated;
-  if (sign.incarnation && incarnation_ != 0) {
-    return *sign.incarnation == incarnation_ ? EndVerdict::kComplete
-                                             : EndVerdict::kTruncated;
-  }
+  if (sign.incarnation && incarnation_ != 0) return EndVerdict::kComplete;
   const bool may_be_successor = incarnation_ != 0 && asked > 1;
   const bool is_unnamed_rejection =
       sign.kind == LifeSign::Kind::kRejection && !sign.back_end;
--- a/decide/response_end.h
+++ b/decide/response_end.h
@@ -10,6 +10,8 @@
 //   sign of the same server and incarnation      complete
 //   connection refused, sign of another server
 //   or of another incarnation                    truncated
+//   connection of the response reset behind
+//   its end                                      truncated
 //   more events generated than received          truncated
 //   no sign: lost, or the engine is overloaded   asked again for a while, then
 //                                                truncated
@@ -56,9 +58,17 @@
   // How many events the server says that it has generated of the response;
   // absent if it says nothing of it.
   std::optional<int64_t> events_generated;
+  // The connection of the response was reset behind its end.
+  bool connection_reset = false;
 };
 
-enum class EndVerdict { kComplete, kTruncated, kUndecided };
+enum class EndVerdict {
+  kComplete,
+  kTruncated,  // The server lives, or nothing is known of it.
+  // Truncated: the server has terminated or dropped the connection.
+  kLost,
+  kUndecided
+};
 
 class ResponseEndJudge {
  public:
--- a/decide/response_end_test.cc
+++ b/decide/response_end_test.cc
@@ -54,7 +54,7 @@
   for (const LifeSign& sign :
        {restarted, replaced, MakeSign(LifeSign::Kind::kRefused),
         MakeSign(LifeSign::Kind::kOther)})
-    CHECK(MakeJudge().Judge(sign, 1) == EndVerdict::kTruncated);
+    CHECK(MakeJudge().Judge(sign, 1) == EndVerdict::kLost);
 }
 
 TEST_CASE("a rejection or a lost request shows nothing") {
@@ -87,11 +87,11 @@
 }
 
 TEST_CASE("a plain server that rejects the question is alive") {
-  const ResponseEndJudge judge = MakeJudge(kIncarnation, EngineRole::kNone);
+  ResponseEndJudge judge = MakeJudge(kIncarnation, EngineRole::kNone);
   LifeSign sign = MakeSign(LifeSign::Kind::kRejection);
   CHECK(judge.Judge(sign, 1) == EndVerdict::kComplete);
   sign.back_end = BackEndId("e2");
-  CHECK(judge.Judge(sign, 1) == EndVerdict::kTruncated);
+  CHECK(judge.Judge(sign, 1) == EndVerdict::kLost);
 }
 
 TEST_CASE("a response is truncated if more events were generated") {
@@ -103,6 +103,15 @@
   CHECK(MakeJudge().Judge(sign, 1) == EndVerdict::kTruncated);
 }
 
+TEST_CASE("a response whose connection is reset behind its end is truncated") {
+  LifeSign sign = MakeSign(LifeSign::Kind::kStatement);
+  sign.incarnation = kIncarnation;
+  sign.connection_reset = true;
+  CHECK(MakeJudge().Judge(sign, 1) == EndVerdict::kLost);
+  sign.kind = LifeSign::Kind::kNone;
+  CHECK(MakeJudge().Judge(sign, 1) == EndVerdict::kLost);
+}
+
 TEST_CASE("a sign is asked for at once, then less and less often") {
   const ResponseEndJudge judge = MakeJudge();
   CHECK(judge.NextRequestAt(0, kClosedAt) == kClosedAt);
--- a/net/http.h
+++ b/net/http.h
@@ -364,6 +364,10 @@
   virtual ~HttpCall() = default;
   // True once a byte of the request may have been written.
   virtual bool sent() const = 0;
+  // After OnDone(kClose): whether the connection was reset since, so that the
+  // server may have dropped a part of the response. Until the call is
+  // destroyed, this end of the connection stays open.
+  virtual bool reset_after_end() const = 0;
   // Stops (true) or resumes (false) reading the response, for back pressure.
   virtual void Pause(bool pause) = 0;
   // The connection of the last transmission; it may be closed by now.
--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -95,7 +95,7 @@
     virtual void OnConnected() = 0;
     virtual void OnRead(std::string_view data) = 0;
     virtual void OnDrained() = 0;
-    virtual void OnEof() {}
+    virtual bool OnEof() { return false; }
     virtual void OnClosed() = 0;
   };
 
@@ -124,7 +124,7 @@
   void OnConnected() override { user_->OnConnected(); }
   void OnRead(std::string_view data) override { user_->OnRead(data); }
   void OnDrained() override { user_->OnDrained(); }
-  void OnEof() override { user_->OnEof(); }
+  bool OnEof() override { return user_->OnEof(); }
   void OnClosed() override { user_->OnClosed(); }
 
  private:
@@ -259,6 +259,7 @@
   }
 
   bool sent() const { return sent_earlier_ || SentOnCurrentConnection(); }
+  bool reset_after_end() const { return reset_after_end_; }
   const ConnectionUse& connection_use() const { return use_; }
 
   void Pause(bool pause) {
@@ -279,7 +280,7 @@
   void OnDrained() override {
     if (state_ == State::kHead) ArmTimer(options_.head_timeout);
   }
-  void OnEof() override;
+  bool OnEof() override;
   void OnClosed() override;
 
  private:
@@ -439,6 +440,7 @@
   bool skipping_response_ = false;
   size_t skipped_bytes_ = 0;  // Read while skipping_response_.
   bool paused_ = false;
+  bool reset_after_end_ = false;
   TimerHandle timer_;        // Of the current state.
   TimerHandle total_timer_;  // Of the response.
 };
@@ -498,18 +500,23 @@
   }
 }
 
-void CallState::OnEof() {
+bool CallState::OnEof() {
   const auto self = shared_from_this();
   use_.undelivered_bytes = connection_->socket()->undelivered_bytes();
   if (state_ != State::kBody || !options_.accept_close_delimited ||
       !reader_->is_close_delimited() || use_.undelivered_bytes > 0)
-    return;
-  connection_.reset();
+    return false;
   Complete(ResponseEnd::kClose);
+  return connection_ != nullptr;
 }
 
 void CallState::OnClosed() {
   const auto self = shared_from_this();
+  if (state_ == State::kFinished) {
+    reset_after_end_ = true;
+    connection_.reset();
+    return;
+  }
   const State state = state_;
   const bool refused = connection_->socket()->refused();
   const bool retry = pooled_ && !response_started_ &&
@@ -532,6 +539,7 @@
   explicit Call(std::shared_ptr<CallState> state) : state_(std::move(state)) {}
   ~Call() override { state_->Cancel(); }
   bool sent() const override { return state_->sent(); }
+  bool reset_after_end() const override { return state_->reset_after_end(); }
   void Pause(bool pause) override { state_->Pause(pause); }
   ConnectionUse connection_use() const override {
     return state_->connection_use();
--- a/net/raw_socket.cc
+++ b/net/raw_socket.cc
@@ -244,8 +244,10 @@
     return 0;
   }
   if (n < 0) return errno == EAGAIN || errno == EINTR ? 0 : -1;
-  handler_->OnEof();
-  return -1;
+  // The end stays readable; what follows is at most a failure, which poll
+  // always reports.
+  lws_rx_flow_control(wsi(), 0);
+  return handler_->OnEof() ? 0 : -1;
 }
 
 int RawSocket::OnWritable() {
--- a/net/raw_socket.h
+++ b/net/raw_socket.h
@@ -77,9 +77,10 @@
     virtual void OnRead(std::string_view data) = 0;
     // The write buffer has become empty: the kernel has accepted all data.
     virtual void OnDrained() = 0;
-    // The peer has closed its end in order. OnClosed() follows at once, unless
-    // the socket was destroyed.
-    virtual void OnEof() {}
+    // The peer has closed its end in order. Returns whether to keep the
+    // connection; OnClosed() then follows when it is reset or fails. Else
+    // OnClosed() follows at once, unless the socket was destroyed.
+    virtual bool OnEof() { return false; }
     // The peer has closed the connection, or the connection failed or could not
     // be established. This is the last callback.
     virtual void OnClosed() = 0;
--- a/router/fleet_reservation_client_test.cc
+++ b/router/fleet_reservation_client_test.cc
@@ -287,6 +287,7 @@
   class FakeHttpCall : public HttpCall {
    public:
     bool sent() const override { return true; }
+    bool reset_after_end() const override { return false; }
     void Pause(bool /*pause*/) override {}
     ConnectionUse connection_use() const override { return {}; }
     TimerHandle timer;
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -136,9 +136,9 @@
   silence_timer_.Cancel();
   const bool may_have_run = is_sent() && !not_executed_;
   if (call_ != nullptr && !call_->sent()) right_->GiveBack();
-  call_.reset();
   checking_end_ = false;
   end_checker_.reset();
+  call_.reset();
   ReleaseRun(may_have_run);
   ReportOutcome(outcome);
 }
@@ -281,14 +281,14 @@
   checking_end_ = true;
   end_checker_ = std::make_unique<ResponseEndChecker>(
       deps_, *request_, back_end_, incarnation_, handler_->CountEvents(*this),
-      deadline_ - deps_.loop->Now(),
-      [this](EndVerdict verdict, bool terminated) {
+      deadline_ - deps_.loop->Now(), *call_, [this](EndVerdict verdict) {
         checking_end_ = false;
+        CloseCall();
         if (verdict == EndVerdict::kComplete) {
           Complete();
           return;
         }
-        connection_lost_ = terminated;
+        connection_lost_ = verdict == EndVerdict::kLost;
         ++deps_.counters->responses_incomplete;
         Fail(CallFailure::kUnconfirmedEnd, CallOutcome::kFailed);
       });
--- a/serving/response_end_checker.cc
+++ b/serving/response_end_checker.cc
@@ -21,13 +21,13 @@
 
 }  // namespace
 
-ResponseEndChecker::ResponseEndChecker(const RelayDeps& deps,
-                                       const RelayRequest& request,
-                                       const BackEndEntry& sender,
-                                       int64_t incarnation, int64_t events,
-                                       Duration time_left, Callback callback)
+ResponseEndChecker::ResponseEndChecker(
+    const RelayDeps& deps, const RelayRequest& request,
+    const BackEndEntry& sender, int64_t incarnation, int64_t events,
+    Duration time_left, const HttpCall& response, Callback callback)
     : deps_(deps),
       request_(request),
+      response_(response),
       sender_(WithIncarnation(sender, incarnation)),
       closed_at_(deps.loop->Now()),
       judge_(sender_, events, closed_at_, time_left),
@@ -50,7 +50,7 @@
     if (at) {
       SendRequest();
     } else {
-      Finish(EndVerdict::kTruncated, /*terminated=*/false);
+      Finish(EndVerdict::kTruncated);
     }
   });
 }
@@ -84,12 +84,13 @@
   if (verdict == EndVerdict::kUndecided) {
     ScheduleRequest();
   } else {
-    Finish(verdict, verdict == EndVerdict::kTruncated);
+    Finish(verdict);
   }
 }
 
 LifeSign ResponseEndChecker::ReadSign(const HttpResult& result) const {
   LifeSign sign;
+  sign.connection_reset = response_.reset_after_end();
   if (!result.ok) {
     if (result.failure == HttpFailure::kRefused)
       sign.kind = LifeSign::Kind::kRefused;
@@ -122,7 +123,7 @@
   return deps_.selector->LatestIncarnation(sender_.id) > sender_.incarnation;
 }
 
-void ResponseEndChecker::Finish(EndVerdict verdict, bool terminated) {
+void ResponseEndChecker::Finish(EndVerdict verdict) {
   const bool is_complete = verdict == EndVerdict::kComplete;
   if (!is_complete) ++deps_.counters->ends_unconfirmed;
   deps_.log->Write(LogLine("response_end_checked")
@@ -130,11 +131,12 @@
                        .Add("back_end", sender_.id.value())
                        .Add("incarnation", sender_.incarnation)
                        .Add("complete", is_complete)
-                       .Add("terminated", terminated)
+                       .Add("terminated", verdict == EndVerdict::kLost)
+                       .Add("reset", response_.reset_after_end())
                        .Add("asked", asked_)
                        .AddMillis("after_ms", deps_.loop->Now() - closed_at_));
   const Callback callback = callback_;
-  callback(verdict, terminated);
+  callback(verdict);
 }
 
 }  // namespace mimosa
--- a/serving/response_end_checker.h
+++ b/serving/response_end_checker.h
@@ -20,17 +20,18 @@
 
 class ResponseEndChecker {
  public:
-  // `verdict` is kComplete or kTruncated. `terminated`: a truncation is known,
-  // mostly since the sender has terminated; else it gave no sign of life.
-  using Callback = std::function<void(EndVerdict verdict, bool terminated)>;
+  // `verdict` is not kUndecided.
+  using Callback = std::function<void(EndVerdict verdict)>;
 
   // `callback` runs once, from the loop, and may destroy the checker, which
-  // ends the check. `request` outlives the checker.
+  // ends the check. `request` and `response`, the call whose end is checked,
+  // outlive the checker.
   // `incarnation` is that of `sender` when the request was sent, `events` how
   // many events the caller has at least.
   ResponseEndChecker(const RelayDeps& deps, const RelayRequest& request,
                      const BackEndEntry& sender, int64_t incarnation,
-                     int64_t events, Duration time_left, Callback callback);
+                     int64_t events, Duration time_left,
+                     const HttpCall& response, Callback callback);
 
  private:
   void ScheduleRequest();
@@ -38,12 +39,13 @@
   void OnResult(const HttpResult& result);
   LifeSign ReadSign(const HttpResult& result) const;
   bool IsRestarted() const;
-  void Finish(EndVerdict verdict, bool terminated);
+  void Finish(EndVerdict verdict);
   // Whether the back end may be sent a request now.
   bool MaySend() const;
 
   const RelayDeps& deps_;
   const RelayRequest& request_;
+  const HttpCall& response_;
   const BackEndEntry sender_;
   const MonoTime closed_at_;
   const ResponseEndJudge judge_;
--- a/tests/truncated_stream_test.cc
+++ b/tests/truncated_stream_test.cc
@@ -677,5 +677,24 @@
   }
 }
 
+TEST_CASE(
+    "a response whose connection is reset behind its end isn't complete") {
+  for (const char* target : kTargets) {
+    LivingServerFixture f;
+    RawPeer* run = nullptr;
+    const auto serve = f.engine.script;
+    f.engine.script = [&](const std::string& request, RawPeer* peer) {
+      if (request.find("GET ") == 0) {
+        if (run != nullptr) run->CloseWithReset();
+      } else {
+        run = peer;
+      }
+      serve(request, peer);
+    };
+    INFO(target);
+    CHECK_FALSE(f.IsFramedAsComplete(f.MakeRequest(target)));
+  }
+}
+
 }  // namespace
 }  // namespace mimosa::testing
