A stream goes on only at engines with the weights that it was generated with

Cause: Mimosarouter-Weight-Versions, in responses and in events at which the weights change, was read nowhere; only the version of the software was kept.

Change: the relay keeps the weights of the last event that the caller has, and calls that continue the stream ask for them (Mimosarouter-Expect-Version), prefills included. An engine that has others rejects the call: it is not asked again for this stream, and not taken for another server at its address (`other_weights`). A run that begins with other weights all the same is broken off before its first event. A change within a run binds the stream from there.

Open: a caller's takeup at another daemon, which knows the software version of the stream only.

--- a/decide/event_stream.cc
+++ b/decide/event_stream.cc
@@ -41,17 +41,20 @@
   return line.substr(0, line.find(':')) == kDataField;
 }
 
-// Returns the number in `line` if that is an id field with a numeric value.
-std::optional<int64_t> ReadId(std::string_view line) {
-  constexpr std::string_view kIdField = "id:";
-  if (line.substr(0, kIdField.size()) != kIdField) return std::nullopt;
-  line.remove_prefix(kIdField.size());
+// Returns the number in `line` if that is a field of this name with a numeric
+// value.
+std::optional<int64_t> ReadNumber(std::string_view line,
+                                  std::string_view name) {
+  if (name.empty() || line.size() == name.size() ||
+      line.substr(0, line.find(':')) != name)
+    return std::nullopt;
+  line.remove_prefix(name.size() + 1);
   while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
-  int64_t id = 0;
+  int64_t number = 0;
   const char* const end = line.data() + line.size();
-  const auto [stop, error] = std::from_chars(line.data(), end, id);
+  const auto [stop, error] = std::from_chars(line.data(), end, number);
   if (error != std::errc() || stop != end) return std::nullopt;
-  return id;
+  return number;
 }
 
 // Returns `to` - `from`, where `to` is the greater one.
@@ -64,6 +67,7 @@
 void SseEventSplitter::StartRun() {
   partial_event_.clear();
   misplaced_id_.reset();
+  weight_version_.reset();
   run_has_id_ = false;
 }
 
@@ -93,6 +97,7 @@
   bool in_event = false;
   bool has_data = false;
   std::optional<int64_t> id;  // Of the current event.
+  std::optional<WeightVersion> weights = weight_version_;
   size_t event_begin = 0;
   size_t offset = 0;
   while (const auto line = ReadLine(events, offset)) {
@@ -100,7 +105,9 @@
     if (!line->text.empty()) {
       in_event = in_event || !IsComment(line->text);
       has_data = has_data || IsData(line->text);
-      if (const auto read = ReadId(line->text)) id = read;
+      if (const auto read = ReadNumber(line->text, "id")) id = read;
+      if (const auto read = ReadNumber(line->text, weight_field_))
+        weights = WeightVersion(*read);
       continue;
     }
     if (id && !MayFollow(*id)) {
@@ -110,6 +117,7 @@
     if (id) RecordId(*id);
     if (id || has_data) id_missing_ = !id;
     if (in_event) ++event_count_;
+    weight_version_ = weights;
     in_event = has_data = false;
     id.reset();
     event_begin = offset;
--- a/decide/event_stream.h
+++ b/decide/event_stream.h
@@ -8,6 +8,9 @@
 // between two runs is a gap. An event that doesn't follow the ones before it is
 // withheld.
 //
+// What two versions of the weights generate doesn't fit together either, unless
+// the engine itself changes them within a run; an event then says so.
+//
 // Load pattern covered: engines that crash in the middle of their streams while
 // they send responses that end with their connection. The orderly close of a
 // terminated process then looks like the end of a complete response. Events
@@ -19,6 +22,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+
+#include "decide/site.h"
 
 namespace mimosa {
 
@@ -32,8 +38,11 @@
 
   // `last_id` is the id of the last event that the receiver has from earlier
   // responses, if it has any.
-  explicit SseEventSplitter(std::optional<int64_t> last_id = std::nullopt)
-      : last_id_(last_id) {}
+  // An event states a number in the field `weight_field` if the weights of its
+  // engine change with it; empty: events don't say so.
+  explicit SseEventSplitter(std::optional<int64_t> last_id = std::nullopt,
+                            std::string weight_field = {})
+      : weight_field_(std::move(weight_field)), last_id_(last_id) {}
 
   // The bytes that follow are those of another run, which continues the stream.
   void StartRun();
@@ -61,6 +70,11 @@
   // last_id(). Events without data don't count.
   bool is_resumable() const { return last_id_ && !id_missing_; }
   int64_t event_count() const { return event_count_; }
+  // The weights that the events of this run have last changed to; absent if
+  // they haven't.
+  std::optional<WeightVersion> weight_version() const {
+    return weight_version_;
+  }
 
  private:
   // Records the events in the first `size` bytes of partial_event_, which are
@@ -69,7 +83,9 @@
   bool MayFollow(int64_t id) const;
   void RecordId(int64_t id);
 
+  const std::string weight_field_;
   std::string partial_event_;
+  std::optional<WeightVersion> weight_version_;
   std::optional<int64_t> last_id_;
   std::optional<int64_t> misplaced_id_;
   bool id_missing_ = false;  // The last event with data had no numeric id.
--- a/decide/site.h
+++ b/decide/site.h
@@ -22,6 +22,9 @@
 using ServiceId = StrongId<struct ServiceIdTag>;
 // Version of a backend server's software, not of the weights that it serves.
 using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
+// Version of the weights that an engine serves. It may change while the engine
+// runs, also within a stream.
+using WeightVersion = Quantity<struct WeightVersionTag>;
 
 // Whether a request of a route may run more than once.
 enum class RetryPolicy {
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -32,6 +32,8 @@
       return "withheld";
     case CallFailure::kNotExecuted:
       return "not_executed";
+    case CallFailure::kOtherWeights:
+      return "other_weights";
     case CallFailure::kNoResponse:
       return "no_answer";
     case CallFailure::kTruncated:
@@ -95,6 +97,7 @@
   right_ = std::move(right);
   internal_call_ = options.internal_call;
   is_reservation_ = options.is_reservation;
+  expects_weights_ = options.expects_weights;
   runs_ = options.runs;
   kind_ = options.kind;
   request_ = options.request;
@@ -205,6 +208,10 @@
       (internal_call_ && PromisesNotRun(status))) {
     not_executed_ = true;
     refusal_status_ = status;
+    // Another server that now has the address names itself.
+    has_other_weights_ =
+        status == kMisdirected && expects_weights_ &&
+        markers.back_end.value_or(back_end_.id) == back_end_.id;
     if (status == kStatusUnavailable) RecordPause(markers.retry_after);
     // Its body is read only to keep the connection.
     refusal_timer_ =
@@ -246,6 +253,10 @@
 
 void BackEndCall::FailRefused() {
   refusal_timer_.Cancel();
+  if (has_other_weights_) {
+    Fail(CallFailure::kOtherWeights, CallOutcome::kUnknown);
+    return;
+  }
   Fail(CallFailure::kNotExecuted,
        refusal_status_ == kMisdirected       ? CallOutcome::kAddressReused
        : is_reservation_ || asked_for_pause_ ? CallOutcome::kFull
@@ -355,7 +366,8 @@
   silence_timer_.Cancel();
   ReleaseRun(failure != CallFailure::kNotSent &&
              failure != CallFailure::kWithheld &&
-             failure != CallFailure::kNotExecuted);
+             failure != CallFailure::kNotExecuted &&
+             failure != CallFailure::kOtherWeights);
   ReportOutcome(outcome);
   if (call_ != nullptr) connection_use_ = call_->connection_use();
   deps_.log->Write(
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -37,8 +37,10 @@
   // take it any more, or what it relies on had lapsed.
   kWithheld,
   kNotExecuted,  // The back end states that the request has not run.
-  kNoResponse,   // The request was sent; no response head arrived.
-  kTruncated,    // The response began, and its connection failed.
+  // The same, since it serves other weights than the request asks for.
+  kOtherWeights,
+  kNoResponse,  // The request was sent; no response head arrived.
+  kTruncated,   // The response began, and its connection failed.
   // The response ended as its framing says, but its content is truncated.
   kIncompleteContent,
   // Only the close of the connection ended the response, and the back end
@@ -104,6 +106,8 @@
     bool is_reservation = false;
     // Outlives the call. Only an internal call needs none.
     const RelayRequest* request = nullptr;
+    // Whether the request asks for certain weights.
+    bool expects_weights = false;
     // The request's runs, if the call is one of them; else nullptr.
     std::shared_ptr<RunRights> runs;
     // What the call relies on, such as a reservation, lapses then.
@@ -191,6 +195,7 @@
   Handler* const handler_;
   bool internal_call_ = false;
   bool is_reservation_ = false;
+  bool expects_weights_ = false;
   const char* kind_ = "";
   bool counted_ = false;  // Counts as open at the selector.
   bool response_started_ = false;
@@ -198,6 +203,7 @@
   // The current response rejects the request as not executed.
   bool not_executed_ = false;
   bool asked_for_pause_ = false;
+  bool has_other_weights_ = false;
   MonoTime valid_until_ = kNever;
   // Why the call was withheld; empty if it wasn't.
   const char* obstacle_ = "";
--- a/serving/request_format.h
+++ b/serving/request_format.h
@@ -74,11 +74,16 @@
   std::optional<KvHandle> kv_handle;
   std::optional<int64_t> last_event_id;
   std::string reservation_id;  // Reservation at the engine; empty if none.
+  // An engine that serves other weights must reject the request.
+  std::optional<WeightVersion> weight_version;
 };
 
 // What the header of a back end's response states besides the status.
 struct ResponseMarkers {
-  RequestId request_id;          // Empty if the response names none.
+  RequestId request_id;               // Empty if the response names none.
+  std::optional<BackEndId> back_end;  // The server, if it names itself.
+  // The weights that the response begins with.
+  std::optional<WeightVersion> weight_version;
   bool not_executed = false;     // The request has not run at the back end.
   bool sealed = false;           // The back end itself generated the response.
   bool content_encoded = false;  // The body has a Content-Encoding.
@@ -152,6 +157,9 @@
   // Parses a caller's request. Fails with RequestError.
   virtual leaf::result<CallerRequest> ReadRequest(HttpRequest http) const = 0;
 
+  // Name of the field in which an event states that the weights change with it.
+  virtual const std::string& weight_version_field() const = 0;
+
   virtual HttpRequest WriteCall(const CallerRequest& request,
                                 const BackEndCallParams& call) const = 0;
   virtual ResponseMarkers ReadResponseMarkers(
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -57,7 +57,8 @@
         request_(std::move(request)),
         exchange_(std::move(exchange)),
         done_(std::move(done)),
-        event_splitter_(request_.caller.last_event_id),
+        event_splitter_(request_.caller.last_event_id,
+                        deps.format->weight_version_field()),
         last_event_id_(request_.caller.last_event_id) {
     const TokenCounts counts =
         request_.caller.token_counts.value_or(TokenCounts{});
@@ -121,10 +122,15 @@
     const bool is_event_stream = IsStream(request_.route.retry_policy) &&
                                  (headers.Find("Content-Type") == nullptr ||
                                   HasMediaType(headers, kEventStreamType));
-    if (exchange_->response_started() && !is_event_stream) {
+    const auto weights =
+        deps_.format->ReadResponseMarkers(headers).weight_version;
+    const bool fits_weights =
+        !weight_version_ || !weights || *weights == *weight_version_;
+    if (exchange_->response_started() && (!is_event_stream || !fits_weights)) {
       call->Reject();  // It can't continue the events that the caller has.
       return;
     }
+    weights_at_begin_ = weights;
     is_event_stream_ = is_event_stream;
     event_splitter_.StartRun();
     events_before_run_ = event_splitter_.event_count();
@@ -251,6 +257,8 @@
       StartStages();
     } else if (failure == CallFailure::kNotExecuted) {
       OnRunRejected(back_end);
+    } else if (failure == CallFailure::kOtherWeights) {
+      OnWeightsRefused(back_end);
     } else {
       if (failure == CallFailure::kInvalidResponse)
         unfit_engines_.insert(back_end.id);
@@ -275,6 +283,11 @@
     RecordGenerated();
     if (!software_version_)
       software_version_ = call.back_end().software_version;
+    if (event_splitter_.weight_version()) {
+      weight_version_ = event_splitter_.weight_version();
+    } else if (weights_at_begin_) {
+      weight_version_ = weights_at_begin_;
+    }
     result_.software_version = *software_version_;
     exchange_->Write(events);
     if (progressed) StartSilenceTimer();
@@ -707,6 +720,7 @@
     params.prefill_only = true;
     BackEndCall::Options options;
     options.kind = "prefill";
+    options.expects_weights = weight_version_.has_value();
     options.retryable = true;
     options.internal_call = true;
     options.head_timeout = std::min(
@@ -796,6 +810,7 @@
     sent_reservation_ = reservation_;
     BackEndCall::Options options;
     options.kind = "run";
+    options.expects_weights = weight_version_.has_value();
     options.request = &request_;
     options.runs = request_.runs;
     if (reservation_) {
@@ -827,6 +842,19 @@
     StartStages();
   }
 
+  // The engine serves other weights than those that generated the events that
+  // the caller has. Its reservation is not used.
+  void OnWeightsRefused(const BackEndEntry& engine) {
+    unfit_engines_.insert(engine.id);
+    if (sent_reservation_ && deps_.loop->Now() < sent_reservation_->expires_at)
+      deps_.releaser->ReleaseReservation(engine, sent_reservation_->id);
+    if (++rejections_ >= kMaxRejections) {
+      FinishUnanswered();
+    } else {
+      StartStages();
+    }
+  }
+
   // The engine rejected the request as not executed: it is full, or the prefill
   // result is lost.
   void OnRunRejected(const BackEndEntry& engine) {
@@ -1214,6 +1242,7 @@
     params.time_left = request_.deadline - deps_.loop->Now();
     params.customer = request_.customer;
     params.priority = request_.priority;
+    params.weight_version = weight_version_;
     return params;
   }
 
@@ -1277,6 +1306,11 @@
   // The software version whose engines may run the request: the one that
   // generated the events that the caller has. Absent before the first event.
   std::optional<SoftwareVersion> software_version_;
+  // The weights that generated the last of these events; absent if the engine
+  // didn't state them.
+  std::optional<WeightVersion> weight_version_;
+  // The weights that the response of the current run began with.
+  std::optional<WeightVersion> weights_at_begin_;
   MonoTime kv_handle_created_at_{};
   MonoTime prefill_started_at_{};     // When the last prefill was sent.
   bool prefill_engine_idle_ = false;  // The prefill engine had no other work.
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -316,6 +316,10 @@
   CHECK(headers.Count("Last-Event-Id") == 1);
   CHECK(*headers.Find("Mimosarouter-Kv-Hold") == "h1");
   CHECK(headers.Find("Mimosarouter-Serving-Stage") == nullptr);
+  CHECK(headers.Find("Mimosarouter-Expect-Version") == nullptr);
+  call.weight_version = WeightVersion(7);
+  CHECK(*format.WriteCall(*read, call)
+             .headers.Find("Mimosarouter-Expect-Version") == "7");
   call.prefill_only = true;
   CHECK(*format.WriteCall(*read, call)
              .headers.Find("Mimosarouter-Serving-Stage") == "prefill");
@@ -481,11 +485,21 @@
   CHECK(markers.request_id == RequestId("r"));
   CHECK(markers.sealed);
   CHECK_FALSE(markers.not_executed);
+  CHECK_FALSE(markers.weight_version);
+  CHECK_FALSE(markers.back_end);
+  headers.Add("Mimosarouter-Weight-Versions", "7");
+  headers.Add("Mimosarouter-Instance-Id", "i-7");
   headers.Add("Mimosarouter-Not-Executed", "1");
   headers.Add("Content-Encoding", "gzip");
   markers = format.ReadResponseMarkers(headers);
   CHECK(markers.not_executed);
   CHECK(markers.content_encoded);
+  CHECK(markers.weight_version == WeightVersion(7));
+  CHECK(markers.back_end == BackEndId("i-7"));
+  for (const char* other : {"", "x", "7x", " 7", "99999999999999999999"}) {
+    headers.Set("Mimosarouter-Weight-Versions", other);
+    CHECK_FALSE(format.ReadResponseMarkers(headers).weight_version);
+  }
   const Endpoint engine{"10.0.0.1", 80};
   const auto handle = format.ReadPrefillResponse(
       engine, R"({"handle":"3fa0","tokens":1460,"version":1})");
@@ -501,6 +515,21 @@
   CHECK_FALSE(format.ReadReservation("no"));
 }
 
+TEST_CASE("the runs that a report lists are read") {
+  const PlatformRequestFormat format;
+  const auto read = [&](const std::string& body) {
+    return format.ReadStatement({200, {}, body}).events_by_run;
+  };
+  CHECK_FALSE(read(R"({"stage":"decode"})"));
+  CHECK_FALSE(read(R"({"runs":{}})"));
+  CHECK(read(R"({"runs":[]})")->empty());
+  const auto runs =
+      read(R"({"runs":[["r1",100,7,5],["r2",1],["r3",1,"7",5]]})");
+  REQUIRE(runs);
+  CHECK(runs->size() == 1);
+  CHECK(runs->at(RequestId("r1")) == 7);
+}
+
 TEST_CASE("engine reports are read and orders written") {
   const PlatformRequestFormat format;
   const auto report = format.ReadReport(
--- a/tests/software_version_test.cc
+++ b/tests/software_version_test.cc
@@ -245,5 +245,84 @@
   }
 }
 
+// Decode engines e, f and g, which serve weights of their own.
+struct WeightsFixture : RelayFixture {
+  WeightsFixture() {
+    AddBackEnd("e", "llm", EngineRole::kDecode, e.back_end.port());
+    AddBackEnd("f", "llm", EngineRole::kDecode, f.back_end.port());
+    for (FakeEngine* engine : {&e, &f}) {
+      engine->on_run = [this, engine](const FakeBackEnd::Exchange& exchange) {
+        Run(engine, exchange);
+      };
+    }
+  }
+
+  // The first run breaks off behind its second event. An engine that doesn't
+  // check versions generates with its own.
+  void Run(FakeEngine* engine, const FakeBackEnd::Exchange& exchange) {
+    const HttpRequest& request = exchange->request();
+    const std::string* expected =
+        Header(request, "Mimosarouter-Expect-Version");
+    const std::string own = std::to_string(weights[engine]);
+    if (checks_versions && expected != nullptr && *expected != own) {
+      HttpResponse response;
+      response.status = 421;
+      exchange->Respond(std::move(response));
+      return;
+    }
+    HttpHeaders headers = MakeMarkers(request);
+    headers.Add("Mimosarouter-Weight-Versions", own);
+    exchange->StartStream(200, headers);
+    if (Header(request, "Last-Event-Id") != nullptr) {
+      exchange->Write(MakeEvent(3));
+      exchange->Finish();
+      return;
+    }
+    CHECK(expected == nullptr);
+    // Only the other engine has room from now on.
+    for (FakeEngine* other : {&e, &f}) other->has_capacity = other != engine;
+    weights[engine == &e ? &f : &e] = weights_of_other;
+    exchange->Write(first_events);
+    exchange->OnDrained([exchange] { exchange->Abort(); });
+  }
+
+  FakeEngine e{loop.get()};
+  FakeEngine f{loop.get()};
+  std::map<FakeEngine*, int> weights{{&e, 1}, {&f, 1}};
+  int weights_of_other = 1;  // Once the first run has begun.
+  bool checks_versions = true;
+  std::string first_events = MakeEvent(1) + MakeEvent(2);
+};
+
+TEST_CASE_METHOD(WeightsFixture,
+                 "a broken stream resumes at an engine with the same weights") {
+  const CallerResponse response = CallFrontend("/note/1");
+  CHECK(response.ok);
+  CHECK(response.body == first_events + MakeEvent(3));
+}
+
+TEST_CASE_METHOD(WeightsFixture,
+                 "a broken stream doesn't resume at other weights") {
+  weights_of_other = 2;
+  checks_versions = GENERATE(true, false);
+  CAPTURE(checks_versions);
+  CHECK_FALSE(CallFrontend("/note/1").ok);
+  CHECK(e.runs + f.runs >= 2);
+  // An engine with other weights is none whose address is used again.
+  for (const char* id : {"e", "f"})
+    CHECK(selector.GetObservedState(BackEndId(id), loop->Now()).last_failure !=
+          CallOutcome::kAddressReused);
+}
+
+TEST_CASE_METHOD(
+    WeightsFixture,
+    "weights that change within a run bind the stream from there") {
+  first_events =
+      MakeEvent(1) + "mimosarouter-weight-versions: 2\n" + MakeEvent(2);
+  weights_of_other = GENERATE(1, 2);
+  const CallerResponse response = CallFrontend("/note/1");
+  CHECK(response.ok == (weights_of_other == 2));
+}
+
 }  // namespace
 }  // namespace mimosa::testing
