--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -266,6 +266,34 @@
     CHECK(line.find("\"loss\":\"unreadable\"") != std::string::npos);
 }
 
+TEST_CASE("a response with the status 000 is a failed call") {
+  for (const char* framing : {"Content-Length: 4\r\n", "Connection: close\r\n"})
+    for (const char* target : {"/letter/1", "/note/1", "/book/1", "/look/1"}) {
+      RelayFixture f;
+      RawBackEnd faulty(f.loop.get());
+      faulty.script = [&](const std::string& request, RawPeer* peer) {
+        if (request.find("/hold-") != std::string::npos) {
+          peer->Send(
+              "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n"
+              R"({"hold":"h01"})");
+        } else {
+          std::string head = RawResponseHead(request, framing);
+          head.replace(head.find("200 OK"), 6, "000 OK");
+          peer->Send(head + "body");
+        }
+        peer->ShutdownWrite();
+      };
+      f.AddBackEnd("d", "desk", EngineRole::kNone, faulty.port());
+      f.AddBackEnd("e", "llm", EngineRole::kDecode, faulty.port());
+      CAPTURE(framing, target);
+      const CallerResponse response = f.CallFrontend(target);
+      CHECK(response.ok);
+      CHECK(response.status == 502);
+      CHECK(response.body.empty());
+      CHECK_FALSE(f.log_file.ReadLines(&f.log, "call_lost").empty());
+    }
+}
+
 TEST_CASE_METHOD(RelayFixture,
                  "an idempotent request goes on after an undefined status") {
   FakeBackEnd faulty(loop.get());
