--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -4,7 +4,8 @@
 //
 // It journals executed requests by request id before it responds. Prefill
 // handles and memory reservations expire. Memory is counted in tokens, and a
-// request that doesn't fit gets an error response marked as not executed.
+// request that doesn't fit gets an error response marked as not executed. A
+// report lists the runs as of some hundred milliseconds ago.
 //
 //   POST /debug/behave   any of {"gap_ms", "events", "delay_ms",
 //                        "abort_runs", "draining": bool, "silent": bool,
