--- a/decide/response_end.h
+++ b/decide/response_end.h
@@ -105,7 +105,7 @@
   const MonoTime sent_at_;
   const MonoTime closed_at_;
   const MonoTime deadline_;
-  // What statements have said of the run: not yet, or that it was running.
+  // The last statement was too old to say that the run has ended.
   bool awaits_newer_statement_ = false;
   bool is_run_listed_ = false;  // In the last one.
   bool was_run_listed_ = false;
--- a/serving/response_end_checker.h
+++ b/serving/response_end_checker.h
@@ -28,7 +28,6 @@
   // outlive the checker.
   // `incarnation` is that of `sender` when the request was sent, at `sent_at`,
   // `events` how many events the caller has at least.
-
   ResponseEndChecker(const RelayDeps& deps, const RelayRequest& request,
                      const BackEndEntry& sender, int64_t incarnation,
                      int64_t events, MonoTime sent_at, Duration time_left,
@@ -53,7 +52,6 @@
   const Callback callback_;
   int asked_ = 0;  // Requests that were due; none is sent while none may be.
   MonoTime asked_at_{};  // When the last one was.
-
   TimerHandle timer_;
   std::unique_ptr<HttpCall> call_;
 };
