--- a/tests/truncated_stream_test.cc
+++ b/tests/truncated_stream_test.cc
@@ -650,7 +650,7 @@
     stream = MakeEvent(1) + MakeEvent(2);
     AddBackEnd("d", "desk", EngineRole::kNone, engine.port());
     const auto serve = engine.script;
-    engine.script = [this, serve](const std::string& request, RawPeer* peer) {
+    engine.script = [serve](const std::string& request, RawPeer* peer) {
       if (request.find("GET /mimosarouter/report") != 0 &&
           request.find("GET ") == 0) {
         peer->Send(RawHealth("d"));
