--- a/tests/killed_engine_test.cc
+++ b/tests/killed_engine_test.cc
@@ -42,8 +42,6 @@
 constexpr int kOpenResponses = 3;
 // How long a server is down that isn't back at once.
 constexpr std::chrono::milliseconds kAway{300};
-// How long a link ends all responses. Several events are due in it.
-constexpr std::chrono::milliseconds kLinkFaultTime{100};
 // Between two requests of a caller.
 constexpr std::chrono::milliseconds kCallerPause{20};
 // The routes of streams, resumable or not, and of plain responses.
@@ -186,8 +184,11 @@
       for (const auto& [id, server] : servers_)
         if (server->link) server->link->SendCommand(command);
     };
+    const double ends = SumMetric("mimosa_response_ends_checked");
     send_to_links("set half_close_down 1");
-    std::this_thread::sleep_for(kLinkFaultTime);
+    CHECK(Eventually([&] {
+      return SumMetric("mimosa_response_ends_checked") >= ends + count;
+    }));
     send_to_links("reset");
     StopCallers();
   }
