A run whose response has ended is broken off at once unless its end is checked

Cause: since a reset behind the end is looked for, the client keeps its side of such a connection until the call is destroyed. BackEndCall destroyed it with the verdict on the end, but not where no verdict is needed, since the content shows a truncation or the response is a refusal or an internal one.

Change: OnDone() closes the call unless the end is checked.

The new test of truncated_stream_test failed before.

--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -270,18 +270,24 @@
 
 void BackEndCall::OnDone(ResponseEnd end) {
   response_end_ = end;
+  const bool is_truncated =
+      !not_executed_ && handler_->IsResponseTruncated(*this);
+  // A response to an internal call is a JSON object, which ends itself.
+  const bool needs_check = end == ResponseEnd::kClose && !internal_call_ &&
+                           !not_executed_ && !is_truncated;
+  // The back end may go on with a run whose connection stays open.
+  if (!needs_check) CloseCall();
   if (not_executed_) {
     FailRefused();
     return;
   }
-  if (handler_->IsResponseTruncated(*this)) {
+  if (is_truncated) {
     connection_lost_ = end == ResponseEnd::kClose;
     ++deps_.counters->responses_incomplete;
     Fail(CallFailure::kIncompleteContent, CallOutcome::kFailed);
     return;
   }
-  // A response to an internal call is a JSON object, which ends itself.
-  if (end == ResponseEnd::kClose && !internal_call_) {
+  if (needs_check) {
     CheckEnd();
   } else {
     Complete();
--- a/tests/truncated_stream_test.cc
+++ b/tests/truncated_stream_test.cc
@@ -166,6 +166,32 @@
   CHECK(other.runs == 1);
 }
 
+TEST_CASE_METHOD(TruncationFixture,
+                 "a run that ends inside an event is broken off before its "
+                 "stream goes on") {
+  FakeEngine other(loop.get());
+  RawPeer* first = nullptr;
+  bool is_broken_off = false;
+  other.on_run = [&](const FakeBackEnd::Exchange& exchange) {
+    is_broken_off = first->closed();
+    exchange->StartStream(200, MakeMarkers(exchange->request()));
+    exchange->Write(MakeEvent(3));
+    exchange->Finish();
+  };
+  stream = MakeEvent(1) + MakeEvent(2) + "id: 3\ndata: d";
+  const auto serve = engine.script;
+  engine.script = [&](const std::string& request, RawPeer* peer) {
+    if (request.find("/hold-") == std::string::npos && other.runs == 0) {
+      first = peer;
+      AddBackEnd("f", "llm", EngineRole::kDecode, other.back_end.port());
+    }
+    serve(request, peer);
+  };
+  CHECK(CallFrontend("/note/1").ok);
+  CHECK(other.runs == 1);
+  CHECK(is_broken_off);
+}
+
 TEST_CASE_METHOD(TruncationFixture,
                  "a comment after the last event doesn't truncate a stream") {
   stream = complete_stream + ": done";
