--- a/serving/response_end_checker.h
+++ b/serving/response_end_checker.h
@@ -24,8 +24,8 @@
   using Callback = std::function<void(EndVerdict verdict)>;
 
   // `callback` runs once, from the loop, and may destroy the checker, which
-  // ends the check. `request` and `response`, the call whose end is checked,
-  // outlive the checker.
+  // ends the check. `request` outlives the checker; `response`, the call whose
+  // end is checked, lives until the callback, which may destroy it.
   // `incarnation` is that of `sender` when the request was sent, at `sent_at`,
   // `events` how many events the caller has at least.
   ResponseEndChecker(const RelayDeps& deps, const RelayRequest& request,
--- a/tests/killed_engine_test.cc
+++ b/tests/killed_engine_test.cc
@@ -1,8 +1,9 @@
 // Tests that a response without framing that the death of its server has ended
 // is never given to its caller as complete: daemons, engines and plain servers
 // as separate processes. Servers get SIGKILL, or begin a new incarnation, while
-// they send many responses, and are back at once under their ids. Callers
-// compare what they have with what the servers make.
+// they send many responses, and are back at once under their ids; or links end
+// the streams of engines that go on. Callers compare what they have with what
+// the servers make.
 #include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
