--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -487,6 +487,7 @@
       .Add("resumes", request.caller.resumed_request.value())
       .Add("last_event", request.caller.last_event_id.value_or(-1))
       .Add("software_version", result.software_version.value())
+      .Add("incarnation", result.incarnation)
       .Add("events", result.events)
       .Add("end",
            result.response_end ? ResponseEndName(*result.response_end) : "")
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -106,8 +106,10 @@
   int status = 0;           // 0: the connection was closed without a response.
   const char* reason = "";  // Why the request ended like this.
   BackEndId back_end;       // The one that responded or was called last.
-  // The software version of the last engine that sent events of the stream.
+  // The software version and the incarnation, as listed, of the last engine that
+  // sent events of the stream.
   SoftwareVersion software_version;
+  int64_t incarnation = 0;
   int calls = 0;       // Calls to back ends, including prefills.
   int64_t events = 0;  // Stream events forwarded to the caller.
   // What marked the end of the back end's response; absent if none ended.
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -289,6 +289,7 @@
       weight_version_ = weights_at_begin_;
     }
     result_.software_version = *software_version_;
+    result_.incarnation = call.back_end().incarnation;
     exchange_->Write(events);
     if (progressed) StartSilenceTimer();
     ApplyBackpressure();
--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -64,7 +64,8 @@
       incarnation_(UnixMillis()),
       delayed_tasks_(loop) {
   SetBehavior(options_.behavior);
-  Register();
+  register_timer_ =
+      loop_->After(options_.registration_delay, [this] { Register(); });
 }
 
 std::string SiteServer::RegistrationJson() const {
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -101,6 +101,9 @@
   bool follows_length_hints = false;
   // Members of a request to /debug/behave that hold from the start on.
   Json::Value behavior{Json::objectValue};
+  // Between the start and the first registration, so that until then the store
+  // lists the process that had the id before.
+  Duration registration_delay{};
 };
 
 class SiteServer : public HttpHandler {
--- a/standins/site_server_main.cc
+++ b/standins/site_server_main.cc
@@ -2,6 +2,7 @@
 // the store, for tests.
 #include <tclap/CmdLine.h>
 
+#include <chrono>
 #include <string>
 
 #include "standins/http_json.h"
@@ -33,6 +34,9 @@
   TCLAP::ValueArg<std::string> behavior(
       "", "behavior", "what /debug/behave takes, from the start on", false,
       "{}", "JSON object", cmd);
+  TCLAP::ValueArg<int> delay("", "register-after-ms",
+                             "time from the start to the first registration",
+                             false, 0, "milliseconds", cmd);
   cmd.parse(argc, argv);
 
   mimosa::standins::SiteServerOptions options;
@@ -45,6 +49,7 @@
   const auto members = mimosa::standins::ParseObject(behavior.getValue());
   if (!members) return 1;
   options.behavior = *members;
+  options.registration_delay = std::chrono::milliseconds(delay.getValue());
   if (!mimosa::Endpoint::Parse(listen.getValue(), &options.listen) ||
       !mimosa::Endpoint::Parse(store.getValue(), &options.store))
     return 1;
