Requests are only written to the incarnation of an engine that is listed

Cause: the version was read from the store's entry of an id when a call was made, while the run was made by whatever process had the id. An entry that is written late, by a few milliseconds after each start, made the daemon record a wrong origin, and send a stream on to an engine of another version.

Change: a connection belongs to one process for its whole life, so what the process says of itself on it holds for all responses on it. A run or prefill is only written on a connection on which the engine has stated the incarnation that its entry describes. The HTTP client asks for the engine's report on each connection once, before the request (IncarnationCheck); the connection keeps the answer. An engine that states another incarnation gets nothing (unlisted_incarnation in the log) and is left alone for 250 ms or until its entry changes. An engine that doesn't answer, twice, still gets new streams, since callers are better served so; but their origin is recorded as unknown, they go on nowhere, and no stream goes on there. A report without an incarnation counts as that of the entry.

--- a/decide/stream_origins.h
+++ b/decide/stream_origins.h
@@ -34,7 +34,9 @@
 
   struct Origin {
     ServiceId service;
-    SoftwareVersion software_version;
+    // Absent if it isn't known which incarnation of its engine began the
+    // stream.
+    std::optional<SoftwareVersion> software_version;
     MonoTime began{};       // Time of the first event.
     bool is_local = false;  // The stream began at this daemon.
   };
--- a/net/fetch.cc
+++ b/net/fetch.cc
@@ -19,6 +19,9 @@
   }
 
   bool sent() const override { return call_->sent(); }
+  bool has_expected_incarnation() const override {
+    return call_->has_expected_incarnation();
+  }
   bool reset_after_end() const override { return call_->reset_after_end(); }
   void Pause(bool pause) override { call_->Pause(pause); }
   ConnectionUse connection_use() const override {
--- a/net/http.cc
+++ b/net/http.cc
@@ -134,6 +134,10 @@
       return "malformed";
     case HttpFailure::kWithheld:
       return "withheld";
+    case HttpFailure::kOtherIncarnation:
+      return "other-incarnation";
+    case HttpFailure::kUnknownIncarnation:
+      return "unknown-incarnation";
   }
   return "unknown";
 }
--- a/net/http.h
+++ b/net/http.h
@@ -262,10 +262,38 @@
   kTooLarge,    // the head or body of the response exceeds its limit
   kMalformed,   // the received bytes are not a valid HTTP response
   kWithheld,    // HttpCallOptions::may_send forbade to write the request
+  // The connection belongs to another incarnation of the server than the call
+  // expects; nothing was sent.
+  kOtherIncarnation,
+  // The server didn't say which incarnation the connection belongs to; nothing
+  // was sent.
+  kUnknownIncarnation,
 };
 // Returns a short text for logs and status pages, such as "timeout".
 const char* HttpFailureName(HttpFailure failure);
 
+// How a call makes sure which incarnation of a server, that is which of its
+// starts, responds to it. A connection belongs to one process of the server for
+// its whole life, so what that process says of itself on a connection holds for
+// all responses on it. The server is asked on each connection once, before the
+// request is written.
+struct IncarnationCheck {
+  int64_t expected = 0;
+  // What asks the server for its incarnation. Nothing is known from a response
+  // that doesn't arrive within `timeout`.
+  HttpRequest query;
+  Duration timeout{};
+  // Returns the incarnation that the response to `query` states.
+  std::function<std::optional<int64_t>(const HttpResponse&)> read;
+  // Asked directly before `query` is written. If this returns false, the call
+  // fails with kWithheld. Must not destroy the call.
+  std::function<bool()> may_ask;
+  // Whether the call fails with kUnknownIncarnation if the server doesn't state
+  // its incarnation. Else it goes on, on a connection on which the server
+  // wasn't asked.
+  bool is_required = true;
+};
+
 // The back end, timeouts and limits of a call.
 struct HttpCallOptions {
   Endpoint to;
@@ -318,6 +346,9 @@
   // Returns the id of the request that a response names; empty if it names
   // none. If this isn't set, no response is known to name one.
   std::function<std::string(const HttpHeaders&)> read_request_id;
+  // The request is only written to the expected incarnation of the server. If
+  // this isn't set, any may get it.
+  std::optional<IncarnationCheck> incarnation_check;
 };
 
 // What marked the end of a response.
@@ -368,6 +399,9 @@
   // server may have dropped a part of the response. Until the call is
   // destroyed, this end of the connection stays open.
   virtual bool reset_after_end() const = 0;
+  // Whether the connection of the request is known to belong to the incarnation
+  // that IncarnationCheck expects. Valid once the request is sent.
+  virtual bool has_expected_incarnation() const = 0;
   // Stops (true) or resumes (false) reading the response, for back pressure.
   virtual void Pause(bool pause) = 0;
   // The connection of the last transmission; it may be closed by now.
--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -31,6 +31,10 @@
 // Late responses to other requests that a call skips may have so many bytes
 // together.
 constexpr size_t kMaxSkippedBytes = 1U << 20;
+// How often a call asks for the incarnation of a server, each time on another
+// connection: a pooled one may turn out to be closed.
+constexpr int kMaxIncarnationQueries = 2;
+constexpr size_t kMaxStatementBytes = 1U << 20;
 
 bool IsSuccess(int status) { return status / 100 == 2; }
 
@@ -52,8 +56,12 @@
   // empty, may be the copy of an earlier one that names none.
   bool MayBeCopy(int status, const std::string& named_id) const {
     return named_id.empty() &&
-           (IsSuccess(status) ? has_unnamed_success_ : has_unnamed_failure_);
+           (IsSuccess(status) ? has_unnamed_success_ || has_statement_
+                              : has_unnamed_failure_);
   }
+  // Records a response in which the server stated its incarnation. What asks
+  // for no incarnation can't take a copy of it for its own response.
+  void RecordStatement() { has_statement_ = true; }
   // Records a request that is sent; `request_id` is empty if it bears none.
   void RecordRequest(const std::string& request_id) {
     if (!has_unnamed_failure_ && !request_id.empty())
@@ -82,6 +90,7 @@
 
   bool has_unnamed_success_ = false;
   bool has_unnamed_failure_ = false;
+  bool has_statement_ = false;
   std::vector<size_t> request_ids_;  // Digests of the ids of all requests.
 };
 
@@ -118,6 +127,15 @@
   }
 
   ResponseHistory& history() { return history_; }
+  // The incarnation of the server, if it was asked for.
+  const std::optional<int64_t>& incarnation() const { return incarnation_; }
+  void set_incarnation(int64_t incarnation) { incarnation_ = incarnation; }
+  // Whether the call may be written, or the server be asked whether it may.
+  bool AllowsCall(const HttpCallOptions& options) const {
+    return history_.AllowsCall(options) &&
+           (!options.incarnation_check || !incarnation_ ||
+            *incarnation_ == options.incarnation_check->expected);
+  }
   void set_user(User* user) { user_ = user; }
   RawSocket* socket() { return socket_.get(); }
 
@@ -132,6 +150,7 @@
   const MonoTime opened_at_;
   int calls_ = 0;
   ResponseHistory history_;
+  std::optional<int64_t> incarnation_;
   User* user_ = nullptr;
   std::unique_ptr<RawSocket> socket_;
 };
@@ -145,23 +164,30 @@
   // Returns the serial number of a new connection.
   uint64_t NextSerial() { return ++last_serial_; }
 
-  // Removes and returns the most recently used connection to `to` that allows
-  // the call, or nullptr if there is none that has been idle for at most
-  // `options.max_idle`.
+  // Removes and returns the most recently used connection to `options.to` that
+  // allows the call, or nullptr if there is none that has been idle for at most
+  // `options.max_idle`. If the call expects an incarnation, connections that
+  // are known to belong to it come first.
   std::unique_ptr<ClientConnection> TakeConnection(
       const HttpCallOptions& options) {
     const auto idle = idle_.find(options.to);
     if (idle == idle_.end()) return nullptr;
+    const MonoTime now = loop_->Now();
     const Entries& entries = idle->second;
-    const auto it = std::find_if(
-        entries.rbegin(), entries.rend(), [&options](const auto& entry) {
-          return entry->connection->history().AllowsCall(options);
-        });
-    if (it == entries.rend() ||
-        loop_->Now() - (*it)->idle_since > options.max_idle)
-      return nullptr;
-    auto connection = std::move((*it)->connection);
-    Remove(it->get());
+    Entry* best = nullptr;
+    for (auto it = entries.rbegin(); it != entries.rend(); ++it) {
+      Entry* const entry = it->get();
+      if (!entry->connection->AllowsCall(options)) continue;
+      if (now - entry->idle_since > options.max_idle) break;
+      if (best == nullptr) best = entry;
+      if (!options.incarnation_check) break;
+      if (!entry->connection->incarnation()) continue;
+      best = entry;
+      break;
+    }
+    if (best == nullptr) return nullptr;
+    auto connection = std::move(best->connection);
+    Remove(best);
     return connection;
   }
 
@@ -259,6 +285,7 @@
   }
 
   bool sent() const { return sent_earlier_ || SentOnCurrentConnection(); }
+  bool has_expected_incarnation() const { return has_expected_incarnation_; }
   bool reset_after_end() const { return reset_after_end_; }
   const ConnectionUse& connection_use() const { return use_; }
 
@@ -275,7 +302,7 @@
     }
   }
 
-  void OnConnected() override { SendRequest(); }
+  void OnConnected() override { UseConnection(); }
   void OnRead(std::string_view data) override;
   void OnDrained() override {
     if (state_ == State::kHead) ArmTimer(options_.head_timeout);
@@ -284,9 +311,10 @@
   void OnClosed() override;
 
  private:
-  enum class State { kConnecting, kHead, kBody, kFinished };
+  enum class State { kConnecting, kIdentifying, kHead, kBody, kFinished };
 
   bool ReadResponse();
+  void ReadStatement();
 
   bool UsePooledConnection() {
     const auto pool = pool_.lock();
@@ -295,10 +323,62 @@
     if (connection_ == nullptr) return false;
     pooled_ = true;
     connection_->set_user(this);
-    SendRequest();
+    UseConnection();
     return true;
   }
 
+  // Writes the request, once it is known which incarnation of the server the
+  // connection belongs to, if that matters.
+  void UseConnection() {
+    const auto& check = options_.incarnation_check;
+    has_expected_incarnation_ = false;
+    if (!check || gave_up_asking_) {
+      SendRequest();
+    } else if (!connection_->incarnation()) {
+      SendQuery();
+    } else if (*connection_->incarnation() != check->expected) {
+      Fail(HttpFailure::kOtherIncarnation);
+    } else {
+      has_expected_incarnation_ = true;
+      SendRequest();
+    }
+  }
+
+  // Asks for the incarnation of the server.
+  void SendQuery() {
+    const IncarnationCheck& check = *options_.incarnation_check;
+    if (check.may_ask && !check.may_ask()) {
+      Fail(HttpFailure::kWithheld);
+      return;
+    }
+    state_ = State::kIdentifying;
+    ++queries_;
+    statement_ = {};
+    reader_ =
+        std::make_unique<ResponseReader>(/*no_body=*/false, kMaxStatementBytes);
+    connection_->socket()->Pause(false);
+    connection_->socket()->Send(
+        detail::SerializeRequestHead(check.query, options_.to,
+                                     options_.reuse_connection) +
+        check.query.body);
+    timer_ = loop_->After(check.timeout, [this] { OnQueryFailed(); });
+  }
+
+  // The server hasn't stated its incarnation on this connection.
+  void OnQueryFailed() {
+    timer_.Cancel();
+    connection_.reset();
+    input_.clear();
+    if (queries_ < kMaxIncarnationQueries) {
+      Connect();
+    } else if (options_.incarnation_check->is_required) {
+      Fail(HttpFailure::kUnknownIncarnation);
+    } else {
+      gave_up_asking_ = true;
+      Connect();
+    }
+  }
+
   void Connect() {
     state_ = State::kConnecting;
     pooled_ = false;
@@ -365,7 +445,7 @@
   }
 
   bool SentOnCurrentConnection() const {
-    return connection_ != nullptr &&
+    return connection_ != nullptr && state_ != State::kIdentifying &&
            connection_->socket()->bytes_written() > bytes_written_before_;
   }
 
@@ -388,7 +468,10 @@
     const bool is_failed_retry =
         sent_earlier_ &&
         (failure == HttpFailure::kConnect || failure == HttpFailure::kRefused ||
-         failure == HttpFailure::kWithheld || state_ == State::kConnecting);
+         failure == HttpFailure::kWithheld ||
+         failure == HttpFailure::kOtherIncarnation ||
+         failure == HttpFailure::kUnknownIncarnation ||
+         state_ == State::kConnecting);
     if (is_failed_retry) failure = HttpFailure::kNoResponse;
     CloseConnection();
     if (HttpCallHandler* handler = std::exchange(handler_, nullptr)) {
@@ -436,6 +519,12 @@
   bool pooled_ = false;
   // A byte of a response arrived on connection_.
   bool response_started_ = false;
+  int queries_ = 0;  // For the incarnation of the server.
+  // The response to the current one, while state_ is kIdentifying.
+  HttpResponse statement_;
+  // The request may be written though the incarnation of the server is unknown.
+  bool gave_up_asking_ = false;
+  bool has_expected_incarnation_ = false;  // connection_ belongs to it.
   // reader_ reads a response that doesn't belong to this request.
   bool skipping_response_ = false;
   size_t skipped_bytes_ = 0;  // Read while skipping_response_.
@@ -456,10 +545,51 @@
     }
   }
   input_.append(data);
+  if (state_ == State::kIdentifying) {
+    ReadStatement();
+    return;
+  }
   while (ReadResponse()) {
   }
 }
 
+// Reads the response to the query. Late responses that name requests, which the
+// query doesn't, are skipped.
+void CallState::ReadStatement() {
+  using ReaderState = ResponseReader::State;
+  std::optional<int64_t> incarnation;
+  for (;;) {
+    const size_t before = input_.size();
+    input_.erase(0, reader_->Feed(input_, &statement_.body));
+    const ReaderState state = reader_->state();
+    if (state == ReaderState::kHead || state == ReaderState::kBody) {
+      if (input_.empty() || input_.size() == before) return;
+      continue;
+    }
+    if (state != ReaderState::kComplete) break;
+    const bool names_request =
+        options_.read_request_id &&
+        !options_.read_request_id(reader_->headers()).empty();
+    if (!names_request) {
+      statement_.status = reader_->status();
+      statement_.headers = reader_->headers();
+      incarnation = options_.incarnation_check->read(statement_);
+      break;
+    }
+    reader_ =
+        std::make_unique<ResponseReader>(/*no_body=*/false, kMaxStatementBytes);
+    statement_ = {};
+  }
+  if (!incarnation || !reader_->keep_alive() || !input_.empty()) {
+    OnQueryFailed();
+    return;
+  }
+  timer_.Cancel();
+  connection_->set_incarnation(*incarnation);
+  connection_->history().RecordStatement();
+  UseConnection();
+}
+
 // Feeds the reader once. Returns true if a response to another request was
 // skipped and more input follows it.
 bool CallState::ReadResponse() {
@@ -517,6 +647,10 @@
     connection_.reset();
     return;
   }
+  if (state_ == State::kIdentifying) {
+    OnQueryFailed();
+    return;
+  }
   const State state = state_;
   const bool refused = connection_->socket()->refused();
   const bool retry = pooled_ && !response_started_ &&
@@ -539,6 +673,9 @@
   explicit Call(std::shared_ptr<CallState> state) : state_(std::move(state)) {}
   ~Call() override { state_->Cancel(); }
   bool sent() const override { return state_->sent(); }
+  bool has_expected_incarnation() const override {
+    return state_->has_expected_incarnation();
+  }
   bool reset_after_end() const override { return state_->reset_after_end(); }
   void Pause(bool pause) override { state_->Pause(pause); }
   ConnectionUse connection_use() const override {
--- a/router/fleet_reservation_client_test.cc
+++ b/router/fleet_reservation_client_test.cc
@@ -286,6 +286,7 @@
  private:
   class FakeHttpCall : public HttpCall {
    public:
+    bool has_expected_incarnation() const override { return false; }
     bool sent() const override { return true; }
     bool reset_after_end() const override { return false; }
     void Pause(bool /*pause*/) override {}
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -13,6 +13,12 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 // A call without a response head for this long casts doubt on the link.
 constexpr Duration kSilence = std::chrono::milliseconds(300);
+// An engine that does not respond to such a simple request in this time is
+// taken for one that doesn't say which incarnation it is.
+constexpr Duration kIncarnationTimeout = std::chrono::milliseconds(150);
+// When an engine is called again whose listed incarnation has terminated,
+// unless its entry changes before.
+constexpr Duration kRegistrationDelay = std::chrono::milliseconds(250);
 // Time for the body of a refusal after its head.
 constexpr Duration kRefusalBodyTimeout = std::chrono::milliseconds(100);
 
@@ -128,11 +134,60 @@
   call_options.read_request_id = [this](const HttpHeaders& headers) {
     return deps_.format->ReadResponseMarkers(headers).request_id.value();
   };
+  if (options.checks_incarnation && back_end_.incarnation != 0)
+    CheckIncarnation(options.requires_incarnation, &call_options);
   call_ = deps_.client->Start(call_options, std::move(request), this);
   silence_timer_ = deps_.loop->After(
       kSilence, [this] { deps_.reachability->RecordSilence(back_end_); });
 }
 
+void BackEndCall::CheckIncarnation(bool is_required, HttpCallOptions* options) {
+  IncarnationCheck check;
+  check.expected = back_end_.incarnation;
+  check.query = deps_.format->WriteReportRequest(back_end_.id);
+  check.timeout = kIncarnationTimeout;
+  check.is_required = is_required;
+  check.read = [this](const HttpResponse& response) {
+    return ReadIncarnation(response);
+  };
+  check.may_ask = [this] {
+    const CallObstacle obstacle = deps_.selector->FindObstacle(
+        back_end_, CallPurpose::kWork, deps_.loop->Now());
+    if (obstacle != CallObstacle::kNone) obstacle_ = CallObstacleName(obstacle);
+    return obstacle == CallObstacle::kNone;
+  };
+  options->incarnation_check = std::move(check);
+}
+
+std::optional<int64_t> BackEndCall::ReadIncarnation(
+    const HttpResponse& response) {
+  if (!IsSuccess(response.status)) {
+    query_rejection_ = response.status;
+    if (response.status == kStatusUnavailable)
+      RecordPause(
+          deps_.format->ReadResponseMarkers(response.headers).retry_after);
+    return std::nullopt;
+  }
+  if (!deps_.format->ReadReport(response.body)) return std::nullopt;
+  const auto incarnation = deps_.format->ReadStatement(response).incarnation;
+  if (!incarnation) return back_end_.incarnation;
+  stated_incarnation_ = *incarnation;
+  return incarnation;
+}
+
+void BackEndCall::RecordUnlistedIncarnation() {
+  ++deps_.counters->unlisted_incarnations;
+  deps_.selector->RecordPause(back_end_,
+                              deps_.loop->Now() + kRegistrationDelay);
+  deps_.log->Write(
+      LogLine("unlisted_incarnation")
+          .Add("request", id_.value())
+          .Add("back_end", back_end_.id.value())
+          .Add("listed", back_end_.incarnation)
+          .Add("stated", stated_incarnation_)
+          .Add("software_version", back_end_.software_version.value()));
+}
+
 void BackEndCall::Cancel(CallOutcome outcome) {
   if (call_ != nullptr && outcome == CallOutcome::kFailed && !response_started_)
     deps_.reachability->RecordMiss(back_end_);
@@ -197,6 +252,8 @@
   silence_timer_.Cancel();
   const ResponseMarkers markers = deps_.format->ReadResponseMarkers(headers);
   response_id_ = markers.request_id.empty() ? "none" : "own";
+  has_known_incarnation_ =
+      back_end_.incarnation == 0 || call_->has_expected_incarnation();
   // Another server that now has the address speaks for itself only.
   if (status != kMisdirected) {
     deps_.reachability->RecordContact(back_end_);
@@ -297,9 +354,10 @@
 void BackEndCall::CheckEnd() {
   checking_end_ = true;
   end_checker_ = std::make_unique<ResponseEndChecker>(
-      deps_, *request_, back_end_, incarnation_, handler_->CountEvents(*this),
-      started_, deadline_ - deps_.loop->Now(), *call_,
-      [this](EndVerdict verdict) {
+      deps_, *request_, back_end_,
+      has_known_incarnation_ ? back_end_.incarnation : incarnation_,
+      handler_->CountEvents(*this), started_, deadline_ - deps_.loop->Now(),
+      *call_, [this](EndVerdict verdict) {
         checking_end_ = false;
         CloseCall();
         if (verdict == EndVerdict::kComplete) {
@@ -328,12 +386,23 @@
   const bool is_invalid =
       failure == HttpFailure::kMalformed || failure == HttpFailure::kTooLarge;
   const bool is_withheld = failure == HttpFailure::kWithheld;
-  if (!is_invalid && !is_withheld) deps_.reachability->RecordMiss(back_end_);
+  const bool is_other = failure == HttpFailure::kOtherIncarnation;
+  const bool is_unknown = failure == HttpFailure::kUnknownIncarnation;
+  if (!is_invalid && !is_withheld && !is_other && query_rejection_ == 0)
+    deps_.reachability->RecordMiss(back_end_);
   if (!sent) {
     right_->GiveBack();
-    const bool has_obstacle = is_withheld && *obstacle_ != '\0';
+    if (is_other) {
+      obstacle_ = "unlisted_incarnation";
+      RecordUnlistedIncarnation();
+    } else if (is_unknown) {
+      obstacle_ = "unknown_incarnation";
+    }
+    const bool has_obstacle = (is_withheld || is_other) && *obstacle_ != '\0';
     Fail(has_obstacle ? CallFailure::kWithheld : CallFailure::kNotSent,
-         is_withheld ? CallOutcome::kUnknown : CallOutcome::kUnreachable);
+         is_withheld || is_other ? CallOutcome::kUnknown
+         : is_unknown            ? OutcomeOfQuery()
+                                 : CallOutcome::kUnreachable);
   } else if (response_started_) {
     Fail(CallFailure::kTruncated, CallOutcome::kFailed);
   } else if (is_invalid) {
@@ -343,6 +412,12 @@
   }
 }
 
+CallOutcome BackEndCall::OutcomeOfQuery() const {
+  if (query_rejection_ == 0) return CallOutcome::kFailed;
+  return query_rejection_ == kMisdirected ? CallOutcome::kAddressReused
+                                          : CallOutcome::kRejected;
+}
+
 void BackEndCall::RecordLeaving() {
   if (!deps_.selector->RecordLeaving(back_end_)) return;
   deps_.log->Write(LogLine("back_end_leaving")
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -10,7 +10,9 @@
 // is destroyed, whichever comes first. A call that runs a request holds the
 // right to that run from before its first byte is written until its connection
 // has ended or its response is complete. No call is written to a back end that
-// takes none at that moment, whatever it was when the call was decided on.
+// takes none at that moment, whatever it was when the call was decided on. What
+// is known of an engine, such as its software version, holds for a call that
+// asks for a known incarnation only if has_known_incarnation().
 #ifndef SERVING_BACK_END_CALL_H_
 #define SERVING_BACK_END_CALL_H_
 
@@ -108,6 +110,12 @@
     const RelayRequest* request = nullptr;
     // Whether the request asks for certain weights.
     bool expects_weights = false;
+    // Whether the call is only for the incarnation that the entry describes.
+    // Engines are asked for it, unless their entries state none.
+    bool checks_incarnation = false;
+    // Whether the call is withheld from an engine that doesn't say which
+    // incarnation it is; else it is sent, but is no call to a known one.
+    bool requires_incarnation = false;
     // The request's runs, if the call is one of them; else nullptr.
     std::shared_ptr<RunRights> runs;
     // What the call relies on, such as a reservation, lapses then.
@@ -137,6 +145,9 @@
   void Reject();
 
   const BackEndEntry& back_end() const { return back_end_; }
+  // Whether the response is that of the incarnation which back_end() describes.
+  // Valid once the call is sent, for calls that check it.
+  bool has_known_incarnation() const { return has_known_incarnation_; }
   Endpoint address() const { return {back_end_.ip, back_end_.port}; }
   bool response_started() const { return response_started_; }
   // Whether the call is in progress and the back end may have the request.
@@ -163,6 +174,15 @@
   void OnFailed(HttpFailure failure, bool sent) override;
 
  private:
+  // Makes the HTTP call ask the engine for its incarnation.
+  void CheckIncarnation(bool is_required, HttpCallOptions* options);
+  // Returns the incarnation that the response to that states, or that of the
+  // entry if the engine states none of itself.
+  std::optional<int64_t> ReadIncarnation(const HttpResponse& response);
+  // What a query without a usable response says of the engine.
+  CallOutcome OutcomeOfQuery() const;
+  // The connection belongs to another incarnation than the listed one.
+  void RecordUnlistedIncarnation();
   // The back end's response says that it is about to terminate.
   void RecordLeaving();
   // The back end asks to be sent nothing for `pause`; zero if it doesn't.
@@ -204,6 +224,10 @@
   bool not_executed_ = false;
   bool asked_for_pause_ = false;
   bool has_other_weights_ = false;
+  bool has_known_incarnation_ = false;
+  int64_t stated_incarnation_ = 0;  // By the engine; 0: none.
+  // How the engine rejected to state its incarnation; 0: it didn't.
+  int query_rejection_ = 0;
   MonoTime valid_until_ = kNever;
   // Why the call was withheld; empty if it wasn't.
   const char* obstacle_ = "";
@@ -221,7 +245,9 @@
   std::optional<RunRight> run_right_;  // Only of a run that may be sent.
   std::unique_ptr<HttpCall> call_;
   const RelayRequest* request_ = nullptr;
-  int64_t incarnation_ = 0;  // Of the back end, when the call was started.
+  // The latest incarnation of the back end that was known when the call was
+  // started; what counts unless has_known_incarnation_.
+  int64_t incarnation_ = 0;
   MonoTime deadline_{};      // Nobody awaits the response for longer.
   bool checking_end_ = false;
   std::unique_ptr<ResponseEndChecker> end_checker_;
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -916,6 +916,13 @@
   add_gauge("mimosa_back_end_pauses",
             "Rejections by backend servers that asked for a pause",
             [this] { return double(counters_.pauses); });
+  add_gauge("mimosa_unlisted_incarnations",
+            "Calls withheld from engines that had started again and were still "
+            "listed as before",
+            [this] { return double(counters_.unlisted_incarnations); });
+  add_gauge("mimosa_streams_of_unknown_version",
+            "Streams of engines that didn't state their incarnation",
+            [this] { return double(counters_.streams_of_unknown_version); });
   add_gauge(
       "mimosa_responses_incomplete",
       "Responses of backend servers that ended in order and were truncated",
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -54,6 +54,11 @@
   // Runs broken off since an event didn't follow the ones before it.
   uint64_t events_misplaced = 0;
   uint64_t pauses = 0;  // Rejections that asked for a pause.
+  // Calls that were withheld since the engine is another incarnation than the
+  // listed one.
+  uint64_t unlisted_incarnations = 0;
+  // Streams of engines that didn't say which incarnation they are.
+  uint64_t streams_of_unknown_version = 0;
 };
 
 // Dependencies shared by all relays. All of them outlive the relays.
@@ -106,8 +111,8 @@
   int status = 0;           // 0: the connection was closed without a response.
   const char* reason = "";  // Why the request ended like this.
   BackEndId back_end;       // The one that responded or was called last.
-  // The software version and the incarnation, as listed, of the last engine that
-  // sent events of the stream.
+  // The software version and the incarnation, as listed, of the last engine
+  // that sent events of the stream.
   SoftwareVersion software_version;
   int64_t incarnation = 0;
   int calls = 0;       // Calls to back ends, including prefills.
--- a/serving/stream_origin_directory.h
+++ b/serving/stream_origin_directory.h
@@ -26,9 +26,10 @@
   virtual ~StreamOriginDirectory() = default;
 
   // The response to `request` is about to bring its caller the first event,
-  // which an engine of `version` has generated.
+  // which an engine of `version` has generated; nullopt if it isn't known which
+  // incarnation of the engine has.
   virtual void Record(const RequestId& request, const ServiceId& service,
-                      const SoftwareVersion& version) = 0;
+                      const std::optional<SoftwareVersion>& version) = 0;
   // Finds the version that generated the events of the stream that `request`
   // began; an empty id if the caller named none. Runs `callback` once, from the
   // loop, with nullopt if no version can be shown to be the right one.
--- a/serving/stream_origin_exchange.cc
+++ b/serving/stream_origin_exchange.cc
@@ -45,8 +45,10 @@
                 const wire::StreamOriginAnswer& answer) {
     if (unanswered_.erase(member) == 0) return;
     if (answer.known()) {
-      FinishRecorded(ServiceId(answer.service()),
-                     SoftwareVersion(answer.software_version()));
+      std::optional<SoftwareVersion> version;
+      if (!answer.has_unknown_version())
+        version = SoftwareVersion(answer.software_version());
+      FinishRecorded(ServiceId(answer.service()), std::move(version));
       return;
     }
     VersionView view;
@@ -93,9 +95,9 @@
 
   // A stream doesn't go on at another service than the one that began it.
   void FinishRecorded(const ServiceId& service,
-                      const SoftwareVersion& version) {
-    Finish(/*recorded=*/true,
-           service == service_ ? std::optional(version) : std::nullopt);
+                      std::optional<SoftwareVersion> version) {
+    if (service != service_) version.reset();
+    Finish(/*recorded=*/true, std::move(version));
   }
 
   void Finish(bool recorded, std::optional<SoftwareVersion> version) {
@@ -165,8 +167,9 @@
                                         const Origin& origin) {
   const MonoTime now = loop_->Now();
   origins_.Record(request, origin, now);
-  history_.RecordSighting(origin.service, origin.software_version,
-                          origin.began);
+  if (origin.software_version)
+    history_.RecordSighting(origin.service, *origin.software_version,
+                            origin.began);
 }
 
 void StreamOriginExchange::OnVersionRead(const ServiceId& service,
@@ -184,13 +187,14 @@
   return history_.Versions(loop_->Now(), origins_.lifetime());
 }
 
-void StreamOriginExchange::Record(const RequestId& request,
-                                  const ServiceId& service,
-                                  const SoftwareVersion& version) {
+void StreamOriginExchange::Record(
+    const RequestId& request, const ServiceId& service,
+    const std::optional<SoftwareVersion>& version) {
   const MonoTime now = loop_->Now();
   const Origin origin{service, version, now, /*is_local=*/true};
   origins_.Record(request, origin, now);
-  if (OwnView(service).only_version != version) QueueReport(request, origin);
+  if (!version || OwnView(service).only_version != version)
+    QueueReport(request, origin);
 }
 
 std::unique_ptr<StreamOriginLookup> StreamOriginExchange::Find(
@@ -278,7 +282,9 @@
   const auto origin = origins_.Find(RequestId(query.request()), loop_->Now());
   answer->set_known(origin.has_value());
   if (origin) {
-    answer->set_software_version(origin->software_version.value());
+    answer->set_has_unknown_version(!origin->software_version);
+    if (origin->software_version)
+      answer->set_software_version(origin->software_version->value());
     answer->set_service(origin->service.value());
   } else {
     const VersionView view = OwnView(service);
--- a/serving/stream_origin_exchange.h
+++ b/serving/stream_origin_exchange.h
@@ -82,7 +82,7 @@
 
   // StreamOriginDirectory:
   void Record(const RequestId& request, const ServiceId& service,
-              const SoftwareVersion& version) override;
+              const std::optional<SoftwareVersion>& version) override;
   std::unique_ptr<StreamOriginLookup> Find(const RequestId& request,
                                            const ServiceId& service,
                                            FindCallback callback) override;
--- a/serving/stream_origin_messages.h
+++ b/serving/stream_origin_messages.h
@@ -3,6 +3,8 @@
 #define SERVING_STREAM_ORIGIN_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
+#include <utility>
 
 #include "base/clock.h"
 #include "base/saturated_cast.h"
@@ -19,13 +21,18 @@
                         wire::StreamOrigin* item) {
   item->set_request(request.value());
   item->set_service(origin.service.value());
-  item->set_software_version(origin.software_version.value());
+  item->set_has_unknown_version(!origin.software_version);
+  if (origin.software_version)
+    item->set_software_version(origin.software_version->value());
   item->set_age_ms(SaturatedCast<uint32_t>(ToMillis(now - origin.began)));
 }
 
 inline StreamOrigins::Origin ReadOrigin(const wire::StreamOrigin& item,
                                         MonoTime now) {
-  return {ServiceId(item.service()), SoftwareVersion(item.software_version()),
+  std::optional<SoftwareVersion> version;
+  if (!item.has_unknown_version())
+    version = SoftwareVersion(item.software_version());
+  return {ServiceId(item.service()), std::move(version),
           now - std::chrono::milliseconds(item.age_ms()), /*is_local=*/false};
 }
 
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -267,28 +267,36 @@
   }
 
  private:
+  // `call` has brought the first event that the caller gets.
+  void RecordOrigin(const BackEndCall& call) {
+    if (call.has_known_incarnation()) {
+      software_version_ = call.back_end().software_version;
+    } else {
+      has_unknown_version_ = true;
+      ++deps_.counters->streams_of_unknown_version;
+    }
+    if (request_.route.retry_policy == RetryPolicy::kResumableStream)
+      deps_.stream_origins->Record(request_.caller.id, request_.service.id,
+                                   software_version_);
+  }
+
   // Forwards complete events of the run `call`.
   void ForwardEvents(const std::string& events, const BackEndCall& call) {
-    if (result_.events == 0) {
+    if (result_.events == 0)
       result_.time_to_first_event = deps_.loop->Now() - request_.arrived;
-      if (request_.route.retry_policy == RetryPolicy::kResumableStream)
-        deps_.stream_origins->Record(request_.caller.id, request_.service.id,
-                                     call.back_end().software_version);
-    }
     // An engine that sends only comments is alive but generates nothing.
     const bool progressed = event_splitter_.event_count() > result_.events;
+    if (progressed && result_.events == 0) RecordOrigin(call);
     if (progressed) may_have_all_events_ = false;
     result_.events = event_splitter_.event_count();
     if (progressed) RecordGap();
     RecordGenerated();
-    if (!software_version_)
-      software_version_ = call.back_end().software_version;
     if (event_splitter_.weight_version()) {
       weight_version_ = event_splitter_.weight_version();
     } else if (weights_at_begin_) {
       weight_version_ = weights_at_begin_;
     }
-    result_.software_version = *software_version_;
+    result_.software_version = software_version_.value_or(SoftwareVersion());
     result_.incarnation = call.back_end().incarnation;
     exchange_->Write(events);
     if (progressed) StartSilenceTimer();
@@ -721,6 +729,8 @@
     params.prefill_only = true;
     BackEndCall::Options options;
     options.kind = "prefill";
+    options.checks_incarnation = true;
+    options.requires_incarnation = true;
     options.expects_weights = weight_version_.has_value();
     options.retryable = true;
     options.internal_call = true;
@@ -811,6 +821,9 @@
     sent_reservation_ = reservation_;
     BackEndCall::Options options;
     options.kind = "run";
+    options.checks_incarnation = true;
+    // A new stream that breaks then goes on nowhere.
+    options.requires_incarnation = software_version_.has_value();
     options.expects_weights = weight_version_.has_value();
     options.request = &request_;
     options.runs = request_.runs;
@@ -991,7 +1004,8 @@
   // Whether another run can continue what the caller has received.
   bool CanContinueResponse() const {
     return !exchange_->response_started() ||
-           (is_event_stream_ && event_splitter_.is_resumable());
+           (is_event_stream_ && event_splitter_.is_resumable() &&
+            !has_unknown_version_);
   }
 
   void Resume() {
@@ -1032,9 +1046,7 @@
   // run, which has become silent. Only a run that hasn't responded is left for
   // an engine that the stream was at before.
   bool MayLeaveSilentRun() const {
-    if (exchange_->response_started() &&
-        (!is_event_stream_ || !event_splitter_.is_resumable()))
-      return false;
+    if (!CanContinueResponse()) return false;
     return request_.runs->MayRunElsewhere() ||
            (call_->is_unanswered() && !EnginesToReturnTo().empty());
   }
@@ -1307,6 +1319,9 @@
   // The software version whose engines may run the request: the one that
   // generated the events that the caller has. Absent before the first event.
   std::optional<SoftwareVersion> software_version_;
+  // The caller has events, and software_version_ is absent, since the engine
+  // didn't say which incarnation of it generated them.
+  bool has_unknown_version_ = false;
   // The weights that generated the last of these events; absent if the engine
   // didn't state them.
   std::optional<WeightVersion> weight_version_;
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -51,6 +51,7 @@
 // end; it refuses all other requests.
 struct EndlessFixture : RelayFixture {
   EndlessFixture() {
+    raw.has_signs = false;
     raw.script = [this](const std::string& request, RawPeer* peer) {
       if (request.find(endless_on) == std::string::npos) {
         peer->Send(
--- a/tests/late_calls_test.cc
+++ b/tests/late_calls_test.cc
@@ -31,6 +31,7 @@
 };
 
 struct LateCallsFixture : RelayFixture {
+  virtual ~LateCallsFixture() = default;
   const BackEndEntry& EntryOf(const std::string& id) const {
     return back_ends.entries().at(BackEndId(id)).entry;
   }
@@ -53,12 +54,15 @@
     } else if (change == "starts again") {
       ++entry.incarnation;
       back_ends.Put(entry, loop->Now());
+      OnRestart(entry.id.value());
     } else if (change == "pauses") {
       selector.RecordPause(entry, loop->Now() + std::chrono::seconds(5));
     } else if (change == "is evacuated") {
       Evacuate({FailureDomain("z")});
     }
   }
+  // The process of the server is another one now.
+  virtual void OnRestart(const std::string& /*id*/) {}
   // Whether memory may be released at a back end after the change.
   static bool MayRelease(const std::string& change) {
     return change == "drains" || change == "says that it leaves" ||
@@ -109,6 +113,10 @@
   std::string ReservedId() const { return reserved == 0 ? "d0" : "d1"; }
   std::string OtherId() const { return reserved == 0 ? "d1" : "d0"; }
 
+  void OnRestart(const std::string& id) override {
+    if (id == "d0" || id == "d1") ++decode[id == "d1"].back_end.incarnation;
+  }
+
   FakeEngine prefill{loop.get()};
   FakeEngine decode[2] = {FakeEngine(loop.get()), FakeEngine(loop.get())};
   FakeBackEnd::Exchange waiting;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -31,6 +31,13 @@
 using std::chrono::milliseconds;
 
 // A backend server whose responses are scripted by the test.
+// Returns the report of an engine of that incarnation; AddBackEnd() registers
+// the first one.
+inline std::string MakeReport(int64_t incarnation) {
+  return R"({"stage":"decode","busy":false,"sequence":0,"born":)" +
+         std::to_string(incarnation) + "}";
+}
+
 class FakeBackEnd : public HttpHandler {
  public:
   using Exchange = std::shared_ptr<HttpExchange>;
@@ -42,6 +49,11 @@
     server_ = MakeHttpServer(loop, options, this);
   }
   void OnRequest(Exchange exchange) override {
+    if (states_itself && exchange->request().target == "/mimosarouter/report") {
+      ++reports;
+      exchange->Respond({200, {}, MakeReport(incarnation)});
+      return;
+    }
     requests.push_back(exchange->request());
     exchanges.push_back(exchange);
     exchange->OnClientDisconnected([this] { ++client_disconnects; });
@@ -56,6 +68,10 @@
   }
 
   Script script = [](const Exchange&) {};  // never responds
+  // Whether it responds to requests for its report; else the script does.
+  bool states_itself = true;
+  int64_t incarnation = 1;
+  int reports = 0;
   std::vector<HttpRequest> requests;
   std::vector<Exchange> exchanges;
   int client_disconnects = 0;
@@ -389,7 +405,8 @@
 };
 
 // A backend server that sends raw bytes, for responses that HttpServer doesn't
-// send. Serves one request on each connection.
+// send. Serves one request on each connection, apart from requests for its
+// report before a run.
 class RawBackEnd {
  public:
   using Script = std::function<void(const std::string& request, RawPeer* peer)>;
@@ -403,6 +420,12 @@
   // Whether requests are served once their heads have arrived. What follows is
   // never read.
   bool serves_early = false;
+  // What it responds when it is asked for its incarnation before a run; empty:
+  // the script responds.
+  std::string statement = MakeReport(1);
+  // Whether requests for its report after a run are signs of life; else it
+  // always responds with its statement.
+  bool has_signs = true;
 
  private:
   struct Connection {
@@ -423,12 +446,28 @@
     return request.size() >= head_end + 4 + length;
   }
 
+  // Responds if the request asks for the incarnation.
+  bool State(const std::string& request, RawPeer* peer) {
+    const bool is_reservation = request.find("/hold-") != std::string::npos;
+    const bool is_get = request.find("GET ") == 0;
+    if (is_reservation) has_run_ = false;
+    if (!is_reservation && !is_get) has_run_ = true;
+    if (request.find("GET /mimosarouter/report") != 0 ||
+        (has_run_ && has_signs) || statement.empty())
+      return false;
+    peer->Clear();
+    peer->Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+               std::to_string(statement.size()) + "\r\n\r\n" + statement);
+    return true;
+  }
+
   void Poll() {
     while (auto peer = listener_.Accept())
       connections_.push_back({std::move(peer)});
     for (Connection& connection : connections_) {
       if (connection.served || !IsComplete(connection.peer->received()))
         continue;
+      if (State(connection.peer->received(), connection.peer.get())) continue;
       connection.served = true;
       script(connection.peer->received(), connection.peer.get());
     }
@@ -438,6 +477,7 @@
   LwsLoop* const loop_;
   RawListener listener_;
   std::vector<Connection> connections_;
+  bool has_run_ = false;  // Since the last reservation.
   TimerHandle timer_;
 };
 
