Tests of the check of incarnations at the client and in the relay

net_test: the incarnation is asked for once on each connection, pooled or new; another one than the expected gets no request; a server that is silent, closes, rejects, states none, ends its statement with the connection or sends more behind it is asked twice, then gets the request on another connection or not at all; late copies; a call that is destroyed meanwhile. software_version_test: a restarted decode or prefill engine that is listed as before gets no stream, no stream goes on there, and a stream of an engine that doesn't state its incarnation goes on nowhere.

--- a/net/client_test.cc
+++ b/net/client_test.cc
@@ -6,7 +6,11 @@
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "net/http.h"
@@ -449,6 +453,202 @@
   CHECK(call_->connection_use().skipped_responses == 0);
 }
 
+// Calls to the incarnation 7 of a server, which states it in the body of its
+// response to "/who".
+class IncarnationFixture : public RequestIdFixture {
+ protected:
+  IncarnationFixture() {
+    options_.success_names_request = true;
+    options_.request_id = "a";
+    IncarnationCheck check;
+    check.expected = 7;
+    check.query = {"GET", "/who", {}, ""};
+    check.timeout = milliseconds(50);
+    check.read = [](const HttpResponse& response) -> std::optional<int64_t> {
+      if (response.status != 200 || response.body.empty()) return std::nullopt;
+      return std::stoll(response.body);
+    };
+    check.may_ask = [this] { return may_ask_; };
+    options_.incarnation_check = check;
+  }
+  // Accepts a connection on which the call asks for the incarnation.
+  std::unique_ptr<RawPeer> AcceptQuery() {
+    auto peer = AcceptRequest();
+    CHECK(peer->received().find("GET /who HTTP/1.1\r\n") == 0);
+    CHECK_FALSE(call_->sent());
+    peer->Clear();
+    return peer;
+  }
+  static std::string Statement(const std::string& incarnation) {
+    return ResponseText("", 200, incarnation);
+  }
+  void AwaitCallOn(RawPeer* peer) {
+    AwaitRequest(peer);
+    CHECK(peer->received().find("GET /t HTTP/1.1\r\n") == 0);
+    CHECK(call_->sent());
+    CHECK(call_->has_expected_incarnation());
+    peer->Clear();
+  }
+  void Respond(RawPeer* peer) {
+    peer->Send(ResponseText(options_.request_id));
+    AwaitEnd();
+    CHECK(recorded_.done);
+    CHECK(recorded_.body == "hi");
+  }
+
+  bool may_ask_ = true;
+};
+
+TEST_CASE_METHOD(IncarnationFixture,
+                 "the incarnation is asked for once on each connection",
+                 "[client]") {
+  Start();
+  auto peer = AcceptQuery();
+  peer->Send(Statement("7"));
+  AwaitCallOn(peer.get());
+  Respond(peer.get());
+  options_.request_id = "b";
+  Start();
+  AwaitCallOn(peer.get());
+  Respond(peer.get());
+  CHECK(listener_.Accept() == nullptr);
+  // The server has started again, which the daemon has learned, but the
+  // connection is still there.
+  options_.incarnation_check->expected = 8;
+  options_.request_id = "c";
+  Start();
+  auto other = AcceptQuery();
+  CHECK(peer->received().empty());
+  other->Send(Statement("8"));
+  AwaitCallOn(other.get());
+  Respond(other.get());
+}
+
+TEST_CASE_METHOD(IncarnationFixture,
+                 "a pooled connection is asked for its incarnation",
+                 "[client]") {
+  const auto check = std::exchange(options_.incarnation_check, std::nullopt);
+  auto peer = CompleteCallWithId("z", "z");
+  options_.incarnation_check = check;
+  options_.request_id = "a";
+  Start();
+  AwaitRequest(peer.get());
+  CHECK(peer->received().find("GET /who ") == 0);
+  peer->Clear();
+  // A late copy of the first response arrives in front of the statement.
+  peer->Send(ResponseText("z") + Statement("7"));
+  AwaitCallOn(peer.get());
+  // A late copy of the statement is no response to the request.
+  peer->Send(Statement("7"));
+  Respond(peer.get());
+  CHECK(call_->connection_use().skipped_responses == 1);
+}
+
+TEST_CASE_METHOD(IncarnationFixture,
+                 "another incarnation than the expected one gets no request",
+                 "[client]") {
+  options_.incarnation_check->is_required = GENERATE(true, false);
+  Start();
+  auto peer = AcceptQuery();
+  peer->Send(Statement("8"));
+  AwaitEnd();
+  CHECK(recorded_.failure == HttpFailure::kOtherIncarnation);
+  CHECK_FALSE(recorded_.sent);
+  CHECK(peer->received().empty());
+}
+
+// How a server fails to state its incarnation.
+enum class NoStatement {
+  kSilent,
+  kCloses,
+  kRejects,
+  kStatesNone,
+  kEndsWithClose,
+  kSendsMore
+};
+
+TEST_CASE_METHOD(IncarnationFixture,
+                 "a server that doesn't state its incarnation is asked twice",
+                 "[client]") {
+  const auto how =
+      GENERATE(NoStatement::kSilent, NoStatement::kCloses,
+               NoStatement::kRejects, NoStatement::kStatesNone,
+               NoStatement::kEndsWithClose, NoStatement::kSendsMore);
+  options_.incarnation_check->is_required = GENERATE(true, false);
+  CAPTURE(static_cast<int>(how), options_.incarnation_check->is_required);
+  Start();
+  std::vector<std::unique_ptr<RawPeer>> peers;
+  for (int i = 0; i < 2; ++i) {
+    peers.push_back(AcceptQuery());
+    RawPeer* const peer = peers.back().get();
+    switch (how) {
+      case NoStatement::kSilent:
+        break;
+      case NoStatement::kCloses:
+        peer->Close();
+        break;
+      case NoStatement::kRejects:
+        peer->Send(ResponseText("", 503));
+        break;
+      case NoStatement::kStatesNone:
+        peer->Send(ResponseText("", 200, ""));
+        break;
+      case NoStatement::kEndsWithClose:
+        peer->Send("HTTP/1.1 200 X\r\n\r\n7");
+        peer->ShutdownWrite();
+        break;
+      case NoStatement::kSendsMore:
+        peer->Send(Statement("7") + "HTTP");
+        break;
+    }
+  }
+  if (options_.incarnation_check->is_required) {
+    AwaitEnd();
+    CHECK(recorded_.failure == HttpFailure::kUnknownIncarnation);
+    CHECK_FALSE(recorded_.sent);
+    CHECK(listener_.Accept() == nullptr);
+    return;
+  }
+  // On a connection on which no copy of a response can arrive.
+  auto peer = AcceptRequest();
+  CHECK(peer->received().find("GET /t ") == 0);
+  CHECK_FALSE(call_->has_expected_incarnation());
+  Respond(peer.get());
+}
+
+TEST_CASE_METHOD(IncarnationFixture,
+                 "a lost statement is asked for on another connection",
+                 "[client]") {
+  Start();
+  auto first = AcceptQuery();
+  first->Close();
+  auto second = AcceptQuery();
+  second->Send(Statement("7"));
+  AwaitCallOn(second.get());
+  Respond(second.get());
+}
+
+TEST_CASE_METHOD(IncarnationFixture,
+                 "a server that may not be asked gets nothing", "[client]") {
+  may_ask_ = false;
+  Start();
+  AwaitEnd();
+  CHECK(recorded_.failure == HttpFailure::kWithheld);
+  CHECK_FALSE(recorded_.sent);
+}
+
+TEST_CASE_METHOD(IncarnationFixture,
+                 "a call may be destroyed while it asks for the incarnation",
+                 "[client]") {
+  Start();
+  auto peer = AcceptQuery();
+  call_.reset();
+  CHECK(Until([&] { return peer->closed(); }));
+  peer->Send(Statement("7"));
+  RunFor(loop_.get(), milliseconds(60));
+  CHECK(recorded_.ends == 0);
+}
+
 TEST_CASE_METHOD(ClientFixture,
                  "a request on a closed pooled connection is retried once",
                  "[client]") {
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -248,7 +248,7 @@
   // The latest incarnation of the back end that was known when the call was
   // started; what counts unless has_known_incarnation_.
   int64_t incarnation_ = 0;
-  MonoTime deadline_{};      // Nobody awaits the response for longer.
+  MonoTime deadline_{};  // Nobody awaits the response for longer.
   bool checking_end_ = false;
   std::unique_ptr<ResponseEndChecker> end_checker_;
 };
--- a/tests/restarted_engine_test.cc
+++ b/tests/restarted_engine_test.cc
@@ -280,10 +280,10 @@
                     stream.mixed_responses() == 0 &&
                     std::chrono::steady_clock::now() < give_up;
          ++i) {
-      const Reply reply = SendTo(
-          DrawDaemon(random), target, id + "-" + std::to_string(i),
-          {{"Last-Event-Id", std::to_string(stream.events())},
-           {"Resumes", begun_by}});
+      const Reply reply =
+          SendTo(DrawDaemon(random), target, id + "-" + std::to_string(i),
+                 {{"Last-Event-Id", std::to_string(stream.events())},
+                  {"Resumes", begun_by}});
       if (reply.status == 200) {
         stream.Add(reply.body);
       } else {
--- a/tests/software_version_test.cc
+++ b/tests/software_version_test.cc
@@ -245,6 +245,128 @@
   }
 }
 
+// Engines that were started again under their ids, while their entries are
+// still those of the processes before, at version "v1".
+struct RestartedEngineFixture : VersionFixture {
+  static void Restart(FakeEngine* engine) { ++engine->back_end.incarnation; }
+  void ListAsRestarted(const char* id, const FakeEngine& engine,
+                       EngineRole role = EngineRole::kDecode) {
+    AddBackEnd(id, "llm", role, engine.back_end.port(), "v2",
+               engine.back_end.incarnation);
+  }
+  // Has two of three events sent and the stream broken off, and no other engine
+  // but `other` take it.
+  void BreakAt(FakeEngine* engine, FakeEngine* other) {
+    engine->on_run = [this, engine,
+                      other](const FakeBackEnd::Exchange& exchange) {
+      for (FakeEngine* each : {&e1, &e2, &f1, &f2})
+        each->has_capacity = each == other;
+      exchange->StartStream(200, MakeMarkers(exchange->request()));
+      exchange->Write(MakeEvent(1));
+      exchange->OnDrained([exchange] { exchange->Abort(); });
+    };
+  }
+};
+
+TEST_CASE_METHOD(RestartedEngineFixture,
+                 "a restarted engine gets no stream before it is listed") {
+  f1.has_capacity = f2.has_capacity = false;
+  Restart(&e1);
+  CHECK(CallFrontend("/note/1").status == 503);
+  CHECK(e1.runs == 0);
+  CHECK(counters.unlisted_incarnations > 0);
+  CHECK_FALSE(log_file.ReadLines(&log, "unlisted_incarnation").empty());
+  // Another engine serves meanwhile, without a retry.
+  AddSecondEngineOfV1();
+  CHECK(CallFrontend("/note/2").ok);
+  CHECK(e2.runs == 1);
+  CHECK(counters.retries == 0);
+  e2.has_capacity = false;
+  ListAsRestarted("e1", e1);
+  CHECK(CallFrontend("/note/3").ok);
+  CHECK(e1.runs == 1);
+}
+
+TEST_CASE_METHOD(RestartedEngineFixture,
+                 "a broken stream doesn't go on at a restarted engine that is "
+                 "listed at its version") {
+  AddSecondEngineOfV1();
+  BreakAt(&e1, &e2);
+  e2.has_capacity = f1.has_capacity = f2.has_capacity = false;
+  Restart(&e2);
+  CHECK_FALSE(CallFrontend("/note/1").ok);
+  CHECK(e1.runs == 1);
+  CHECK(e2.runs == 0);
+  CHECK(RunsOfV2() == 0);
+}
+
+TEST_CASE_METHOD(RestartedEngineFixture,
+                 "a stream that a caller takes up doesn't go on at a restarted "
+                 "engine that is listed at its version") {
+  const std::string id = BeginAtV1();
+  Restart(&e1);
+  CHECK(CallFrontend(MakeResumption(id)).status == 503);
+  CHECK(e1.runs == 1);
+  CHECK(RunsOfV2() == 0);
+}
+
+TEST_CASE_METHOD(RestartedEngineFixture,
+                 "a restarted prefill engine gets no prefill before it is "
+                 "listed") {
+  FakeEngine prefill(loop.get());
+  AddBackEnd("p", "llm", EngineRole::kPrefill, prefill.back_end.port(), "v1");
+  f1.has_capacity = f2.has_capacity = false;
+  Restart(&prefill);
+  CHECK(CallFrontend("/note/1").ok);
+  CHECK(prefill.prefills == 0);
+  CHECK(e1.back_end.CountRequestsWith("Mimosarouter-Kv-Source") == 0);
+}
+
+// Begins a stream at an engine whose statements don't arrive.
+struct SilentEngineFixture : RestartedEngineFixture {
+  SilentEngineFixture() {
+    f1.has_capacity = f2.has_capacity = false;
+    AddSecondEngineOfV1();
+    e2.has_capacity = false;
+    BreakAt(&e1, &e2);
+    e1.back_end.states_itself = false;
+    const auto serve = e1.back_end.script;
+    e1.back_end.script = [serve](const FakeBackEnd::Exchange& exchange) {
+      if (exchange->request().target == "/mimosarouter/report") return;
+      serve(exchange);
+    };
+  }
+};
+
+TEST_CASE_METHOD(SilentEngineFixture,
+                 "a stream of an engine that doesn't state its incarnation "
+                 "goes on nowhere") {
+  HttpRequest first = MakeRequest("/note/1");
+  CHECK_FALSE(CallFrontend(first).ok);
+  CHECK(counters.streams_of_unknown_version == 1);
+  CHECK(e1.runs == 1);
+  CHECK(e2.runs == 0);
+  const CallerResponse takeup =
+      CallFrontend(MakeResumption(*Header(first, "Mimosarouter-Request-Id")));
+  CHECK(takeup.status == 503);
+  CHECK(e1.runs + e2.runs + RunsOfV2() == 1);
+}
+
+TEST_CASE_METHOD(SilentEngineFixture,
+                 "no stream goes on at an engine that doesn't state its "
+                 "incarnation") {
+  e1.has_capacity = false;
+  e2.has_capacity = true;
+  HttpRequest first = MakeRequest("/note/1");
+  BreakAt(&e2, &e1);
+  CHECK_FALSE(CallFrontend(first).ok);
+  CHECK(e2.runs == 1);
+  CHECK(e1.runs == 0);
+  CHECK(CallFrontend(MakeResumption(*Header(first, "Mimosarouter-Request-Id")))
+            .status == 503);
+  CHECK(e1.runs == 0);
+}
+
 // Decode engines e, f and g, which serve weights of their own.
 struct WeightsFixture : RelayFixture {
   WeightsFixture() {
