Keep calls, pauses and failures of engines per incarnation

What callers saw: after an engine's entry named a former incarnation once more, or a call to the former one began late, the daemon admitted twice the runs that the engine's memory holds, sent it requests during the pause that it had asked for, and counted fewer than no open calls at it until it restarted. Such runs are rejected or preempted. A restarted engine also counted as unhealthy by the failures of the process before it.

Cause: the selector kept one state for each id and cleared it whenever it was asked for another incarnation than the last time. That happens in a restored store, whose older copy lists the former incarnation until the engine writes its entry again, and when the response to a reservation at the former one arrives after the new entry. Calls that had begun before the state was cleared were still taken off the new one. HasHealthyCandidate() didn't compare incarnations at all.

Change: the states are kept by id and incarnation, so that a call ends in the state in which it began. Those without open calls are dropped when a third incarnation appears.

Evidence: serving_decisions_test, "calls and pauses of an incarnation stay its own" and "failures of a former incarnation say nothing of the next".

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -31,6 +31,9 @@
 // Above this number, back ends that are about to terminate are forgotten once
 // they are no longer listed.
 constexpr size_t kMaxLeaving = 1000;
+// From this number of incarnations of a back end on, those without open calls
+// are forgotten. An older copy of the store may list a former one once more.
+constexpr size_t kMaxIdleIncarnations = 2;
 // A random term up to this value breaks ties, so that daemons with the same
 // view don't all select the same back end.
 constexpr double kTieBreakMs = 3;
@@ -119,10 +122,8 @@
   if (entry.incarnation != back_end.incarnation)
     return CallObstacle::kRestarted;
   if (IsEvacuated(entry)) return CallObstacle::kEvacuated;
-  const auto state = states_.find(entry.id);
-  if (state != states_.end() &&
-      state->second.incarnation == entry.incarnation &&
-      now < state->second.pause_until)
+  const BackEndState* const state = FindState(entry);
+  if (state != nullptr && now < state->pause_until)
     return CallObstacle::kPausing;
   if (purpose == CallPurpose::kControl) return CallObstacle::kNone;
   if (entry.draining || IsLeaving(entry)) return CallObstacle::kLeaving;
@@ -159,10 +160,9 @@
 
 void BackEndSelector::RecordPause(const BackEndEntry& back_end,
                                   MonoTime until) {
-  const auto it = states_.find(back_end.id);
-  if (it == states_.end() || it->second.incarnation != back_end.incarnation)
-    return;
-  it->second.pause_until = std::max(it->second.pause_until, until);
+  BackEndState* const state = FindState(back_end);
+  if (state != nullptr)
+    state->pause_until = std::max(state->pause_until, until);
 }
 
 MonoTime BackEndSelector::EndOfPauses(const SelectionQuery& query,
@@ -170,11 +170,9 @@
   MonoTime end = kNever;
   for (const auto& [id, listed] : list_->entries()) {
     if (!Matches(listed.entry, query)) continue;
-    const auto state = states_.find(id);
+    const BackEndState* const state = FindState(listed.entry);
     MonoTime available_at = now;
-    if (state != states_.end() &&
-        state->second.incarnation == listed.entry.incarnation)
-      available_at = std::max(now, state->second.pause_until);
+    if (state != nullptr) available_at = std::max(now, state->pause_until);
     if (permits_ != nullptr)
       available_at =
           std::max(available_at, permits_->AvailableAt(listed.entry, now));
@@ -275,9 +273,9 @@
   const auto& all = list_->entries();
   return std::any_of(all.begin(), all.end(), [&](const auto& item) {
     if (!Matches(item.second.entry, query)) return false;
-    const auto state = states_.find(item.first);
-    return state == states_.end() || (!IsInBackoff(state->second, now) &&
-                                      now >= state->second.pause_until);
+    const BackEndState* const state = FindState(item.second.entry);
+    return state == nullptr ||
+           (!IsInBackoff(*state, now) && now >= state->pause_until);
   });
 }
 
@@ -287,11 +285,9 @@
   for (const auto& [id, listed] : list_->entries()) {
     if (!Matches(listed.entry, query)) continue;
     is_any_matched = true;
-    const auto state = states_.find(id);
-    if (state == states_.end() ||
-        state->second.incarnation != listed.entry.incarnation ||
-        state->second.last_failure != CallOutcome::kUnreachable ||
-        !IsInBackoff(state->second, now))
+    const BackEndState* const state = FindState(listed.entry);
+    if (state == nullptr || state->last_failure != CallOutcome::kUnreachable ||
+        !IsInBackoff(*state, now))
       return false;
   }
   return is_any_matched;
@@ -391,17 +387,19 @@
 
 OpenWorkByBackEnd BackEndSelector::LocalLoad() const {
   OpenWorkByBackEnd load;
-  for (const auto& [id, state] : states_) {
-    if (state.open_calls > 0 && state.open_total > Tokens(0))
-      load[id] = {state.open_calls, state.open_total};
+  for (const auto& [id, listed] : list_->entries()) {
+    const BackEndState* const state = FindState(listed.entry);
+    if (state != nullptr && state->open_calls > 0 &&
+        state->open_total > Tokens(0))
+      load[id] = {state->open_calls, state->open_total};
   }
   return load;
 }
 
 bool BackEndSelector::IsIdle(const BackEndId& id) const {
-  const auto state = states_.find(id);
+  const BackEndState* const state = FindListedState(id);
   return PeerLoadOf(id).calls == 0 &&
-         (state == states_.end() || state->second.open_calls == 0);
+         (state == nullptr || state->open_calls == 0);
 }
 
 bool BackEndSelector::ExceedsMemory(const BackEndId& id,
@@ -466,14 +464,36 @@
 
 BackEndSelector::BackEndState& BackEndSelector::StateOf(
     const BackEndEntry& back_end) {
-  BackEndState& state = states_[back_end.id];
-  if (state.incarnation != back_end.incarnation) {
-    // Open calls to the previous incarnation end later and aren't counted for
-    // the new one.
-    state = BackEndState{};
-    state.incarnation = back_end.incarnation;
-  }
-  return state;
+  IncarnationStates& states = states_[back_end.id];
+  const auto it = states.find(back_end.incarnation);
+  if (it != states.end()) return it->second;
+  if (states.size() >= kMaxIdleIncarnations) RemoveIdle(&states);
+  return states[back_end.incarnation];
+}
+
+const BackEndSelector::BackEndState* BackEndSelector::FindState(
+    const BackEndEntry& back_end) const {
+  const auto states = states_.find(back_end.id);
+  if (states == states_.end()) return nullptr;
+  const auto state = states->second.find(back_end.incarnation);
+  return state == states->second.end() ? nullptr : &state->second;
+}
+
+BackEndSelector::BackEndState* BackEndSelector::FindState(
+    const BackEndEntry& back_end) {
+  return const_cast<BackEndState*>(std::as_const(*this).FindState(back_end));
+}
+
+const BackEndSelector::BackEndState* BackEndSelector::FindListedState(
+    const BackEndId& id) const {
+  const auto listed = list_->entries().find(id);
+  return listed == list_->entries().end() ? nullptr
+                                          : FindState(listed->second.entry);
+}
+
+void BackEndSelector::RemoveIdle(IncarnationStates* states) {
+  for (auto it = states->begin(); it != states->end();)
+    it = it->second.open_calls == 0 ? states->erase(it) : std::next(it);
 }
 
 void BackEndSelector::OnCallStarted(const BackEndEntry& back_end,
@@ -487,25 +507,23 @@
 void BackEndSelector::OnCallEnded(const BackEndEntry& back_end,
                                   const WorkSize& size, CallOutcome outcome,
                                   MonoTime now) {
-  const auto it = states_.find(back_end.id);
-  if (it == states_.end() || it->second.incarnation != back_end.incarnation)
-    return;
-  BackEndState& state = it->second;
-  --state.open_calls;
-  state.open_prompt -= size.prompt;
-  state.open_total -= size.total;
-  ApplyOutcome(&state, outcome, now);
-  // Drops the state of a back end that is no longer listed.
-  if (state.open_calls == 0 && list_->entries().count(back_end.id) == 0)
-    states_.erase(it);
+  BackEndState* const state = FindState(back_end);
+  if (state == nullptr) return;
+  --state->open_calls;
+  state->open_prompt -= size.prompt;
+  state->open_total -= size.total;
+  ApplyOutcome(state, outcome, now);
+  // Drops the states of a back end that is no longer listed.
+  if (list_->entries().count(back_end.id) > 0) return;
+  const auto states = states_.find(back_end.id);
+  RemoveIdle(&states->second);
+  if (states->second.empty()) states_.erase(states);
 }
 
 void BackEndSelector::RecordOutcome(const BackEndEntry& back_end,
                                     CallOutcome outcome, MonoTime now) {
-  const auto it = states_.find(back_end.id);
-  if (it == states_.end() || it->second.incarnation != back_end.incarnation)
-    return;
-  ApplyOutcome(&it->second, outcome, now);
+  BackEndState* const state = FindState(back_end);
+  if (state != nullptr) ApplyOutcome(state, outcome, now);
 }
 
 void BackEndSelector::ApplyOutcome(BackEndState* state, CallOutcome outcome,
@@ -554,22 +572,18 @@
 
 void BackEndSelector::RecordAcceptance(const BackEndEntry& back_end,
                                        MonoTime now) {
-  const auto it = states_.find(back_end.id);
-  if (it == states_.end() || it->second.incarnation != back_end.incarnation)
-    return;
-  BackEndState& state = it->second;
-  state.consecutive_rejections = 0;
-  state.rejection_share =
-      (1 - options_.rejection_weight) * DecayedRejectionShare(state, now);
-  state.rejections_at = now;
+  BackEndState* const state = FindState(back_end);
+  if (state == nullptr) return;
+  state->consecutive_rejections = 0;
+  state->rejection_share =
+      (1 - options_.rejection_weight) * DecayedRejectionShare(*state, now);
+  state->rejections_at = now;
 }
 
 bool BackEndSelector::RejectsMany(const BackEndEntry& back_end) const {
   constexpr int kMany = 2;
-  const auto it = states_.find(back_end.id);
-  return it != states_.end() &&
-         it->second.incarnation == back_end.incarnation &&
-         it->second.consecutive_rejections >= kMany;
+  const BackEndState* const state = FindState(back_end);
+  return state != nullptr && state->consecutive_rejections >= kMany;
 }
 
 void BackEndSelector::ForgetFailures(const ServiceId& service) {
@@ -577,11 +591,12 @@
     if (listed.entry.service != service) continue;
     const auto it = states_.find(id);
     if (it == states_.end()) continue;
-    BackEndState& state = it->second;
-    state.consecutive_failures = 0;
-    state.failures = 0;
-    state.backoff_until = MonoTime{};
-    state.probe_only = false;
+    for (auto& [incarnation, state] : it->second) {
+      state.consecutive_failures = 0;
+      state.failures = 0;
+      state.backoff_until = MonoTime{};
+      state.probe_only = false;
+    }
   }
 }
 
@@ -590,12 +605,12 @@
   ObservedState observed;
   observed.peer_calls = PeerLoadOf(id).calls;
   observed.changing_role = role_changes_.count(id) != 0;
-  const auto it = states_.find(id);
-  if (it == states_.end()) return observed;
-  observed.open_calls = it->second.open_calls;
-  observed.failures = DecayedFailures(it->second, now);
-  observed.in_backoff = IsInBackoff(it->second, now);
-  observed.last_failure = it->second.last_failure;
+  const BackEndState* const state = FindListedState(id);
+  if (state == nullptr) return observed;
+  observed.open_calls = state->open_calls;
+  observed.failures = DecayedFailures(*state, now);
+  observed.in_backoff = IsInBackoff(*state, now);
+  observed.last_failure = state->last_failure;
   return observed;
 }
 
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -291,9 +291,8 @@
   ObservedState GetObservedState(const BackEndId& id, MonoTime now) const;
 
  private:
+  // What is known of one incarnation of a back end.
   struct BackEndState {
-    // The incarnation that all other fields describe.
-    int64_t incarnation = 0;
     int open_calls = 0;
     Tokens open_prompt;
     Tokens open_total;
@@ -310,7 +309,16 @@
     bool probe_only = false;
   };
 
+  using IncarnationStates = std::map<int64_t, BackEndState>;
+
   BackEndState& StateOf(const BackEndEntry& back_end);
+  // Return nullptr if nothing is known of this incarnation.
+  const BackEndState* FindState(const BackEndEntry& back_end) const;
+  BackEndState* FindState(const BackEndEntry& back_end);
+  // The same for the incarnation that is listed.
+  const BackEndState* FindListedState(const BackEndId& id) const;
+  // Removes the states without open calls.
+  static void RemoveIdle(IncarnationStates* states);
   bool IsEligible(const BackEndEntry& entry, const ServiceId& service,
                   EngineRole role) const;
   bool IsChangingRole(const BackEndEntry& entry) const;
@@ -344,7 +352,7 @@
   const Options options_;
   CallPermits* const permits_;                 // May be null.
   const TrafficBoundaries* const boundaries_;  // May be null.
-  std::map<BackEndId, BackEndState> states_;
+  std::map<BackEndId, IncarnationStates> states_;
   OpenWorkByBackEnd peer_load_;
   EngineSpeedView engine_speeds_;
   // Later incarnations than those of the entries, as the back ends state them.
--- a/decide/serving_decisions_test.cc
+++ b/decide/serving_decisions_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <deque>
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
@@ -448,6 +449,70 @@
   CHECK(selector.GetObservedState(BackEndId("a"), At(2)).open_calls == 0);
 }
 
+// A former incarnation is listed once more by a store that comes back from an
+// older copy, or called once more for a reservation that it has granted.
+TEST_CASE_METHOD(SelectorFixture,
+                 "calls and pauses of an incarnation stay its own") {
+  BackEndEntry former = Engine("a", EngineRole::kDecode);
+  former.incarnation = 1;
+  BackEndEntry current = former;
+  current.incarnation = 2;
+  Add(current);
+  SelectionQuery query = Query(EngineRole::kDecode);
+  query.require_free_memory = true;
+  const auto fill = [&] {
+    int runs = 0;
+    for (; runs < 100 && selector.SelectBackEnd(query, At(0)) != nullptr;
+         ++runs)
+      selector.OnCallStarted(current, query.work);
+    return runs;
+  };
+  const int most_runs = fill();
+  CHECK(most_runs == 8);
+  selector.RecordPause(current, At(500));
+  std::function<void()> use_former;
+  SECTION("an older copy of the store lists the former one") {
+    use_former = [&] {
+      Add(former);
+      selector.SelectBackEnd(query, At(0));
+      Add(current);
+    };
+  }
+  SECTION("a call to the former one begins") {
+    use_former = [&] {
+      selector.OnCallStarted(former, query.work);
+      selector.OnCallEnded(former, query.work, CallOutcome::kUnknown, At(0));
+    };
+  }
+  use_former();
+  CHECK(selector.SelectBackEnd(query, At(0)) == nullptr);
+  CHECK(selector.FindObstacle(current, CallPurpose::kWork, At(499)) ==
+        CallObstacle::kPausing);
+  CHECK(selector.GetObservedState(current.id, At(0)).open_calls == most_runs);
+  for (int i = 0; i < most_runs; ++i)
+    selector.OnCallEnded(current, query.work, CallOutcome::kSuccess, At(0));
+  CHECK(selector.GetObservedState(current.id, At(0)).open_calls == 0);
+  int runs = 0;
+  for (; runs < 100 && selector.SelectBackEnd(query, At(500)) != nullptr;
+       ++runs)
+    selector.OnCallStarted(current, query.work);
+  CHECK(runs == most_runs);
+}
+
+TEST_CASE_METHOD(SelectorFixture,
+                 "failures of a former incarnation say nothing of the next") {
+  BackEndEntry engine = Engine("a", EngineRole::kDecode);
+  engine.incarnation = 1;
+  Add(engine);
+  selector.OnCallStarted(engine, {});
+  selector.OnCallEnded(engine, {}, CallOutcome::kFailed, At(0));
+  const SelectionQuery query = Query(EngineRole::kDecode);
+  CHECK_FALSE(selector.HasHealthyCandidate(query, At(1)));
+  engine.incarnation = 2;
+  Add(engine);
+  CHECK(selector.HasHealthyCandidate(query, At(1)));
+}
+
 TEST_CASE_METHOD(
     SelectorFixture,
     "a reservation is tried only where the known runs leave memory") {
