Drop a stated incarnation once another one is listed

What callers saw: all responses without framing of one engine ended in an error, for as long as it was listed, although they were complete.

Cause: incarnations are times of starts. The selector took the later one of what an engine had stated and what its entry says. After the engine's clock had stepped back, the statement of the process before was later than the entry and all statements of the present one, so each end was checked against a process that no longer existed.

Change: a statement counts only beside the entry beside which it was made. A later entry replaces it, whichever of the two starts is later. For a back end that isn't listed the statement counts as before.

Evidence: truncated_stream_test, "an engine that is listed with an earlier start than one that it had stated completes its streams".

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -139,15 +139,21 @@
        it != stated_incarnations_.end();)
     it = list_->entries().count(it->first) == 0 ? stated_incarnations_.erase(it)
                                                 : std::next(it);
-  stated_incarnations_[back_end] = incarnation;
+  const auto listed = list_->entries().find(back_end);
+  stated_incarnations_[back_end] = {
+      incarnation,
+      listed == list_->entries().end() ? 0 : listed->second.entry.incarnation};
 }
 
 int64_t BackEndSelector::LatestIncarnation(const BackEndId& back_end) const {
-  const auto listed = list_->entries().find(back_end);
-  const auto stated = stated_incarnations_.find(back_end);
-  return std::max(
-      listed == list_->entries().end() ? 0 : listed->second.entry.incarnation,
-      stated == stated_incarnations_.end() ? 0 : stated->second);
+  const auto entry = list_->entries().find(back_end);
+  const auto it = stated_incarnations_.find(back_end);
+  if (entry == list_->entries().end())
+    return it == stated_incarnations_.end() ? 0 : it->second.stated;
+  const int64_t listed = entry->second.entry.incarnation;
+  const bool lags_behind =
+      it != stated_incarnations_.end() && it->second.listed == listed;
+  return lags_behind ? it->second.stated : listed;
 }
 
 bool BackEndSelector::RecordLeaving(const BackEndEntry& back_end) {
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -216,7 +216,7 @@
   // A back end has stated its incarnation. Its entry may lag behind.
   void RecordIncarnation(const BackEndId& back_end, int64_t incarnation);
   // Returns the latest incarnation of the back end that is known, by its entry
-  // or by what it has stated; 0 if none is.
+  // or by what it has stated since; 0 if none is.
   int64_t LatestIncarnation(const BackEndId& back_end) const;
   // Returns whether the query matches a back end that is not in backoff.
   bool HasHealthyCandidate(const SelectionQuery& query, MonoTime now) const;
@@ -355,8 +355,14 @@
   std::map<BackEndId, IncarnationStates> states_;
   OpenWorkByBackEnd peer_load_;
   EngineSpeedView engine_speeds_;
-  // Later incarnations than those of the entries, as the back ends state them.
-  std::map<BackEndId, int64_t> stated_incarnations_;
+  struct StatedIncarnation {
+    int64_t stated = 0;  // Later than `listed`.
+    // That of its entry at the time. Once another one is listed, the statement
+    // is out of date, whichever is the later start: clocks may step back.
+    int64_t listed = 0;
+  };
+  // What back ends have stated whose entries lag behind.
+  std::map<BackEndId, StatedIncarnation> stated_incarnations_;
   // The incarnations that have said that they are about to terminate, also
   // after their entries are gone: an entry may come back after an outage.
   std::map<BackEndId, int64_t> leaving_;
--- a/tests/truncated_stream_test.cc
+++ b/tests/truncated_stream_test.cc
@@ -535,6 +535,23 @@
   CHECK(CallFrontend("/letter/1?2").ok);
 }
 
+// Incarnations are times of starts, and the clock of an engine may step back.
+TEST_CASE_METHOD(TruncationFixture,
+                 "an engine that is listed with an earlier start than one "
+                 "that it had stated completes its streams") {
+  stream = complete_stream;
+  sign = RawReport(3);  // Its entry is still that of incarnation 1.
+  CallFrontend("/letter/1?1");
+  CHECK(CallFrontend("/letter/1?2").ok);
+  AddBackEnd("e", "llm", EngineRole::kDecode, engine.port(), "v1", 3);
+  CHECK(CallFrontend("/letter/1?3").ok);
+  // It has restarted after its clock was set.
+  sign = RawReport(2);
+  AddBackEnd("e", "llm", EngineRole::kDecode, engine.port(), "v1", 2);
+  for (const char* target : {"/letter/1?4", "/letter/1?5"})
+    CHECK(CallFrontend(target).ok);
+}
+
 TEST_CASE_METHOD(TruncationFixture,
                  "a plain response of a full server is complete") {
   AddBackEnd("d", "desk", EngineRole::kNone, engine.port());
