Check an end against any other incarnation, not only a later one

What callers saw: half of a plain response was framed as complete, after its server had ended and come back under its id with an earlier start by its clock.

Cause: the server's health path states no incarnation, so the check of an end compares the listed one with that of the request. It asked whether the listed one is later.

Change: any other incarnation is another process.

Evidence: truncated_stream_test, "a server that is back under its id before it is asked hasn't completed the response", has a section for each direction of the clock. Before: the new section got "200 half of the" twice instead of 502. After: all 34 cases pass.

--- a/serving/response_end_checker.cc
+++ b/serving/response_end_checker.cc
@@ -128,7 +128,9 @@
 }
 
 bool ResponseEndChecker::IsRestarted() const {
-  return deps_.selector->LatestIncarnation(sender_.id) > sender_.incarnation;
+  // A restarted one may have the earlier start, by its clock.
+  const int64_t latest = deps_.selector->LatestIncarnation(sender_.id);
+  return latest != 0 && latest != sender_.incarnation;
 }
 
 void ResponseEndChecker::Finish(EndVerdict verdict) {
--- a/tests/truncated_stream_test.cc
+++ b/tests/truncated_stream_test.cc
@@ -471,18 +471,22 @@
 TEST_CASE_METHOD(TruncationFixture,
                  "a server that is back under its id before it is "
                  "asked hasn't completed the response") {
-  AddBackEnd("d", "desk", EngineRole::kNone, engine.port());
+  AddBackEnd("d", "desk", EngineRole::kNone, engine.port(), "v1", 10);
   fields = "Content-Type: text/plain\r\nConnection: close\r\n";
   stream = "half of the ";
   // What the health path states has no "born".
   sign = RawHealth("d");
   const auto serve = engine.script;
-  int64_t incarnation = 1;
+  int64_t incarnation = 10;
+  int64_t step = 0;
+  SECTION("its start is later") { step = 1; }
+  // Incarnations are times of starts, and its clock may step back.
+  SECTION("its start is earlier by its clock") { step = -1; }
   engine.script = [&](const std::string& request, RawPeer* peer) {
     // Its new entry has arrived: the daemon could know.
     if (request.find("GET ") != 0)
       AddBackEnd("d", "desk", EngineRole::kNone, engine.port(), "v1",
-                 ++incarnation);
+                 incarnation += step);
     serve(request, peer);
   };
   for (const char* target : {"/book/1", "/look/1"}) {
