Record a role controller's "leaving" for the incarnation that was asked

What callers saw: an engine that had restarted got no requests from one daemon until it restarted once more or the daemon did.

Cause: the controller recorded the statement "leaving" of a report or an order's response for the incarnation that was listed when the response was read. A daemon that was paused, or whose link was slow, may have read the new entry first.

Change: the statement counts for the entry with which the call was made, as in BackEndCall.

Evidence: role_controller_test, "an engine isn't taken to leave since its former incarnation did".

--- a/serving/role_controller.cc
+++ b/serving/role_controller.cc
@@ -304,22 +304,24 @@
   Order& order = it->second;
   if (!PrepareCall(order)) return;
   finished_calls_.push_back(std::move(order.call));
-  order.call = Fetch(
-      client_, CallOptionsFor(order.engine), format_->WriteReportRequest(id),
-      [this, id](const HttpResult& result) { OnReport(id, result); });
+  order.call = Fetch(client_, CallOptionsFor(order.engine),
+                     format_->WriteReportRequest(id),
+                     [this, engine = order.engine](const HttpResult& result) {
+                       OnReport(engine, result);
+                     });
 }
 
-void RoleController::RecordIfLeaving(const BackEndId& id,
+void RoleController::RecordIfLeaving(const BackEndEntry& engine,
                                      const HttpResult& result) {
-  const auto listed = back_ends_->entries().find(id);
-  if (!result.ok || listed == back_ends_->entries().end() ||
-      !format_->ReadResponseMarkers(result.response.headers).leaving)
-    return;
-  selector_->RecordLeaving(listed->second.entry);
+  if (result.ok &&
+      format_->ReadResponseMarkers(result.response.headers).leaving)
+    selector_->RecordLeaving(engine);
 }
 
-void RoleController::OnReport(const BackEndId& id, const HttpResult& result) {
-  RecordIfLeaving(id, result);
+void RoleController::OnReport(const BackEndEntry& engine,
+                              const HttpResult& result) {
+  RecordIfLeaving(engine, result);
+  const BackEndId& id = engine.id;
   const auto it = orders_.find(id);
   if (it == orders_.end()) return;
   const auto report = result.ok && result.response.status == kStatusOk
@@ -352,12 +354,15 @@
   order.call = Fetch(
       client_, CallOptionsFor(order.engine),
       format_->WriteOrder({id, order.role, holder_, fence_, orders_accepted}),
-      [this, id](const HttpResult& result) { OnOrderResponse(id, result); });
+      [this, engine = order.engine](const HttpResult& result) {
+        OnOrderResponse(engine, result);
+      });
 }
 
-void RoleController::OnOrderResponse(const BackEndId& id,
+void RoleController::OnOrderResponse(const BackEndEntry& engine,
                                      const HttpResult& result) {
-  RecordIfLeaving(id, result);
+  RecordIfLeaving(engine, result);
+  const BackEndId& id = engine.id;
   if (!result.ok) {
     RetryOrderLater(id);
     return;
--- a/serving/role_controller.h
+++ b/serving/role_controller.h
@@ -119,10 +119,10 @@
   void StartOrders();
   void RequestReport(const BackEndId& id);
   // Records an engine that says in the response that it is about to terminate.
-  void RecordIfLeaving(const BackEndId& id, const HttpResult& result);
-  void OnReport(const BackEndId& id, const HttpResult& result);
+  void RecordIfLeaving(const BackEndEntry& engine, const HttpResult& result);
+  void OnReport(const BackEndEntry& engine, const HttpResult& result);
   void SendOrder(const BackEndId& id, int64_t orders_accepted);
-  void OnOrderResponse(const BackEndId& id, const HttpResult& result);
+  void OnOrderResponse(const BackEndEntry& engine, const HttpResult& result);
   void RetryOrderLater(const BackEndId& id);
   void FinishOrder(const BackEndId& id, const char* outcome);
   // Returns what keeps a call for an order from its engine at this moment; the
--- a/tests/role_controller_test.cc
+++ b/tests/role_controller_test.cc
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -60,7 +61,8 @@
         *request.headers.Find("Mimosarouter-Expect-Instance"));
     if (request.method == "GET") {
       ++report_requests;
-      exchange->Respond({200, {}, report});
+      if (on_report) on_report(expected_instances.back());
+      exchange->Respond({200, report_headers, report});
       return;
     }
     orders.push_back(*ParseJson(request.body));
@@ -73,6 +75,9 @@
   uint16_t port() const { return server_->port(); }
 
   std::string report = R"({"stage":"prefill","busy":false,"sequence":3})";
+  HttpHeaders report_headers;
+  // Called with the id of the engine that is asked for its report.
+  std::function<void(const std::string& id)> on_report;
   int order_status = 202;
   int report_requests = 0;
   std::vector<Json::Value> orders;
@@ -452,6 +457,28 @@
   CHECK(engine.orders.empty());
 }
 
+TEST_CASE_METHOD(RoleControllerFixture,
+                 "an engine isn't taken to leave since its former incarnation "
+                 "did") {
+  bool restarts = false;
+  SECTION("it is listed as before when its report arrives") {}
+  SECTION("it has restarted when the report arrives") { restarts = true; }
+  engine.report_headers.Add("Server-Leaving", "1");
+  engine.on_report = [&](const std::string& id) {
+    if (restarts) ListEngine(id, EngineRole::kPrefill, 2);
+  };
+  controller.Start();
+  REQUIRE(AwaitWrite());
+  AcknowledgeWrite(41);
+  REQUIRE(RunUntil(loop.get(), [&] { return selector.leaving_count() > 0; }));
+  for (const std::string& id : engine.expected_instances) {
+    BackEndEntry entry = back_ends.entries().at(BackEndId(id)).entry;
+    CHECK(selector.IsLeaving(entry) != restarts);
+    entry.incarnation = 1;
+    CHECK(selector.IsLeaving(entry));
+  }
+}
+
 TEST_CASE_METHOD(RoleControllerFixture,
                  "an order waits for the end of a pause within its window") {
   controller.Start();
