A check of a response's end outlasts the requests of a daemon that ends

Cause: the verdict comes with the first report that is newer than the close. Reports were asked for every 250 ms, also right before a deadline or the end of the daemon, and relays dropped a check with the rest of their requests, though the process goes on for up to another 200 ms.

What counts as evidence of a check that is cut short was weighed. No sign that has brought no verdict can bring one by being the last. A report that lists the run shows the time before the close. At the end of a daemon, only runs that were sent in its last 1.2 s are so young, when it admits no streams any more, so it would hardly help either. So such a check stays truncated, which a caller can repair, and gets more time instead:

- ShutdownPolicy has a later time by which checks must be over, three quarters of the flush time after the requests end.
A relay whose response is being checked awaits the verdict until then and starts no other run meanwhile.
- The judge asks for newer reports after a quarter of the time that is left, at least 20 ms, so that the last report asked for is recent.
Deadlines gain by that, too.

What the callers may take isn't shortened beyond that: the flush ends when it did, so that it has at least 50 ms behind a check.

The new tests fail without the change of serving/ and of the judge's delay: 3 of truncated_stream_test, 1 of response_end_test. Without is_ending_ in MayResume() and OnRunFailed(), a stream goes on at another engine at the end.

--- a/decide/response_end.cc
+++ b/decide/response_end.cc
@@ -14,6 +14,9 @@
 // The values of a report are at most this old.
 constexpr Duration kMaxReportAge = std::chrono::milliseconds(1200);
 constexpr Duration kReportInterval = std::chrono::milliseconds(250);
+// Part of the time until a verdict is needed after which a newer report is
+// asked for at the latest.
+constexpr int kDeadlineParts = 4;
 
 }  // namespace
 
@@ -72,7 +75,8 @@
   if (unanswered > 0) {
     delay = kFirstDelay * (1 << std::min(unanswered - 1, kMaxDoublings));
   } else if (awaits_newer_statement_) {
-    delay = kReportInterval;
+    delay = std::min(kReportInterval,
+                     std::max(kFirstDelay, (deadline_ - now) / kDeadlineParts));
   }
   const Duration max_wait =
       awaits_newer_statement_ ? kMaxReportAge + kMaxWait : kMaxWait;
@@ -81,4 +85,8 @@
   return now + delay;
 }
 
+void ResponseEndJudge::DecideBy(MonoTime deadline) {
+  deadline_ = std::min(deadline_, deadline);
+}
+
 }  // namespace mimosa
--- a/decide/response_end.h
+++ b/decide/response_end.h
@@ -19,6 +19,10 @@
 //   no sign: lost, or the engine is overloaded   asked again for a while, then
 //                                                truncated
 //
+// A check that a deadline or a shutdown cuts short has no other evidence: a
+// report that may be older than the end looks the same whether the run has
+// ended or goes on. So it is truncated, but asks more and more often before.
+//
 // This end of the connection stays open until the verdict: an engine whose
 // response something else has ended then works on, and its report shows that,
 // some hundred milliseconds later.
@@ -94,6 +98,8 @@
   // Returns the time at which to ask next, once `asked` requests have brought
   // no verdict; nullopt if the response counts as truncated.
   std::optional<MonoTime> NextRequestAt(int asked, MonoTime now) const;
+  // A verdict is needed by `deadline`, if that is earlier than before.
+  void DecideBy(MonoTime deadline);
   // Whether the last statement listed the run.
   bool is_run_listed() const { return is_run_listed_; }
 
@@ -104,7 +110,7 @@
   const int64_t events_;
   const MonoTime sent_at_;
   const MonoTime closed_at_;
-  const MonoTime deadline_;
+  MonoTime deadline_;
   // The last statement was too old to say that the run has ended.
   bool awaits_newer_statement_ = false;
   bool is_run_listed_ = false;  // In the last one.
--- a/decide/response_end_test.cc
+++ b/decide/response_end_test.cc
@@ -222,5 +222,30 @@
   CHECK_FALSE(late.NextRequestAt(0, kClosedAt));
 }
 
+TEST_CASE("a newer report is asked for more often towards a deadline") {
+  ResponseEndJudge judge = MakeJudge();
+  LifeSign listed = MakeSign(LifeSign::Kind::kStatement);
+  listed.incarnation = kIncarnation;
+  listed.lists_runs = true;
+  listed.events_generated = kEvents;
+  const MonoTime deadline = kClosedAt + milliseconds(400);
+  judge.DecideBy(deadline);
+  judge.DecideBy(kNever);  // Later: ignored.
+  MonoTime now = kClosedAt;
+  Duration earlier = milliseconds(250);
+  int asked = 1;
+  CHECK(judge.Judge(listed, asked, now) == EndVerdict::kUndecided);
+  while (const auto next = judge.NextRequestAt(asked, now)) {
+    CHECK(*next - now <= earlier);
+    earlier = *next - now;
+    now = *next;
+    // However often it is listed, it isn't known to have ended.
+    CHECK(judge.Judge(listed, ++asked, now) == EndVerdict::kUndecided);
+    REQUIRE(asked < 20);
+  }
+  CHECK(now < deadline);
+  CHECK(deadline - now <= milliseconds(20));
+}
+
 }  // namespace
 }  // namespace mimosa
--- a/decide/shutdown_policy.cc
+++ b/decide/shutdown_policy.cc
@@ -5,9 +5,11 @@
 
 namespace mimosa {
 
-void ShutdownPolicy::Begin(MonoTime stream_cutoff, MonoTime ends_at) {
+void ShutdownPolicy::Begin(MonoTime stream_cutoff, MonoTime ends_at,
+                           Duration check_time) {
   stream_cutoff_ = std::min(stream_cutoff, ends_at);
   ends_at_ = ends_at;
+  check_time_ = check_time;
 }
 
 void ShutdownPolicy::EndBy(MonoTime ends_at) {
--- a/decide/shutdown_policy.h
+++ b/decide/shutdown_policy.h
@@ -21,14 +21,21 @@
 class ShutdownPolicy {
  public:
   // The daemon admits no stream after `stream_cutoff` and ends its remaining
-  // requests at `ends_at`.
-  void Begin(MonoTime stream_cutoff, MonoTime ends_at);
+  // requests at `ends_at`. Responses that have ended by then may be checked for
+  // another `check_time`.
+  void Begin(MonoTime stream_cutoff, MonoTime ends_at,
+             Duration check_time = Duration::zero());
   // Ends the requests earlier. A later time than the current one is ignored.
   void EndBy(MonoTime ends_at);
 
   bool has_begun() const { return ends_at_ != kNever; }
   // When the daemon ends its remaining requests; kNever before the shutdown.
   MonoTime ends_at() const { return ends_at_; }
+  // When the check of a response that has ended must be over; kNever before the
+  // shutdown.
+  MonoTime checks_end_at() const {
+    return has_begun() ? ends_at_ + check_time_ : kNever;
+  }
 
   // `expected_duration`: that most streams like this one stay below; absent if
   // unknown.
@@ -38,6 +45,7 @@
  private:
   MonoTime stream_cutoff_ = kNever;
   MonoTime ends_at_ = kNever;
+  Duration check_time_{};
 };
 
 }  // namespace mimosa
--- a/decide/shutdown_policy_test.cc
+++ b/decide/shutdown_policy_test.cc
@@ -51,6 +51,7 @@
 
 TEST_CASE("a shorter grace time counts during a shutdown, a longer one not") {
   ShutdownPolicy policy = MakePolicy();
+  CHECK(policy.checks_end_at() == policy.ends_at());
   policy.EndBy(At(seconds(20)));
   CHECK(policy.ends_at() == At(milliseconds(7600)));
   policy.EndBy(At(seconds(4)));
@@ -105,5 +106,14 @@
   CHECK(longer < kStreams / 20);
 }
 
+TEST_CASE("ends are checked for a while after the requests have ended") {
+  ShutdownPolicy policy;
+  CHECK(policy.checks_end_at() == kNever);
+  policy.Begin(At(seconds(2)), At(seconds(4)), milliseconds(150));
+  CHECK(policy.checks_end_at() == At(milliseconds(4150)));
+  policy.EndBy(At(seconds(3)));
+  CHECK(policy.checks_end_at() == At(milliseconds(3150)));
+}
+
 }  // namespace
 }  // namespace mimosa
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -56,6 +56,8 @@
 constexpr Duration kAbortMargin = std::chrono::milliseconds(400);
 // Then the callers have this long to take what has been written for them.
 constexpr Duration kFlushTime = kAbortMargin / 2;
+// In its first part, responses that have ended by then are still checked.
+constexpr Duration kCheckTime = kFlushTime * 3 / 4;
 // After it stops accepting, the server keeps idle connections for another
 // second, for requests in flight; this covers it.
 constexpr Duration kIdleConnectionGrace = std::chrono::milliseconds(1100);
@@ -639,7 +641,7 @@
     const MonoTime now = loop_->Now();
     leaving_since_ = now;
     abort_at_ = AbortTime();
-    shutdown_.Begin(now + kStreamAdmissionTime, abort_at_);
+    shutdown_.Begin(now + kStreamAdmissionTime, abort_at_, kCheckTime);
     caller_server_->DisableKeepAlive();
     forward_server_->DisableKeepAlive();
     helpers_.BeginLeaving();
@@ -680,10 +682,21 @@
 
   // Ends what is left when the grace time is nearly over, and then the loop.
   void EndRemainingRequests() {
+    flush_until_ = loop_->Now() + kFlushTime;
+    frontend_.EndRunningRequests();
+    AwaitChecks();
+  }
+
+  void AwaitChecks() {
+    const bool has_checks = frontend_.running_requests() > 0;
+    if (has_checks && loop_->Now() < shutdown_.checks_end_at()) {
+      shutdown_timer_ =
+          loop_->After(kFlushPollInterval, [this] { AwaitChecks(); });
+      return;
+    }
     frontend_.EndRunningRequests();
     caller_server_->EndExchanges();
     forward_server_->EndExchanges();
-    flush_until_ = loop_->Now() + kFlushTime;
     AwaitFlush();
   }
 
--- a/serving/entry_frontend.h
+++ b/serving/entry_frontend.h
@@ -70,7 +70,8 @@
 
   // Ends all running requests, at the end of a shutdown: those that no back end
   // has got are refused, those that may have run fail, and responses that have
-  // started are aborted.
+  // started are aborted. Those whose ends are being checked go on until the
+  // shutdown's checks_end_at().
   void EndRunningRequests();
 
   size_t running_requests() const { return running_requests_.size(); }
--- a/serving/plain_relay.cc
+++ b/serving/plain_relay.cc
@@ -68,9 +68,12 @@
   }
 
   void OnShutdown() override {
-    result_.truncated_by_shutdown = streaming_ != nullptr;
-    result_.unsent_bytes = exchange_->UnsentBytes();
-    EndUnfinished(kStatusBadGateway, kShutdownReason);
+    is_ending_ = deps_.loop->Now() < deps_.shutdown->checks_end_at() &&
+                 std::any_of(attempts_.begin(), attempts_.end(),
+                             [](const auto& attempt) {
+                               return attempt->call->is_checking_end();
+                             });
+    if (!is_ending_) EndForShutdown();
   }
 
   RelayRequest TakeRequest() override { return std::move(request_); }
@@ -140,6 +143,10 @@
                                      request_.crash_suspects, call->back_end());
     Retire(call);
     if (was_streaming) {
+      if (is_ending_) {
+        EndForShutdown();
+        return;
+      }
       exchange_->Abort();
       Finish(0, "answer_cut");
       return;
@@ -151,6 +158,10 @@
       tried_back_ends_.erase(call->back_end().id);
     }
     if (!attempts_.empty()) return;
+    if (is_ending_) {
+      EndForShutdown();
+      return;
+    }
     if (MayRetry() && (StartNextAttempt() || AwaitPermit())) return;
     FinishUnanswered();
   }
@@ -180,7 +191,7 @@
 
   // Whether the request may be sent to another server now.
   bool MayRetry() const {
-    if (rejections_ >= kMaxRejections) return false;
+    if (is_ending_ || rejections_ >= kMaxRejections) return false;
     // One crash may have any cause.
     const bool may_crash_another =
         is_trial_ ||
@@ -286,6 +297,12 @@
     if (!call->response_started()) call->ReportSilence();
   }
 
+  void EndForShutdown() {
+    result_.truncated_by_shutdown = streaming_ != nullptr;
+    result_.unsent_bytes = exchange_->UnsentBytes();
+    EndUnfinished(kStatusBadGateway, kShutdownReason);
+  }
+
   void OnDeadline() { EndUnfinished(kStatusGatewayTimeout, "timeout"); }
 
   // Ends a request that may still be running. `status` says that nothing is
@@ -433,7 +450,8 @@
   std::unique_ptr<HttpResponse> error_response_;
   int rejections_ = 0;
   bool budget_exhausted_ = false;
-  bool is_trial_ = false;  // Runs although it is in quarantine.
+  bool is_ending_ = false;  // The daemon ends; only a verdict is awaited.
+  bool is_trial_ = false;   // Runs although it is in quarantine.
   std::unique_ptr<CrashTrialClaim> trial_claim_;  // Pending, or finished.
   TimerHandle deadline_timer_;
   TimerHandle silence_timer_;
--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -106,8 +106,8 @@
   int status = 0;           // 0: the connection was closed without a response.
   const char* reason = "";  // Why the request ended like this.
   BackEndId back_end;       // The one that responded or was called last.
-  // The software version and the incarnation, as listed, of the last engine that
-  // sent events of the stream.
+  // The software version and the incarnation, as listed, of the last engine
+  // that sent events of the stream.
   SoftwareVersion software_version;
   int64_t incarnation = 0;
   int calls = 0;       // Calls to back ends, including prefills.
@@ -142,7 +142,9 @@
   // The caller has closed its connection.
   virtual void OnCallerDisconnected() = 0;
   // The daemon ends now. Sends the response that is true at this moment, or
-  // aborts the response if it has started.
+  // aborts the response if it has started. A relay whose back end's response
+  // has ended and is being checked may await the verdict until the shutdown's
+  // checks_end_at().
   virtual void OnShutdown() = 0;
   // Returns the request of a relay that has ended as unreachable.
   virtual RelayRequest TakeRequest() = 0;
--- a/serving/response_end_checker.cc
+++ b/serving/response_end_checker.cc
@@ -48,6 +48,7 @@
 
 void ResponseEndChecker::ScheduleRequest() {
   const MonoTime now = deps_.loop->Now();
+  judge_.DecideBy(deps_.shutdown->checks_end_at());
   const auto at = judge_.NextRequestAt(asked_, now);
   timer_ = deps_.loop->After(at ? *at - now : Duration::zero(), [this, at] {
     if (at) {
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -99,9 +99,11 @@
   }
 
   void OnShutdown() override {
-    result_.truncated_by_shutdown = exchange_->response_started();
-    result_.unsent_bytes = exchange_->UnsentBytes();
-    EndUnfinished(kStatusBadGateway, kShutdownReason);
+    if (silent_run_ != nullptr && silent_run_->is_checking_end())
+      RestoreSilentRun();
+    is_ending_ = call_ != nullptr && call_->is_checking_end() &&
+                 deps_.loop->Now() < deps_.shutdown->checks_end_at();
+    if (!is_ending_) EndForShutdown();
   }
 
   RelayRequest TakeRequest() override { return std::move(request_); }
@@ -973,7 +975,9 @@
   void OnRunFailed() {
     RecordFailedRun();
     kv_handle_.reset();
-    if (MayResume()) {
+    if (is_ending_) {
+      EndForShutdown();
+    } else if (MayResume()) {
       Resume();
     } else {
       FinishUnanswered();
@@ -982,7 +986,7 @@
 
   // Whether an engine may get the request after a run has failed.
   bool MayResume() const {
-    return !is_trial_ && MayRetryAfterCrash() &&
+    return !is_ending_ && !is_trial_ && MayRetryAfterCrash() &&
            request_.route.retry_policy == RetryPolicy::kResumableStream &&
            (request_.runs->MayRunElsewhere() || !EnginesToReturnTo().empty()) &&
            CanContinueResponse();
@@ -1134,6 +1138,12 @@
     });
   }
 
+  void EndForShutdown() {
+    result_.truncated_by_shutdown = exchange_->response_started();
+    result_.unsent_bytes = exchange_->UnsentBytes();
+    EndUnfinished(kStatusBadGateway, kShutdownReason);
+  }
+
   void OnDeadline() { EndUnfinished(kStatusGatewayTimeout, "timeout"); }
 
   // Ends a request that may still be running. `status` says that nothing is
@@ -1342,6 +1352,7 @@
   // A run with kv_handle_ was rejected, and not because that was lost.
   bool kept_handle_ = false;
   bool budget_exhausted_ = false;
+  bool is_ending_ = false;  // The daemon ends; only a verdict is awaited.
   bool is_trial_ = false;   // Runs although a part of its prompt is suspect.
   bool generated_ = false;  // A run got beyond its first event.
   std::unique_ptr<CrashTrialClaim> trial_claim_;  // Pending, or finished.
--- a/tests/truncated_stream_test.cc
+++ b/tests/truncated_stream_test.cc
@@ -742,23 +742,39 @@
   // Calls the frontend, and has the engine report so many events of the run,
   // one report after the other. The last one repeats.
   CallerResponse CallWithReports(const std::vector<int>& events) {
+    return CallWithReports("/letter/1", [&] {
+      return events[std::min(static_cast<size_t>(signs_asked_for),
+                             events.size() - 1)];
+    });
+  }
+
+  // The same with the events that a report states when it is made.
+  CallerResponse CallWithReports(const char* target,
+                                 const std::function<int()>& report) {
     stream = MakeEvent(1) + MakeEvent(2);
     std::string id;
     const auto serve = engine.script;
     engine.script = [&](const std::string& request, RawPeer* peer) {
       if (request.find("GET ") == 0) {
-        const size_t last = events.size() - 1;
-        sign = RawReportOfRun(
-            id, events[std::min(static_cast<size_t>(signs_asked_for), last)]);
+        sign = RawReportOfRun(id, report());
       } else if (request.find("/hold-") == std::string::npos) {
         id = RawField(request, "Mimosarouter-Request-Id");
       }
       serve(request, peer);
     };
-    HttpRequest request = MakeRequest("/letter/1");
-    request.headers.Set("Mimosarouter-Deadline-Ms", "5000");
+    HttpRequest request = MakeRequest(target);
+    request.headers.Set("Mimosarouter-Deadline-Ms", deadline_ms);
     return CallFrontend(std::move(request));
   }
+  // The engine reports two events of the run, and after `delay` that it doesn't
+  // run it.
+  CallerResponse CallWithListingFor(Duration delay) {
+    const MonoTime until = loop->Now() + delay;
+    return CallWithReports("/letter/1",
+                           [&] { return loop->Now() < until ? 2 : -1; });
+  }
+
+  const char* deadline_ms = "5000";
 };
 
 TEST_CASE(
@@ -791,5 +807,75 @@
   CHECK(CallWithReports({-1}).ok);
 }
 
+TEST_CASE_METHOD(ListedRunFixture,
+                 "a report that is new enough shortly before the deadline "
+                 "completes a stream") {
+  deadline_ms = "500";
+  CHECK(CallWithListingFor(milliseconds(400)).ok);
+}
+
+// A daemon that ends its requests 100 ms from now, and checks for 150 ms more.
+struct EndingDaemonFixture : ListedRunFixture {
+  EndingDaemonFixture() {
+    shutdown.Begin(ends_at, ends_at, milliseconds(150));
+    timer = loop->After(ends_at - loop->Now(),
+                        [this] { frontend->EndRunningRequests(); });
+  }
+  const MonoTime ends_at = loop->Now() + milliseconds(100);
+  TimerHandle timer;
+};
+
+TEST_CASE_METHOD(EndingDaemonFixture,
+                 "a shutdown doesn't truncate a stream whose end is being "
+                 "checked") {
+  CHECK(CallWithListingFor(milliseconds(160)).ok);
+}
+
+TEST_CASE_METHOD(EndingDaemonFixture,
+                 "a stream isn't complete at the end of a daemon while its "
+                 "engine lists the run") {
+  CHECK_FALSE(CallWithListingFor(std::chrono::seconds(5)).ok);
+  CHECK(loop->Now() < ends_at + milliseconds(400));
+}
+
+// Its report may be older than the run.
+TEST_CASE_METHOD(EndingDaemonFixture,
+                 "a stream isn't complete at the end of a daemon while its "
+                 "engine may not list the run yet") {
+  CHECK_FALSE(CallWithReports({-1}).ok);
+}
+
+TEST_CASE_METHOD(EndingDaemonFixture,
+                 "a stream doesn't go on elsewhere at the end of a daemon") {
+  FakeEngine other(loop.get());
+  AddBackEnd("f", "llm", EngineRole::kDecode, other.back_end.port());
+  other.has_capacity = false;
+  const CallerResponse response = CallWithReports("/note/1", [&] {
+    other.has_capacity = true;
+    return loop->Now() < ends_at + milliseconds(20) ? 2 : 3;
+  });
+  CHECK_FALSE(response.ok);
+  CHECK(other.runs == 0);
+}
+
+TEST_CASE_METHOD(EndingDaemonFixture,
+                 "a plain response whose end is being checked outlasts the "
+                 "end of a daemon") {
+  // Its second sign counts, since it states no incarnation.
+  AddBackEnd("d", "desk", EngineRole::kNone, engine.port(), "v1",
+             /*incarnation=*/0);
+  fields = "Content-Type: text/plain\r\nConnection: close\r\n";
+  stream = "whole";
+  const auto serve = engine.script;
+  engine.script = [&](const std::string& request, RawPeer* peer) {
+    sign = loop->Now() < ends_at + milliseconds(20)
+               ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+               : RawHealth("d");
+    serve(request, peer);
+  };
+  const char* const target = GENERATE("/book/1", "/look/1");
+  CHECK(CallFrontend(target).body == "whole");
+}
+
 }  // namespace
 }  // namespace mimosa::testing
