--- a/serving/relay_deps.h
+++ b/serving/relay_deps.h
@@ -147,7 +147,9 @@
   // The caller has closed its connection.
   virtual void OnCallerDisconnected() = 0;
   // The daemon ends now. Sends the response that is true at this moment, or
-  // aborts the response if it has started.
+  // aborts the response if it has started. A relay whose back end's response
+  // has ended and is being checked may await the verdict until the shutdown's
+  // checks_end_at().
   virtual void OnShutdown() = 0;
   // Returns the request of a relay that has ended as unreachable.
   virtual RelayRequest TakeRequest() = 0;
