Tests: connections of callers aren't inherited by processes

Cause: the harness starts daemons and engines while callers have connections open, and their sockets were inherited. A caller that closed its connection then left it open in the other process, so that the daemon went on with the stream.

Change: sockets of callers are opened with SOCK_CLOEXEC.

All tests use the connections; of them, only the fault soak was run for this commit.

--- a/tests/client.cc
+++ b/tests/client.cc
@@ -2,6 +2,9 @@
 // time out.
 #include "tests/client.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <iterator>
@@ -87,8 +90,13 @@
 
 Connection::Connection(uint16_t port, const std::string& ip)
     : impl_(std::make_unique<Impl>()) {
+  const Tcp::endpoint endpoint = MakeEndpoint(port, ip);
+  // A process that is started meanwhile must not keep the connection open.
+  impl_->stream.socket().assign(
+      endpoint.protocol(), ::socket(endpoint.protocol().family(),
+                                    SOCK_STREAM | SOCK_CLOEXEC, IPPROTO_TCP));
   impl_->Await(kDefaultTimeout, [&](auto handler) {
-    impl_->stream.async_connect(MakeEndpoint(port, ip), handler);
+    impl_->stream.async_connect(endpoint, handler);
   });
 }
 
