Soak: engines come back at another software version

An engine in the soak kept its version for life, so no seed met an engine that is back under its id at another version while the store lists the earlier process.

Change: in two of three seeds without maintenance only, decode and prefill engines are killed, up to four times in a row, and are back after 20 to 200 ms (one in eight later) at the other of two versions. They register at once, up to 0.4 s or up to 3 s late. Half of the series begin as the store goes away, if the plan has that. In half of these seeds engines also lose or reject requests for reports and health checks. Callers break three in ten resumable streams of these seeds off and take them up at any daemon.

The check of versions has compared each event of all attempts already. It took a response with only a part of its first event for one of v1; now such a part may be of either version. At the end of the faults, servers are waited for, since one that had just started would miss what ends its faults.

--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -5,8 +5,8 @@
 //   - each response belongs to its request, and a response that ends normally
 //     is complete;
 //   - all events of a stream, also of one that its caller takes up again, are
-//   of
-//     one software version (every third seed has engines of two);
+//     of one software version (every third seed has engines of two, and in
+//     many seeds engines come back under their ids at another one);
 //   - a request that must not be retried runs at most once;
 //   - a request that was refused as not executed has not run;
 //   - no engine that the daemons reach is at work on a stream for over 400 ms
@@ -27,8 +27,9 @@
 //     daemon had time to read.
 //
 // Among the faults are late copies of servers' responses, a store that comes
-// back from an older copy, engines that fall silent or lose responses, and
-// servers that are killed while they send without framing.
+// back from an older copy, engines that fall silent or lose responses, servers
+// that are killed while they send without framing, and engines that come back
+// at another software version before the store lists them so.
 //
 //   MIMOSA_SEED            first seed (printed)
 //   MIMOSA_SOAK_SEEDS      number of seeds, run one after the other
@@ -38,6 +39,7 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <fstream>
@@ -78,6 +80,8 @@
 // Seeds the generator of servers that are killed in the middle of responses
 // without framing.
 constexpr uint64_t kKillsSeedOffset = 1U << 26;
+// Seeds the generator of engines that restart at another software version.
+constexpr uint64_t kRestartsSeedOffset = uint64_t{1} << 40U;
 // Ends the ids of requests that take a stream up.
 constexpr char kTakeUpMark[] = "-again";
 // Of the daemons' settings, which are the defaults.
@@ -123,6 +127,7 @@
     DrawCopies(seed + kCopiesSeedOffset);
     DrawSilence(seed + kSilenceSeedOffset);
     DrawKills(seed + kKillsSeedOffset);
+    DrawRestarts(seed + kRestartsSeedOffset);
     std::stable_sort(
         steps_.begin(), steps_.end(),
         [](const Step& a, const Step& b) { return a.at_ms < b.at_ms; });
@@ -131,6 +136,8 @@
   bool maintenance_only() const { return maintenance_only_; }
   // Whether the daemons should be able to retry before Execute().
   bool needs_retries() const { return needs_retries_; }
+  // Whether engines restart at another software version.
+  bool changes_versions() const { return changes_versions_; }
 
   // Whether the server was paused or had a faulty link between these times, by
   // the clock of NowMs().
@@ -566,6 +573,63 @@
     }
   }
 
+  // Engines that are killed and come back under their ids at the other software
+  // version, several times in a row, some as the store goes away. The store
+  // lists the earlier processes for a while, and engines may withhold reports.
+  // Drawn by a generator of its own, too.
+  void DrawRestarts(uint64_t seed) {
+    constexpr std::array<int, 3> kMaxDelaysMs = {0, 400, 3000};
+    SeededRandom random(seed);
+    changes_versions_ = !maintenance_only_ && random.UniformInt(3) != 0;
+    if (!changes_versions_) return;
+    const auto draw = [&random](uint64_t below) {
+      return static_cast<int>(random.UniformInt(below));
+    };
+    std::vector<Server*> engines;
+    for (const auto& server : fleet_->servers())
+      if (server->is_engine()) engines.push_back(server.get());
+    std::vector<int> outages;
+    for (const Step& step : steps_)
+      if (step.description == "store down" || step.description == "store away")
+        outages.push_back(step.at_ms);
+    const int engines_of_scale_1 = 5;
+    const int series =
+        (2 + draw(3)) * static_cast<int>(engines.size()) / engines_of_scale_1;
+    for (int i = 0; i < series; ++i) {
+      Server* const engine = engines[draw(engines.size())];
+      const int max_delay = kMaxDelaysMs[draw(kMaxDelaysMs.size())];
+      int at = draw(length_ms_);
+      if (!outages.empty() && draw(2) == 0) at = outages[draw(outages.size())];
+      for (int j = 1 + draw(4); j > 0; --j) {
+        const milliseconds delay(draw(max_delay + 1));
+        AddStep(at, engine->id() + " killed before it changes its version",
+                [engine] { engine->Kill(); });
+        at += draw(8) == 0 ? 200 + draw(1500) : 20 + draw(180);
+        AddStep(at,
+                engine->id() + " back at the other version, listed after " +
+                    std::to_string(delay.count()) + " ms",
+                [this, engine, delay] {
+                  engine->StartAtOtherVersion(delay, withheld_reports_);
+                });
+        at += 200 + draw(1200);
+      }
+    }
+    if (draw(2) == 0) return;
+    const char* const how =
+        draw(2) == 0 ? "lose_reports_percent" : "reject_reports_percent";
+    const int percent = 20 + draw(81);
+    const int at = draw(length_ms_);
+    const auto withhold = [this, engines, how](int share) {
+      withheld_reports_[how] = share;
+      for (Server* const engine : engines) engine->SetBehavior(how, share);
+    };
+    AddStep(at,
+            std::string("engines have ") + how + " " + std::to_string(percent),
+            [withhold, percent] { withhold(percent); });
+    AddStep(at + 1000 + draw(4000), std::string("engines have no ") + how,
+            [withhold] { withhold(0); });
+  }
+
   static void SetStoreOutage(Fleet* fleet, bool outage) {
     Json::Value members;
     members["outage"] = outage;
@@ -637,6 +701,9 @@
   bool maintenance_only_ = false;
   bool takes_store_away_ = false;
   bool needs_retries_ = false;
+  bool changes_versions_ = false;
+  // What restarted engines behave like.
+  Json::Value withheld_reports_{Json::objectValue};
   // Begins and ends of the times in which daemons may not reach a server.
   std::map<std::string, std::vector<std::pair<int64_t, int64_t>>>
       faults_of_servers_;
@@ -808,7 +875,7 @@
   std::vector<uint16_t> ports;
   for (const auto& entry : fleet.entry_processes())
     ports.push_back(entry->port());
-  Callers callers(ports, seed, 16 * scale);
+  Callers callers(ports, seed, 16 * scale, plan.changes_versions());
   plan.Execute();
   for (const auto& entry : fleet.entry_processes()) {
     // A killed daemon is restarted by a step of the plan or by the recovery
@@ -821,6 +888,8 @@
   fleet.ClearFaults();
   CHECK(testing::Eventually([&] { return fleet.ServesAllKinds(); }));
   callers.Stop();
+  std::cout << "  " << callers.taken_up() << " streams taken up, "
+            << callers.went_on() << " of them went on" << std::endl;
   for (const auto& entry : fleet.entry_processes()) {
     for (const std::string& failure : entry->failed_stops()) {
       INFO("a stopped daemon " << failure);
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -27,6 +27,8 @@
 
 // Seeds the generator of what callers do with their connections.
 constexpr uint64_t kHabitsSeedOffset = 1U << 21;
+// Seeds the generator of streams that callers break off.
+constexpr uint64_t kBreakOffsSeedOffset = 1U << 22;
 
 bool IsStream(const std::string& kind) {
   return kind == "letter" || kind == "note";
@@ -41,6 +43,14 @@
                                                                    : "v2";
 }
 
+int CountEvents(const std::string& body) {
+  int count = 0;
+  for (size_t at = 0; (at = body.find("\n\n", at)) != std::string::npos;
+       at += 2)
+    ++count;
+  return count;
+}
+
 // Returns why the stream violates the protocol, or an empty string if it
 // doesn't.
 std::string FindStreamViolation(const testing::Reply& reply, int first_event,
@@ -48,7 +58,13 @@
   std::string actual_version = VersionOf(reply.body);
   if (!version.empty() && !actual_version.empty() && actual_version != version)
     return "a stream taken up at another software version:\n" + reply.body;
-  if (actual_version.empty()) actual_version = version.empty() ? "v1" : version;
+  if (actual_version.empty()) actual_version = version;
+  if (actual_version.empty()) {
+    // At most a part of the first event, which may be of either version.
+    const std::string first =
+        testing::StreamEvents(first_event, first_event, "v2");
+    actual_version = StartsWith(first, reply.body) ? "v2" : "v1";
+  }
   const std::string expected =
       testing::StreamEvents(first_event, last_event, actual_version);
   if (reply.complete)
@@ -104,8 +120,9 @@
 
 }  // namespace
 
-Callers::Callers(std::vector<uint16_t> ports, uint64_t seed, int count)
-    : ports_(std::move(ports)) {
+Callers::Callers(std::vector<uint16_t> ports, uint64_t seed, int count,
+                 bool breaks_off)
+    : ports_(std::move(ports)), breaks_off_(breaks_off) {
   for (int i = 0; i < count; ++i)
     threads_.emplace_back([this, seed, i] { RunCaller(seed, i); });
 }
@@ -138,11 +155,9 @@
   return sent;
 }
 
-testing::Reply Callers::AwaitResponse(Sent* sent,
-                                      testing::Connection* connection,
-                                      milliseconds reading_pause,
-                                      int first_event,
-                                      const std::string& version) {
+testing::Reply Callers::AwaitResponse(
+    Sent* sent, testing::Connection* connection, milliseconds reading_pause,
+    int first_event, const std::string& version, int max_events) {
   testing::Reply reply;
   size_t received = 0;
   for (;;) {
@@ -151,6 +166,7 @@
     received = reply.body.size();
     sent->outcome.last_data = Clock::now();
     if (reply.complete) break;
+    if (max_events > 0 && CountEvents(reply.body) >= max_events) break;
     std::this_thread::sleep_for(reading_pause);
   }
   sent->outcome.end = Clock::now();
@@ -163,6 +179,8 @@
   // One of so many requests is followed by the one that may crash plain
   // servers.
   constexpr uint64_t kCrashingShare = 20;
+  // Of so many streams that go on elsewhere, three are broken off.
+  constexpr uint64_t kBreakOffs = 10;
   const bool ends_connections = number % 4 == 0;
   const bool pipelines = number % 4 == 1;
   const bool reads_slowly = number % 4 == 2;
@@ -172,6 +190,8 @@
   SeededRandom random(seed * 1000 + static_cast<uint64_t>(number));
   SeededRandom habits((seed + kHabitsSeedOffset) * 1000 +
                       static_cast<uint64_t>(number));
+  SeededRandom break_offs((seed + kBreakOffsSeedOffset) * 1000 +
+                          static_cast<uint64_t>(number));
   std::unique_ptr<testing::Connection> connection;
   uint16_t port = 0;
   int requests_left = 0;  // requests that this connection may still send
@@ -210,9 +230,19 @@
         RecordOutcome(sent.outcome, {}, sent.body, 1, "");
         continue;
       }
+      // A caller that reads slowly may break off behind a paused daemon, which
+      // ends no run.
+      const bool breaks_off =
+          breaks_off_ && !reads_slowly && requests.size() == 1 &&
+          sent.outcome.kind == "note" && break_offs.UniformInt(kBreakOffs) < 3;
+      const int max_events =
+          breaks_off
+              ? 1 + static_cast<int>(break_offs.UniformInt(sent.outcome.events))
+              : 0;
       const testing::Reply reply =
           AwaitResponse(&sent, connection.get(), reading_pause,
-                        /*first_event=*/1, /*version=*/"");
+                        /*first_event=*/1, /*version=*/"", max_events);
+      if (breaks_off && !reply.complete) connection.reset();
       if (!reply.complete || reply.Header("Connection") == "close")
         behind_end = true;
       if (!reply.complete ||
@@ -247,6 +277,8 @@
   constexpr milliseconds kRetryInterval{200};
   const std::string version = VersionOf(reply.body);
   if (version.empty()) return;
+  ++taken_up_;
+  bool went_on = false;
   std::string received = reply.body;
   std::string attempts;
   Clock::time_point give_up = Clock::now() + kPatience;
@@ -270,6 +302,10 @@
       outcome.sent = Clock::now();
       const testing::Reply rest = AwaitResponse(
           &sent, &connection, milliseconds(0), events + 1, version);
+      if (rest.status == 200 && !went_on && CountEvents(rest.body) > 0) {
+        went_on = true;
+        ++went_on_;
+      }
       if (rest.status == 200 && rest.complete) return;
       attempts += " " + std::to_string(rest.status);
       if (rest.status == 200 && !rest.body.empty()) {
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -1,8 +1,9 @@
 // Callers of the fault soak test: threads that send requests over kept-alive
 // connections and check each response by itself. Some let streams last longer
 // than the grace time of the daemons, send a second request before the first
-// response ends, read slowly, or use a connection until it is closed. Checks
-// that need the servers' journals run at the end on the recorded outcomes.
+// response ends, read slowly, break streams off and take them up again, or use
+// a connection until it is closed. Checks that need the servers' journals run
+// at the end on the recorded outcomes.
 #ifndef SOAK_SOAK_CALLERS_H_
 #define SOAK_SOAK_CALLERS_H_
 
@@ -38,10 +39,11 @@
 };
 
 // `count` threads that send random requests to random daemons on `ports`, drawn
-// from `seed`, until Stop().
+// from `seed`, until Stop(). With `breaks_off`, many break streams off.
 class Callers {
  public:
-  Callers(std::vector<uint16_t> ports, uint64_t seed, int count);
+  Callers(std::vector<uint16_t> ports, uint64_t seed, int count,
+          bool breaks_off);
   ~Callers() { Stop(); }
 
   void Stop();
@@ -53,6 +55,9 @@
   }
   // Truncated streams that could not be taken up. Valid after Stop().
   const std::vector<std::string>& lost_streams() const { return lost_streams_; }
+  // Truncated streams, and how many of them got another event.
+  int taken_up() const { return taken_up_; }
+  int went_on() const { return went_on_; }
 
  private:
   // A request and what its caller records of it.
@@ -68,10 +73,12 @@
                           RandomSource* random, RandomSource* habits);
   // Reads the response, with pauses of up to `reading_pause` between its parts,
   // and records the outcome. `first_event` is the one that the body of a stream
-  // must begin with, and `version` its software version; empty: any.
+  // must begin with, and `version` its software version; empty: any. Stops
+  // after `max_events` events; 0: at the end.
   testing::Reply AwaitResponse(Sent* sent, testing::Connection* connection,
                                std::chrono::milliseconds reading_pause,
-                               int first_event, const std::string& version);
+                               int first_event, const std::string& version,
+                               int max_events = 0);
   void RecordOutcome(const Outcome& outcome, const testing::Reply& reply,
                      const std::string& body, int first_event,
                      const std::string& version);
@@ -85,11 +92,14 @@
               RandomSource* random);
 
   const std::vector<uint16_t> ports_;
+  const bool breaks_off_;
   std::atomic<bool> stop_{false};
   std::mutex mutex_;
   std::vector<Outcome> outcomes_;
   std::vector<std::string> invalid_responses_;
   std::vector<std::string> lost_streams_;
+  std::atomic<int> taken_up_{0};
+  std::atomic<int> went_on_{0};
   std::vector<std::thread> threads_;
 };
 
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <iostream>
 #include <utility>
 
 #include "base/json.h"
@@ -12,45 +13,43 @@
 namespace mimosa::soak {
 namespace {
 
+using std::chrono::milliseconds;
 using testing::Call;
 using testing::FreePort;
 using testing::Get;
 using testing::Request;
 
-// Returns the arguments of a server that listens on `port` and registers
-// `address`, the address of its fault proxy.
-std::vector<std::string> ServerArgs(const std::string& id,
-                                    const std::string& service,
-                                    const std::string& stage, uint16_t port,
-                                    const std::string& address,
-                                    uint16_t store_port,
-                                    const std::string& version) {
-  std::vector<std::string> args =
-      testing::SiteServerArgs(id, service, stage, port, store_port, version);
-  args.push_back("--address=" + address);
-  args.emplace_back("--follow-length-hints");
-  return args;
-}
-
 }  // namespace
 
 // --- Server -------------------------------------------------------------
 
 Server::Server(std::string id, const std::string& service,
                const std::string& stage, uint16_t store_port,
-               const std::string& version)
+               std::string version)
     : id_(std::move(id)),
-      is_engine_(!stage.empty()),
+      service_(service),
+      stage_(stage),
+      store_port_(store_port),
       port_(FreePort()),
-      proxy_(port_),
-      process_("standins/standin-site-server",
-               ServerArgs(id_, service, stage, port_, proxy_.address(),
-                          store_port, version)) {}
+      version_(std::move(version)),
+      proxy_(port_) {
+  StartProcess({});
+}
+
+void Server::StartProcess(const std::vector<std::string>& more_args) {
+  std::vector<std::string> args = testing::SiteServerArgs(
+      id_, service_, stage_, port_, store_port_, version_);
+  args.push_back("--address=" + proxy_.address());
+  args.emplace_back("--follow-length-hints");
+  args.insert(args.end(), more_args.begin(), more_args.end());
+  process_ = std::make_unique<testing::Process>("standins/standin-site-server",
+                                                std::move(args));
+}
 
 void Server::Kill() {
-  process_.Resume();
+  process_->Resume();
   CollectRuns();
-  process_.Kill();
+  process_->Kill();
   for (const auto& [id, count] : current_runs_) previous_runs_[id] += count;
   current_runs_.clear();
   previous_arrivals_.insert(previous_arrivals_.end(), current_arrivals_.begin(),
@@ -62,7 +61,7 @@
 }
 
 void Server::StartUnframed() {
-  if (process_.running()) return;
+  if (process_->running()) return;
   Start();
   Json::Value members;
   members["unframed"] = true;
@@ -72,10 +71,21 @@
   }));
 }
 
+void Server::StartAtOtherVersion(milliseconds delay, Json::Value behavior) {
+  if (process_->running()) return;
+  version_ = version_ == "v1" ? "v2" : "v1";
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  std::cout << "  " << std::chrono::duration_cast<milliseconds>(now).count()
+            << " " << id_ << " starts at " << version_ << std::endl;
+  behavior["gap_ms"] = Json::Int64(kEventInterval.count());
+  StartProcess({"--register-after-ms=" + std::to_string(delay.count()),
+                "--behavior=" + WriteJson(behavior)});
+}
+
 void Server::SetBehavior(const char* member, const Json::Value& value) {
   Json::Value members;
   members[member] = value;
-  if (process_.running()) testing::PostJson(port_, "/debug/behave", members);
+  if (process_->running()) testing::PostJson(port_, "/debug/behave", members);
 }
 
 Json::Value Server::GetJournal() const {
@@ -243,6 +253,9 @@
     entry->StartIfDown();
   }
   for (auto& server : servers_) {
+    // A server that has just started takes it only now.
+    REQUIRE(
+        testing::Eventually([&] { return server->GetJournal().isObject(); }));
     server->SetBehavior("draining", false);
     server->SetBehavior("abort_runs", 0);
     server->SetBehavior("delay_ms", 0);
@@ -250,6 +263,8 @@
     server->SetBehavior("reset_percent", 0);
     server->SetBehavior("preempt_percent", 0);
     server->SetBehavior("lose_percent", 0);
+    server->SetBehavior("lose_reports_percent", 0);
+    server->SetBehavior("reject_reports_percent", 0);
     server->SetBehavior("unframed", false);
     server->SetBehavior("id_in_rejections", false);
     server->SetBehavior("gap_ms", Json::Int64(kEventInterval.count()));
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -36,17 +36,23 @@
 class Server {
  public:
   Server(std::string id, const std::string& service, const std::string& stage,
-         uint16_t store_port, const std::string& version);
+         uint16_t store_port, std::string version);
 
   // Collects the journal, then kills the process, also a paused one.
   void Kill();
-  void Start() { process_.Start(); }
+  // Starts a process that is down.
+  void Start() { StartProcess({}); }
   // Starts the process if it is down, and waits until it sends without framing.
   void StartUnframed();
-  testing::Process& process() { return process_; }
+  // Starts the process, if it is down, at the other one of two software
+  // versions, which later starts keep. It first registers after `delay`, and
+  // `behavior` holds from its start on.
+  void StartAtOtherVersion(std::chrono::milliseconds delay,
+                           Json::Value behavior);
+  testing::Process& process() { return *process_; }
   testing::Proxy& proxy() { return proxy_; }
   const std::string& id() const { return id_; }
-  bool is_engine() const { return is_engine_; }
+  bool is_engine() const { return !stage_.empty(); }
   void SetBehavior(const char* member, const Json::Value& value);
   // Returns the stand-in's journal: runs by request id, and the open
   // reservations and KV handles. Returns null if the server doesn't respond.
@@ -67,11 +73,17 @@
   int64_t requests_with_api_key() const { return requests_with_api_key_; }
 
  private:
+  // Starts a process at the present version, with more arguments.
+  void StartProcess(const std::vector<std::string>& more_args);
+
   const std::string id_;
-  const bool is_engine_;
+  const std::string service_;
+  const std::string stage_;
+  const uint16_t store_port_;
   const uint16_t port_;
+  std::string version_;
   testing::Proxy proxy_;
-  testing::Process process_;
+  std::unique_ptr<testing::Process> process_;
   std::map<std::string, int64_t> previous_runs_;  // of earlier starts
   std::map<std::string, int64_t> current_runs_;   // since the last start
   std::vector<testing::Arrival> previous_arrivals_;
