A refusal whose body is awaited doesn't end a call that was cancelled

What callers saw: a broken stream, and possibly two engines at work on it. A run had fallen silent, its replacement was refused, and the silent run spoke again within 100 ms.

Cause: the call of the replacement was cancelled, but not the timer that awaits the body of its refusal. The timer then reported the failure of a call that the relay had given up, and the relay took it for that of the live run.

Change: Cancel() stops the timer.

--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -192,6 +192,7 @@
   if (call_ != nullptr && outcome == CallOutcome::kFailed && !response_started_)
     deps_.reachability->RecordMiss(back_end_);
   silence_timer_.Cancel();
+  refusal_timer_.Cancel();
   const bool may_have_run = is_sent() && !not_executed_;
   if (call_ != nullptr && !call_->sent()) right_->GiveBack();
   checking_end_ = false;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -812,6 +812,11 @@
     silent->Write((MakeEvent(2) + MakeEvent(3)).substr(partial.size()));
     silent->Finish();
   }
+  // The same once it has sent its second event.
+  void FinishLate() const {
+    silent->Write(MakeEvent(3));
+    silent->Finish();
+  }
   static void FinishStream(const FakeBackEnd::Exchange& exchange) {
     CHECK(*Header(exchange->request(), "Last-Event-Id") == "1");
     exchange->StartStream(200, MakeMarkers(exchange->request()));
@@ -963,6 +968,28 @@
   CHECK(later_runs == 0);
 }
 
+// Guards against two engines at work on one request, where a refusal whose body
+// is awaited ends a call that was cancelled.
+TEST_CASE_METHOD(
+    SilentRunFixture,
+    "a silent run that goes on isn't replaced because of a refusal "
+    "before") {
+  OnSecondPrefill([this](const FakeBackEnd::Exchange& exchange) {
+    HttpHeaders headers;
+    headers.Add("Mimosarouter-Not-Executed", "1");
+    exchange->StartStream(503, headers, /*content_length=*/10);
+    timer = Later([this] {
+      silent->Write(MakeEvent(2).substr(partial.size()));
+      timer = loop->After(milliseconds(150), [this] { FinishLate(); });
+    });
+  });
+  const CallerResponse response = CallFrontend("/note/1");
+  CHECK(response.ok);
+  CHECK(response.body == complete_stream);
+  CHECK_FALSE(silent_cancelled);
+  CHECK(later_runs == 0);
+}
+
 // Guards against two engines at work on one request, where the silent run spoke
 // again before the run that was to replace it.
 TEST_CASE_METHOD(SilentRunFixture,
