The end of a stream is checked by its events, not by their ids

What callers saw: a part of a stream without framing as a whole one, if its ids rise in steps of more than one and a link had ended it.

Cause: the caller was taken to have as many events as the last id says, so that a report with more events than it had wasn't recognized.

Change: of a run that began the stream, its events count.

--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -183,8 +183,12 @@
   }
 
   int64_t CountEvents(const BackEndCall& /*call*/) const override {
-    return std::max(event_splitter_.event_count() - events_before_run_,
-                    event_splitter_.last_id().value_or(0));
+    const int64_t count = event_splitter_.event_count() - events_before_run_;
+    // An engine may count the events of a stream that it goes on with from the
+    // stream's begin or from its own; ids that begin at 1 are such a count.
+    return run_continues_stream_
+               ? std::max(count, event_splitter_.last_id().value_or(0))
+               : count;
   }
 
   void OnResponseComplete(BackEndCall* call) override {
@@ -820,6 +824,7 @@
     BackEndCallParams params = MakeCallParams(engine);
     params.kv_handle = kv_handle_;
     params.last_event_id = last_event_id_;
+    run_continues_stream_ = last_event_id_.has_value();
     sent_reservation_ = reservation_;
     BackEndCall::Options options;
     options.kind = "run";
@@ -1347,6 +1352,8 @@
   // A run has ended behind the last event that the caller has, and whether that
   // is the last one of the stream isn't known. Another run may have none then.
   bool may_have_all_events_ = false;
+  // The last run was sent to go on behind an event.
+  bool run_continues_stream_ = false;
   // event_splitter_'s count when the response of the current run began.
   int64_t events_before_run_ = 0;
   // Of the current run: when its first and last events arrived, and how many
--- a/tests/truncated_stream_test.cc
+++ b/tests/truncated_stream_test.cc
@@ -904,5 +904,17 @@
   CHECK(CallFrontend(target).body == "whole");
 }
 
+// Ids increase, but by no certain step.
+TEST_CASE_METHOD(ListedRunFixture,
+                 "a run that goes on behind its end is recognized whatever "
+                 "the step of its ids is") {
+  const auto serve = engine.script;
+  engine.script = [&](const std::string& request, RawPeer* peer) {
+    stream = MakeEvent(10) + MakeEvent(20);
+    serve(request, peer);
+  };
+  CHECK_FALSE(CallWithReports({1, 2, 3, 4, -1}).ok);
+}
+
 }  // namespace
 }  // namespace mimosa::testing
