The age of a report counts from the begin of the run

What callers saw: a part of a stream without framing as a whole one, if its run had waited at the engine for over 1.2 s before it began, and a link had ended it.

Cause: a report that doesn't list a run counts once it is newer than the run. Its age was compared with the time of the request, not with that of the run's begin.

Change: it counts from the first part of the response.

--- a/decide/response_end.cc
+++ b/decide/response_end.cc
@@ -21,13 +21,13 @@
 }  // namespace
 
 ResponseEndJudge::ResponseEndJudge(const BackEndEntry& sender, int64_t events,
-                                   MonoTime sent_at, MonoTime closed_at,
+                                   MonoTime began_at, MonoTime closed_at,
                                    Duration time_left)
     : back_end_(sender.id),
       is_engine_(sender.role != EngineRole::kNone),
       incarnation_(sender.incarnation),
       events_(events),
-      sent_at_(sent_at),
+      began_at_(began_at),
       closed_at_(closed_at),
       deadline_(closed_at + time_left) {}
 
@@ -55,7 +55,7 @@
       return EndVerdict::kTruncated;
     was_run_listed_ = was_run_listed_ || is_run_listed_;
     const bool had_begun =
-        was_run_listed_ || asked_at - sent_at_ >= kMaxReportAge;
+        was_run_listed_ || asked_at - began_at_ >= kMaxReportAge;
     awaits_newer_statement_ = is_run_listed_ || !had_begun;
     if (awaits_newer_statement_) return EndVerdict::kUndecided;
   }
--- a/decide/response_end.h
+++ b/decide/response_end.h
@@ -86,11 +86,12 @@
 
 class ResponseEndJudge {
  public:
-  // `sender` is the entry under which the request was sent at `sent_at`,
+  // `sender` is the entry under which the request was sent, `began_at` the time
+  // when its run had begun at the latest,
   // `events` how many events the caller has at least, `closed_at` the time of
   // the close. No verdict is awaited for longer than `time_left`.
-  ResponseEndJudge(const BackEndEntry& sender, int64_t events, MonoTime sent_at,
-                   MonoTime closed_at, Duration time_left);
+  ResponseEndJudge(const BackEndEntry& sender, int64_t events,
+                   MonoTime began_at, MonoTime closed_at, Duration time_left);
 
   // Returns what the sign shows that `asked` requests have brought, the last
   // one of them sent at `asked_at`.
@@ -108,7 +109,7 @@
   const bool is_engine_;
   const int64_t incarnation_;  // 0: the server states none.
   const int64_t events_;
-  const MonoTime sent_at_;
+  const MonoTime began_at_;
   const MonoTime closed_at_;
   MonoTime deadline_;
   // The last statement was too old to say that the run has ended.
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -291,6 +291,7 @@
 
 void BackEndCall::OnBody(std::string_view data) {
   if (!not_executed_) {
+    if (body_began_ == MonoTime{}) body_began_ = deps_.loop->Now();
     deps_.reachability->RecordContact(back_end_);
     handler_->OnResponseBody(this, data);
     return;
@@ -354,10 +355,12 @@
 
 void BackEndCall::CheckEnd() {
   checking_end_ = true;
+  // A run may have waited at the engine before.
+  const MonoTime began = body_began_ == MonoTime{} ? started_ : body_began_;
   end_checker_ = std::make_unique<ResponseEndChecker>(
       deps_, *request_, back_end_,
       has_known_incarnation_ ? back_end_.incarnation : incarnation_,
-      handler_->CountEvents(*this), started_, deadline_ - deps_.loop->Now(),
+      handler_->CountEvents(*this), began, deadline_ - deps_.loop->Now(),
       *call_, [this](EndVerdict verdict) {
         checking_end_ = false;
         CloseCall();
--- a/serving/response_end_checker.cc
+++ b/serving/response_end_checker.cc
@@ -25,7 +25,7 @@
                                        const RelayRequest& request,
                                        const BackEndEntry& sender,
                                        int64_t incarnation, int64_t events,
-                                       MonoTime sent_at, Duration time_left,
+                                       MonoTime began_at, Duration time_left,
                                        const HttpCall& response,
                                        Callback callback)
     : deps_(deps),
@@ -33,7 +33,7 @@
       response_(response),
       sender_(WithIncarnation(sender, incarnation)),
       closed_at_(deps.loop->Now()),
-      judge_(sender_, events, sent_at, closed_at_, time_left),
+      judge_(sender_, events, began_at, closed_at_, time_left),
       callback_(std::move(callback)) {
   ++deps_.counters->ends_checked;
   ScheduleRequest();
--- a/serving/response_end_checker.h
+++ b/serving/response_end_checker.h
@@ -26,11 +26,12 @@
   // `callback` runs once, from the loop, and may destroy the checker, which
   // ends the check. `request` outlives the checker; `response`, the call whose
   // end is checked, lives until the callback, which may destroy it.
-  // `incarnation` is that of `sender` when the request was sent, at `sent_at`,
-  // `events` how many events the caller has at least.
+  // `incarnation` is that of `sender` when the request was sent, `began_at` the
+  // time when its run had begun at the latest, `events` how many events the
+  // caller has at least.
   ResponseEndChecker(const RelayDeps& deps, const RelayRequest& request,
                      const BackEndEntry& sender, int64_t incarnation,
-                     int64_t events, MonoTime sent_at, Duration time_left,
+                     int64_t events, MonoTime began_at, Duration time_left,
                      const HttpCall& response, Callback callback);
 
  private:
--- a/tests/truncated_stream_test.cc
+++ b/tests/truncated_stream_test.cc
@@ -916,5 +916,24 @@
   CHECK_FALSE(CallWithReports({1, 2, 3, 4, -1}).ok);
 }
 
+// The age of a report counts from the begin of the run, not from the request.
+TEST_CASE_METHOD(ListedRunFixture,
+                 "a run that waited in its engine's queue is asked for until a "
+                 "report is newer than its begin") {
+  TimerHandle begin_timer;
+  const auto serve = engine.script;
+  engine.script = [&](const std::string& request, RawPeer* peer) {
+    if (request.find("GET ") == 0 ||
+        request.find("/hold-") != std::string::npos) {
+      serve(request, peer);
+      return;
+    }
+    begin_timer =
+        loop->After(milliseconds(1300), [=] { serve(request, peer); });
+  };
+  CHECK_FALSE(CallWithReports({-1, 3}).ok);
+  CHECK(signs_asked_for == 2);
+}
+
 }  // namespace
 }  // namespace mimosa::testing
