A daemon that has ended its requests begins no other

Cause: while the ends of responses are still checked at the end of a shutdown, a plain request could arrive, be passed on and be aborted 150 ms later, where it was refused before. Found by a review, before a caller saw it.

Change: ShutdownPolicy admits no request after the time at which the remaining ones are ended. truncated_stream_test, "a daemon that only checks ends passes no new request on".

--- a/decide/shutdown_policy.h
+++ b/decide/shutdown_policy.h
@@ -37,6 +37,8 @@
     return has_begun() ? ends_at_ + check_time_ : kNever;
   }
 
+  // Returns whether a request that arrives now may begin at all.
+  bool AdmitsRequest(MonoTime now) const { return now < ends_at_; }
   // `expected_duration`: that most streams like this one stay below; absent if
   // unknown.
   bool AdmitsStream(MonoTime now,
--- a/decide/shutdown_policy_test.cc
+++ b/decide/shutdown_policy_test.cc
@@ -111,6 +111,8 @@
   CHECK(policy.checks_end_at() == kNever);
   policy.Begin(At(seconds(2)), At(seconds(4)), milliseconds(150));
   CHECK(policy.checks_end_at() == At(milliseconds(4150)));
+  CHECK(policy.AdmitsRequest(At(milliseconds(3999))));
+  CHECK_FALSE(policy.AdmitsRequest(At(seconds(4))));
   policy.EndBy(At(seconds(3)));
   CHECK(policy.checks_end_at() == At(milliseconds(3150)));
 }
--- a/serving/entry_frontend.cc
+++ b/serving/entry_frontend.cc
@@ -184,7 +184,11 @@
 
 bool EntryFrontend::AdmitForService(const SiteCustomer* customer,
                                     RelayRequest* request, Refusal* refusal) {
-  if (request->service.engine && !AdmitsStream(*request)) {
+  const bool is_admitted =
+      request->service.engine
+          ? AdmitsStream(*request)
+          : deps_->shutdown->AdmitsRequest(request->arrived);
+  if (!is_admitted) {
     *refusal = {kStatusUnavailable, kShutdownRetryAfter, kShutdownReason};
     return false;
   }
--- a/tests/truncated_stream_test.cc
+++ b/tests/truncated_stream_test.cc
@@ -935,5 +935,20 @@
   CHECK(signs_asked_for == 2);
 }
 
+TEST_CASE_METHOD(EndingDaemonFixture,
+                 "a daemon that only checks ends passes no new request on") {
+  FakeBackEnd desk(loop.get());
+  AddBackEnd("d", "desk", EngineRole::kNone, desk.port());
+  RunFor(loop.get(), milliseconds(110));
+  for (const char* target : {"/book/1", "/look/1", "/letter/1", "/note/1"}) {
+    const CallerResponse response = CallFrontend(target);
+    INFO(target);
+    CHECK(response.status == 503);
+    CHECK(response.headers.Find("Retry-After") != nullptr);
+  }
+  CHECK(desk.requests.empty());
+  CHECK(signs_asked_for == 0);
+}
+
 }  // namespace
 }  // namespace mimosa::testing
