Failing test: a reset that follows the end of a response late

A server that ends a response in order, lives on and resets the connection 20 ms later has its part framed as complete, on 4 of 4 routes: the sign of life comes before the reset.

--- a/tests/truncated_stream_test.cc
+++ b/tests/truncated_stream_test.cc
@@ -950,5 +950,24 @@
   CHECK(signs_asked_for == 0);
 }
 
+TEST_CASE(
+    "a response whose connection is reset some milliseconds behind its end "
+    "isn't complete",
+    "[.][late_reset]") {
+  for (const char* target : kTargets) {
+    LivingServerFixture f;
+    const auto serve = f.engine.script;
+    f.engine.script = [&](const std::string& request, RawPeer* peer) {
+      serve(request, peer);
+      if (request.find("GET ") != 0 &&
+          request.find("/hold-") == std::string::npos)
+        f.reset_timer =
+            f.loop->After(milliseconds(20), [peer] { peer->CloseWithReset(); });
+    };
+    INFO(target);
+    CHECK_FALSE(f.IsFramedAsComplete(f.MakeRequest(target)));
+  }
+}
+
 }  // namespace
 }  // namespace mimosa::testing
