What is held at an engine is released if its incarnation isn't the listed one

Found by a review of the check of incarnations, each with a test that failed before: - A reservation that the new process had granted wasn't released, since the engine counted as pausing: RecordReplacement() keeps work from it and nothing else. For the same reason the check of a response's end waited for the pause. - A reservation at an engine that doesn't state its incarnation wasn't released either. - A prefill result went to such an engine. It now gets new streams without one (CallFailure::kUnknownIncarnation). - A call that may not even ask on a pooled connection counted as sent, so that its request could end in 502 though nothing had been sent.

--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -92,6 +92,8 @@
       return "evacuated";
     case CallObstacle::kPausing:
       return "pausing";
+    case CallObstacle::kReplaced:
+      return "replaced";
     case CallObstacle::kLeaving:
       return "leaving";
     case CallObstacle::kChangingRole:
@@ -126,6 +128,8 @@
   if (state != nullptr && now < state->pause_until)
     return CallObstacle::kPausing;
   if (purpose == CallPurpose::kControl) return CallObstacle::kNone;
+  if (state != nullptr && now < state->replaced_until)
+    return CallObstacle::kReplaced;
   if (entry.draining || IsLeaving(entry)) return CallObstacle::kLeaving;
   if (entry.role != back_end.role || IsChangingRole(entry))
     return CallObstacle::kChangingRole;
@@ -171,6 +175,12 @@
     state->pause_until = std::max(state->pause_until, until);
 }
 
+void BackEndSelector::RecordReplacement(const BackEndEntry& back_end,
+                                        MonoTime until) {
+  BackEndState* const state = FindState(back_end);
+  if (state != nullptr) state->replaced_until = until;
+}
+
 MonoTime BackEndSelector::EndOfPauses(const SelectionQuery& query,
                                       MonoTime now) const {
   MonoTime end = kNever;
@@ -178,7 +188,8 @@
     if (!Matches(listed.entry, query)) continue;
     const BackEndState* const state = FindState(listed.entry);
     MonoTime available_at = now;
-    if (state != nullptr) available_at = std::max(now, state->pause_until);
+    if (state != nullptr)
+      available_at = std::max({now, state->pause_until, state->replaced_until});
     if (permits_ != nullptr)
       available_at =
           std::max(available_at, permits_->AvailableAt(listed.entry, now));
@@ -281,7 +292,8 @@
     if (!Matches(item.second.entry, query)) return false;
     const BackEndState* const state = FindState(item.second.entry);
     return state == nullptr ||
-           (!IsInBackoff(*state, now) && now >= state->pause_until);
+           (!IsInBackoff(*state, now) && now >= state->pause_until &&
+            now >= state->replaced_until);
   });
 }
 
@@ -313,7 +325,7 @@
     const BackEndEntry& entry = listed.entry;
     if (!Matches(entry, query)) continue;
     const BackEndState& state = StateOf(entry);
-    if (now < state.pause_until) continue;
+    if (now < state.pause_until || now < state.replaced_until) continue;
     if (query.require_free_memory && ExceedsMemory(id, state, query)) continue;
     if (permits_ != nullptr && !permits_->IsAvailable(entry, now)) {
       const double ms =
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -131,6 +131,7 @@
   kRestarted,     // It is listed as another incarnation.
   kEvacuated,     // Its failure domain is evacuated.
   kPausing,       // It is in the pause that it asked for.
+  kReplaced,      // Another incarnation of it is at work, which isn't listed.
   kLeaving,       // It drains, or has said that it is about to terminate.
   kChangingRole,  // It gets work once it is listed under its new role.
 };
@@ -185,8 +186,8 @@
   // for the best back end that only lacks a permit.
   const BackEndEntry* SelectBackEnd(const SelectionQuery& query, MonoTime now);
   // Returns when the first back end that the query matches has ended the pause
-  // that it asked for and can be called within its limit; `now` if that holds
-  // for one already, or if none matches.
+  // that it asked for, is presumably listed as it is and can be called within
+  // its limit; `now` if that holds for one already, or if none matches.
   MonoTime EndOfPauses(const SelectionQuery& query, MonoTime now) const;
   // Returns whether a back end that the query matches only lacks a permit.
   bool AwaitsPermit(const SelectionQuery& query, MonoTime now) const;
@@ -210,7 +211,7 @@
                     const AllowedRegions& allowed_regions) const;
   // Returns what keeps a call from a back end that was selected for it before;
   // kNone for what SelectBackEnd() would return now. Only kWork is kept from
-  // back ends that leave or change their role.
+  // back ends that leave, change their role or aren't the listed incarnation.
   CallObstacle FindObstacle(const BackEndEntry& back_end, CallPurpose purpose,
                             MonoTime now) const;
   // A back end has stated its incarnation. Its entry may lag behind.
@@ -253,6 +254,9 @@
   // The back end has rejected a request and wants none before `until`. It is
   // not selected until then, not even if there is no other.
   void RecordPause(const BackEndEntry& back_end, MonoTime until);
+  // Another incarnation than the listed one, `back_end`, has answered. The
+  // listed one gets no work before `until`.
+  void RecordReplacement(const BackEndEntry& back_end, MonoTime until);
   // Returns whether this incarnation of the back end is about to terminate.
   bool IsLeaving(const BackEndEntry& back_end) const;
   size_t leaving_count() const { return leaving_.size(); }
@@ -303,7 +307,8 @@
     double failures = 0;  // as of failures_at
     MonoTime failures_at{};
     MonoTime backoff_until{};
-    MonoTime pause_until{};  // As asked for by the back end.
+    MonoTime pause_until{};     // As asked for by the back end.
+    MonoTime replaced_until{};  // Another incarnation is at work.
     CallOutcome last_failure = CallOutcome::kSuccess;
     // After a failure, allows one open call at a time until one succeeds.
     bool probe_only = false;
--- a/net/client_test.cc
+++ b/net/client_test.cc
@@ -973,6 +973,28 @@
   }
 };
 
+TEST_CASE_METHOD(
+    ClientFixture,
+    "a call whose server may not even be asked for its incarnation "
+    "hasn't been sent",
+    "[client]") {
+  options_.reuse_connection = true;
+  const auto pooled = CompleteCall();
+  IncarnationCheck check;
+  check.expected = 1;
+  check.query.method = "GET";
+  check.query.target = "/report";
+  check.timeout = milliseconds(100);
+  check.read = [](const HttpResponse&) { return std::optional<int64_t>(1); };
+  check.may_ask = [] { return false; };
+  options_.incarnation_check = check;
+  Start("POST", "x");
+  AwaitEnd();
+  CHECK(recorded_.failure == HttpFailure::kWithheld);
+  CHECK_FALSE(recorded_.sent);
+  CHECK(pooled->received().empty());
+}
+
 TEST_CASE_METHOD(EarlyResponseFixture,
                  "a response that ends with its connection before the request "
                  "has arrived is truncated",
--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -332,6 +332,7 @@
   void UseConnection() {
     const auto& check = options_.incarnation_check;
     has_expected_incarnation_ = false;
+    is_request_begun_ = false;
     if (!check || gave_up_asking_) {
       SendRequest();
     } else if (!connection_->incarnation()) {
@@ -402,6 +403,7 @@
       return;
     }
     state_ = State::kHead;
+    is_request_begun_ = true;
     response_started_ = false;
     use_ = connection_->StartCall(loop_->Now());
     connection_->history().RecordRequest(options_.request_id);
@@ -445,7 +447,7 @@
   }
 
   bool SentOnCurrentConnection() const {
-    return connection_ != nullptr && state_ != State::kIdentifying &&
+    return connection_ != nullptr && is_request_begun_ &&
            connection_->socket()->bytes_written() > bytes_written_before_;
   }
 
@@ -513,6 +515,9 @@
   std::string input_;
   // connection_'s count of written bytes before this request.
   uint64_t bytes_written_before_ = 0;
+  // The request, and not a query, was the last thing to be written on
+  // connection_.
+  bool is_request_begun_ = false;
   // A byte of the request was written on an earlier connection.
   bool sent_earlier_ = false;
   // connection_ came from the pool.
--- a/serving/back_end_call.cc
+++ b/serving/back_end_call.cc
@@ -36,6 +36,8 @@
       return "not_sent";
     case CallFailure::kWithheld:
       return "withheld";
+    case CallFailure::kUnknownIncarnation:
+      return "unknown_incarnation";
     case CallFailure::kNotExecuted:
       return "not_executed";
     case CallFailure::kOtherWeights:
@@ -177,8 +179,8 @@
 
 void BackEndCall::RecordUnlistedIncarnation() {
   ++deps_.counters->unlisted_incarnations;
-  deps_.selector->RecordPause(back_end_,
-                              deps_.loop->Now() + kRegistrationDelay);
+  deps_.selector->RecordReplacement(back_end_,
+                                    deps_.loop->Now() + kRegistrationDelay);
   deps_.log->Write(
       LogLine("unlisted_incarnation")
           .Add("request", id_.value())
@@ -397,13 +399,13 @@
   if (!sent) {
     right_->GiveBack();
     if (is_other) {
-      obstacle_ = "unlisted_incarnation";
+      obstacle_ = CallObstacleName(CallObstacle::kReplaced);
       RecordUnlistedIncarnation();
-    } else if (is_unknown) {
-      obstacle_ = "unknown_incarnation";
     }
     const bool has_obstacle = (is_withheld || is_other) && *obstacle_ != '\0';
-    Fail(has_obstacle ? CallFailure::kWithheld : CallFailure::kNotSent,
+    Fail(has_obstacle ? CallFailure::kWithheld
+         : is_unknown ? CallFailure::kUnknownIncarnation
+                      : CallFailure::kNotSent,
          is_withheld || is_other ? CallOutcome::kUnknown
          : is_unknown            ? OutcomeOfQuery()
                                  : CallOutcome::kUnreachable);
@@ -451,6 +453,7 @@
   silence_timer_.Cancel();
   ReleaseRun(failure != CallFailure::kNotSent &&
              failure != CallFailure::kWithheld &&
+             failure != CallFailure::kUnknownIncarnation &&
              failure != CallFailure::kNotExecuted &&
              failure != CallFailure::kOtherWeights);
   ReportOutcome(outcome);
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -38,6 +38,8 @@
   // No byte was sent: when the call was due to be written, the back end didn't
   // take it any more, or what it relies on had lapsed.
   kWithheld,
+  // The same, since the engine didn't say which incarnation it is.
+  kUnknownIncarnation,
   kNotExecuted,  // The back end states that the request has not run.
   // The same, since it serves other weights than the request asks for.
   kOtherWeights,
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -257,6 +257,8 @@
     }
     if (failure == CallFailure::kWithheld) {
       OnRunWithheld(back_end);
+    } else if (failure == CallFailure::kUnknownIncarnation) {
+      OnIncarnationUnknown(back_end);
     } else if (failure == CallFailure::kNotSent) {
       unfit_engines_.insert(back_end.id);
       ReleaseReservation();
@@ -830,7 +832,8 @@
     options.kind = "run";
     options.checks_incarnation = true;
     // A new stream that breaks then goes on nowhere.
-    options.requires_incarnation = software_version_.has_value();
+    options.requires_incarnation =
+        software_version_.has_value() || kv_handle_.has_value();
     options.expects_weights = weight_version_.has_value();
     options.request = &request_;
     options.runs = request_.runs;
@@ -858,17 +861,36 @@
   // Nothing was sent to the engine. The prefill result can be used elsewhere.
   void OnRunWithheld(const BackEndEntry& engine) {
     tried_decode_engines_.erase(engine.id);
+    ReleaseSentReservation(engine);
+    StartStages();
+  }
+
+  // Nothing was sent to the engine, of which nobody knows whether it can go on
+  // with the stream or use the prefill result. A new stream may still run there
+  // without one.
+  void OnIncarnationUnknown(const BackEndEntry& engine) {
+    ReleaseSentReservation(engine);
+    if (software_version_) {
+      unfit_engines_.insert(engine.id);
+    } else {
+      tried_decode_engines_.erase(engine.id);
+      ReleaseKvHandle();
+      prefills_ = kMaxPrefills;
+    }
+    StartStages();
+  }
+
+  // The run that had the reservation wasn't sent.
+  void ReleaseSentReservation(const BackEndEntry& engine) {
     if (sent_reservation_ && deps_.loop->Now() < sent_reservation_->expires_at)
       deps_.releaser->ReleaseReservation(engine, sent_reservation_->id);
-    StartStages();
   }
 
   // The engine serves other weights than those that generated the events that
   // the caller has. Its reservation is not used.
   void OnWeightsRefused(const BackEndEntry& engine) {
     unfit_engines_.insert(engine.id);
-    if (sent_reservation_ && deps_.loop->Now() < sent_reservation_->expires_at)
-      deps_.releaser->ReleaseReservation(engine, sent_reservation_->id);
+    ReleaseSentReservation(engine);
     if (++rejections_ >= kMaxRejections) {
       FinishUnanswered();
     } else {
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -776,6 +776,70 @@
   CHECK(response.body == complete_stream);
 }
 
+// An engine that rejects requests for its report, so that nobody knows which
+// incarnation it is.
+void RejectReports(FakeEngine* engine) {
+  engine->back_end.states_itself = false;
+  engine->back_end.script = [engine](const FakeBackEnd::Exchange& exchange) {
+    if (exchange->request().target == "/mimosarouter/report") {
+      SendNotExecuted(exchange);
+    } else {
+      engine->Serve(exchange);
+    }
+  };
+}
+
+// The result can only be used at the software version that generated it.
+TEST_CASE_METHOD(StreamFixture,
+                 "an engine of unknown incarnation gets no prefill result") {
+  RejectReports(&decode);
+  bool has_source = false;
+  const auto run = decode.on_run;
+  decode.on_run = [&](const FakeBackEnd::Exchange& exchange) {
+    has_source =
+        Header(exchange->request(), "Mimosarouter-Kv-Source") != nullptr;
+    run(exchange);
+  };
+  CallFrontend("/note/1");
+  CHECK(prefill.prefills == 1);
+  CHECK_FALSE(has_source);
+}
+
+TEST_CASE_METHOD(StreamFixture,
+                 "the reservation of a run that is withheld from another "
+                 "incarnation is released") {
+  decode.back_end.incarnation = 2;  // Its entry is still that of the first one.
+  CHECK(CallFrontend("/letter/1").status == 503);
+  CHECK(decode.runs == 0);
+  int reserved = 0;
+  for (const HttpRequest& request : decode.back_end.requests)
+    reserved += request.target == "/mimosarouter/hold-take" ? 1 : 0;
+  CHECK(reserved >= 1);
+  RunFor(loop.get(), milliseconds(300));
+  CHECK(decode.CountDeletes("/mimosarouter/hold-drop/hold1") == reserved);
+}
+
+TEST_CASE_METHOD(StreamFixture,
+                 "the reservation of a run that is withheld from an engine of "
+                 "unknown incarnation is released") {
+  FakeEngine other(loop.get());
+  RejectReports(&other);
+  decode.on_run = [&](const FakeBackEnd::Exchange& exchange) {
+    AddBackEnd("f", "llm", EngineRole::kDecode, other.back_end.port());
+    exchange->StartStream(200, MakeMarkers(exchange->request()));
+    exchange->Write(MakeEvent(1));
+    exchange->OnDrained([exchange] { exchange->Abort(); });
+  };
+  CallFrontend("/note/1");
+  CHECK(other.runs == 0);
+  int reserved = 0;
+  for (const HttpRequest& request : other.back_end.requests)
+    reserved += request.target == "/mimosarouter/hold-take" ? 1 : 0;
+  CHECK(reserved >= 1);
+  RunFor(loop.get(), milliseconds(300));
+  CHECK(other.CountDeletes("/mimosarouter/hold-drop/hold1") == reserved);
+}
+
 // Two engines, of which the first that gets a run sends one event and then
 // nothing, until the test says so.
 struct SilentRunFixture : StreamFixture {
--- a/tests/stream_origin_exchange_test.cc
+++ b/tests/stream_origin_exchange_test.cc
@@ -662,6 +662,7 @@
   fleet.Run(milliseconds(20));
   int at_old_version = 0;
   std::vector<std::unique_ptr<StreamOriginLookup>> lookups;
+  lookups.reserve(streams.size());
   for (const RequestId& stream : streams)
     lookups.push_back(fleet.daemon(1)->exchange.Find(
         stream, kService,
