--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -47,6 +47,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <utility>
@@ -762,6 +763,26 @@
   }
 }
 
+// Returns the lines of the daemons' logs that name the request, or one that
+// takes up its stream. The clock of spans is that of NowMs(); the first line
+// says how far that of the logs is ahead.
+std::string ReadLogLines(const Fleet& fleet, const std::string& request) {
+  const int64_t unix_ms =
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count();
+  std::string found =
+      "logs are " + std::to_string(unix_ms - testing::NowMs()) + " ms ahead\n";
+  for (const auto& entry : fleet.entry_processes()) {
+    std::istringstream output(entry->Output());
+    for (std::string line; std::getline(output, line);)
+      if (line.find('"' + request + '"') != std::string::npos ||
+          line.find('"' + request + kTakeUpMark) != std::string::npos)
+        found += line + "\n";
+  }
+  return found;
+}
+
 // Checks that no engine worked on a stream for long that had gone on at another
 // engine. Counts as one request with those that take up its stream.
 void CheckOverlaps(const Fleet& fleet, const FaultPlan& plan) {
@@ -780,6 +801,7 @@
       continue;
     }
     INFO(overlap.Describe());
+    INFO(ReadLogLines(fleet, overlap.earlier.request));
     CHECK(overlap.later.server.empty());
   }
   std::cout << "  " << excused << " overlaps at engines out of reach"
--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -24,6 +24,9 @@
 constexpr Duration kHandleLifetime = std::chrono::milliseconds(500);
 // How old the runs are that a report lists.
 constexpr Duration kReportAge = std::chrono::milliseconds(300);
+constexpr Duration kStallCheckInterval = std::chrono::milliseconds(20);
+// Shorter ones are not recorded.
+constexpr Duration kMinStall = std::chrono::milliseconds(50);
 // Duration of a stage change.
 constexpr Duration kStageChangeTime = std::chrono::milliseconds(500);
 
@@ -66,6 +69,7 @@
   SetBehavior(options_.behavior);
   register_timer_ =
       loop_->After(options_.registration_delay, [this] { Register(); });
+  ScheduleStallCheck();
 }
 
 std::string SiteServer::RegistrationJson() const {
@@ -510,6 +514,24 @@
   loop_->Post([node] {});
 }
 
+void SiteServer::ScheduleStallCheck() {
+  stall_check_due_ = loop_->Now() + kStallCheckInterval;
+  stall_timer_ = loop_->After(kStallCheckInterval, [this] {
+    const MonoTime now = loop_->Now();
+    if (now - stall_check_due_ >= kMinStall)
+      stalls_.push_back({stall_check_due_, now});
+    ScheduleStallCheck();
+  });
+}
+
+Duration SiteServer::LongestStall(MonoTime from, MonoTime to) const {
+  Duration longest{};
+  for (const Stall& stall : stalls_)
+    if (stall.begin <= to && stall.end >= from)
+      longest = std::max(longest, stall.end - stall.begin);
+  return longest;
+}
+
 void SiteServer::HandlePlainRequest(const ExchangePtr& exchange) {
   plain_exchanges_.insert(exchange);
   exchange->OnClientDisconnected(
@@ -657,6 +679,8 @@
     item["begin"] = Json::Int64(ToMillis(span.begin.time_since_epoch()));
     if (span.end)
       item["end"] = Json::Int64(ToMillis(span.end->time_since_epoch()));
+    item["stall_ms"] = Json::Int64(
+        ToMillis(LongestStall(span.begin, span.end.value_or(loop_->Now()))));
     journal["spans"].append(item);
   }
   journal["responding"] =
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -60,10 +60,11 @@
 //                        "prefill": whether it is a prefill that was accepted}
 //                        for each request of a caller, also a rejected one],
 //                        "spans": [{"id": request, "begin": ms, "end": ms or
-//                        absent} for each run of a stream],
-//                        "responding": responses that have begun and not ended,
-//                        "withheld_reports": requests for a report and health
-//                        checks that were lost or rejected}
+//                        absent, "stall_ms": how long the server's loop stood
+//                        still in that time, at most} for each run of a
+//                        stream], "responding": responses that have begun and
+//                        not ended, "withheld_reports": requests for a report
+//                        and health checks that were lost or rejected}
 //   POST /debug/take/HANDLE  claims a prefill result; 404 if it has expired
 #ifndef STANDINS_SITE_SERVER_H_
 #define STANDINS_SITE_SERVER_H_
@@ -137,6 +138,12 @@
     std::vector<MonoTime> events;  // when each was made
   };
 
+  // A time in which the loop ran no timer, although one was due.
+  struct Stall {
+    MonoTime begin;
+    MonoTime end;
+  };
+
   // Picks a share of the events that it is asked about, evenly spread.
   class Share {
    public:
@@ -201,6 +208,9 @@
   void Crash();
   void SendNextEvent(uint64_t serial);
   void EndRun(uint64_t serial);
+  void ScheduleStallCheck();
+  // Returns the longest stall between these times.
+  Duration LongestStall(MonoTime from, MonoTime to) const;
   // Ends the response of a run that has made all its events.
   static void FinishResponse(const Run& run);
   void RecordEnd(const Run& run) { spans_[run.span].end = loop_->Now(); }
@@ -244,6 +254,9 @@
   int64_t requests_served_ = 0;
   std::vector<Arrival> arrivals_;
   std::vector<RunSpan> spans_;
+  std::vector<Stall> stalls_;
+  MonoTime stall_check_due_{};
+  TimerHandle stall_timer_;
   Share rejected_requests_;
   Share reset_requests_;
   Share preempted_runs_;
--- a/tests/run_overlap_test.cc
+++ b/tests/run_overlap_test.cc
@@ -181,5 +181,38 @@
   }
 }
 
+// Tells a late end of a run that a daemon caused from one that the engine did.
+TEST_CASE("an engine says how long it stood still while it was at work") {
+  StandIn store("standin-platform", {});
+  const uint16_t port = FreePort();
+  Process engine("standins/standin-site-server",
+                 SiteServerArgs("d1", "llm", "decode", port, store.port()));
+  Json::Value members;
+  members["gap_ms"] = kEventIntervalMs;
+  members["events"] = 10;
+  REQUIRE(Eventually(
+      [&] { return PostJson(port, "/debug/behave", members).status == 200; }));
+  const auto read_spans = [&] {
+    return ReadRunSpans(GetJson(port, "/debug/journal"), "d1");
+  };
+  for (const int64_t pause_ms : {0, 400}) {
+    const size_t before = read_spans().size();
+    Connection caller(port);
+    const std::string id = "r" + std::to_string(pause_ms);
+    REQUIRE(caller.Send(
+        MakeSiteRequest("/note/" + id, id, kKey, "body", kDeadlineMs)));
+    REQUIRE(Eventually([&] { return read_spans().size() == before + 1; }));
+    if (pause_ms > 0) {
+      engine.Pause();
+      std::this_thread::sleep_for(milliseconds(pause_ms));
+      engine.Resume();
+    }
+    CHECK(caller.ReadReply(Seconds(5)).complete);
+    const RunSpan span = read_spans().back();
+    CHECK(span.stall_ms >= pause_ms - 20);
+    CHECK(span.stall_ms < pause_ms + 1000);
+  }
+}
+
 }  // namespace
 }  // namespace mimosa::testing
--- a/tests/run_spans.cc
+++ b/tests/run_spans.cc
@@ -12,14 +12,21 @@
   std::vector<RunSpan> spans;
   for (const Json::Value& item : journal["spans"])
     spans.push_back({item["id"].asString(), server, item["begin"].asInt64(),
-                     item.isMember("end") ? item["end"].asInt64() : NowMs()});
+                     item.isMember("end") ? item["end"].asInt64() : NowMs(),
+                     item["stall_ms"].asInt64()});
   return spans;
 }
 
 std::string RunOverlap::Describe() const {
   return earlier.request + " went on at " + later.server + " while " +
          earlier.server + " worked on it for another " +
-         std::to_string(earlier.end_ms - later.begin_ms) + " ms";
+         std::to_string(earlier.end_ms - later.begin_ms) + " ms (from " +
+         std::to_string(earlier.begin_ms) + " to " +
+         std::to_string(earlier.end_ms) + ", stood still for " +
+         std::to_string(earlier.stall_ms) + " ms; the later run from " +
+         std::to_string(later.begin_ms) + " to " +
+         std::to_string(later.end_ms) + ", stood still for " +
+         std::to_string(later.stall_ms) + " ms)";
 }
 
 std::vector<RunOverlap> FindOverlaps(const std::vector<RunSpan>& spans) {
--- a/tests/run_spans.h
+++ b/tests/run_spans.h
@@ -21,6 +21,7 @@
   std::string server;    // id
   int64_t begin_ms = 0;  // by the clock of NowMs()
   int64_t end_ms = 0;    // the present if the run goes on
+  int64_t stall_ms = 0;  // longest time that the server's loop stood still
 };
 
 // Returns the runs of the journal of `server`.
