Runs that begin in the same millisecond are ordered by microseconds

Cause, traced by the logs: an engine (decode1, reset_percent) breaks a run off at once, and the daemon sends the stream to the next engine (decode2) within the same millisecond. The check compared beginnings in milliseconds, so that it also took the run that had been broken off for the later one of the two, and then the whole time of the run that followed counted as overlap. In each overlap that was looked at, `call_lost` of decode1 has after_ms 0, and the run at decode2, which begins in that millisecond, lasts exactly as long as the overlap: 606, 448, 833 and 2329 ms.

Nothing is let off: two runs that begin in the same microsecond still count in both orders. The new test fails with the order by milliseconds.

--- a/standins/site_server.cc
+++ b/standins/site_server.cc
@@ -677,6 +677,10 @@
     Json::Value item;
     item["id"] = span.id;
     item["begin"] = Json::Int64(ToMillis(span.begin.time_since_epoch()));
+    item["begin_us"] =
+        Json::Int64(std::chrono::duration_cast<std::chrono::microseconds>(
+                        span.begin.time_since_epoch())
+                        .count());
     if (span.end)
       item["end"] = Json::Int64(ToMillis(span.end->time_since_epoch()));
     item["stall_ms"] = Json::Int64(
--- a/standins/site_server.h
+++ b/standins/site_server.h
@@ -59,7 +59,8 @@
 //                        "arrivals": [{"id": request, "ms": monotonic time,
 //                        "prefill": whether it is a prefill that was accepted}
 //                        for each request of a caller, also a rejected one],
-//                        "spans": [{"id": request, "begin": ms, "end": ms or
+//                        "spans": [{"id": request, "begin": ms, "begin_us": the
+//                        same in microseconds, "end": ms or
 //                        absent, "stall_ms": how long the server's loop stood
 //                        still in that time, at most} for each run of a
 //                        stream], "responding": responses that have begun and
--- a/tests/run_overlap_test.cc
+++ b/tests/run_overlap_test.cc
@@ -181,6 +181,17 @@
   }
 }
 
+// Within a millisecond, an engine breaks a run off and another goes on.
+TEST_CASE("runs that begin in the same millisecond are told apart") {
+  RunSpan broken_off{"r", "d1", 1000, 1000, 1000200, 0};
+  RunSpan long_run{"r", "d2", 1000, 1833, 1000600, 0};
+  CHECK(FindOverlaps({broken_off, long_run}).empty());
+  broken_off.begin_us = 1000800;
+  CHECK(FindOverlaps({broken_off, long_run}).size() == 1);
+  broken_off.begin_us = long_run.begin_us;  // Either may be the later one.
+  CHECK(FindOverlaps({broken_off, long_run}).size() == 1);
+}
+
 // Tells a late end of a run that a daemon caused from one that the engine did.
 TEST_CASE("an engine says how long it stood still while it was at work") {
   StandIn store("standin-platform", {});
--- a/tests/run_spans.cc
+++ b/tests/run_spans.cc
@@ -13,7 +13,7 @@
   for (const Json::Value& item : journal["spans"])
     spans.push_back({item["id"].asString(), server, item["begin"].asInt64(),
                      item.isMember("end") ? item["end"].asInt64() : NowMs(),
-                     item["stall_ms"].asInt64()});
+                     item["begin_us"].asInt64(), item["stall_ms"].asInt64()});
   return spans;
 }
 
@@ -37,7 +37,7 @@
     for (const RunSpan& earlier : runs)
       for (const RunSpan& later : runs)
         if (later.server != earlier.server &&
-            later.begin_ms >= earlier.begin_ms &&
+            later.begin_us >= earlier.begin_us &&
             earlier.end_ms - later.begin_ms > kMaxOverlapMs)
           overlaps.push_back({earlier, later});
   return overlaps;
--- a/tests/run_spans.h
+++ b/tests/run_spans.h
@@ -21,6 +21,8 @@
   std::string server;    // id
   int64_t begin_ms = 0;  // by the clock of NowMs()
   int64_t end_ms = 0;    // the present if the run goes on
+  // Orders runs that begin in the same millisecond.
+  int64_t begin_us = 0;
   int64_t stall_ms = 0;  // longest time that the server's loop stood still
 };
 
