--- a/tests/run_overlap_test.cc
+++ b/tests/run_overlap_test.cc
@@ -181,5 +181,49 @@
   }
 }
 
+// Within a millisecond, an engine breaks a run off and another goes on.
+TEST_CASE("runs that begin in the same millisecond are told apart") {
+  RunSpan broken_off{"r", "d1", 1000, 1000, 1000200, 0};
+  RunSpan long_run{"r", "d2", 1000, 1833, 1000600, 0};
+  CHECK(FindOverlaps({broken_off, long_run}).empty());
+  broken_off.begin_us = 1000800;
+  CHECK(FindOverlaps({broken_off, long_run}).size() == 1);
+  broken_off.begin_us = long_run.begin_us;  // Either may be the later one.
+  CHECK(FindOverlaps({broken_off, long_run}).size() == 1);
+}
+
+// Tells a late end of a run that a daemon caused from one that the engine did.
+TEST_CASE("an engine says how long it stood still while it was at work") {
+  StandIn store("standin-platform", {});
+  const uint16_t port = FreePort();
+  Process engine("standins/standin-site-server",
+                 SiteServerArgs("d1", "llm", "decode", port, store.port()));
+  Json::Value members;
+  members["gap_ms"] = kEventIntervalMs;
+  members["events"] = 10;
+  REQUIRE(Eventually(
+      [&] { return PostJson(port, "/debug/behave", members).status == 200; }));
+  const auto read_spans = [&] {
+    return ReadRunSpans(GetJson(port, "/debug/journal"), "d1");
+  };
+  for (const int64_t pause_ms : {0, 400}) {
+    const size_t before = read_spans().size();
+    Connection caller(port);
+    const std::string id = "r" + std::to_string(pause_ms);
+    REQUIRE(caller.Send(
+        MakeSiteRequest("/note/" + id, id, kKey, "body", kDeadlineMs)));
+    REQUIRE(Eventually([&] { return read_spans().size() == before + 1; }));
+    if (pause_ms > 0) {
+      engine.Pause();
+      std::this_thread::sleep_for(milliseconds(pause_ms));
+      engine.Resume();
+    }
+    CHECK(caller.ReadReply(Seconds(5)).complete);
+    const RunSpan span = read_spans().back();
+    CHECK(span.stall_ms >= pause_ms - 20);
+    CHECK(span.stall_ms < pause_ms + 1000);
+  }
+}
+
 }  // namespace
 }  // namespace mimosa::testing
