--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -242,7 +242,7 @@
   TimerHandle silence_timer_;
   ResponseEnd response_end_ = ResponseEnd::kFraming;
   MonoTime started_{};
-  MonoTime body_began_{};  // When the first part of the body arrived.
+  MonoTime body_began_{};           // When the first part of the body arrived.
   std::optional<CallRight> right_;  // Set by Start().
   std::shared_ptr<RunRights> runs_;
   std::optional<RunRight> run_right_;  // Only of a run that may be sent.
