--- a/tests/software_version_test.cc
+++ b/tests/software_version_test.cc
@@ -257,8 +257,7 @@
   // Has two of three events sent and the stream broken off, and no other engine
   // but `other` take it.
   void BreakAt(FakeEngine* engine, FakeEngine* other) {
-    engine->on_run = [this, engine,
-                      other](const FakeBackEnd::Exchange& exchange) {
+    engine->on_run = [this, other](const FakeBackEnd::Exchange& exchange) {
       for (FakeEngine* each : {&e1, &e2, &f1, &f2})
         each->has_capacity = each == other;
       exchange->StartStream(200, MakeMarkers(exchange->request()));
