--- a/net/http.h
+++ b/net/http.h
@@ -276,7 +276,8 @@
 // starts, responds to it. A connection belongs to one process of the server for
 // its whole life, so what that process says of itself on a connection holds for
 // all responses on it. The server is asked on each connection once, before the
-// request is written.
+// request is written. A late copy of its response can be told from those of
+// calls whose successes name their requests, and from no other.
 struct IncarnationCheck {
   int64_t expected = 0;
   // What asks the server for its incarnation. Nothing is known from a response
--- a/net/lws_client.cc
+++ b/net/lws_client.cc
@@ -59,8 +59,8 @@
            (IsSuccess(status) ? has_unnamed_success_ || has_statement_
                               : has_unnamed_failure_);
   }
-  // Records a response in which the server stated its incarnation. What asks
-  // for no incarnation can't take a copy of it for its own response.
+  // Records a response in which the server stated its incarnation. It names no
+  // request, but unlike other successes keeps no call from the connection.
   void RecordStatement() { has_statement_ = true; }
   // Records a request that is sent; `request_id` is empty if it bears none.
   void RecordRequest(const std::string& request_id) {
--- a/serving/back_end_call.h
+++ b/serving/back_end_call.h
@@ -178,8 +178,8 @@
  private:
   // Makes the HTTP call ask the engine for its incarnation.
   void CheckIncarnation(bool is_required, HttpCallOptions* options);
-  // Returns the incarnation that the response to that states, or that of the
-  // entry if the engine states none of itself.
+  // Returns the incarnation that the response to the query states, or that of
+  // the entry if the engine reports but states none.
   std::optional<int64_t> ReadIncarnation(const HttpResponse& response);
   // What a query without a usable response says of the engine.
   CallOutcome OutcomeOfQuery() const;
