stream_origin says who was heard, who was silent, and if the list is current

Callers got streams with events of two software versions. The line of a takeup named the version that was implied, but not by whom, so that an old list of this daemon, one of another member and a wrong record looked alike.

heard and silent name the members that have answered and those that haven't in time; list_current says if the store has answered this daemon lately.

--- a/serving/stream_origin_exchange.cc
+++ b/serving/stream_origin_exchange.cc
@@ -7,6 +7,17 @@
 #include "serving/stream_origin_messages.h"
 
 namespace mimosa {
+namespace {
+
+std::string JoinedBySpaces(const std::vector<std::string>& names) {
+  std::string joined;
+  for (const std::string& name : names)
+    joined += (joined.empty() ? "" : " ") + name;
+  return joined;
+}
+
+}  // namespace
+
 // A lookup ends with the first member that knows the origin. Otherwise it asks
 // the keepers, and more members while an established view is missing.
 class StreamOriginExchange::Lookup : public StreamOriginLookup {
@@ -44,6 +55,7 @@
   void OnAnswer(const std::string& member,
                 const wire::StreamOriginAnswer& answer) {
     if (unanswered_.erase(member) == 0) return;
+    heard_.push_back(member);
     if (answer.known()) {
       std::optional<SoftwareVersion> version;
       if (!answer.has_unknown_version())
@@ -62,6 +74,9 @@
   uint64_t serial() const { return serial_; }
   const RequestId& request() const { return request_; }
   const ServiceId& service() const { return service_; }
+  // The members that have answered, and those that haven't in time.
+  const std::vector<std::string>& heard() const { return heard_; }
+  const std::vector<std::string>& silent() const { return silent_; }
 
  private:
   void AskNextMembers(Duration timeout) {
@@ -86,6 +101,7 @@
 
   // The members that were asked have answered, or their time is over.
   void OnMembersHeard() {
+    silent_.insert(silent_.end(), unanswered_.begin(), unanswered_.end());
     if (consensus_.needs_established_view() && asked_ < members_.size()) {
       AskNextMembers(exchange_->options_.view_timeout);
     } else {
@@ -117,6 +133,8 @@
   size_t asked_ = 0;  // The first members that have been asked.
   // Of the members asked last, those that haven't answered.
   std::set<std::string> unanswered_;
+  std::vector<std::string> heard_;
+  std::vector<std::string> silent_;
   MonoTime give_up_at_{};
   VersionConsensus consensus_;
   TimerHandle timer_;
@@ -322,6 +340,9 @@
                   .Add("resumes", lookup.request().value())
                   .Add("service", lookup.service().value())
                   .Add("recorded", recorded)
+                  .Add("heard", JoinedBySpaces(lookup.heard()))
+                  .Add("silent", JoinedBySpaces(lookup.silent()))
+                  .Add("list_current", is_list_current_())
                   .Add("software_version",
                        version ? version->value() : std::string("unknown")));
 }
