Failing tests: daemons cut off from the store vouch for each other

Callers get streams with events of two software versions without any restarted engine: two of six daemons can't reach the store while a version is released, the others are killed, and a stream that these began at the new version goes on at the old one.

--- a/tests/stream_origin_exchange_test.cc
+++ b/tests/stream_origin_exchange_test.cc
@@ -262,6 +262,11 @@
   void StartAll() {
     for (int i = 0; i < size_; ++i) Start(i);
   }
+  // The daemon learns of no change any more, and its calls to the store fail.
+  void CutOffFromStore(int index) {
+    daemon(index)->hears_store = false;
+    daemon(index)->journal_store.is_refused = true;
+  }
   FakeNetwork& network() { return network_; }
   FleetStore& store() { return store_; }
   int size() const { return size_; }
@@ -684,6 +689,74 @@
       [&](Fleet& fleet) { CHECK(CountAtOldVersion(fleet, reports) == 0); });
 }
 
+// Two daemons can't reach the store, and the others have begun streams at a
+// version that these two haven't learned of when they are killed.
+struct SurvivorsOfRelease {
+  explicit SurvivorsOfRelease(Fleet* fleet) : fleet(fleet) {
+    fleet->Run(kLifetime);  // All views are established.
+    for (int i = 0; i < 2; ++i) fleet->CutOffFromStore(i);
+    fleet->SetEngines(kMixedEngines);
+    fleet->Run(seconds(1));
+    for (int i = 0; i < 40; ++i) {
+      streams.emplace_back("s" + std::to_string(i));
+      fleet->daemon(2 + i % (fleet->size() - 2))
+          ->exchange.Record(streams.back(), kService, kNew);
+    }
+    fleet->Run(milliseconds(50));
+    for (int i = 2; i < fleet->size(); ++i) fleet->Kill(i);
+  }
+
+  // The streams are taken up at a daemon. Returns how many of them may go on at
+  // the old version.
+  int CountAtOldVersion(int daemon) {
+    int at_old_version = 0;
+    std::vector<std::unique_ptr<StreamOriginLookup>> lookups;
+    lookups.reserve(streams.size());
+    for (const RequestId& stream : streams)
+      lookups.push_back(fleet->daemon(daemon)->exchange.Find(
+          stream, kService,
+          [&](const auto& found) { at_old_version += found == kOld ? 1 : 0; }));
+    fleet->Run(seconds(2));
+    return at_old_version;
+  }
+
+  Fleet* fleet;
+  std::vector<RequestId> streams;
+};
+
+TEST_CASE("daemons cut off from the store don't vouch for each other",
+          "[.][cut_off]") {
+  ForEachFleet([](Fleet& fleet) {
+    SurvivorsOfRelease survivors(&fleet);
+    CHECK(survivors.CountAtOldVersion(0) == 0);
+    CHECK(survivors.CountAtOldVersion(1) == 0);
+  });
+}
+
+TEST_CASE("a daemon that has heard of a version doesn't forget it",
+          "[.][cut_off]") {
+  ForEachFleet([](Fleet& fleet) {
+    fleet.Run(kLifetime);
+    for (int i = 0; i < 2; ++i) fleet.CutOffFromStore(i);
+    fleet.SetEngines(kMixedEngines);
+    fleet.Run(seconds(1));
+    const RequestId stream("s");
+    for (int i = 2; i < fleet.size(); ++i)
+      fleet.daemon(i)->exchange.Record(stream, kService, kNew);
+    fleet.Run(milliseconds(50));
+    const auto find = [&] {
+      std::optional<SoftwareVersion> result;
+      const auto lookup = fleet.daemon(0)->exchange.Find(
+          stream, kService, [&](const auto& found) { result = found; });
+      fleet.Run(seconds(1));
+      return result;
+    };
+    CHECK(find() == kNew);
+    for (int i = 1; i < fleet.size(); ++i) fleet.Kill(i);
+    CHECK(find() == kNew);
+  });
+}
+
 TEST_CASE("answers that nobody asked for are ignored") {
   Fleet fleet(6, 1);
   fleet.SetEngines(kMixedEngines);
