--- a/decide/back_end_selector.cc
+++ b/decide/back_end_selector.cc
@@ -216,7 +216,9 @@
          (query.exclude == nullptr || query.exclude->count(entry.id) == 0) &&
          (!query.among || query.among->count(entry.id) > 0) &&
          (!query.software_version ||
-          *query.software_version == entry.software_version);
+          *query.software_version == entry.software_version) &&
+         (query.startable_versions == nullptr ||
+          query.startable_versions->count(entry.software_version) > 0);
 }
 
 bool BackEndSelector::HasCandidate(const SelectionQuery& query) const {
--- a/decide/back_end_selector.h
+++ b/decide/back_end_selector.h
@@ -103,6 +103,8 @@
   bool require_free_memory = false;
   // Only back ends of this software version are selected; absent: any version.
   std::optional<SoftwareVersion> software_version;
+  // Only back ends of these software versions are selected; may be null: any.
+  const std::set<SoftwareVersion>* startable_versions = nullptr;
   // Only back ends in these regions are selected; may be null: anywhere.
   const AllowedRegions* allowed_regions = nullptr;
   // Largest share of kv_memory that may be in use once this request is added.
--- a/decide/software_version_history.cc
+++ b/decide/software_version_history.cc
@@ -18,7 +18,7 @@
 }  // namespace
 
 void SoftwareVersionHistory::Update(const BackEndList& list, MonoTime now) {
-  if (!known_since_) known_since_ = now;
+  if (!gapless_since_) gapless_since_ = now;
   std::set<std::pair<ServiceId, SoftwareVersion>> listed;
   for (const auto& [id, back_end] : list.entries()) {
     const BackEndEntry& entry = back_end.entry;
@@ -49,26 +49,25 @@
   sighting.last_listed = std::max(sighting.last_listed, at);
 }
 
-std::optional<SoftwareVersion> SoftwareVersionHistory::OnlyVersion(
-    const ServiceId& service, MonoTime now, Duration window) const {
+bool SoftwareVersionHistory::HasSeen(const ServiceId& service,
+                                     const SoftwareVersion& version) const {
   const auto versions = sightings_.find(service);
-  if (versions == sightings_.end()) return std::nullopt;
-  std::optional<SoftwareVersion> only;
-  for (const auto& [version, sighting] : versions->second) {
-    if (!sighting.listed && now - sighting.last_listed >= window) continue;
-    if (only) return std::nullopt;
-    only = version;
-  }
-  return only;
+  return versions != sightings_.end() && versions->second.count(version) > 0;
+}
+
+bool SoftwareVersionHistory::HasLeft(const ServiceId& service,
+                                     const SoftwareVersion& version,
+                                     MonoTime now, Duration window) const {
+  return IsGapless(now, window) && HasSeen(service, version) &&
+         !sightings_.at(service).at(version).IsWithin(now, window);
 }
 
-std::map<ServiceId, std::set<SoftwareVersion>> SoftwareVersionHistory::Versions(
-    MonoTime now, Duration window) const {
-  std::map<ServiceId, std::set<SoftwareVersion>> result;
+VersionsByService SoftwareVersionHistory::Versions(MonoTime now,
+                                                   Duration window) const {
+  VersionsByService result;
   for (const auto& [service, versions] : sightings_) {
     for (const auto& [version, sighting] : versions)
-      if (sighting.listed || now - sighting.last_listed < window)
-        result[service].insert(version);
+      if (sighting.IsWithin(now, window)) result[service].insert(version);
   }
   return result;
 }
--- a/decide/software_version_history.h
+++ b/decide/software_version_history.h
@@ -1,9 +1,9 @@
 // Tracks which software versions the engines of each service have lately had.
 //
-// Model: as long as all engines of a service have had one version for longer
-// than a stream can last, that version began every stream, and no stream's
-// origin needs to be known. While versions change, and for that long after the
-// last engine of a version has left the list, it does.
+// Model: a version counts while an engine of it is listed, and for a window
+// after the last one has left the list. While the list may lack changes, a
+// version may come back and leave unseen, so none is known to have left until
+// the list has been complete for as long.
 //
 // Load pattern covered: releases that replace the engines of a service one
 // after the other, some of which crash and start again at the old version.
@@ -20,37 +20,49 @@
 
 namespace mimosa {
 
+using VersionsByService = std::map<ServiceId, std::set<SoftwareVersion>>;
+
 class SoftwareVersionHistory {
  public:
   // Takes over the current list. Called after each change of it.
   void Update(const BackEndList& list, MonoTime now);
 
+  // Until `now`, the list may have lacked changes.
+  void RecordGap(MonoTime now) { gapless_since_ = now; }
+
   // A record of the fleet shows that engines of `service` had `version` at the
   // time `at`.
   void RecordSighting(const ServiceId& service, const SoftwareVersion& version,
                       MonoTime at);
 
-  // Returns the version that all engines of `service` have had within `window`,
-  // as far as this daemon knows; nullopt if there were several or no engines.
-  std::optional<SoftwareVersion> OnlyVersion(const ServiceId& service,
-                                             MonoTime now,
-                                             Duration window) const;
-  // Returns whether the list has been known for at least `window`.
-  bool IsEstablished(MonoTime now, Duration window) const {
-    return known_since_ && now - *known_since_ >= window;
+  // Returns whether the list has lacked no changes within `window`.
+  bool IsGapless(MonoTime now, Duration window) const {
+    return gapless_since_ && now - *gapless_since_ >= window;
   }
-  // Returns the versions that engines of each service have had within `window`.
-  std::map<ServiceId, std::set<SoftwareVersion>> Versions(
-      MonoTime now, Duration window) const;
+  // Returns whether engines of the version, or records of it, have been seen.
+  bool HasSeen(const ServiceId& service, const SoftwareVersion& version) const;
+  // Returns whether the version has been seen, and certainly no engine of it
+  // has been listed within `window`.
+  bool HasLeft(const ServiceId& service, const SoftwareVersion& version,
+               MonoTime now, Duration window) const;
+  // Returns the versions that engines of each service have had within `window`,
+  // as far as this daemon knows.
+  VersionsByService Versions(MonoTime now, Duration window) const;
 
  private:
   struct Sighting {
     bool listed = false;     // An engine of the version is in the list.
     MonoTime last_listed{};  // Valid if not `listed`.
+
+    bool IsWithin(MonoTime now, Duration window) const {
+      return listed || now - last_listed < window;
+    }
   };
 
   std::map<ServiceId, std::map<SoftwareVersion, Sighting>> sightings_;
-  std::optional<MonoTime> known_since_;  // Time of the first Update().
+  // Since then the list has lacked no changes; absent before the first
+  // Update().
+  std::optional<MonoTime> gapless_since_;
 };
 
 }  // namespace mimosa
--- a/decide/stream_origins_test.cc
+++ b/decide/stream_origins_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "decide/software_version_history.h"
-#include "decide/version_consensus.h"
+#include "decide/version_record.h"
 
 namespace mimosa {
 namespace {
@@ -89,8 +89,8 @@
   Names Versions(int second) const {
     return history.Versions(At(second), seconds(20)).at(kService);
   }
-  std::optional<SoftwareVersion> OnlyVersion(int second) const {
-    return history.OnlyVersion(kService, At(second), seconds(20));
+  bool HasLeft(const SoftwareVersion& version, int second) const {
+    return history.HasLeft(kService, version, At(second), seconds(20));
   }
 
   BackEndList list;
@@ -99,34 +99,35 @@
 
 TEST_CASE_METHOD(HistoryFixture,
                  "a release ends when no stream of the old version can last") {
-  CHECK_FALSE(OnlyVersion(0));
   Put("a", kOld, 0);
   Put("b", kOld, 0);
-  CHECK(OnlyVersion(1) == kOld);
   CHECK(Versions(1) == Names{kOld});
   Put("c", kNew, 5);
-  CHECK_FALSE(OnlyVersion(5));
   CHECK(Versions(5) == Names{kOld, kNew});
   Remove("a", 6);
   CHECK(Versions(6) == Names{kOld, kNew});
   Remove("b", 7);
   // Streams of the old version may still be taken up.
   CHECK(Versions(26) == Names{kOld, kNew});
-  CHECK_FALSE(OnlyVersion(26));
+  CHECK_FALSE(HasLeft(kOld, 26));
   CHECK(Versions(27) == Names{kNew});
-  CHECK(OnlyVersion(27) == kNew);
+  CHECK(HasLeft(kOld, 27));
+  CHECK_FALSE(HasLeft(kNew, 27));
 }
 
 TEST_CASE_METHOD(HistoryFixture,
                  "a version that only a record of the fleet names counts") {
   Put("a", kNew, 0);
+  CHECK_FALSE(history.HasSeen(kService, kOld));
+  CHECK_FALSE(HasLeft(kOld, 50));
   history.RecordSighting(kService, kOld, At(1));
   history.RecordSighting(kService, kOld, At(0));
-  CHECK_FALSE(OnlyVersion(20));
-  CHECK(OnlyVersion(21) == kNew);
+  CHECK(history.HasSeen(kService, kOld));
+  CHECK(Versions(20) == Names{kOld, kNew});
+  CHECK(Versions(21) == Names{kNew});
   // A record doesn't end the listing of an engine.
   history.RecordSighting(kService, kNew, At(1));
-  CHECK(OnlyVersion(60) == kNew);
+  CHECK(Versions(60) == Names{kNew});
 }
 
 TEST_CASE_METHOD(HistoryFixture,
@@ -134,10 +135,10 @@
   Put("a", kOld, 0);
   Put("b", kNew, 0);
   Remove("a", 1);
-  CHECK(OnlyVersion(25) == kNew);
+  CHECK(Versions(25) == Names{kNew});
   Put("b", kOld, 30);
-  CHECK_FALSE(OnlyVersion(30));
-  CHECK(OnlyVersion(50) == kOld);
+  CHECK(Versions(30) == Names{kOld, kNew});
+  CHECK(Versions(50) == Names{kOld});
 }
 
 TEST_CASE_METHOD(HistoryFixture, "versions of long ago are forgotten") {
@@ -145,42 +146,92 @@
   Put("b", kNew, 0);
   Remove("a", 1);
   history.Update(list, At(4000));
-  CHECK(OnlyVersion(4000) == kNew);
-  CHECK_FALSE(history.OnlyVersion(ServiceId("x"), At(4000), seconds(20)));
+  CHECK(Versions(4000) == Names{kNew});
+  CHECK_FALSE(history.HasSeen(kService, kOld));
 }
 
-TEST_CASE("views of versions must agree, and one must be established") {
-  const VersionView started{kNew, /*is_established=*/false};
-  const VersionView established{kNew, /*is_established=*/true};
-  const VersionView several{std::nullopt, /*is_established=*/true};
-  const VersionView old{kOld, /*is_established=*/false};
-
-  VersionConsensus own(established, /*is_current=*/true);
-  CHECK_FALSE(own.needs_established_view());
-  CHECK(own.version() == kNew);
-  own.AddView(started);
-  CHECK(own.version() == kNew);
-  own.AddView(several);
-  CHECK_FALSE(own.version());
-  own.AddView(established);
-  CHECK_FALSE(own.version());
-
-  // Without an established view, the answer is only the best there is.
-  VersionConsensus all_started(started, /*is_current=*/true);
-  CHECK(all_started.needs_established_view());
-  CHECK(all_started.version() == kNew);
-  all_started.AddView(established);
-  CHECK_FALSE(all_started.needs_established_view());
-  all_started.AddView(old);
-  CHECK_FALSE(all_started.version());
-  CHECK_FALSE(all_started.needs_established_view());
-
-  // A list that may lack changes proves nothing by itself.
-  VersionConsensus cut_off(established, /*is_current=*/false);
-  CHECK_FALSE(cut_off.version());
-  CHECK(cut_off.needs_established_view());
-  cut_off.AddView(established);
-  CHECK(cut_off.version() == kNew);
+TEST_CASE_METHOD(HistoryFixture,
+                 "no version is known to have left behind a gap of the list") {
+  Put("a", kOld, 0);
+  Put("b", kNew, 0);
+  Remove("a", 1);
+  CHECK(HasLeft(kOld, 30));
+  history.RecordGap(At(40));
+  CHECK_FALSE(HasLeft(kOld, 59));
+  CHECK(HasLeft(kOld, 60));
+  // A gap brings no version back.
+  CHECK(Versions(41) == Names{kNew});
+}
+
+// The record as one daemon reads and writes it.
+struct RecordFixture : HistoryFixture {
+  VersionRecord Next(int second) const {
+    return NextVersionRecord(present, history, era, At(second), seconds(20));
+  }
+  void Write(int second) { present = Next(second); }
+  std::optional<SoftwareVersion> Implied() const {
+    return ImpliedVersion({present.value_or(VersionRecord()), era}, kService);
+  }
+
+  std::optional<VersionRecord> present;
+  StoreEra era{1};
+};
+
+TEST_CASE_METHOD(RecordFixture, "only a record of one version implies it") {
+  CHECK_FALSE(Implied());
+  Put("a", kOld, 0);
+  Write(0);
+  CHECK(Implied() == kOld);
+  CHECK_FALSE(ImpliedVersion({*present, era}, ServiceId("other")));
+  Put("b", kNew, 1);
+  Write(1);
+  CHECK_FALSE(Implied());
+  Remove("a", 2);
+  Write(21);
+  CHECK_FALSE(Implied());
+  Write(22);
+  CHECK(Implied() == kNew);
+}
+
+TEST_CASE_METHOD(RecordFixture,
+                 "a daemon keeps a version in the record that it hasn't seen") {
+  Put("a", kNew, 0);
+  present = VersionRecord{{{kService, {kOld, kNew}}}, era};
+  CHECK(Next(100) == *present);
+  history.RecordSighting(kService, kOld, At(100));
+  CHECK(Next(119) == *present);
+  CHECK(Next(120).versions.at(kService) == Names{kNew});
+}
+
+TEST_CASE_METHOD(RecordFixture,
+                 "no version leaves the record behind a gap of the list") {
+  Put("a", kNew, 0);
+  present = VersionRecord{{{kService, {kOld, kNew}}}, era};
+  history.RecordSighting(kService, kOld, At(0));
+  history.RecordGap(At(19));
+  CHECK(Next(38) == *present);
+  CHECK(Next(39).versions.at(kService) == Names{kNew});
+}
+
+TEST_CASE_METHOD(RecordFixture,
+                 "an older copy of the record implies nothing for a while") {
+  Put("a", kOld, 0);
+  Write(0);
+  CHECK(Implied() == kOld);
+  // The copy may lack a version that has come and gone since.
+  era = StoreEra(2);
+  history.RecordGap(At(50));
+  CHECK_FALSE(Implied());
+  Write(69);
+  CHECK_FALSE(Implied());
+  Write(70);
+  CHECK(Implied() == kOld);
+}
+
+TEST_CASE_METHOD(RecordFixture, "without engines the record doesn't shrink") {
+  present = VersionRecord{{{kService, {kOld}}}, era};
+  history.Update(list, At(0));
+  CHECK(Next(100) == *present);
 }
 
 }  // namespace
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -40,6 +40,7 @@
 #include "serving/stream_origin_exchange.h"
 #include "serving/stream_origin_journal.h"
 #include "serving/usage_exchange.h"
+#include "serving/version_registry.h"
 
 namespace mimosa {
 namespace {
@@ -213,12 +214,14 @@
             members_.self().boot(), RoleOptions()),
         site_sync_(loop_.get(), store_.get(), platform.site_format, &random_,
                    &log_, &back_ends_, SyncOptions()),
-        stream_origin_journal_(loop_.get(), &members_, store_.get(), &random_,
-                               &log_, JournalOptions()),
-        stream_origins_(
-            loop_.get(), &members_, &back_ends_, &log_,
-            [this] { return IsBackEndListCurrent(); },
-            StreamOriginExchange::Options{}, &stream_origin_journal_),
+        versions_(
+            loop_.get(), &members_, store_.get(), &back_ends_, &random_, &log_,
+            [this] { return IsBackEndListCurrent(); }, VersionOptions()),
+        stream_origin_journal_(loop_.get(), &members_, store_.get(), &log_,
+                               JournalOptions()),
+        stream_origins_(loop_.get(), &members_, &log_,
+                        StreamOriginExchange::Options{}, &versions_,
+                        &stream_origin_journal_),
         crash_exchange_(loop_.get(), &members_, store_.get(), &random_, &log_,
                         CrashOptions()),
         buffers_(loop_.get(), &log_, BufferOptions(settings)),
@@ -295,12 +298,15 @@
         });
     site_sync_.SetEraObserver([this](StoreEra era, bool is_first) {
       role_controller_.OnEraBegun(era);
+      versions_.OnEraBegun(era);
       if (is_first) return;
       crash_exchange_.OnStoreRestored();
       if (!leaving_) members_.OnStoreRestored();
     });
+    site_sync_.SetStoreLostObserver([this] { stream_origins_.OnStoreLost(); });
+    site_sync_.SetGapObserver([this] { versions_.OnGap(); });
     site_sync_.SetBackEndsObserver([this] {
-      stream_origins_.OnBackEndsChanged();
+      versions_.OnBackEndsChanged();
       permits_.OnBackEndsChanged(back_ends_);
       crash_exchange_.OnBackEndsChanged(back_ends_);
     });
@@ -436,7 +442,7 @@
     } else if (name == kCrashQuarantineRecordName) {
       crash_exchange_.OnRecord(record);
     } else if (name == kServiceVersionsRecordName) {
-      stream_origin_journal_.OnVersionsRecord(record);
+      versions_.OnRecord(record);
     } else if (StartsWith(name, kStreamOriginRecordPrefix)) {
       stream_origin_journal_.OnBatchRecord(
           name.substr(kStreamOriginRecordPrefix.size()), record);
@@ -490,7 +496,11 @@
   StreamOriginJournal::Options JournalOptions() const {
     StreamOriginJournal::Options options;
     options.batch_key_prefix = RecordPrefix().append(kStreamOriginRecordPrefix);
-    options.versions_key = RecordPrefix().append(kServiceVersionsRecordName);
+    return options;
+  }
+  VersionRegistry::Options VersionOptions() const {
+    VersionRegistry::Options options;
+    options.key = RecordPrefix().append(kServiceVersionsRecordName);
     return options;
   }
 
@@ -744,6 +754,7 @@
   UsageExchange usage_exchange_;
   RoleController role_controller_;
   SiteSync site_sync_;
+  VersionRegistry versions_;
   StreamOriginJournal stream_origin_journal_;
   StreamOriginExchange stream_origins_;
   CrashExchange crash_exchange_;
--- a/serving/site_sync.cc
+++ b/serving/site_sync.cc
@@ -45,6 +45,7 @@
                           .Add("era", era_.count())
                           .Add("revision", revision_.count()));
   if (on_era_ && (is_restored || !listed_)) on_era_(era_, !listed_);
+  listed_ = true;
   const auto is_back_end = [this](const KvRecord& record) {
     return StartsWith(record.key, format_->back_end_prefix());
   };
@@ -65,7 +66,6 @@
   // Applied after the servers, since some of these records refer to them.
   for (const KvRecord& record : result.records)
     if (!is_back_end(record) && !IsEvacuation(record.key)) ApplyRecord(record);
-  listed_ = true;
   revision_ = result.revision;
   log_->WriteAlways(LogLine("site_listed")
                         .Add("revision", revision_.count())
@@ -89,6 +89,7 @@
     OnStoreRegained();
     log_->WriteAlways(
         LogLine("watch_compacted").Add("revision", revision_.count()));
+    if (on_gap_) on_gap_();
     List();
     return;
   }
@@ -117,8 +118,9 @@
                           .Add("status", KvStatusName(status))
                           .Add("revision", revision_.count()));
   }
-  store_lost_ = true;
+  const bool was_lost = std::exchange(store_lost_, true);
   back_ends_->OnStoreLost();
+  if (!was_lost && on_store_lost_) on_store_lost_();
 }
 
 void SiteSync::OnStoreRegained() {
@@ -128,6 +130,7 @@
   if (!store_lost_) return;
   store_lost_ = false;
   back_ends_->OnStoreRegained(now);
+  if (on_gap_) on_gap_();
   ScheduleExpiry();
   log_->WriteAlways(
       LogLine("store_regained").Add("revision", revision_.count()));
--- a/serving/site_sync.h
+++ b/serving/site_sync.h
@@ -68,6 +68,15 @@
   void SetContactObserver(std::function<void()> observer) {
     on_contact_ = std::move(observer);
   }
+  // Called when the store has ceased to respond.
+  void SetStoreLostObserver(std::function<void()> observer) {
+    on_store_lost_ = std::move(observer);
+  }
+  // Called when the store responds again, and when it has discarded the history
+  // that the watch needs: changes that were undone meanwhile stay unseen.
+  void SetGapObserver(std::function<void()> observer) {
+    on_gap_ = std::move(observer);
+  }
   void SetConfigObserver(ConfigObserver observer) {
     on_config_ = std::move(observer);
   }
@@ -131,6 +140,8 @@
   BackEndList* const back_ends_;
   const Options options_;
   std::function<void()> on_contact_;
+  std::function<void()> on_store_lost_;
+  std::function<void()> on_gap_;
   ConfigObserver on_config_;
   RecordObserver on_record_;
   std::function<void()> on_back_ends_;
--- a/serving/stream_origin_directory.h
+++ b/serving/stream_origin_directory.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 
 #include "base/ids.h"
 #include "decide/site.h"
@@ -25,6 +26,10 @@
 
   virtual ~StreamOriginDirectory() = default;
 
+  // Returns the versions at which streams of `service` may begin: those that
+  // the fleet's record of versions names.
+  virtual const std::set<SoftwareVersion>& StartableVersions(
+      const ServiceId& service) const = 0;
   // The response to `request` is about to bring its caller the first event,
   // which an engine of `version` has generated; nullopt if it isn't known which
   // incarnation of the engine has.
--- a/serving/stream_origin_exchange.cc
+++ b/serving/stream_origin_exchange.cc
@@ -9,7 +9,7 @@
 namespace mimosa {
 namespace {
 
-std::string JoinedBySpaces(const std::vector<std::string>& names) {
+std::string JoinedBySpaces(const std::set<std::string>& names) {
   std::string joined;
   for (const std::string& name : names)
     joined += (joined.empty() ? "" : " ") + name;
@@ -18,8 +18,9 @@
 
 }  // namespace
 
-// A lookup ends with the first member that knows the origin. Otherwise it asks
-// the keepers, and more members while an established view is missing.
+// A lookup ends with the first member that knows the origin, or with a reading
+// of the record of versions once the keepers have answered or are late: that of
+// this daemon, else those of other members.
 class StreamOriginExchange::Lookup : public StreamOriginLookup {
  public:
   Lookup(StreamOriginExchange* exchange, RequestId request, ServiceId service,
@@ -33,8 +34,7 @@
         members_(exchange->members_->TopOthers(
             request_.empty() ? exchange->members_->self().name()
                              : request_.value(),
-            kMaxAsked)),
-        consensus_(exchange->OwnView(service_), exchange->is_list_current_()) {
+            kMaxReaders)) {
     exchange_->lookups_[serial_] = this;
   }
   ~Lookup() override { exchange_->lookups_.erase(serial_); }
@@ -46,43 +46,54 @@
     timer_ = exchange_->loop_->After(Duration::zero(), [this, origin] {
       if (origin) {
         FinishRecorded(origin->service, origin->software_version);
-      } else {
-        AskNextMembers(exchange_->options_.query_timeout);
+        return;
       }
+      stage_ = Stage::kAskingKeepers;
+      question_ = exchange_->versions_->Read(
+          [this](const std::optional<VersionReading>& reading) {
+            OnOwnReading(reading);
+          });
+      AskMembers(/*begin=*/0, exchange_->options_.query_timeout);
     });
   }
 
   void OnAnswer(const std::string& member,
                 const wire::StreamOriginAnswer& answer) {
     if (unanswered_.erase(member) == 0) return;
-    heard_.push_back(member);
+    heard_.insert(member);
     if (answer.known()) {
-      std::optional<SoftwareVersion> version;
+      Origin origin;
+      origin.service = ServiceId(answer.service());
       if (!answer.has_unknown_version())
-        version = SoftwareVersion(answer.software_version());
-      FinishRecorded(ServiceId(answer.service()), std::move(version));
-      return;
+        origin.software_version = SoftwareVersion(answer.software_version());
+      exchange_->KeepFoundOrigin(request_, origin);
+      FinishRecorded(origin.service, origin.software_version);
+    } else if (stage_ == Stage::kAskingReaders && answer.has_read_versions()) {
+      std::optional<SoftwareVersion> version;
+      if (answer.has_only_version())
+        version = SoftwareVersion(answer.only_version());
+      Finish(/*recorded=*/false, std::move(version));
+    } else if (unanswered_.empty()) {
+      OnMembersHeard();
     }
-    VersionView view;
-    if (answer.has_only_version())
-      view.only_version = SoftwareVersion(answer.only_version());
-    view.is_established = answer.is_established();
-    consensus_.AddView(view);
-    if (unanswered_.empty()) OnMembersHeard();
   }
 
   uint64_t serial() const { return serial_; }
   const RequestId& request() const { return request_; }
   const ServiceId& service() const { return service_; }
   // The members that have answered, and those that haven't in time.
-  const std::vector<std::string>& heard() const { return heard_; }
-  const std::vector<std::string>& silent() const { return silent_; }
+  const std::set<std::string>& heard() const { return heard_; }
+  const std::set<std::string>& silent() const { return silent_; }
+  // Whether this daemon has read the record of versions.
+  bool has_own_reading() const { return own_reading_.has_value(); }
 
  private:
-  void AskNextMembers(Duration timeout) {
-    const size_t end = std::min(members_.size(), asked_ + kKeepers);
+  enum class Stage { kBegin, kAskingKeepers, kAwaitingReading, kAskingReaders };
+
+  void AskMembers(size_t begin, Duration timeout) {
+    asked_ = std::min(members_.size(), begin + kKeepers);
     unanswered_.clear();
-    for (; asked_ < end; ++asked_) unanswered_.insert(members_[asked_]);
+    for (size_t i = begin; i < asked_; ++i) unanswered_.insert(members_[i]);
     give_up_at_ = exchange_->loop_->Now() + timeout;
     SendQueries();
   }
@@ -94,19 +105,44 @@
       return;
     }
     for (const std::string& member : unanswered_)
-      exchange_->SendQuery(member, *this);
+      exchange_->SendQuery(member, *this, stage_ == Stage::kAskingReaders);
     timer_ = exchange_->loop_->After(exchange_->options_.query_interval,
                                      [this] { SendQueries(); });
   }
 
   // The members that were asked have answered, or their time is over.
   void OnMembersHeard() {
-    silent_.insert(silent_.end(), unanswered_.begin(), unanswered_.end());
-    if (consensus_.needs_established_view() && asked_ < members_.size()) {
-      AskNextMembers(exchange_->options_.view_timeout);
-    } else {
-      Finish(/*recorded=*/false, consensus_.version());
+    timer_.Cancel();
+    silent_.insert(unanswered_.begin(), unanswered_.end());
+    if (stage_ == Stage::kAskingKeepers) {
+      stage_ = Stage::kAwaitingReading;
+      if (question_ == nullptr) OnReadingAndKeepersHeard();
+    } else if (stage_ == Stage::kAskingReaders) {
+      if (asked_ < members_.size()) {
+        AskMembers(asked_, exchange_->options_.reading_timeout);
+      } else {
+        Finish(/*recorded=*/false, std::nullopt);
+      }
+    }
+  }
+
+  void OnOwnReading(const std::optional<VersionReading>& reading) {
+    question_.reset();
+    own_reading_ = reading;
+    if (stage_ == Stage::kAwaitingReading) OnReadingAndKeepersHeard();
+  }
+
+  void OnReadingAndKeepersHeard() {
+    if (own_reading_) {
+      Finish(/*recorded=*/false, ImpliedVersion(*own_reading_, service_));
+      return;
     }
+    stage_ = Stage::kAskingReaders;
+    // Late answers to the queries before say nothing about the record.
+    exchange_->lookups_.erase(serial_);
+    serial_ = ++exchange_->last_serial_;
+    exchange_->lookups_[serial_] = this;
+    AskMembers(/*begin=*/0, exchange_->options_.reading_timeout);
   }
 
   // A stream doesn't go on at another service than the one that began it.
@@ -118,6 +154,7 @@
 
   void Finish(bool recorded, std::optional<SoftwareVersion> version) {
     timer_.Cancel();
+    question_.reset();
     unanswered_.clear();
     exchange_->RecordResult(*this, recorded, version);
     const FindCallback callback = std::move(callback_);
@@ -128,81 +165,87 @@
   const RequestId request_;
   const ServiceId service_;
   FindCallback callback_;
-  const uint64_t serial_;
+  uint64_t serial_;
   const std::vector<std::string> members_;  // In the order of asking.
-  size_t asked_ = 0;  // The first members that have been asked.
+  Stage stage_ = Stage::kBegin;
+  size_t asked_ = 0;  // Members up to this one have been asked at this stage.
   // Of the members asked last, those that haven't answered.
   std::set<std::string> unanswered_;
-  std::vector<std::string> heard_;
-  std::vector<std::string> silent_;
+  std::set<std::string> heard_;
+  std::set<std::string> silent_;
   MonoTime give_up_at_{};
-  VersionConsensus consensus_;
+  // Null before the own reading is requested, and once it is over.
+  std::unique_ptr<VersionRegistry::Question> question_;
+  std::optional<VersionReading> own_reading_;
   TimerHandle timer_;
 };
 
-StreamOriginExchange::StreamOriginExchange(
-    EventLoop* loop, const MemberList* members, const BackEndList* back_ends,
-    LineLog* log, IsListCurrent is_list_current, const Options& options,
-    StreamOriginJournal* journal)
+StreamOriginExchange::StreamOriginExchange(EventLoop* loop,
+                                           const MemberList* members,
+                                           LineLog* log, const Options& options,
+                                           VersionRegistry* versions,
+                                           StreamOriginJournal* journal)
     : loop_(loop),
       members_(members),
-      back_ends_(back_ends),
       log_(log),
-      is_list_current_(std::move(is_list_current)),
       options_(options),
-      journal_(journal) {}
+      versions_(versions),
+      journal_(journal) {
+  versions_->SetObserver([this] { OnVersionsChanged(); });
+}
 
 StreamOriginExchange::~StreamOriginExchange() = default;
 
 void StreamOriginExchange::Start(DatagramSocket* socket) {
   socket_ = socket;
-  if (journal_ != nullptr) journal_->Start(this, socket);
+  journal_->Start(this, socket);
 }
 
 void StreamOriginExchange::SetStreamLifetime(Duration lifetime) {
   origins_.SetLifetime(lifetime);
-  if (journal_ != nullptr) journal_->SetStreamLifetime(lifetime);
+  versions_->SetStreamLifetime(lifetime);
+  journal_->SetStreamLifetime(lifetime);
 }
 
-void StreamOriginExchange::OnBackEndsChanged() {
-  const MonoTime now = loop_->Now();
-  history_.Update(*back_ends_, now);
+void StreamOriginExchange::OnVersionsChanged() {
   std::set<ServiceId> mixed;
-  for (const auto& [service, versions] :
-       history_.Versions(now, origins_.lifetime())) {
+  for (const auto& [service, versions] : versions_->recorded_versions()) {
     if (versions.size() < 2) continue;
     // Streams that began before are taken up, too.
     if (mixed_services_.count(service) == 0)
-      for (const auto& [request, origin] : origins_.LocalOrigins(service, now))
-        QueueReport(request, origin);
+      ReportLocalOrigins(service, Report::kToKeepersAndStore);
     mixed.insert(service);
   }
   mixed_services_ = std::move(mixed);
-  if (journal_ != nullptr) journal_->OnVersionsChanged();
+}
+
+// Members that can't read the record have only the origins to go by.
+void StreamOriginExchange::OnStoreLost() {
+  for (const auto& [service, versions] : versions_->recorded_versions())
+    if (versions.size() < 2) ReportLocalOrigins(service, Report::kToKeepers);
+}
+
+void StreamOriginExchange::ReportLocalOrigins(const ServiceId& service,
+                                              Report report) {
+  for (const auto& [request, origin] :
+       origins_.LocalOrigins(service, loop_->Now()))
+    QueueReport(request, origin, report);
 }
 
 void StreamOriginExchange::OnOriginRead(const RequestId& request,
                                         const Origin& origin) {
-  const MonoTime now = loop_->Now();
-  origins_.Record(request, origin, now);
+  origins_.Record(request, origin, loop_->Now());
   if (origin.software_version)
-    history_.RecordSighting(origin.service, *origin.software_version,
-                            origin.began);
+    versions_->RecordSighting(origin.service, *origin.software_version,
+                              origin.began);
 }
 
-void StreamOriginExchange::OnVersionRead(const ServiceId& service,
-                                         const SoftwareVersion& version) {
+void StreamOriginExchange::KeepFoundOrigin(const RequestId& request,
+                                           Origin origin) {
   const MonoTime now = loop_->Now();
-  const VersionsByService known = history_.Versions(now, origins_.lifetime());
-  const auto versions = known.find(service);
-  // Of a version that it has seen itself, this daemon knows when it left.
-  if (versions == known.end() || versions->second.count(version) == 0)
-    history_.RecordSighting(service, version, now);
-}
-
-std::optional<VersionsByService> StreamOriginExchange::CurrentVersions() const {
-  if (!is_list_current_()) return std::nullopt;
-  return history_.Versions(loop_->Now(), origins_.lifetime());
+  // When the stream began isn't known.
+  origin.began = now;
+  origins_.Record(request, origin, now);
 }
 
 void StreamOriginExchange::Record(
@@ -211,8 +254,15 @@
   const MonoTime now = loop_->Now();
   const Origin origin{service, version, now, /*is_local=*/true};
   origins_.Record(request, origin, now);
-  if (!version || OwnView(service).only_version != version)
-    QueueReport(request, origin);
+  const std::set<SoftwareVersion>& recorded =
+      versions_->RecordedVersions(service);
+  const bool is_implied =
+      version && recorded.size() == 1 && recorded.count(*version) > 0;
+  if (!is_implied) {
+    QueueReport(request, origin, Report::kToKeepersAndStore);
+  } else if (!versions_->is_list_current()) {
+    QueueReport(request, origin, Report::kToKeepers);
+  }
 }
 
 std::unique_ptr<StreamOriginLookup> StreamOriginExchange::Find(
@@ -224,21 +274,14 @@
   return lookup;
 }
 
-VersionView StreamOriginExchange::OwnView(const ServiceId& service) const {
-  const MonoTime now = loop_->Now();
-  const Duration lifetime = origins_.lifetime();
-  return {history_.OnlyVersion(service, now, lifetime),
-          history_.IsEstablished(now, lifetime)};
-}
-
 void StreamOriginExchange::QueueReport(const RequestId& request,
-                                       const Origin& origin) {
+                                       const Origin& origin, Report report) {
   for (const std::string& keeper :
        members_->TopOthers(request.value(), kKeepers)) {
     detail::WriteOrigin(request, origin, loop_->Now(),
                         reports_[keeper].add_origins());
   }
-  if (journal_ != nullptr) journal_->Add(request, origin);
+  if (report == Report::kToKeepersAndStore) journal_->Add(request, origin);
   // Sent at the end of the loop's iteration, so that several go in one
   // datagram.
   if (!report_timer_)
@@ -264,7 +307,8 @@
 }
 
 void StreamOriginExchange::SendQuery(const std::string& member,
-                                     const Lookup& lookup) {
+                                     const Lookup& lookup,
+                                     bool reads_versions) {
   const auto to = members_->FindAddress(member);
   if (!to) return;
   wire::UsageDatagram datagram;
@@ -272,6 +316,7 @@
   query->set_serial(lookup.serial());
   query->set_request(lookup.request().value());
   query->set_service(lookup.service().value());
+  query->set_reads_versions(reads_versions);
   Send(*to, datagram);
 }
 
@@ -293,24 +338,46 @@
 
 void StreamOriginExchange::HandleQuery(const wire::StreamOriginQuery& query,
                                        const Endpoint& from) {
-  const ServiceId service(query.service());
-  wire::UsageDatagram datagram;
-  wire::StreamOriginAnswer* const answer = datagram.mutable_origin_answer();
-  answer->set_serial(query.serial());
   const auto origin = origins_.Find(RequestId(query.request()), loop_->Now());
-  answer->set_known(origin.has_value());
   if (origin) {
+    wire::UsageDatagram datagram;
+    wire::StreamOriginAnswer* const answer = datagram.mutable_origin_answer();
+    answer->set_serial(query.serial());
+    answer->set_known(true);
     answer->set_has_unknown_version(!origin->software_version);
     if (origin->software_version)
       answer->set_software_version(origin->software_version->value());
     answer->set_service(origin->service.value());
-  } else {
-    const VersionView view = OwnView(service);
-    if (view.only_version) answer->set_only_version(view.only_version->value());
-    // A list that lacks changes proves nothing.
-    answer->set_is_established(view.is_established && is_list_current_());
+    Send(from, datagram);
+    return;
+  }
+  if (!query.reads_versions()) {
+    SendReading(query, from, std::nullopt);
+    return;
+  }
+  if (readings_.size() >= kMaxPendingQueries) return;
+  const uint64_t number = ++last_reading_;
+  readings_[number] =
+      versions_->Read([this, query, from,
+                       number](const std::optional<VersionReading>& reading) {
+        SendReading(query, from, reading);
+        readings_.erase(number);
+      });
+}
+
+void StreamOriginExchange::SendReading(
+    const wire::StreamOriginQuery& query, const Endpoint& to,
+    const std::optional<VersionReading>& reading) {
+  wire::UsageDatagram datagram;
+  wire::StreamOriginAnswer* const answer = datagram.mutable_origin_answer();
+  answer->set_serial(query.serial());
+  answer->set_has_read_versions(reading.has_value());
+  if (reading) {
+    if (const auto version =
+            ImpliedVersion(*reading, ServiceId(query.service())))
+      answer->set_only_version(version->value());
   }
-  Send(from, datagram);
+  Send(to, datagram);
 }
 
 void StreamOriginExchange::HandleAnswer(const wire::StreamOriginAnswer& answer,
@@ -342,7 +409,8 @@
                   .Add("recorded", recorded)
                   .Add("heard", JoinedBySpaces(lookup.heard()))
                   .Add("silent", JoinedBySpaces(lookup.silent()))
-                  .Add("list_current", is_list_current_())
+                  .Add("list_current", versions_->is_list_current())
+                  .Add("has_read_versions", lookup.has_own_reading())
                   .Add("software_version",
                        version ? version->value() : std::string("unknown")));
 }
--- a/serving/stream_origin_journal.cc
+++ b/serving/stream_origin_journal.cc
@@ -17,19 +17,16 @@
 constexpr Duration kRemovalInterval = std::chrono::milliseconds(200);
 // Time between two looks for expired records while there are records.
 constexpr Duration kSweepInterval = std::chrono::seconds(5);
-// Time between two looks at the record of versions.
-constexpr Duration kVersionsCheckInterval = std::chrono::seconds(5);
 
 }  // namespace
 
 StreamOriginJournal::StreamOriginJournal(EventLoop* loop,
                                          const MemberList* members,
-                                         KvStore* store, RandomSource* random,
-                                         LineLog* log, const Options& options)
+                                         KvStore* store, LineLog* log,
+                                         const Options& options)
     : loop_(loop),
       members_(members),
       store_(store),
-      random_(random),
       log_(log),
       options_(options),
       unconfirmed_(options.unconfirmed),
@@ -215,109 +212,4 @@
       });
 }
 
-// --- The record of versions -----------------------------------------------
-
-void StreamOriginJournal::OnVersionsRecord(const KvRecord* record) {
-  // A lower revision is that of a watch which is behind a write of this daemon,
-  // or of a store that has come back from an older copy. If a version is
-  // missing, the write that follows tells which: it fails in the first case.
-  ApplyVersionsRecord(record);
-}
-
-void StreamOriginJournal::ApplyVersionsRecord(const KvRecord* record) {
-  recorded_versions_.clear();
-  versions_revision_ = record == nullptr ? Revision(0) : record->revision;
-  wire::ServiceVersionsRecord parsed;
-  if (record != nullptr && !FromJson(record->value, /*strict=*/false, &parsed))
-    log_->Write(LogLine("service_versions_unreadable")
-                    .Add("revision", record->revision.count()));
-  for (const wire::ServiceVersions& item : parsed.services()) {
-    const ServiceId service(item.service());
-    for (const std::string& name : item.software_versions()) {
-      const SoftwareVersion version(name);
-      recorded_versions_[service].insert(version);
-      reader_->OnVersionRead(service, version);
-    }
-  }
-  OnVersionsChanged();
-}
-
-void StreamOriginJournal::OnVersionsChanged() {
-  if (versions_timer_ || versions_call_ != nullptr) return;
-  recheck_timer_.Cancel();
-  const auto current = reader_->CurrentVersions();
-  if (current && *current != recorded_versions_) {
-    ScheduleVersionsWrite(Duration::zero());
-  } else {
-    // A version ceases to count some time after its last engine has left.
-    recheck_timer_ =
-        loop_->After(kVersionsCheckInterval, [this] { CheckVersions(); });
-  }
-}
-
-// The first members read the record, since no watch reports that a store which
-// has come back from an older copy lacks it.
-void StreamOriginJournal::CheckVersions() {
-  recheck_timer_.Cancel();
-  if (!reader_->CurrentVersions() ||
-      Rank() >= options_.unconfirmed.max_attempts) {
-    OnVersionsChanged();
-    return;
-  }
-  versions_call_ =
-      store_->Get(options_.versions_key, [this](const KvResult& result) {
-        finished_call_ = std::move(versions_call_);
-        if (result.status == KvStatus::kNotFound) {
-          ApplyVersionsRecord(nullptr);
-        } else if (result.status == KvStatus::kOk &&
-                   result.record.revision != versions_revision_) {
-          ApplyVersionsRecord(&result.record);
-        } else {
-          // An unchanged record doesn't show that its versions still count.
-          OnVersionsChanged();
-        }
-      });
-}
-
-void StreamOriginJournal::ScheduleVersionsWrite(Duration min_delay) {
-  Duration delay = min_delay +
-                   options_.versions_turn * static_cast<int64_t>(Rank()) +
-                   Scaled(options_.retry_delay, random_->UniformDouble());
-  if (versions_revision_ == Revision(0)) delay += options_.first_versions_delay;
-  versions_timer_ = loop_->After(delay, [this] { WriteVersions(); });
-}
-
-void StreamOriginJournal::WriteVersions() {
-  versions_timer_.Cancel();
-  const auto current = reader_->CurrentVersions();
-  if (!current || *current == recorded_versions_) {
-    OnVersionsChanged();
-    return;
-  }
-  wire::ServiceVersionsRecord record;
-  for (const auto& [service, versions] : *current) {
-    wire::ServiceVersions* const item = record.add_services();
-    item->set_service(service.value());
-    for (const SoftwareVersion& version : versions)
-      item->add_software_versions(version.value());
-  }
-  const std::string value = ToJson(record);
-  versions_call_ =
-      store_->Put(options_.versions_key, value, versions_revision_,
-                  /*lease=*/"", [this, value](const KvResult& result) {
-                    finished_call_ = std::move(versions_call_);
-                    KvRecord present = result.record;
-                    if (result.status == KvStatus::kOk) {
-                      present.value = value;
-                      ApplyVersionsRecord(&present);
-                    } else if (result.status == KvStatus::kConflict) {
-                      ApplyVersionsRecord(
-                          present.revision == Revision(0) ? nullptr : &present);
-                    } else {
-                      ++counters_.writes_failed;
-                      ScheduleVersionsWrite(options_.versions_turn);
-                    }
-                  });
-}
-
 }  // namespace mimosa
--- a/serving/stream_origin_journal.h
+++ b/serving/stream_origin_journal.h
@@ -1,17 +1,13 @@
 // Keeps in the platform's store what callers need to take up their streams
 // after all daemons have ended at once: which version began each stream, while
-// a service has several, and which versions may have begun streams at all.
+// a service has several.
 //
 // Model: decide/origin_journal.h. The writer of the journal is the member with
 // the highest rendezvous hash. Every daemon reads the records through its watch
 // on the store, and after a start through its first listing, before it serves.
-// The record of versions is written when a service's versions change, by the
-// first of the members that the store answers; the revision that it replaces
-// settles races. The first members read it again from time to time, so that a
-// store which has come back from an older copy is told what it lacks.
 //
-// Cost: three reads in 5 s while the versions stay the same; else a few writes
-// a second and one datagram a stream, whatever the fleet's size.
+// Cost: nothing while services have one version each; else a few writes a
+// second and one datagram a stream, whatever the fleet's size.
 #ifndef SERVING_STREAM_ORIGIN_JOURNAL_H_
 #define SERVING_STREAM_ORIGIN_JOURNAL_H_
 
@@ -19,13 +15,10 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
-#include <set>
 #include <string>
 
 #include "base/kv_store.h"
 #include "base/line_log.h"
-#include "base/random.h"
 #include "decide/origin_journal.h"
 #include "net/datagram.h"
 #include "net/event_loop.h"
@@ -34,22 +27,11 @@
 
 namespace mimosa {
 
-// The versions that may have begun streams, by service.
-using VersionsByService = std::map<ServiceId, std::set<SoftwareVersion>>;
-
 class StreamOriginJournal {
  public:
   struct Options {
-    // Keys of the batches begin with the prefix; the record of versions has a
-    // key of its own.
+    // Prefix of the batches' keys.
     std::string batch_key_prefix;
-    std::string versions_key;
-    // Delay of a write of the versions for each member that ranks before this
-    // one, and before jitter.
-    Duration versions_turn = std::chrono::milliseconds(1500);
-    // Delay of the first write of the versions, in which the members of a fleet
-    // that starts learn of each other.
-    Duration first_versions_delay = std::chrono::seconds(2);
     // Delay after a failed call.
     Duration retry_delay = std::chrono::milliseconds(500);
     UnconfirmedOrigins::Options unconfirmed;
@@ -68,16 +50,10 @@
     virtual ~Reader() = default;
     virtual void OnOriginRead(const RequestId& request,
                               const StreamOrigins::Origin& origin) = 0;
-    virtual void OnVersionRead(const ServiceId& service,
-                               const SoftwareVersion& version) = 0;
-    // Returns the versions that may have begun streams which can still be taken
-    // up, as far as this daemon knows; nullopt if it may lack changes.
-    virtual std::optional<VersionsByService> CurrentVersions() const = 0;
   };
 
   StreamOriginJournal(EventLoop* loop, const MemberList* members,
-                      KvStore* store, RandomSource* random, LineLog* log,
-                      const Options& options);
+                      KvStore* store, LineLog* log, const Options& options);
 
   // `reader` and `socket` must outlive the journal.
   void Start(Reader* reader, DatagramSocket* socket);
@@ -86,14 +62,11 @@
 
   // Has the origin of a stream of this daemon written to the store.
   void Add(const RequestId& request, const StreamOrigins::Origin& origin);
-  // The versions that may have begun streams may have changed.
-  void OnVersionsChanged();
   void OnDatagram(const Endpoint& from, const wire::UsageDatagram& datagram);
 
   // A record of the journal, named without the prefix, has changed; nullptr if
   // it was removed.
   void OnBatchRecord(const std::string& name, const KvRecord* record);
-  void OnVersionsRecord(const KvRecord* record);
 
   const Counters& counters() const { return counters_; }
   size_t record_count() const { return records_.size(); }
@@ -106,10 +79,6 @@
   void OnBatchWritten(uint64_t batch, const KvResult& result);
   void ScheduleSweep();
   void Sweep();
-  void ApplyVersionsRecord(const KvRecord* record);
-  void CheckVersions();
-  void ScheduleVersionsWrite(Duration min_delay);
-  void WriteVersions();
   // Number of members that rank before this one as the journal's writer, up to
   // the number of members that are tried.
   size_t Rank() const;
@@ -117,7 +86,6 @@
   EventLoop* const loop_;
   const MemberList* const members_;
   KvStore* const store_;
-  RandomSource* const random_;
   LineLog* const log_;
   const Options options_;
   Reader* reader_ = nullptr;
@@ -126,17 +94,12 @@
   UnconfirmedOrigins unconfirmed_;
   JournalBatches batches_;
   JournalRecords records_;
-  VersionsByService recorded_versions_;
-  Revision versions_revision_;  // 0: there is no record.
   KvStore::CallPtr batch_call_;
-  KvStore::CallPtr versions_call_;
   KvStore::CallPtr removal_call_;
   KvStore::CallPtr finished_call_;  // May be on the stack.
   TimerHandle send_timer_;
   TimerHandle write_timer_;
   TimerHandle sweep_timer_;
-  TimerHandle versions_timer_;
-  TimerHandle recheck_timer_;
   Counters counters_;
 };
 
--- a/serving/stream_relay.cc
+++ b/serving/stream_relay.cc
@@ -283,7 +283,7 @@
       has_unknown_version_ = true;
       ++deps_.counters->streams_of_unknown_version;
     }
-    if (request_.route.retry_policy == RetryPolicy::kResumableStream)
+    if (IsResumable())
       deps_.stream_origins->Record(request_.caller.id, request_.service.id,
                                    software_version_);
   }
@@ -331,6 +331,10 @@
     FindOriginAndStart();
   }
 
+  bool IsResumable() const {
+    return request_.route.retry_policy == RetryPolicy::kResumableStream;
+  }
+
   void FindOriginAndStart() {
     if (!request_.caller.resumes_stream ||
         !IsStream(request_.route.retry_policy)) {
@@ -684,6 +688,10 @@
     query.preferred_zone = preferred_zone;
     query.exclude = exclude;
     query.software_version = software_version_;
+    // Its version must be known wherever the stream may be taken up.
+    if (IsResumable() && !software_version_)
+      query.startable_versions =
+          &deps_.stream_origins->StartableVersions(request_.service.id);
     query.allowed_regions = &request_.allowed_regions;
     if (request_.service.engine)
       query.kv_memory = request_.service.engine->kv_memory;
@@ -1026,8 +1034,7 @@
 
   // Whether an engine may get the request after a run has failed.
   bool MayResume() const {
-    return !is_ending_ && !is_trial_ && MayRetryAfterCrash() &&
-           request_.route.retry_policy == RetryPolicy::kResumableStream &&
+    return !is_ending_ && !is_trial_ && MayRetryAfterCrash() && IsResumable() &&
            (request_.runs->MayRunElsewhere() || !EnginesToReturnTo().empty()) &&
            CanContinueResponse();
   }
@@ -1045,7 +1052,7 @@
   }
 
   void StartSilenceTimer() {
-    if (request_.route.retry_policy != RetryPolicy::kResumableStream) return;
+    if (!IsResumable()) return;
     Duration timeout = request_.route.target_event_gap * kSilenceGapMultiple;
     if (event_splitter_.event_count() == 0) {
       timeout = std::max(timeout, std::chrono::duration_cast<Duration>(
--- /dev/null
+++ b/serving/version_registry.cc
@@ -0,0 +1,269 @@
+// Writes and readings of the record of versions.
+#include "serving/version_registry.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "base/json.h"
+#include "wire/usage.pb.h"
+
+namespace mimosa {
+namespace {
+
+// Rendezvous key of the members that write the record.
+constexpr char kWriterKey[] = "service_versions";
+
+std::string ToText(const VersionRecord& record) {
+  wire::ServiceVersionsRecord message;
+  message.set_complete_era(record.complete_era.count());
+  for (const auto& [service, versions] : record.versions) {
+    wire::ServiceVersions* const item = message.add_services();
+    item->set_service(service.value());
+    for (const SoftwareVersion& version : versions)
+      item->add_software_versions(version.value());
+  }
+  return ToJson(message);
+}
+
+}  // namespace
+
+VersionRegistry::VersionRegistry(EventLoop* loop, const MemberList* members,
+                                 KvStore* store, const BackEndList* back_ends,
+                                 RandomSource* random, LineLog* log,
+                                 IsListCurrent is_list_current,
+                                 const Options& options)
+    : loop_(loop),
+      members_(members),
+      store_(store),
+      back_ends_(back_ends),
+      random_(random),
+      log_(log),
+      is_list_current_(std::move(is_list_current)),
+      options_(options) {}
+
+const std::set<SoftwareVersion>& VersionRegistry::RecordedVersions(
+    const ServiceId& service) const {
+  static const std::set<SoftwareVersion> kNone;
+  const auto versions = recorded_.find(service);
+  return versions == recorded_.end() ? kNone : versions->second;
+}
+
+size_t VersionRegistry::Rank() const {
+  const std::vector<std::string> first =
+      members_->TopMembers(kWriterKey, options_.max_turns);
+  const auto own =
+      std::find(first.begin(), first.end(), members_->self().name());
+  return own == first.end() ? options_.max_turns
+                            : static_cast<size_t>(own - first.begin());
+}
+
+// --- The record -----------------------------------------------------------
+
+void VersionRegistry::OnBackEndsChanged() {
+  history_.Update(*back_ends_, loop_->Now());
+  Update();
+}
+
+void VersionRegistry::OnEraBegun(StoreEra era) {
+  era_ = era;
+  history_.RecordGap(loop_->Now());
+}
+
+void VersionRegistry::OnRecord(const KvRecord* record) {
+  // A lower revision is that of a watch which is behind a write of this daemon,
+  // or of a store that has come back from an older copy. If a version is
+  // missing, the write that follows tells which: it fails in the first case.
+  Apply(record, era_);
+}
+
+std::optional<VersionRecord> VersionRegistry::Parse(
+    const KvRecord& record) const {
+  wire::ServiceVersionsRecord message;
+  if (!FromJson(record.value, /*strict=*/false, &message)) {
+    log_->Write(LogLine("service_versions_unreadable")
+                    .Add("revision", record.revision.count()));
+    return std::nullopt;
+  }
+  VersionRecord parsed;
+  parsed.complete_era = StoreEra(message.complete_era());
+  for (const wire::ServiceVersions& item : message.services())
+    for (const std::string& name : item.software_versions())
+      parsed.versions[ServiceId(item.service())].insert(SoftwareVersion(name));
+  return parsed;
+}
+
+void VersionRegistry::Apply(const KvRecord* record, StoreEra era) {
+  era_ = era;
+  revision_ = record == nullptr ? Revision(0) : record->revision;
+  record_ = record == nullptr ? std::nullopt : Parse(*record);
+  // What an unreadable record named is unknown.
+  if (record != nullptr && !record_) record_ = VersionRecord{{}, StoreEra(-1)};
+  VersionsByService recorded =
+      record_ ? record_->versions : VersionsByService();
+  for (const auto& [service, versions] : recorded)
+    for (const SoftwareVersion& version : versions)
+      if (!history_.HasSeen(service, version))
+        history_.RecordSighting(service, version, loop_->Now());
+  const bool has_changed = recorded != recorded_;
+  recorded_ = std::move(recorded);
+  if (has_changed) {
+    for (const auto& [service, versions] : recorded_) {
+      std::string names;
+      for (const SoftwareVersion& version : versions)
+        names += (names.empty() ? "" : " ") + version.value();
+      log_->Write(LogLine("service_versions_recorded")
+                      .Add("service", service.value())
+                      .Add("software_versions", names)
+                      .Add("revision", revision_.count()));
+    }
+    if (on_change_) on_change_();
+  }
+  Update();
+}
+
+VersionRecord VersionRegistry::NextRecord() const {
+  return NextVersionRecord(record_, history_, era_, loop_->Now(), window_);
+}
+
+bool VersionRegistry::NeedsWrite() const {
+  if (!is_list_current_()) return false;
+  const VersionRecord next = NextRecord();
+  // Without engines, there is nothing to record.
+  return record_ ? !(next == *record_) : !next.versions.empty();
+}
+
+void VersionRegistry::Update() {
+  if (write_timer_ || call_ != nullptr) return;
+  check_timer_.Cancel();
+  if (NeedsWrite()) {
+    ScheduleWrite(Duration::zero());
+  } else {
+    // A version ceases to count some time after its last engine has left.
+    check_timer_ = loop_->After(options_.check_interval, [this] { Check(); });
+  }
+}
+
+void VersionRegistry::Check() {
+  check_timer_.Cancel();
+  if (!is_list_current_() || Rank() >= options_.max_turns) {
+    Update();
+    return;
+  }
+  call_ = store_->Get(options_.key, [this](const KvResult& result) {
+    finished_call_ = std::move(call_);
+    if (result.status == KvStatus::kNotFound) {
+      Apply(nullptr, result.era);
+    } else if (result.status == KvStatus::kOk &&
+               result.record.revision != revision_) {
+      Apply(&result.record, result.era);
+    } else {
+      // An unchanged record doesn't show that its versions still count.
+      Update();
+    }
+  });
+}
+
+void VersionRegistry::ScheduleWrite(Duration min_delay) {
+  // The members of a fleet that starts don't know of each other yet.
+  const Duration jitter = members_->others().empty()
+                              ? options_.first_write_jitter
+                              : options_.write_jitter;
+  write_timer_ =
+      loop_->After(min_delay + options_.turn * static_cast<int64_t>(Rank()) +
+                       Scaled(jitter, random_->UniformDouble()),
+                   [this] { Write(); });
+}
+
+void VersionRegistry::Write() {
+  write_timer_.Cancel();
+  if (!NeedsWrite()) {
+    Update();
+    return;
+  }
+  const std::string value = ToText(NextRecord());
+  call_ = store_->Put(
+      options_.key, value, revision_, /*lease=*/"",
+      [this, value](const KvResult& result) { OnWritten(value, result); });
+}
+
+void VersionRegistry::OnWritten(const std::string& value,
+                                const KvResult& result) {
+  finished_call_ = std::move(call_);
+  KvRecord present = result.record;
+  if (result.status == KvStatus::kOk) {
+    present.value = value;
+    Apply(&present, result.era);
+  } else if (result.status == KvStatus::kConflict) {
+    Apply(present.revision == Revision(0) ? nullptr : &present, result.era);
+  } else {
+    log_->Write(LogLine("service_versions_unwritten")
+                    .Add("status", KvStatusName(result.status)));
+    ScheduleWrite(options_.retry_delay);
+  }
+}
+
+// --- Readings -------------------------------------------------------------
+
+std::unique_ptr<VersionRegistry::Question> VersionRegistry::Read(
+    ReadCallback callback) {
+  const uint64_t serial = ++last_serial_;
+  questions_[serial] = {std::move(callback)};
+  ScheduleReading();
+  return std::make_unique<Question>(this, serial);
+}
+
+void VersionRegistry::ScheduleReading() {
+  if (is_reading_ || reading_timer_) return;
+  const Duration interval = options_.read_interval_per_member *
+                            static_cast<int64_t>(members_->size());
+  reading_timer_ = loop_->After(
+      std::max(Duration::zero(), last_reading_at_ + interval - loop_->Now()),
+      [this] { StartReading(); });
+}
+
+void VersionRegistry::StartReading() {
+  reading_timer_.Cancel();
+  if (questions_.empty()) return;
+  for (auto& [serial, question] : questions_) question.is_asked = true;
+  is_reading_ = true;
+  last_reading_at_ = loop_->Now();
+  if (!is_list_current_()) {
+    // The store doesn't answer this daemon.
+    OnReading(std::nullopt);
+    return;
+  }
+  reading_timer_ =
+      loop_->After(options_.read_timeout, [this] { OnReading(std::nullopt); });
+  reading_call_ = store_->Get(options_.key, [this](const KvResult& result) {
+    std::optional<VersionReading> reading;
+    if (result.status == KvStatus::kOk) {
+      if (const auto record = Parse(result.record))
+        reading = VersionReading{*record, result.era};
+    } else if (result.status == KvStatus::kNotFound) {
+      // No stream has begun.
+      reading = VersionReading{{{}, result.era}, result.era};
+    }
+    OnReading(reading);
+  });
+}
+
+void VersionRegistry::OnReading(const std::optional<VersionReading>& reading) {
+  reading_timer_.Cancel();
+  finished_reading_call_ = std::move(reading_call_);
+  is_reading_ = false;
+  std::vector<uint64_t> asked;
+  for (const auto& [serial, question] : questions_)
+    if (question.is_asked) asked.push_back(serial);
+  for (const uint64_t serial : asked) {
+    // A callback may drop other questions.
+    const auto question = questions_.find(serial);
+    if (question == questions_.end()) continue;
+    const ReadCallback callback = std::move(question->second.callback);
+    questions_.erase(question);
+    callback(reading);
+  }
+  if (!questions_.empty()) ScheduleReading();
+}
+
+}  // namespace mimosa
--- /dev/null
+++ b/serving/version_registry.h
@@ -0,0 +1,173 @@
+// Keeps the record of versions (decide/version_record.h) in the platform's
+// store, and reads it for streams that callers take up.
+//
+// Model: every daemon learns of the record through its watch on the store. When
+// a version is listed that the record lacks, or one has left for good, the
+// first of the members that the store answers writes it; the revision that it
+// replaces settles races. The first members also read it from time to time,
+// since no watch reports that a store which has come back from an older copy
+// lacks it.
+//
+// A reading is requested from the store after the question has come. Questions
+// that come while a reading is under way wait for the next one.
+//
+// Cost: three reads in 5 s, a write when versions change, and a read for the
+// streams that are taken up at a daemon within read_interval.
+#ifndef SERVING_VERSION_REGISTRY_H_
+#define SERVING_VERSION_REGISTRY_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/kv_store.h"
+#include "base/line_log.h"
+#include "base/random.h"
+#include "decide/software_version_history.h"
+#include "decide/version_record.h"
+#include "net/event_loop.h"
+#include "serving/member_list.h"
+
+namespace mimosa {
+
+class VersionRegistry {
+ public:
+  struct Options {
+    std::string key;
+    // Delay of a write for each member that ranks before this one.
+    Duration turn = std::chrono::milliseconds(500);
+    // Number of members that take turns.
+    size_t max_turns = 3;
+    // Largest random delay of a write; of the first one, that a whole fleet
+    // attempts when it starts.
+    Duration write_jitter = std::chrono::milliseconds(250);
+    Duration first_write_jitter = std::chrono::seconds(1);
+    // Delay after a failed write.
+    Duration retry_delay = std::chrono::milliseconds(1500);
+    // Time between two looks at the record.
+    Duration check_interval = std::chrono::seconds(5);
+    // Timeout of a reading.
+    Duration read_timeout = std::chrono::milliseconds(500);
+    // Least time between two readings, for each member of the fleet.
+    Duration read_interval_per_member = std::chrono::milliseconds(1);
+    // Longest time that a daemon which can't reach the store begins streams at
+    // an engine whose entry is gone.
+    Duration max_list_age = std::chrono::seconds(10);
+  };
+  // Returns whether the list of backend servers is current: the store has
+  // answered lately.
+  using IsListCurrent = std::function<bool()>;
+  // Receives nullopt if the record could not be read.
+  using ReadCallback = std::function<void(std::optional<VersionReading>)>;
+
+  // A pending question. Destroying it drops the callback.
+  class Question {
+   public:
+    Question(VersionRegistry* registry, uint64_t serial)
+        : registry_(registry), serial_(serial) {}
+    ~Question() { registry_->questions_.erase(serial_); }
+    Question(const Question&) = delete;
+    Question& operator=(const Question&) = delete;
+
+   private:
+    VersionRegistry* const registry_;
+    const uint64_t serial_;
+  };
+
+  VersionRegistry(EventLoop* loop, const MemberList* members, KvStore* store,
+                  const BackEndList* back_ends, RandomSource* random,
+                  LineLog* log, IsListCurrent is_list_current,
+                  const Options& options);
+
+  // Called after each change of RecordedVersions().
+  void SetObserver(std::function<void()> observer) {
+    on_change_ = std::move(observer);
+  }
+  // Sets how long after its first event a stream can be taken up.
+  void SetStreamLifetime(Duration lifetime) {
+    window_ = lifetime + options_.max_list_age;
+  }
+
+  // The list of backend servers has changed.
+  void OnBackEndsChanged();
+  // Until now, the list may have lacked changes.
+  void OnGap() { history_.RecordGap(loop_->Now()); }
+  // The store is listed for the first time, or in a new era.
+  void OnEraBegun(StoreEra era);
+  // The watch on the store has read the record; nullptr: there is none.
+  void OnRecord(const KvRecord* record);
+  // An engine of `service` has had this version.
+  void RecordSighting(const ServiceId& service, const SoftwareVersion& version,
+                      MonoTime at) {
+    history_.RecordSighting(service, version, at);
+  }
+
+  // Returns the versions at which streams may begin.
+  const std::set<SoftwareVersion>& RecordedVersions(
+      const ServiceId& service) const;
+  const VersionsByService& recorded_versions() const { return recorded_; }
+  bool is_list_current() const { return is_list_current_(); }
+
+  // Reads the record. Runs `callback` once, from the loop.
+  [[nodiscard]] std::unique_ptr<Question> Read(ReadCallback callback);
+
+ private:
+  struct PendingQuestion {
+    ReadCallback callback;
+    bool is_asked = false;  // The reading under way was requested after it.
+  };
+
+  // Takes over what was read or written, with the store's era at the time.
+  void Apply(const KvRecord* record, StoreEra era);
+  std::optional<VersionRecord> Parse(const KvRecord& record) const;
+  VersionRecord NextRecord() const;
+  void Update();
+  // Whether the record has to be written, and this daemon may judge it.
+  bool NeedsWrite() const;
+  void Check();
+  void ScheduleWrite(Duration min_delay);
+  void Write();
+  void OnWritten(const std::string& value, const KvResult& result);
+  // Number of members that rank before this one, at most max_turns.
+  size_t Rank() const;
+
+  void ScheduleReading();
+  void StartReading();
+  void OnReading(const std::optional<VersionReading>& reading);
+
+  EventLoop* const loop_;
+  const MemberList* const members_;
+  KvStore* const store_;
+  const BackEndList* const back_ends_;
+  RandomSource* const random_;
+  LineLog* const log_;
+  const IsListCurrent is_list_current_;
+  const Options options_;
+  std::function<void()> on_change_;
+  Duration window_ = std::chrono::seconds(60);
+  SoftwareVersionHistory history_;
+  StoreEra era_;
+  std::optional<VersionRecord> record_;  // As last read; absent: none.
+  Revision revision_;                    // Of the record; 0: there is none.
+  VersionsByService recorded_;
+  KvStore::CallPtr call_;           // A write, or a look at the record.
+  KvStore::CallPtr finished_call_;  // May be on the stack.
+  TimerHandle write_timer_;
+  TimerHandle check_timer_;
+
+  std::map<uint64_t, PendingQuestion> questions_;  // By serial.
+  uint64_t last_serial_ = 0;
+  MonoTime last_reading_at_{};
+  bool is_reading_ = false;
+  KvStore::CallPtr reading_call_;
+  KvStore::CallPtr finished_reading_call_;  // May be on the stack.
+  TimerHandle reading_timer_;
+};
+
+}  // namespace mimosa
+
+#endif  // SERVING_VERSION_REGISTRY_H_
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -17,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/json.h"
 #include "net/test_peer.h"
 #include "platform/request_codec.h"
 #include "serving/crash_exchange.h"
@@ -24,7 +25,10 @@
 #include "serving/member_list.h"
 #include "serving/permit_exchange.h"
 #include "serving/stream_origin_exchange.h"
+#include "serving/stream_origin_journal.h"
+#include "serving/version_registry.h"
 #include "tests/serving_fakes.h"
+#include "wire/usage.pb.h"
 
 namespace mimosa::testing {
 
@@ -274,9 +278,17 @@
     boundaries.SetEvacuated(domains, loop->Now());
   }
 
+  // Lists a back end of which the fleet's record names the version, so that
+  // streams may begin at it.
   void AddBackEnd(const std::string& id, const char* service, EngineRole role,
                   uint16_t port, const std::string& version = "v1",
                   int64_t incarnation = 1, const char* domain = "z") {
+    ListBackEnd(id, service, role, port, version, incarnation, domain);
+    if (role != EngineRole::kNone) RecordVersion(service, version);
+  }
+  void ListBackEnd(const std::string& id, const char* service, EngineRole role,
+                   uint16_t port, const std::string& version = "v1",
+                   int64_t incarnation = 1, const char* domain = "z") {
     BackEndEntry entry;
     entry.id = BackEndId(id);
     entry.service = ServiceId(service);
@@ -288,7 +300,21 @@
     entry.incarnation = incarnation;
     entry.software_version = SoftwareVersion(version);
     back_ends.Put(entry, loop->Now());
-    origins.OnBackEndsChanged();
+    versions.OnBackEndsChanged();
+  }
+  void RecordVersion(const std::string& service_name,
+                     const std::string& version) {
+    recorded_versions[service_name].insert(version);
+    wire::ServiceVersionsRecord record;
+    for (const auto& [service, names] : recorded_versions) {
+      wire::ServiceVersions* const item = record.add_services();
+      item->set_service(service);
+      for (const std::string& name : names) item->add_software_versions(name);
+    }
+    const std::string key = VersionOptions().key;
+    const KvResult written = version_store.Write(
+        key, ToJson(record), version_store.Find(key).record.revision);
+    versions.OnRecord(&written.record);
   }
 
   HttpRequest MakeRequest(const std::string& target) {
@@ -353,8 +379,19 @@
                          [this] { return frontend->running_requests(); },
                          {},
                          &boundaries};
-  StreamOriginExchange origins{loop.get(),          &members, &back_ends, &log,
-                               [] { return true; }, {}};
+  static VersionRegistry::Options VersionOptions() {
+    VersionRegistry::Options options;
+    options.key = "service_versions";
+    return options;
+  }
+  std::map<std::string, std::set<std::string>> recorded_versions;
+  RecordStore version_store{loop.get()};
+  VersionRegistry versions{loop.get(),          &members,        &version_store,
+                           &back_ends,          &random,         &log,
+                           [] { return true; }, VersionOptions()};
+  StreamOriginJournal origin_journal{loop.get(), &members, &store, &log, {}};
+  StreamOriginExchange origins{loop.get(), &members,  &log,
+                               {},         &versions, &origin_journal};
   CrashExchange prompt_crashes{loop.get(), &members, &store, &random, &log, {}};
   BufferMonitor buffers{loop.get(), &log, buffer_options};
   ShutdownPolicy shutdown;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -789,6 +789,27 @@
   };
 }
 
+TEST_CASE_METHOD(RelayFixture,
+                 "a stream that may be taken up begins at no version that the "
+                 "record doesn't name") {
+  FakeEngine prefill(loop.get());
+  FakeEngine decode(loop.get());
+  ListBackEnd("p", "llm", EngineRole::kPrefill, prefill.back_end.port(), "v2");
+  ListBackEnd("d", "llm", EngineRole::kDecode, decode.back_end.port(), "v2");
+  const CallerResponse refused = CallFrontend("/note/1");
+  CHECK(refused.status == 503);
+  CHECK(refused.headers.Find("Retry-After") != nullptr);
+  CHECK(decode.runs == 0);
+  CHECK(prefill.prefills == 0);
+  // Nobody asks which version began this one.
+  CHECK(CallFrontend("/letter/1").status == 200);
+  // The daemon records the version itself.
+  REQUIRE(RunUntil(loop.get(), [&] {
+    return !versions.RecordedVersions(ServiceId("llm")).empty();
+  }));
+  CHECK(CallFrontend("/note/2").status == 200);
+}
+
 // The result can only be used at the software version that generated it.
 TEST_CASE_METHOD(StreamFixture,
                  "an engine of unknown incarnation gets no prefill result") {
--- a/tests/stream_origin_exchange_test.cc
+++ b/tests/stream_origin_exchange_test.cc
@@ -149,10 +149,22 @@
 StreamOriginJournal::Options JournalOptions() {
   StreamOriginJournal::Options options;
   options.batch_key_prefix = kBatchPrefix;
-  options.versions_key = kVersionsKey;
   return options;
 }
 
+VersionRegistry::Options RegistryOptions() {
+  VersionRegistry::Options options;
+  options.key = kVersionsKey;
+  return options;
+}
+
+// How long a version that has left may have begun streams that can be taken up,
+// as the registry judges it.
+const Duration kWindow = kLifetime + VersionRegistry::Options().max_list_age;
+// Covers the write of a version by a member that is the last in turn, the look
+// that finds it due, and the delivery by the watch.
+constexpr Duration kRecordingTime = seconds(8);
+
 // One start of a daemon.
 struct Daemon {
   Daemon(VirtualTimeSimulator* simulator, FakeNetwork* network,
@@ -162,11 +174,12 @@
         log(-1, &loop, testing::DisabledLogOptions()),
         members(&loop, &store, &random, &log, MemberOf(index, boot), {}),
         journal_store(fleet_store, &loop),
-        journal(&loop, &members, &journal_store, &random, &log,
-                JournalOptions()),
-        exchange(
-            &loop, &members, &back_ends, &log, [this] { return hears_store; },
-            StreamOriginExchange::Options{}, &journal),
+        versions(
+            &loop, &members, &journal_store, &back_ends, &random, &log,
+            [this] { return hears_store; }, RegistryOptions()),
+        journal(&loop, &members, &journal_store, &log, JournalOptions()),
+        exchange(&loop, &members, &log, StreamOriginExchange::Options{},
+                 &versions, &journal),
         records(fleet_store),
         socket(network, index) {
     for (int other = 0; other < fleet_size; ++other) {
@@ -198,7 +211,7 @@
     const KvRecord* const record = records->Find(key);
     const std::string prefix(kBatchPrefix);
     if (key == kVersionsKey) {
-      journal.OnVersionsRecord(record);
+      versions.OnRecord(record);
     } else if (key.compare(0, prefix.size(), prefix) == 0) {
       journal.OnBatchRecord(key.substr(prefix.size()), record);
     }
@@ -207,7 +220,10 @@
   // The store's watch delivers a change of the engines.
   void List(const std::vector<BackEndEntry>& entries) {
     back_ends.ReplaceAll(entries, loop.Now());
-    exchange.OnBackEndsChanged();
+    versions.OnBackEndsChanged();
+  }
+  bool MayBegin(const SoftwareVersion& version) const {
+    return exchange.StartableVersions(kService).count(version) > 0;
   }
 
   SeededRandom random;
@@ -218,6 +234,7 @@
   BackEndList back_ends;
   bool hears_store = true;
   FleetStoreClient journal_store;
+  VersionRegistry versions;
   StreamOriginJournal journal;
   StreamOriginExchange exchange;
   FleetStore* const records;
@@ -241,6 +258,7 @@
         if (daemon != nullptr) daemon->DeliverLater(key);
     });
     for (int i = 0; i < size; ++i) Start(i);
+    RunUntilRecorded();
   }
 
   void Start(int index) {
@@ -266,6 +284,7 @@
   void CutOffFromStore(int index) {
     daemon(index)->hears_store = false;
     daemon(index)->journal_store.is_refused = true;
+    daemon(index)->exchange.OnStoreLost();
   }
   FakeNetwork& network() { return network_; }
   FleetStore& store() { return store_; }
@@ -283,12 +302,32 @@
   }
 
   // All daemons that run and hear the store learn of the engines.
-  void SetEngines(std::vector<BackEndEntry> engines) {
+  void SetEngines(const std::vector<BackEndEntry>& engines) {
+    AnnounceEngines(engines);
+    RunUntilRecorded();
+  }
+  void AnnounceEngines(std::vector<BackEndEntry> engines) {
     engines_ = std::move(engines);
     for (const auto& daemon : daemons_)
       if (daemon != nullptr && daemon->hears_store) daemon->List(engines_);
   }
 
+  // All daemons that run and hear the store may begin streams at all versions
+  // of the engines.
+  void RunUntilRecorded() {
+    const auto is_recorded = [this] {
+      for (const auto& daemon : daemons_) {
+        if (daemon == nullptr || !daemon->hears_store) continue;
+        for (const BackEndEntry& engine : engines_)
+          if (!daemon->MayBegin(engine.software_version)) return false;
+      }
+      return true;
+    };
+    const MonoTime end = simulator_.now() + kRecordingTime;
+    while (!is_recorded() && simulator_.now() < end) Run(milliseconds(10));
+    REQUIRE(is_recorded());
+  }
+
   // Begins `count` streams at random daemons, at random versions of `versions`.
   std::vector<Stream> BeginStreams(
       int count, const std::vector<SoftwareVersion>& versions) {
@@ -298,6 +337,7 @@
       stream.request = RequestId("r" + std::to_string(++last_request_));
       stream.version = versions[random_.UniformInt(versions.size())];
       stream.daemon = static_cast<int>(random_.UniformInt(size()));
+      REQUIRE(daemon(stream.daemon)->MayBegin(stream.version));
       daemon(stream.daemon)
           ->exchange.Record(stream.request, kService, stream.version);
       streams.push_back(stream);
@@ -306,6 +346,22 @@
     return streams;
   }
 
+  // Takes the streams up at that daemon. Returns how many of them go on at
+  // their version.
+  int TakeUpAt(int index, const std::vector<Stream>& streams) {
+    int went_on = 0;
+    std::vector<std::unique_ptr<StreamOriginLookup>> lookups;
+    lookups.reserve(streams.size());
+    for (const Stream& stream : streams)
+      lookups.push_back(daemon(index)->exchange.Find(
+          stream.request, kService,
+          [&went_on, version = stream.version](const auto& found) {
+            went_on += found == version ? 1 : 0;
+          }));
+    Run(seconds(2));
+    return went_on;
+  }
+
   // What became of streams that were taken up.
   struct Takeups {
     int count = 0;
@@ -432,7 +488,7 @@
 
 bool IsAny(const Stream& /*stream*/) { return true; }
 
-TEST_CASE("after a restart of all, streams go on at their version") {
+TEST_CASE("after a restart of all, streams go on at their version", "[store]") {
   ForEachFleet([](Fleet& fleet) {
     const auto old_streams = fleet.BeginStreams(kStreams, {kOld});
     fleet.KillAll();
@@ -453,7 +509,8 @@
   });
 }
 
-TEST_CASE("what isn't in the store at the end of all daemons is refused") {
+TEST_CASE("what isn't in the store at the end of all daemons is refused",
+          "[store]") {
   ForEachFleet([](Fleet& fleet) {
     fleet.SetEngines(kMixedEngines);
     const auto streams = fleet.BeginStreams(kStreams, {kOld, kNew});
@@ -465,7 +522,8 @@
   });
 }
 
-TEST_CASE("a store that was away holds no origins, and nothing is guessed") {
+TEST_CASE("a store that was away holds no origins, and nothing is guessed",
+          "[store]") {
   ForEachFleet([](Fleet& fleet) {
     fleet.SetEngines(kMixedEngines);
     fleet.store().is_away = true;
@@ -478,7 +536,7 @@
   });
 }
 
-TEST_CASE("origins are written after an outage of the store") {
+TEST_CASE("origins are written after an outage of the store", "[store]") {
   ForEachFleet([](Fleet& fleet) {
     fleet.SetEngines(kMixedEngines);
     fleet.store().is_away = true;
@@ -492,7 +550,8 @@
   });
 }
 
-TEST_CASE("another member writes if the store turns the writer away") {
+TEST_CASE("another member writes if the store turns the writer away",
+          "[store]") {
   ForEachFleet([](Fleet& fleet) {
     fleet.SetEngines(kMixedEngines);
     const std::string writer =
@@ -509,7 +568,8 @@
 
 // The servers of the old version have just left when all daemons end at once,
 // so that those that start see one version only.
-TEST_CASE("after a restart of all, a version that has just left counts") {
+TEST_CASE("after a restart of all, a version that has just left counts",
+          "[store]") {
   ForEachFleet([](Fleet& fleet) {
     fleet.Run(seconds(5));  // The record of versions is written.
     fleet.SetEngines(kMixedEngines);
@@ -522,16 +582,21 @@
   });
 }
 
-TEST_CASE("a version that was replaced while no daemon ran counts") {
+TEST_CASE("a version that was replaced while no daemon ran counts", "[store]") {
   ForEachFleet([](Fleet& fleet) {
     fleet.Run(seconds(5));
     const auto streams = fleet.BeginStreams(kStreams, {kOld});
     fleet.KillAll();
     fleet.SetEngines(kNewEngines);
     fleet.StartAll();
+    // Only the old version may have begun streams so far.
+    const auto takeups = fleet.TakeUp(streams, IsAny);
+    CHECK(takeups.went_on == kStreams);
+    CHECK(takeups.at_wrong_version == 0);
+    fleet.RunUntilRecorded();
     CHECK(fleet.TakeUp(streams, IsAny).went_on == 0);
     // Once no stream of the old version can be left, there is no doubt.
-    fleet.Run(kLifetime + seconds(10));
+    fleet.Run(kWindow + kRecordingTime);
     const auto new_streams = fleet.BeginStreams(kStreams, {kNew});
     fleet.KillAll();
     fleet.StartAll();
@@ -540,7 +605,8 @@
 }
 
 // The store comes back from a copy made before the release.
-TEST_CASE("a version that an older copy of the store lacks is written again") {
+TEST_CASE("a version that an older copy of the store lacks is written again",
+          "[store]") {
   ForEachFleet([](Fleet& fleet) {
     fleet.Run(seconds(5));
     const FleetStore::Copy copy = fleet.store().MakeCopy();
@@ -561,24 +627,26 @@
   });
 }
 
-TEST_CASE("versions are written again to a store that came back empty") {
+TEST_CASE("versions are written again to a store that came back empty",
+          "[store]") {
   ForEachFleet([](Fleet& fleet) {
-    const FleetStore::Copy copy = fleet.store().MakeCopy();
-    CHECK(copy.records.empty());
     fleet.Run(seconds(5));
     CHECK(fleet.store().records().size() == 1);
     const auto streams = fleet.BeginStreams(kStreams, {kOld});
     // No daemon hears of it.
-    fleet.store().ComeBackFrom(copy);
+    fleet.store().ComeBackFrom(FleetStore::Copy());
     fleet.Run(seconds(12));
     fleet.KillAll();
     fleet.SetEngines(kNewEngines);
     fleet.StartAll();
+    CHECK(fleet.TakeUp(streams, IsAny).at_wrong_version == 0);
+    fleet.RunUntilRecorded();
     CHECK(fleet.TakeUp(streams, IsAny).went_on == 0);
   });
 }
 
-TEST_CASE("the journal's records are few and are removed after a release") {
+TEST_CASE("the journal's records are few and are removed after a release",
+          "[store]") {
   ForEachFleet([](Fleet& fleet) {
     fleet.SetEngines(kMixedEngines);
     const auto streams = fleet.BeginStreams(kStreams, {kOld, kNew});
@@ -607,7 +675,7 @@
           0);
     CheckTakeups(fleet.TakeUp(streams, is_broken));
     // Once no stream of the old version can be left, there is no doubt.
-    fleet.Run(kLifetime);
+    fleet.Run(kWindow + kRecordingTime);
     const auto new_streams = fleet.BeginStreams(kStreams, {kNew});
     const auto takeups = fleet.TakeUp(new_streams, is_broken, false);
     CHECK(takeups.went_on == takeups.count);
@@ -619,14 +687,19 @@
   ForEachFleet([](Fleet& fleet) {
     // It misses that engines of the new version have started.
     Daemon* const deaf = fleet.daemon(0);
-    deaf->hears_store = false;
+    fleet.CutOffFromStore(0);
     fleet.network().cut_off = {0};
     fleet.SetEngines(kMixedEngines);
-    std::vector<Stream> streams = fleet.BeginStreams(kStreams, {kNew});
+    std::vector<Stream> streams;
+    for (int i = 0; i < kStreams; ++i) {
+      const int daemon = 1 + i % (fleet.size() - 1);
+      streams.push_back({RequestId("n" + std::to_string(i)), kNew, daemon});
+      fleet.daemon(daemon)->exchange.Record(streams.back().request, kService,
+                                            kNew);
+    }
     int went_on = 0;
     std::vector<std::unique_ptr<StreamOriginLookup>> lookups;
     for (const Stream& stream : streams) {
-      if (stream.daemon == 0) continue;
       lookups.push_back(deaf->exchange.Find(
           stream.request, kService,
           [&](const auto& found) { went_on += found ? 1 : 0; }));
@@ -654,6 +727,10 @@
 int CountAtOldVersion(Fleet& fleet, Reports reports) {
   fleet.Run(kLifetime);  // All views are established.
   fleet.daemon(0)->List(kMixedEngines);
+  // It begins no stream before the record names the version.
+  const auto has_begun = [&] { return fleet.daemon(0)->MayBegin(kNew); };
+  for (int i = 0; i < 1000 && !has_begun(); ++i) fleet.Run(milliseconds(10));
+  REQUIRE(has_begun());
   if (reports != Reports::kArrive) fleet.network().cut_off = {0};
   std::vector<RequestId> streams;
   for (int i = 0; i < 20; ++i) {
@@ -683,7 +760,7 @@
 }
 
 TEST_CASE("a version that daemons haven't learned of yet isn't passed over",
-          "[.][lagging]") {
+          "[lagging]") {
   const Reports reports = GENERATE(Reports::kLost, Reports::kNeverSent);
   ForEachFleet(
       [&](Fleet& fleet) { CHECK(CountAtOldVersion(fleet, reports) == 0); });
@@ -696,7 +773,6 @@
     fleet->Run(kLifetime);  // All views are established.
     for (int i = 0; i < 2; ++i) fleet->CutOffFromStore(i);
     fleet->SetEngines(kMixedEngines);
-    fleet->Run(seconds(1));
     for (int i = 0; i < 40; ++i) {
       streams.emplace_back("s" + std::to_string(i));
       fleet->daemon(2 + i % (fleet->size() - 2))
@@ -725,7 +801,7 @@
 };
 
 TEST_CASE("daemons cut off from the store don't vouch for each other",
-          "[.][cut_off]") {
+          "[cut_off]") {
   ForEachFleet([](Fleet& fleet) {
     SurvivorsOfRelease survivors(&fleet);
     CHECK(survivors.CountAtOldVersion(0) == 0);
@@ -734,7 +810,7 @@
 }
 
 TEST_CASE("a daemon that has heard of a version doesn't forget it",
-          "[.][cut_off]") {
+          "[cut_off]") {
   ForEachFleet([](Fleet& fleet) {
     fleet.Run(kLifetime);
     for (int i = 0; i < 2; ++i) fleet.CutOffFromStore(i);
@@ -757,6 +833,44 @@
   });
 }
 
+TEST_CASE("members read the record for a daemon cut off from the store",
+          "[cut_off]") {
+  ForEachFleet([](Fleet& fleet) {
+    fleet.CutOffFromStore(0);
+    std::vector<Stream> streams;
+    for (int i = 0; i < kStreams; ++i) {
+      const int daemon = 1 + i % (fleet.size() - 1);
+      streams.push_back({RequestId("s" + std::to_string(i)), kOld, daemon});
+      fleet.daemon(daemon)->exchange.Record(streams.back().request, kService,
+                                            kOld);
+    }
+    const int before = fleet.TakeUpAt(0, streams);
+    CHECK(10 * before >= 9 * kStreams);
+    // While the store is away from all, nobody can say.
+    for (int i = 1; i < fleet.size(); ++i) fleet.CutOffFromStore(i);
+    std::vector<Stream> late;
+    for (int i = 0; i < kStreams; ++i)
+      late.push_back({RequestId("late" + std::to_string(i)), kOld, 1});
+    CHECK(fleet.TakeUpAt(0, late) == 0);
+  });
+}
+
+TEST_CASE("streams of killed daemons go on while the store is away",
+          "[cut_off]") {
+  ForEachFleet([](Fleet& fleet) {
+    auto streams = fleet.BeginStreams(kStreams, {kOld});
+    fleet.store().is_away = true;
+    for (int i = 0; i < fleet.size(); ++i) fleet.CutOffFromStore(i);
+    const auto later = fleet.BeginStreams(kStreams, {kOld});
+    streams.insert(streams.end(), later.begin(), later.end());
+    fleet.Run(milliseconds(50));
+    const int killed = fleet.size() / 3;
+    for (int i = 0; i < killed; ++i) fleet.Kill(i);
+    CheckTakeups(fleet.TakeUp(
+        streams, [&](const Stream& stream) { return stream.daemon < killed; }));
+  });
+}
+
 TEST_CASE("answers that nobody asked for are ignored") {
   Fleet fleet(6, 1);
   fleet.SetEngines(kMixedEngines);
