A version leaves the record in two steps

A version was removed from the record once one daemon had seen no engine of it for long. If an engine of it was listed again in that moment, another daemon could still begin a stream at it, by a record that it had read before, and a takeup read a record without it. Found by reading; the list of the daemon that removes lags behind.

The record names a version as open or closed. It is closed when no engine of it is listed; no stream begins at a closed version. A daemon that lists one opens it again. A closed version is removed once the same closing, which names the revision that it replaced, is as old as a stream may last and a daemon may lag: no gap in a list and no second closing can be mistaken for it. What the lists lack no longer matters, so SoftwareVersionHistory only says what is listed.

--- a/decide/software_version_history.cc
+++ b/decide/software_version_history.cc
@@ -9,16 +9,12 @@
 namespace mimosa {
 namespace {
 
-// Versions that were last listed longer ago are forgotten. Longer than any
-// stream lasts.
+// Versions that were last listed longer ago are forgotten.
 constexpr Duration kRetention = std::chrono::hours(1);
-// Most versions of a service that records of the fleet may add.
-constexpr size_t kMaxVersions = 64;
 
 }  // namespace
 
 void SoftwareVersionHistory::Update(const BackEndList& list, MonoTime now) {
-  if (!gapless_since_) gapless_since_ = now;
   std::set<std::pair<ServiceId, SoftwareVersion>> listed;
   for (const auto& [id, back_end] : list.entries()) {
     const BackEndEntry& entry = back_end.entry;
@@ -40,34 +36,13 @@
   }
 }
 
-void SoftwareVersionHistory::RecordSighting(const ServiceId& service,
-                                            const SoftwareVersion& version,
-                                            MonoTime at) {
-  std::map<SoftwareVersion, Sighting>& versions = sightings_[service];
-  if (versions.size() >= kMaxVersions && versions.count(version) == 0) return;
-  Sighting& sighting = versions[version];
-  sighting.last_listed = std::max(sighting.last_listed, at);
-}
-
-bool SoftwareVersionHistory::HasSeen(const ServiceId& service,
-                                     const SoftwareVersion& version) const {
-  const auto versions = sightings_.find(service);
-  return versions != sightings_.end() && versions->second.count(version) > 0;
-}
-
-bool SoftwareVersionHistory::HasLeft(const ServiceId& service,
-                                     const SoftwareVersion& version,
-                                     MonoTime now, Duration window) const {
-  return IsGapless(now, window) && HasSeen(service, version) &&
-         !sightings_.at(service).at(version).IsWithin(now, window);
-}
-
 VersionsByService SoftwareVersionHistory::Versions(MonoTime now,
                                                    Duration window) const {
   VersionsByService result;
   for (const auto& [service, versions] : sightings_) {
     for (const auto& [version, sighting] : versions)
-      if (sighting.IsWithin(now, window)) result[service].insert(version);
+      if (sighting.listed || now - sighting.last_listed < window)
+        result[service].insert(version);
   }
   return result;
 }
--- a/serving/entry_daemon.cc
+++ b/serving/entry_daemon.cc
@@ -304,7 +304,6 @@
       if (!leaving_) members_.OnStoreRestored();
     });
     site_sync_.SetStoreLostObserver([this] { stream_origins_.OnStoreLost(); });
-    site_sync_.SetGapObserver([this] { versions_.OnGap(); });
     site_sync_.SetBackEndsObserver([this] {
       versions_.OnBackEndsChanged();
       permits_.OnBackEndsChanged(back_ends_);
--- a/serving/site_sync.cc
+++ b/serving/site_sync.cc
@@ -89,7 +89,6 @@
     OnStoreRegained();
     log_->WriteAlways(
         LogLine("watch_compacted").Add("revision", revision_.count()));
-    if (on_gap_) on_gap_();
     List();
     return;
   }
@@ -130,7 +129,6 @@
   if (!store_lost_) return;
   store_lost_ = false;
   back_ends_->OnStoreRegained(now);
-  if (on_gap_) on_gap_();
   ScheduleExpiry();
   log_->WriteAlways(
       LogLine("store_regained").Add("revision", revision_.count()));
--- a/serving/site_sync.h
+++ b/serving/site_sync.h
@@ -72,11 +72,6 @@
   void SetStoreLostObserver(std::function<void()> observer) {
     on_store_lost_ = std::move(observer);
   }
-  // Called when the store responds again, and when it has discarded the history
-  // that the watch needs: changes that were undone meanwhile stay unseen.
-  void SetGapObserver(std::function<void()> observer) {
-    on_gap_ = std::move(observer);
-  }
   void SetConfigObserver(ConfigObserver observer) {
     on_config_ = std::move(observer);
   }
@@ -141,7 +136,6 @@
   const Options options_;
   std::function<void()> on_contact_;
   std::function<void()> on_store_lost_;
-  std::function<void()> on_gap_;
   ConfigObserver on_config_;
   RecordObserver on_record_;
   std::function<void()> on_back_ends_;
--- a/serving/stream_origin_exchange.cc
+++ b/serving/stream_origin_exchange.cc
@@ -235,9 +235,6 @@
 void StreamOriginExchange::OnOriginRead(const RequestId& request,
                                         const Origin& origin) {
   origins_.Record(request, origin, loop_->Now());
-  if (origin.software_version)
-    versions_->RecordSighting(origin.service, *origin.software_version,
-                              origin.began);
 }
 
 void StreamOriginExchange::KeepFoundOrigin(const RequestId& request,
@@ -254,10 +251,10 @@
   const MonoTime now = loop_->Now();
   const Origin origin{service, version, now, /*is_local=*/true};
   origins_.Record(request, origin, now);
-  const std::set<SoftwareVersion>& recorded =
-      versions_->RecordedVersions(service);
+  const auto recorded = versions_->recorded_versions().find(service);
   const bool is_implied =
-      version && recorded.size() == 1 && recorded.count(*version) > 0;
+      version && recorded != versions_->recorded_versions().end() &&
+      recorded->second == std::set<SoftwareVersion>{*version};
   if (!is_implied) {
     QueueReport(request, origin, Report::kToKeepersAndStore);
   } else if (!versions_->is_list_current()) {
--- a/serving/stream_origin_exchange.h
+++ b/serving/stream_origin_exchange.h
@@ -80,7 +80,7 @@
   // StreamOriginDirectory:
   const std::set<SoftwareVersion>& StartableVersions(
       const ServiceId& service) const override {
-    return versions_->RecordedVersions(service);
+    return versions_->StartableVersions(service);
   }
   void Record(const RequestId& request, const ServiceId& service,
               const std::optional<SoftwareVersion>& version) override;
--- a/serving/version_registry.cc
+++ b/serving/version_registry.cc
@@ -17,11 +17,16 @@
 std::string ToText(const VersionRecord& record) {
   wire::ServiceVersionsRecord message;
   message.set_complete_era(record.complete_era.count());
-  for (const auto& [service, versions] : record.versions) {
+  for (const auto& [service, versions] : record.services) {
     wire::ServiceVersions* const item = message.add_services();
     item->set_service(service.value());
-    for (const SoftwareVersion& version : versions)
+    for (const auto& [version, closing] : versions) {
       item->add_software_versions(version.value());
+      if (!closing) continue;
+      wire::ClosedVersion* const closed = item->add_closed();
+      closed->set_software_version(version.value());
+      closed->set_closing(closing->count());
+    }
   }
   return ToJson(message);
 }
@@ -40,13 +45,14 @@
       random_(random),
       log_(log),
       is_list_current_(std::move(is_list_current)),
-      options_(options) {}
+      options_(options),
+      view_(options.record) {}
 
-const std::set<SoftwareVersion>& VersionRegistry::RecordedVersions(
+const std::set<SoftwareVersion>& VersionRegistry::StartableVersions(
     const ServiceId& service) const {
   static const std::set<SoftwareVersion> kNone;
-  const auto versions = recorded_.find(service);
-  return versions == recorded_.end() ? kNone : versions->second;
+  const auto versions = view_.startable().find(service);
+  return versions == view_.startable().end() ? kNone : versions->second;
 }
 
 size_t VersionRegistry::Rank() const {
@@ -66,15 +72,14 @@
 }
 
 void VersionRegistry::OnEraBegun(StoreEra era) {
-  era_ = era;
-  history_.RecordGap(loop_->Now());
+  view_.OnEraBegun(era, loop_->Now());
 }
 
 void VersionRegistry::OnRecord(const KvRecord* record) {
   // A lower revision is that of a watch which is behind a write of this daemon,
   // or of a store that has come back from an older copy. If a version is
   // missing, the write that follows tells which: it fails in the first case.
-  Apply(record, era_);
+  Apply(record, view_.era());
 }
 
 std::optional<VersionRecord> VersionRegistry::Parse(
@@ -87,59 +92,62 @@
   }
   VersionRecord parsed;
   parsed.complete_era = StoreEra(message.complete_era());
-  for (const wire::ServiceVersions& item : message.services())
+  for (const wire::ServiceVersions& item : message.services()) {
+    VersionRecord::Versions& versions =
+        parsed.services[ServiceId(item.service())];
     for (const std::string& name : item.software_versions())
-      parsed.versions[ServiceId(item.service())].insert(SoftwareVersion(name));
+      versions[SoftwareVersion(name)];
+    for (const wire::ClosedVersion& closed : item.closed())
+      versions[SoftwareVersion(closed.software_version())] =
+          VersionRecord::Closing(closed.closing());
+  }
   return parsed;
 }
 
 void VersionRegistry::Apply(const KvRecord* record, StoreEra era) {
-  era_ = era;
-  revision_ = record == nullptr ? Revision(0) : record->revision;
-  record_ = record == nullptr ? std::nullopt : Parse(*record);
-  // What an unreadable record named is unknown.
-  if (record != nullptr && !record_) record_ = VersionRecord{{}, StoreEra(-1)};
-  VersionsByService recorded =
-      record_ ? record_->versions : VersionsByService();
-  for (const auto& [service, versions] : recorded)
-    for (const SoftwareVersion& version : versions)
-      if (!history_.HasSeen(service, version))
-        history_.RecordSighting(service, version, loop_->Now());
-  const bool has_changed = recorded != recorded_;
-  recorded_ = std::move(recorded);
-  if (has_changed) {
-    for (const auto& [service, versions] : recorded_) {
-      std::string names;
-      for (const SoftwareVersion& version : versions)
-        names += (names.empty() ? "" : " ") + version.value();
-      log_->Write(LogLine("service_versions_recorded")
-                      .Add("service", service.value())
-                      .Add("software_versions", names)
-                      .Add("revision", revision_.count()));
-    }
+  std::optional<VersionRecord> content;
+  if (record != nullptr) {
+    content = Parse(*record);
+    // What an unreadable record named is unknown.
+    if (!content) content = VersionRecord{{}, StoreEra(-1)};
+  }
+  const VersionsByService before = view_.recorded();
+  view_.OnRead(std::move(content),
+               record == nullptr ? Revision(0) : record->revision, era,
+               loop_->Now());
+  if (view_.recorded() != before) {
+    LogRecord();
     if (on_change_) on_change_();
   }
   Update();
 }
 
-VersionRecord VersionRegistry::NextRecord() const {
-  return NextVersionRecord(record_, history_, era_, loop_->Now(), window_);
+void VersionRegistry::LogRecord() const {
+  for (const auto& [service, versions] : view_.recorded()) {
+    std::string names;
+    for (const SoftwareVersion& version : versions)
+      names += (names.empty() ? "" : " ") + version.value();
+    log_->Write(LogLine("service_versions_recorded")
+                    .Add("service", service.value())
+                    .Add("software_versions", names)
+                    .Add("revision", view_.revision().count()));
+  }
 }
 
-bool VersionRegistry::NeedsWrite() const {
-  if (!is_list_current_()) return false;
-  const VersionRecord next = NextRecord();
-  // Without engines, there is nothing to record.
-  return record_ ? !(next == *record_) : !next.versions.empty();
+std::optional<VersionRecord> VersionRegistry::FindDueRecord() const {
+  if (!is_list_current_()) return std::nullopt;
+  auto next = view_.Next(history_, loop_->Now());
+  if (next == view_.record()) return std::nullopt;
+  return next;
 }
 
 void VersionRegistry::Update() {
   if (write_timer_ || call_ != nullptr) return;
   check_timer_.Cancel();
-  if (NeedsWrite()) {
+  if (FindDueRecord()) {
     ScheduleWrite(Duration::zero());
   } else {
-    // A version ceases to count some time after its last engine has left.
+    // A version is closed and removed some time after its last engine has left.
     check_timer_ = loop_->After(options_.check_interval, [this] { Check(); });
   }
 }
@@ -155,7 +163,7 @@
     if (result.status == KvStatus::kNotFound) {
       Apply(nullptr, result.era);
     } else if (result.status == KvStatus::kOk &&
-               result.record.revision != revision_) {
+               result.record.revision != view_.revision()) {
       Apply(&result.record, result.era);
     } else {
       // An unchanged record doesn't show that its versions still count.
@@ -177,13 +185,14 @@
 
 void VersionRegistry::Write() {
   write_timer_.Cancel();
-  if (!NeedsWrite()) {
+  const auto record = FindDueRecord();
+  if (!record) {
     Update();
     return;
   }
-  const std::string value = ToText(NextRecord());
+  const std::string value = ToText(*record);
   call_ = store_->Put(
-      options_.key, value, revision_, /*lease=*/"",
+      options_.key, value, view_.revision(), /*lease=*/"",
       [this, value](const KvResult& result) { OnWritten(value, result); });
 }
 
--- a/serving/version_registry.h
+++ b/serving/version_registry.h
@@ -2,11 +2,10 @@
 // store, and reads it for streams that callers take up.
 //
 // Model: every daemon learns of the record through its watch on the store. When
-// a version is listed that the record lacks, or one has left for good, the
-// first of the members that the store answers writes it; the revision that it
-// replaces settles races. The first members also read it from time to time,
-// since no watch reports that a store which has come back from an older copy
-// lacks it.
+// the record has to change, the first of the members that the store answers
+// writes it; the revision that it replaces settles races. The first members
+// also read it from time to time, since no watch reports that a store which has
+// come back from an older copy lacks it.
 //
 // A reading is requested from the store after the question has come. Questions
 // that come while a reading is under way wait for the next one.
@@ -54,9 +53,7 @@
     Duration read_timeout = std::chrono::milliseconds(500);
     // Least time between two readings, for each member of the fleet.
     Duration read_interval_per_member = std::chrono::milliseconds(1);
-    // Longest time that a daemon which can't reach the store begins streams at
-    // an engine whose entry is gone.
-    Duration max_list_age = std::chrono::seconds(10);
+    VersionRecordView::Options record;
   };
   // Returns whether the list of backend servers is current: the store has
   // answered lately.
@@ -83,33 +80,29 @@
                   LineLog* log, IsListCurrent is_list_current,
                   const Options& options);
 
-  // Called after each change of RecordedVersions().
+  // Called after each change of the versions that the record names.
   void SetObserver(std::function<void()> observer) {
     on_change_ = std::move(observer);
   }
   // Sets how long after its first event a stream can be taken up.
   void SetStreamLifetime(Duration lifetime) {
-    window_ = lifetime + options_.max_list_age;
+    view_.SetStreamLifetime(lifetime);
   }
 
   // The list of backend servers has changed.
   void OnBackEndsChanged();
-  // Until now, the list may have lacked changes.
-  void OnGap() { history_.RecordGap(loop_->Now()); }
   // The store is listed for the first time, or in a new era.
   void OnEraBegun(StoreEra era);
   // The watch on the store has read the record; nullptr: there is none.
   void OnRecord(const KvRecord* record);
-  // An engine of `service` has had this version.
-  void RecordSighting(const ServiceId& service, const SoftwareVersion& version,
-                      MonoTime at) {
-    history_.RecordSighting(service, version, at);
-  }
-
   // Returns the versions at which streams may begin.
-  const std::set<SoftwareVersion>& RecordedVersions(
+  const std::set<SoftwareVersion>& StartableVersions(
       const ServiceId& service) const;
-  const VersionsByService& recorded_versions() const { return recorded_; }
+  // Returns the versions that may have begun streams, as far as this daemon
+  // knows.
+  const VersionsByService& recorded_versions() const {
+    return view_.recorded();
+  }
   bool is_list_current() const { return is_list_current_(); }
 
   // Reads the record. Runs `callback` once, from the loop.
@@ -124,10 +117,11 @@
   // Takes over what was read or written, with the store's era at the time.
   void Apply(const KvRecord* record, StoreEra era);
   std::optional<VersionRecord> Parse(const KvRecord& record) const;
-  VersionRecord NextRecord() const;
   void Update();
-  // Whether the record has to be written, and this daemon may judge it.
-  bool NeedsWrite() const;
+  // Returns the record to be written; nullopt if it needn't change, or this
+  // daemon can't judge that.
+  std::optional<VersionRecord> FindDueRecord() const;
+  void LogRecord() const;
   void Check();
   void ScheduleWrite(Duration min_delay);
   void Write();
@@ -148,12 +142,8 @@
   const IsListCurrent is_list_current_;
   const Options options_;
   std::function<void()> on_change_;
-  Duration window_ = std::chrono::seconds(60);
   SoftwareVersionHistory history_;
-  StoreEra era_;
-  std::optional<VersionRecord> record_;  // As last read; absent: none.
-  Revision revision_;                    // Of the record; 0: there is none.
-  VersionsByService recorded_;
+  VersionRecordView view_;
   KvStore::CallPtr call_;           // A write, or a look at the record.
   KvStore::CallPtr finished_call_;  // May be on the stack.
   TimerHandle write_timer_;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -805,7 +805,7 @@
   CHECK(CallFrontend("/letter/1").status == 200);
   // The daemon records the version itself.
   REQUIRE(RunUntil(loop.get(), [&] {
-    return !versions.RecordedVersions(ServiceId("llm")).empty();
+    return !versions.StartableVersions(ServiceId("llm")).empty();
   }));
   CHECK(CallFrontend("/note/2").status == 200);
 }
--- a/tests/stream_origin_exchange_test.cc
+++ b/tests/stream_origin_exchange_test.cc
@@ -160,7 +160,8 @@
 
 // How long a version that has left may have begun streams that can be taken up,
 // as the registry judges it.
-const Duration kWindow = kLifetime + VersionRegistry::Options().max_list_age;
+const Duration kWindow = VersionRecordView::Options().close_delay +
+                         VersionRecordView::Options().max_age + kLifetime;
 // Covers the write of a version by a member that is the last in turn, the look
 // that finds it due, and the delivery by the watch.
 constexpr Duration kRecordingTime = seconds(8);
--- a/tests/version_registry_test.cc
+++ b/tests/version_registry_test.cc
@@ -86,7 +86,12 @@
     std::optional<VersionReading> reading;
 
     Names versions() const {
-      return reading ? reading->record.versions.at(kService) : Names();
+      Names names;
+      if (reading)
+        for (const auto& [version, closing] :
+             reading->record.services.at(kService))
+          names.insert(version);
+      return names;
     }
   };
   void Ask(Answer* answer) {
@@ -123,17 +128,17 @@
 TEST_CASE_METHOD(RegistryFixture,
                  "streams may begin at a version once it is recorded") {
   List(kOld);
-  CHECK(registry.RecordedVersions(kService).empty());
+  CHECK(registry.StartableVersions(kService).empty());
   Run(std::chrono::seconds(2));
-  CHECK(registry.RecordedVersions(kService) == Names{kOld});
+  CHECK(registry.StartableVersions(kService) == Names{kOld});
   // The response to the write is lost.
   store.response_time.reset();
   List(kNew);
   Run(std::chrono::seconds(2));
-  CHECK(registry.RecordedVersions(kService) == Names{kOld});
+  CHECK(registry.StartableVersions(kService) == Names{kOld});
   const KvResult written = store.Find(kKey);
   registry.OnRecord(&written.record);
-  CHECK(registry.RecordedVersions(kService) == Names{kOld, kNew});
+  CHECK(registry.StartableVersions(kService) == Names{kOld, kNew});
 }
 
 TEST_CASE_METHOD(RegistryFixture,
@@ -144,7 +149,7 @@
   CHECK(store.Find(kKey).status == KvStatus::kNotFound);
   is_list_current = true;
   Run(std::chrono::seconds(10));
-  CHECK(registry.RecordedVersions(kService) == Names{kOld});
+  CHECK(registry.StartableVersions(kService) == Names{kOld});
 }
 
 TEST_CASE_METHOD(RegistryFixture,
@@ -220,11 +225,12 @@
   CHECK_FALSE(answer.reading);
   // It is replaced, and complete once no stream of before can be left.
   registry.SetStreamLifetime(std::chrono::seconds(20));
+  registry.OnEraBegun(StoreEra());
   const KvResult unreadable = store.Find(kKey);
   registry.OnRecord(&unreadable.record);
   List(kOld);
   Run(std::chrono::seconds(2));
-  CHECK(registry.RecordedVersions(kService) == Names{kOld});
+  CHECK(registry.StartableVersions(kService) == Names{kOld});
   Answer incomplete;
   Ask(&incomplete);
   Run(milliseconds(100));
