Members look at the record of versions before their watches report it

Streams begin at a new version once a daemon has read that it is recorded, which took up to 0.75 s: a random delay of the write, and the time between two watches. Meanwhile they begin at engines that leave.

The first member writes at once; the others read the record 50 to 150 ms after they have found that it has to change.

--- a/serving/version_registry.cc
+++ b/serving/version_registry.cc
@@ -144,11 +144,18 @@
 void VersionRegistry::Update() {
   if (write_timer_ || call_ != nullptr) return;
   check_timer_.Cancel();
-  if (FindDueRecord()) {
-    ScheduleWrite(Duration::zero());
-  } else {
+  if (!FindDueRecord()) {
+    has_looked_ = false;
     // A version is closed and removed some time after its last engine has left.
     check_timer_ = loop_->After(options_.check_interval, [this] { Check(); });
+  } else if (Rank() == 0 || has_looked_) {
+    ScheduleWrite(Duration::zero());
+  } else {
+    has_looked_ = true;
+    check_timer_ =
+        loop_->After(options_.look_delay +
+                         Scaled(options_.look_jitter, random_->UniformDouble()),
+                     [this] { ReadRecord(); });
   }
 }
 
@@ -156,8 +163,13 @@
   check_timer_.Cancel();
   if (!is_list_current_() || Rank() >= options_.max_turns) {
     Update();
-    return;
+  } else {
+    ReadRecord();
   }
+}
+
+void VersionRegistry::ReadRecord() {
+  check_timer_.Cancel();
   call_ = store_->Get(options_.key, [this](const KvResult& result) {
     finished_call_ = std::move(call_);
     if (result.status == KvStatus::kNotFound) {
@@ -173,12 +185,16 @@
 }
 
 void VersionRegistry::ScheduleWrite(Duration min_delay) {
-  // The members of a fleet that starts don't know of each other yet.
-  const Duration jitter = members_->others().empty()
-                              ? options_.first_write_jitter
-                              : options_.write_jitter;
+  const size_t rank = Rank();
+  Duration jitter{};
+  if (members_->others().empty()) {
+    // The members of a fleet that starts don't know of each other yet.
+    jitter = options_.first_write_jitter;
+  } else if (rank >= options_.max_turns) {
+    jitter = options_.last_write_jitter;
+  }
   write_timer_ =
-      loop_->After(min_delay + options_.turn * static_cast<int64_t>(Rank()) +
+      loop_->After(min_delay + options_.turn * static_cast<int64_t>(rank) +
                        Scaled(jitter, random_->UniformDouble()),
                    [this] { Write(); });
 }
--- a/serving/version_registry.h
+++ b/serving/version_registry.h
@@ -3,15 +3,17 @@
 //
 // Model: every daemon learns of the record through its watch on the store. When
 // the record has to change, the first of the members that the store answers
-// writes it; the revision that it replaces settles races. The first members
-// also read it from time to time, since no watch reports that a store which has
-// come back from an older copy lacks it.
+// writes it; the revision that it replaces settles races. The others read it a
+// moment later, before their watches report it, since streams wait for a new
+// version. The first members also read it from time to time, since no watch
+// reports that a store which has come back from an older copy lacks it.
 //
 // A reading is requested from the store after the question has come. Questions
 // that come while a reading is under way wait for the next one.
 //
-// Cost: three reads in 5 s, a write when versions change, and a read for the
-// streams that are taken up at a daemon within read_interval.
+// Cost: three reads in 5 s; a write and a read of each daemon when versions
+// change; and a read for the streams that are taken up at a daemon within the
+// least time between two readings.
 #ifndef SERVING_VERSION_REGISTRY_H_
 #define SERVING_VERSION_REGISTRY_H_
 
@@ -38,13 +40,17 @@
   struct Options {
     std::string key;
     // Delay of a write for each member that ranks before this one.
-    Duration turn = std::chrono::milliseconds(500);
-    // Number of members that take turns.
+    Duration turn = std::chrono::milliseconds(250);
+    // Number of members that take turns. All others come after them.
     size_t max_turns = 3;
-    // Largest random delay of a write; of the first one, that a whole fleet
-    // attempts when it starts.
-    Duration write_jitter = std::chrono::milliseconds(250);
+    // Time after which a member that isn't the first reads the record that it
+    // expects to be written, and the largest random delay that is added.
+    Duration look_delay = std::chrono::milliseconds(50);
+    Duration look_jitter = std::chrono::milliseconds(100);
+    // Largest random delay of a write by members that have no turn of their
+    // own: the first one, when a whole fleet starts, and those after all turns.
     Duration first_write_jitter = std::chrono::seconds(1);
+    Duration last_write_jitter = std::chrono::seconds(2);
     // Delay after a failed write.
     Duration retry_delay = std::chrono::milliseconds(1500);
     // Time between two looks at the record.
@@ -122,6 +128,7 @@
   // daemon can't judge that.
   std::optional<VersionRecord> FindDueRecord() const;
   void LogRecord() const;
+  void ReadRecord();
   void Check();
   void ScheduleWrite(Duration min_delay);
   void Write();
@@ -146,6 +153,8 @@
   VersionRecordView view_;
   KvStore::CallPtr call_;           // A write, or a look at the record.
   KvStore::CallPtr finished_call_;  // May be on the stack.
+  // This daemon has read the record since it found that it has to change.
+  bool has_looked_ = false;
   TimerHandle write_timer_;
   TimerHandle check_timer_;
 
