--- a/soak/fault_soak_test.cc
+++ b/soak/fault_soak_test.cc
@@ -83,6 +83,8 @@
 constexpr uint64_t kKillsSeedOffset = 1U << 26;
 // Seeds the generator of engines that restart at another software version.
 constexpr uint64_t kRestartsSeedOffset = uint64_t{1} << 40U;
+// Seeds the generator of versions that daemons cut off from the store miss.
+constexpr uint64_t kUnseenVersionsSeedOffset = uint64_t{1} << 41U;
 // Ends the ids of requests that take a stream up.
 constexpr char kTakeUpMark[] = "-again";
 // Of the daemons' settings, which are the defaults.
@@ -129,6 +131,7 @@
     DrawSilence(seed + kSilenceSeedOffset);
     DrawKills(seed + kKillsSeedOffset);
     DrawRestarts(seed + kRestartsSeedOffset);
+    DrawUnseenVersions(seed + kUnseenVersionsSeedOffset);
     std::stable_sort(
         steps_.begin(), steps_.end(),
         [](const Step& a, const Step& b) { return a.at_ms < b.at_ms; });
@@ -631,6 +634,45 @@
             [withhold] { withhold(0); });
   }
 
+  // Some daemons can't reach the store while engines come back at the other
+  // software version, and the daemons that know of it are killed. Drawn by a
+  // generator of its own, too.
+  void DrawUnseenVersions(uint64_t seed) {
+    SeededRandom random(seed);
+    if (!changes_versions_ || random.UniformInt(2) == 0) return;
+    const auto draw = [&random](uint64_t below) {
+      return static_cast<int>(random.UniformInt(below));
+    };
+    auto& entries = fleet_->entry_processes();
+    const auto cut_off = 1 + random.UniformInt(entries.size() - 1);
+    const int at = draw(length_ms_);
+    for (size_t i = 0; i < entries.size(); ++i) {
+      EntryProcess* const entry = entries[i].get();
+      if (i < cut_off) {
+        AddStep(at, "daemon loses the store",
+                [entry] { entry->store_proxy().SendCommand("mode cut"); });
+        AddStep(at + 3000 + draw(4000), "daemon reaches the store again",
+                [entry] { entry->store_proxy().SendCommand("reset"); });
+      } else {
+        const int killed_at = at + 1000 + draw(1500);
+        AddStep(killed_at, "daemon that knows the versions killed",
+                [entry] { entry->Kill(); });
+        AddStep(killed_at + 300 + draw(1700), "daemon back",
+                [entry] { entry->StartIfDown(); });
+      }
+    }
+    for (const auto& server : fleet_->servers()) {
+      if (!server->is_engine() || draw(2) == 0) continue;
+      const int killed_at = at + 300 + draw(300);
+      AddStep(killed_at, server->id() + " killed before it changes its version",
+              [server = server.get()] { server->Kill(); });
+      AddStep(killed_at + 50, server->id() + " back at the other version",
+              [this, server = server.get()] {
+                server->StartAtOtherVersion(milliseconds(0), withheld_reports_);
+              });
+    }
+  }
+
   static void SetStoreOutage(Fleet* fleet, bool outage) {
     Json::Value members;
     members["outage"] = outage;
