--- a/tests/stream_origin_exchange_test.cc
+++ b/tests/stream_origin_exchange_test.cc
@@ -700,6 +700,7 @@
     }
     int went_on = 0;
     std::vector<std::unique_ptr<StreamOriginLookup>> lookups;
+    lookups.reserve(streams.size());
     for (const Stream& stream : streams) {
       lookups.push_back(deaf->exchange.Find(
           stream.request, kService,
@@ -850,6 +851,7 @@
     // While the store is away from all, nobody can say.
     for (int i = 1; i < fleet.size(); ++i) fleet.CutOffFromStore(i);
     std::vector<Stream> late;
+    late.reserve(kStreams);
     for (int i = 0; i < kStreams; ++i)
       late.push_back({RequestId("late" + std::to_string(i)), kOld, 1});
     CHECK(fleet.TakeUpAt(0, late) == 0);
