--- a/cmake/mimosa.cmake
+++ b/cmake/mimosa.cmake
@@ -15,8 +15,8 @@
 
 # Adds a unit test program:
 #   mimosa_test(name SOURCES sources... LIBS libs... [TIMEOUT seconds])
-# All its Catch2 cases run as one ctest test. Does nothing in builds of
-# mimosa-entry alone.
+# All its Catch2 cases run as one ctest test, whose output names those that have
+# ended, in case that it times out. Does nothing in builds of mimosa-entry alone.
 function(mimosa_test name)
 endfunction()
 if(MIMOSA_ONLY_ENTRY)
@@ -32,6 +32,6 @@
   endif()
   add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE mimosa_catch_main ${ARG_LIBS})
-  add_test(NAME ${name} COMMAND ${name})
+  add_test(NAME ${name} COMMAND ${name} --durations yes)
   set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
 endfunction()
