Test: a version is implied while the record can't be written yet

'a version that was replaced while no daemon ran counts' expected that streams of the old version go on at once after a start of all, until the new one is recorded.

The store refuses writes until the first takeups are over. What is checked stays: all go on at their version while the record names it alone, and none once it doesn't.

--- a/tests/stream_origin_exchange_test.cc
+++ b/tests/stream_origin_exchange_test.cc
@@ -47,7 +47,7 @@
   }
 
   KvResult Put(const std::string& key, std::string value, Revision expect) {
-    if (is_away) return {};
+    if (is_away || refuses_writes) return {};
     KvResult result = Check(key, expect);
     if (result.status != KvStatus::kOk) return result;
     result.record = {key, std::move(value), Revision(++revision_)};
@@ -88,6 +88,7 @@
   }
 
   bool is_away = false;
+  bool refuses_writes = false;
 
  private:
   KvResult Check(const std::string& key, Revision expect) const {
@@ -589,11 +590,13 @@
     const auto streams = fleet.BeginStreams(kStreams, {kOld});
     fleet.KillAll();
     fleet.SetEngines(kNewEngines);
+    fleet.store().refuses_writes = true;
     fleet.StartAll();
     // Only the old version may have begun streams so far.
     const auto takeups = fleet.TakeUp(streams, IsAny);
     CHECK(takeups.went_on == kStreams);
     CHECK(takeups.at_wrong_version == 0);
+    fleet.store().refuses_writes = false;
     fleet.RunUntilRecorded();
     CHECK(fleet.TakeUp(streams, IsAny).went_on == 0);
     // Once no stream of the old version can be left, there is no doubt.
