--- a/serving/stream_origin_exchange.h
+++ b/serving/stream_origin_exchange.h
@@ -56,6 +56,7 @@
     uint64_t implied = 0;  // Unknown, but the record names one version.
     uint64_t unknown = 0;
   };
+
   // Number of members that keep a copy of an origin, and that are asked at
   // once.
   static constexpr size_t kKeepers = 3;
--- a/serving/version_registry.h
+++ b/serving/version_registry.h
@@ -101,6 +101,7 @@
   void OnEraBegun(StoreEra era);
   // The watch on the store has read the record; nullptr: there is none.
   void OnRecord(const KvRecord* record);
+
   // Returns the versions at which streams may begin.
   const std::set<SoftwareVersion>& StartableVersions(
       const ServiceId& service) const;
--- a/tests/cut_off_release_test.cc
+++ b/tests/cut_off_release_test.cc
@@ -36,9 +36,11 @@
   std::cout << "  " << UnixMillis() << " " << what << std::endl;
 }
 
-// Sleeps until `duration` after the last call's end, or after the construction.
+// Keeps the times of a series of steps, however long each of them takes.
 class Schedule {
  public:
+  // Sleeps until `duration` after the time at which the last step was due, the
+  // construction at first.
   void SleepFor(milliseconds duration) {
     next_ += duration;
     std::this_thread::sleep_until(next_);
--- a/tests/stream_origin_exchange_test.cc
+++ b/tests/stream_origin_exchange_test.cc
@@ -288,6 +288,12 @@
     daemon(index)->journal_store.is_refused = true;
     daemon(index)->exchange.OnStoreLost();
   }
+  // Its watch goes on: it reads the present state.
+  void ReachStoreAgain(int index) {
+    daemon(index)->hears_store = true;
+    daemon(index)->journal_store.is_refused = false;
+    daemon(index)->ListAll(engines_);
+  }
   FakeNetwork& network() { return network_; }
   FleetStore& store() { return store_; }
   int size() const { return size_; }
@@ -814,6 +820,87 @@
   });
 }
 
+TEST_CASE("daemons that have just started don't vouch for a version",
+          "[cut_off]") {
+  ForEachFleet([](Fleet& fleet) {
+    SurvivorsOfRelease survivors(&fleet);
+    for (int i = 2; i < fleet.size(); ++i) fleet.Start(i);
+    CHECK(survivors.CountAtOldVersion(0) == 0);
+    CHECK(survivors.CountAtOldVersion(2) == 0);
+    // The old version is back alone before the streams are over.
+    fleet.AnnounceEngines({Engine("a", kOld), Engine("b", kOld)});
+    fleet.KillAll();
+    fleet.StartAll();
+    CHECK(survivors.CountAtOldVersion(0) == 0);
+  });
+}
+
+// The watch of one daemon has a gap, in which a version comes and goes.
+TEST_CASE("a version that came and left unseen isn't passed over",
+          "[cut_off]") {
+  ForEachFleet([](Fleet& fleet) {
+    fleet.Run(kLifetime);
+    fleet.CutOffFromStore(0);
+    fleet.SetEngines(kMixedEngines);
+    const RequestId stream("s");
+    // Its reports are lost with the daemon at which it has begun.
+    fleet.network().cut_off = {1};
+    fleet.daemon(1)->exchange.Record(stream, kService, kNew);
+    fleet.Run(milliseconds(50));
+    fleet.Kill(1);
+    fleet.network().cut_off.clear();
+    fleet.AnnounceEngines({Engine("a", kOld), Engine("b", kOld)});
+    fleet.ReachStoreAgain(0);
+    std::optional<SoftwareVersion> found;
+    const auto lookup = fleet.daemon(0)->exchange.Find(
+        stream, kService, [&](const auto& version) { found = version; });
+    fleet.Run(seconds(1));
+    CHECK((!found || *found == kNew));
+  });
+}
+
+// An engine that hasn't stated its incarnation may have another version than
+// its entry.
+TEST_CASE("a stream of unknown version goes on nowhere if its record is lost",
+          "[.][unknown_version]") {
+  ForEachFleet([](Fleet& fleet) {
+    const RequestId stream("s");
+    fleet.network().cut_off = {0};
+    fleet.daemon(0)->exchange.Record(stream, kService, std::nullopt);
+    fleet.Run(milliseconds(50));
+    fleet.Kill(0);
+    fleet.network().cut_off.clear();
+    std::optional<SoftwareVersion> found;
+    const auto lookup = fleet.daemon(1)->exchange.Find(
+        stream, kService, [&](const auto& version) { found = version; });
+    fleet.Run(seconds(1));
+    CHECK_FALSE(found);
+  });
+}
+
+// It begins a stream at an engine that is no longer listed.
+TEST_CASE("a daemon that was cut off for long leaves no stream to be guessed",
+          "[.][long_cut]") {
+  ForEachFleet([](Fleet& fleet) {
+    fleet.Run(kLifetime);
+    fleet.CutOffFromStore(0);
+    fleet.SetEngines(kNewEngines);
+    fleet.Run(kWindow + kRecordingTime);
+    const RequestId stream("s");
+    fleet.network().cut_off = {0};
+    if (fleet.daemon(0)->MayBegin(kOld))
+      fleet.daemon(0)->exchange.Record(stream, kService, kOld);
+    fleet.Run(milliseconds(50));
+    fleet.Kill(0);
+    fleet.network().cut_off.clear();
+    std::optional<SoftwareVersion> found;
+    const auto lookup = fleet.daemon(1)->exchange.Find(
+        stream, kService, [&](const auto& version) { found = version; });
+    fleet.Run(seconds(1));
+    CHECK((!found || *found == kOld));
+  });
+}
+
 TEST_CASE("a daemon that has heard of a version doesn't forget it",
           "[cut_off]") {
   ForEachFleet([](Fleet& fleet) {
