A response doesn't replace what was learned of the record after its call

A look at the record, or a write, whose response arrived after the watch had delivered a later record put the earlier one back in force until the next write: streams began at a version that had been closed, within the time that is allowed for, or not at one that was open. Found by reading the change again; old knowledge counted as new.

version_registry_test plays it: { 1 } instead of { 1, 2 } before. The daemon judges the record again instead.

--- a/serving/version_registry.cc
+++ b/serving/version_registry.cc
@@ -170,9 +170,11 @@
 
 void VersionRegistry::ReadRecord() {
   check_timer_.Cancel();
+  call_revision_ = view_.revision();
   call_ = store_->Get(options_.key, [this](const KvResult& result) {
-    finished_call_ = std::move(call_);
-    if (result.status == KvStatus::kNotFound) {
+    if (!EndCall()) {
+      Update();
+    } else if (result.status == KvStatus::kNotFound) {
       Apply(nullptr, result.era);
     } else if (result.status == KvStatus::kOk &&
                result.record.revision != view_.revision()) {
@@ -184,6 +186,11 @@
   });
 }
 
+bool VersionRegistry::EndCall() {
+  finished_call_ = std::move(call_);
+  return view_.revision() == call_revision_;
+}
+
 void VersionRegistry::ScheduleWrite(Duration min_delay) {
   const size_t rank = Rank();
   Duration jitter{};
@@ -207,6 +214,7 @@
     return;
   }
   const std::string value = ToText(*record);
+  call_revision_ = view_.revision();
   call_ = store_->Put(
       options_.key, value, view_.revision(), /*lease=*/"",
       [this, value](const KvResult& result) { OnWritten(value, result); });
@@ -214,9 +222,10 @@
 
 void VersionRegistry::OnWritten(const std::string& value,
                                 const KvResult& result) {
-  finished_call_ = std::move(call_);
   KvRecord present = result.record;
-  if (result.status == KvStatus::kOk) {
+  if (!EndCall()) {
+    Update();
+  } else if (result.status == KvStatus::kOk) {
     present.value = value;
     Apply(&present, result.era);
   } else if (result.status == KvStatus::kConflict) {
--- a/serving/version_registry.h
+++ b/serving/version_registry.h
@@ -130,6 +130,9 @@
   std::optional<VersionRecord> FindDueRecord() const;
   void LogRecord() const;
   void ReadRecord();
+  // Ends call_. Returns whether its response says something of the record as
+  // this daemon knows it, and not of an earlier one.
+  bool EndCall();
   void Check();
   void ScheduleWrite(Duration min_delay);
   void Write();
@@ -153,6 +156,7 @@
   SoftwareVersionHistory history_;
   VersionRecordView view_;
   KvStore::CallPtr call_;           // A write, or a look at the record.
+  Revision call_revision_;          // revision() when it began.
   KvStore::CallPtr finished_call_;  // May be on the stack.
   // This daemon has read the record since it found that it has to change.
   bool has_looked_ = false;
--- a/tests/version_registry_test.cc
+++ b/tests/version_registry_test.cc
@@ -141,6 +141,22 @@
   CHECK(registry.StartableVersions(kService) == Names{kOld, kNew});
 }
 
+TEST_CASE_METHOD(RegistryFixture,
+                 "a response doesn't replace what was learned after its call") {
+  List(kOld);
+  Run(std::chrono::seconds(2));
+  // The daemon looks at the record, which changes before the response arrives.
+  store.response_time = milliseconds(200);
+  const int reads = store.reads;
+  while (store.reads == reads) Run(milliseconds(1));
+  WriteByOther({kOld, kNew});
+  const KvResult written = store.Find(kKey);
+  registry.OnRecord(&written.record);
+  CHECK(registry.StartableVersions(kService) == Names{kOld, kNew});
+  Run(milliseconds(210));
+  CHECK(registry.StartableVersions(kService) == Names{kOld, kNew});
+}
+
 TEST_CASE_METHOD(RegistryFixture,
                  "a daemon that the store doesn't answer records nothing") {
   is_list_current = false;
