--- a/serving/stream_origin_exchange.cc
+++ b/serving/stream_origin_exchange.cc
@@ -30,6 +30,7 @@
         service_(std::move(service)),
         callback_(std::move(callback)),
         serial_(++exchange->last_serial_),
+        began_at_(exchange->loop_->Now()),
         // Requests that name none are spread over the members by daemon.
         members_(exchange->members_->TopOthers(
             request_.empty() ? exchange->members_->self().name()
@@ -86,6 +87,7 @@
   const std::set<std::string>& silent() const { return silent_; }
   // Whether this daemon has read the record of versions.
   bool has_own_reading() const { return own_reading_.has_value(); }
+  MonoTime began_at() const { return began_at_; }
 
  private:
   enum class Stage { kBegin, kAskingKeepers, kAwaitingReading, kAskingReaders };
@@ -166,6 +168,7 @@
   const ServiceId service_;
   FindCallback callback_;
   uint64_t serial_;
+  const MonoTime began_at_;
   const std::vector<std::string> members_;  // In the order of asking.
   Stage stage_ = Stage::kBegin;
   size_t asked_ = 0;  // Members up to this one have been asked at this stage.
@@ -408,6 +411,7 @@
                   .Add("silent", JoinedBySpaces(lookup.silent()))
                   .Add("list_current", versions_->is_list_current())
                   .Add("has_read_versions", lookup.has_own_reading())
+                  .AddMillis("after_ms", loop_->Now() - lookup.began_at())
                   .Add("software_version",
                        version ? version->value() : std::string("unknown")));
 }
