--- a/serving/version_registry.cc
+++ b/serving/version_registry.cc
@@ -172,11 +172,10 @@
   check_timer_.Cancel();
   call_revision_ = view_.revision();
   call_ = store_->Get(options_.key, [this](const KvResult& result) {
-    if (!EndCall()) {
-      Update();
-    } else if (result.status == KvStatus::kNotFound) {
+    const bool is_current = EndCall();
+    if (is_current && result.status == KvStatus::kNotFound) {
       Apply(nullptr, result.era);
-    } else if (result.status == KvStatus::kOk &&
+    } else if (is_current && result.status == KvStatus::kOk &&
                result.record.revision != view_.revision()) {
       Apply(&result.record, result.era);
     } else {
